--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,32 @@
+import js from "@eslint/js"
+import tseslint from "typescript-eslint"
+
+export default tseslint.config(
+	{ignores: ["**/dist/**", "build/**", "packages/wire/src/generated/**"]},
+	js.configs.recommended,
+	...tseslint.configs.recommended,
+	{
+		rules: {
+			"@typescript-eslint/no-unused-vars": ["error", {argsIgnorePattern: "^_"}],
+			"@typescript-eslint/consistent-type-imports": "error",
+			"max-lines-per-function": ["error", {max: 330, skipBlankLines: true, skipComments: true}],
+			complexity: ["error", 20],
+		},
+	},
+	{
+		files: ["**/*.cjs"],
+		languageOptions: {
+			globals: {
+				require: "readonly",
+				module: "readonly",
+				__dirname: "readonly",
+				console: "readonly",
+			},
+		},
+		rules: {"@typescript-eslint/no-require-imports": "off"},
+	},
+	{
+		files: ["packages/*/test/**"],
+		rules: {"max-lines-per-function": "off", "@typescript-eslint/no-unused-expressions": "off"},
+	},
+)
--- /dev/null
+++ b/packages/core/src/core/explain.ts
@@ -0,0 +1,53 @@
+/**
+ * The decisions taken for each submission, in order and with cause, within bounded memory.
+ */
+import type {SubmissionKey} from "../types/types-external.js"
+
+/** The closed list of steps that `explain` reports. */
+export type StepName =
+	| "received"
+	| "forwarded"
+	| "admitted"
+	| "joined"
+	| "intended"
+	| "queued"
+	| "placed"
+	| "retried"
+	| "hedged"
+	| "refused"
+	| "failed"
+	| "cancelled"
+	| "answered"
+
+export interface Step {
+	/** Wall-clock milliseconds. */
+	readonly at: number
+	readonly step: StepName
+	readonly cause: string
+}
+
+export interface Explainer {
+	note(key: SubmissionKey, step: StepName, cause: string): void
+	explain(key: SubmissionKey): readonly Step[]
+}
+
+const MAX_SUBMISSIONS = 5_000
+const MAX_STEPS = 60
+
+/** Keeps the steps of the newest submissions; of each, the first and the newest steps. */
+export function createExplainer(wallNow: () => number): Explainer {
+	const steps = new Map<SubmissionKey, Step[]>()
+	return {
+		note(key, step, cause) {
+			let list = steps.get(key)
+			if (!list) {
+				if (steps.size >= MAX_SUBMISSIONS) steps.delete(steps.keys().next().value!)
+				list = []
+				steps.set(key, list)
+			}
+			if (list.length >= MAX_STEPS) list.splice(MAX_STEPS / 2, 1)
+			list.push({at: wallNow(), step, cause})
+		},
+		explain: key => steps.get(key) ?? [],
+	}
+}
--- /dev/null
+++ b/packages/core/src/core/fair-queue.ts
@@ -0,0 +1,133 @@
+/**
+ * The waiting attempts of one instance: fair between teams by weight, by deadline within a team.
+ *
+ * Attempts of the same shape (same needs and selector) wait in one heap. A shape that fits nowhere
+ * now is passed over as a whole, so it blocks nobody else.
+ */
+import TinyQueue from "tinyqueue"
+
+export interface Queued {
+	readonly team: string
+	/** Attempts with the same shape fit on the same targets. */
+	readonly shape: string
+	readonly deadlineAt: number
+	/** The work that the attempt is expected to take, in milliseconds. */
+	readonly costMs: number
+}
+
+interface TeamLine<T extends Queued> {
+	readonly heaps: Map<string, TinyQueue<T>>
+	size: number
+	/** Work served, divided by weight: the least goes first. */
+	virtualTime: number
+}
+
+export interface FairQueue<T extends Queued> {
+	push(item: T): void
+	/**
+	 * Takes items in order while `start` accepts them; `start` returns false for a shape that fits
+	 * nowhere now.
+	 */
+	drain(start: (item: T) => boolean, weightOf: (team: string) => number): void
+	/** Removes and returns the items that match, for instance cancelled or expired ones. */
+	remove(isRemoved: (item: T) => boolean): readonly T[]
+	size(): number
+	sizeOf(team: string): number
+	/** The expected work that waits, in milliseconds. */
+	costMs(): number
+}
+
+const byDeadline = (a: Queued, b: Queued) => a.deadlineAt - b.deadlineAt
+
+export function createFairQueue<T extends Queued>(): FairQueue<T> {
+	const lines = new Map<string, TeamLine<T>>()
+	let total = 0
+	let totalCostMs = 0
+	let servedTime = 0
+
+	function lineOf(team: string): TeamLine<T> {
+		let line = lines.get(team)
+		if (!line) {
+			line = {heaps: new Map(), size: 0, virtualTime: servedTime}
+			lines.set(team, line)
+		}
+		return line
+	}
+
+	function takeFrom(team: string, line: TeamLine<T>, heap: TinyQueue<T>) {
+		const item = heap.pop()!
+		if (heap.length === 0) line.heaps.delete(item.shape)
+		line.size--
+		total--
+		totalCostMs -= item.costMs
+		if (line.size === 0) lines.delete(team)
+	}
+
+	/** The earliest deadline among the team's shapes that are not blocked. */
+	function headOf(line: TeamLine<T>, blocked: ReadonlySet<string>): TinyQueue<T> | undefined {
+		let best: TinyQueue<T> | undefined
+		for (const [shape, heap] of line.heaps) {
+			if (blocked.has(shape)) continue
+			if (!best || heap.peek()!.deadlineAt < best.peek()!.deadlineAt) best = heap
+		}
+		return best
+	}
+
+	function nextTeam(blocked: ReadonlySet<string>) {
+		let best: {team: string; line: TeamLine<T>; heap: TinyQueue<T>} | undefined
+		for (const [team, line] of lines) {
+			if (best && line.virtualTime >= best.line.virtualTime) continue
+			const heap = headOf(line, blocked)
+			if (heap) best = {team, line, heap}
+		}
+		return best
+	}
+
+	return {
+		push(item) {
+			const line = lineOf(item.team)
+			const heap = line.heaps.get(item.shape) ?? new TinyQueue<T>([], byDeadline)
+			heap.push(item)
+			line.heaps.set(item.shape, heap)
+			line.size++
+			total++
+			totalCostMs += item.costMs
+		},
+		drain(start, weightOf) {
+			const blocked = new Set<string>()
+			for (;;) {
+				const next = nextTeam(blocked)
+				if (!next) return
+				const item = next.heap.peek()!
+				if (!start(item)) {
+					blocked.add(item.shape)
+					continue
+				}
+				servedTime = Math.max(servedTime, next.line.virtualTime)
+				next.line.virtualTime += item.costMs / weightOf(item.team)
+				takeFrom(next.team, next.line, next.heap)
+			}
+		},
+		remove(isRemoved) {
+			const removed: T[] = []
+			for (const [team, line] of lines) {
+				for (const [shape, heap] of line.heaps) {
+					const gone = heap.data.filter(isRemoved)
+					if (gone.length === 0) continue
+					const kept = heap.data.filter(item => !isRemoved(item))
+					removed.push(...gone)
+					if (kept.length > 0) line.heaps.set(shape, new TinyQueue(kept, byDeadline))
+					else line.heaps.delete(shape)
+					line.size -= gone.length
+				}
+				if (line.size === 0) lines.delete(team)
+			}
+			total -= removed.length
+			for (const item of removed) totalCostMs -= item.costMs
+			return removed
+		},
+		size: () => total,
+		sizeOf: team => lines.get(team)?.size ?? 0,
+		costMs: () => totalCostMs,
+	}
+}
--- /dev/null
+++ b/packages/core/src/core/health.ts
@@ -0,0 +1,157 @@
+/**
+ * Targets that fail everything, or run far slower than their peers, are set aside and probed back.
+ *
+ * A target is judged against its peers for the same kind of work: a task that fails everywhere is
+ * the task's fault and sets nobody aside. Only a set share of a pool is aside at once.
+ */
+
+const DECAY = 0.8
+const MIN_RUNS = 3
+const FAILING_SHARE = 0.6
+const PEER_FAILING_SHARE = 0.3
+const SLOW_FACTOR = 3
+const MIN_SLOW_RUNS = 8
+const MAX_PROBE_FACTOR = 16
+
+interface Record_ {
+	runs: number
+	failures: number
+	/** Smoothed ratio of run time to the kind's expected run time. */
+	slowness: number
+	asideSince: number | undefined
+	probeAt: number
+	isProbing: boolean
+	probes: number
+}
+
+export interface Observation {
+	readonly target: string
+	readonly failed: boolean
+	/** Run time over the kind's expected run time. */
+	readonly slowness: number
+}
+
+export interface HealthDeps {
+	readonly now: () => number
+	readonly maxAsideShare: () => number
+	readonly probeAfterMs: () => number
+	readonly onChange: (target: string, state: "aside" | "back", cause: string) => void
+}
+
+export interface Health {
+	observe(observation: Observation): void
+	/** Says whether work may be sent: healthy, or due for a probe. */
+	isUsable(target: string): boolean
+	isAside(target: string): boolean
+	/** Marks that the attempt just sent to a target set aside is its probe. */
+	beginProbe(target: string): void
+	/** Ends a probe that came to no verdict, so that another may follow. */
+	endProbe(target: string): void
+	forget(target: string): void
+	asideCount(): number
+}
+
+export function createHealth(deps: HealthDeps): Health {
+	const records = new Map<string, Record_>()
+
+	function recordOf(target: string): Record_ {
+		let record = records.get(target)
+		if (!record) {
+			record = {
+				runs: 0,
+				failures: 0,
+				slowness: 1,
+				asideSince: undefined,
+				probeAt: 0,
+				isProbing: false,
+				probes: 0,
+			}
+			records.set(target, record)
+		}
+		return record
+	}
+
+	/** The share of failures among the other targets. */
+	function peerFailureShare(self: Record_): number {
+		let runs = 0
+		let failures = 0
+		for (const record of records.values()) {
+			if (record === self || record.asideSince !== undefined) continue
+			runs += record.runs
+			failures += record.failures
+		}
+		return runs < MIN_RUNS ? 1 : failures / runs
+	}
+
+	function asideCount(): number {
+		let count = 0
+		for (const record of records.values()) if (record.asideSince !== undefined) count++
+		return count
+	}
+
+	function mayPutAside(): boolean {
+		const allowed = Math.max(1, Math.floor(records.size * deps.maxAsideShare()))
+		return records.size > 1 && asideCount() < allowed
+	}
+
+	function putAside(target: string, record: Record_, cause: string) {
+		record.asideSince = deps.now()
+		record.probeAt = deps.now() + deps.probeAfterMs()
+		deps.onChange(target, "aside", cause)
+	}
+
+	function judgeProbe(target: string, record: Record_, seen: Observation) {
+		record.isProbing = false
+		if (seen.failed || seen.slowness > SLOW_FACTOR) {
+			record.probes = Math.min(MAX_PROBE_FACTOR, record.probes * 2 || 1)
+			record.probeAt = deps.now() + deps.probeAfterMs() * record.probes
+			return
+		}
+		records.delete(target)
+		recordOf(target)
+		deps.onChange(target, "back", "a probe succeeded")
+	}
+
+	function judge(target: string, record: Record_) {
+		if (record.runs < MIN_RUNS) return
+		const share = record.failures / record.runs
+		const isFailing = share >= FAILING_SHARE && peerFailureShare(record) <= PEER_FAILING_SHARE
+		const isSlow = record.runs * DECAY >= 3 && record.slowness > SLOW_FACTOR
+		if (!isFailing && !isSlow) return
+		if (!mayPutAside()) return
+		const cause = isFailing
+			? `failed ${Math.round(share * 100)}% of its last runs, its peers few`
+			: `ran ${record.slowness.toFixed(1)} times slower than expected`
+		putAside(target, record, cause)
+	}
+
+	return {
+		observe(seen) {
+			const record = recordOf(seen.target)
+			if (record.asideSince !== undefined) {
+				if (record.isProbing) judgeProbe(seen.target, record, seen)
+				return
+			}
+			record.runs = record.runs * DECAY + 1
+			record.failures = record.failures * DECAY + (seen.failed ? 1 : 0)
+			if (!seen.failed) record.slowness += (seen.slowness - record.slowness) / MIN_SLOW_RUNS
+			judge(seen.target, record)
+		},
+		isUsable(target) {
+			const record = records.get(target)
+			if (!record || record.asideSince === undefined) return true
+			return !record.isProbing && deps.now() >= record.probeAt
+		},
+		isAside: target => records.get(target)?.asideSince !== undefined,
+		beginProbe(target) {
+			const record = records.get(target)
+			if (record?.asideSince !== undefined) record.isProbing = true
+		},
+		endProbe(target) {
+			const record = records.get(target)
+			if (record) record.isProbing = false
+		},
+		forget: target => void records.delete(target),
+		asideCount,
+	}
+}
--- /dev/null
+++ b/packages/core/src/core/owner.ts
@@ -0,0 +1,306 @@
+/**
+ * The owner's side of a submission: what has been started, what was refused, what was answered.
+ *
+ * The rules that keep a task from starting twice:
+ * - work that is not repeatable starts only after its intent is durable in the journal;
+ * - a key that is already known joins what is known of it and never starts again;
+ * - a key whose intent stands in an inherited journal may have run, so it is never started here;
+ * - a refusal that says `not run` closes the key, and is given only once the closing is durable.
+ */
+import type {Result} from "neverthrow"
+import {DispatchError, ERROR_ANSWERS, type ErrorKind} from "../utils/errors.js"
+import {spreadMs} from "../utils/backoff.js"
+import type {Clock} from "../utils/clock.js"
+import type {JournalRecord, KeptOutcome} from "../types/types-internal.js"
+import type {Outcome, Ran, SessionId, Submission, SubmissionKey} from "../types/types-external.js"
+import type {Explainer} from "./explain.js"
+import {mintedAt, splitKey} from "./ids.js"
+import type {Journal} from "./journal.js"
+import {shardOf} from "./ownership.js"
+
+/** Without a definite answer of the store for this long, new intents are refused at once. */
+export const STALL_MS = 1_500
+const STORE_RETRY_MS = 2_000
+const MAX_KEPT_ANSWER = 4_096
+
+type EntryState = "pending" | "running" | "done" | "closed" | "inherited"
+
+interface Entry {
+	readonly digest: string
+	readonly at: number
+	readonly abort: AbortController
+	state: EntryState
+	/** Copies of the submission that still wait for an answer. */
+	waiters: number
+	outcome?: Outcome
+	readonly settled: Promise<Outcome>
+	readonly settle: (outcome: Outcome) => void
+	/** The session whose journal listed the intent. */
+	past?: SessionId
+}
+
+export interface OwnerDeps {
+	readonly clock: Clock
+	readonly random: () => number
+	readonly isOwned: (shard: number) => boolean
+	readonly journal: () => Journal
+	/** Runs the work; called at most once for a key. */
+	readonly execute: (submission: Submission, signal: AbortSignal) => Promise<Outcome>
+	/** Refuses what cannot or should not be queued. */
+	readonly admit: (submission: Submission) => Result<void, DispatchError>
+	/** Asks a session that may still run an inherited submission for its outcome. */
+	readonly askPast: (session: SessionId, key: SubmissionKey) => Promise<Outcome | undefined>
+	readonly retentionMs: () => number
+	readonly explainer: Explainer
+	readonly count: (name: string) => void
+	/** Test hook: with `false` work starts before its intent is durable. */
+	readonly guards?: {readonly intentFirst: boolean}
+}
+
+export interface Owner {
+	/** Answers one copy of a submission. */
+	submit(submission: Submission): Promise<Outcome>
+	/** Returns what is known of a key: an outcome, a promise of one, or undefined. */
+	find(
+		key: SubmissionKey,
+	): {readonly state: EntryState; readonly settled: Promise<Outcome>} | undefined
+	/** Stops a submission; resolves with its final outcome. */
+	cancel(key: SubmissionKey): Promise<Outcome | undefined>
+	/** Takes over the records of a sealed or handed-over journal for the given shards. */
+	inherit(session: SessionId, records: readonly JournalRecord[], shards: ReadonlySet<number>): void
+	/** Resolves when no submission runs. */
+	whenIdle(): Promise<void>
+	runningCount(): number
+	size(): number
+	list(limit: number): readonly {readonly key: SubmissionKey; readonly state: EntryState}[]
+}
+
+/** Turns an error into the outcome that carries its answer. */
+export function outcomeOf(error: DispatchError): Outcome {
+	return {
+		ok: false,
+		kind: error.kind,
+		detail: error.detail,
+		ran: error.ran,
+		retryAfterMs: error.retryAfterMs,
+	}
+}
+
+function failure(
+	kind: ErrorKind,
+	detail: string,
+	extras?: {readonly ran?: Ran; readonly retryAfterMs?: number},
+): Outcome {
+	return outcomeOf(new DispatchError(kind, detail, extras))
+}
+
+function keptOutcome(outcome: Outcome): KeptOutcome {
+	return JSON.stringify(outcome).length <= MAX_KEPT_ANSWER ? outcome : "too large"
+}
+
+/**
+ * Creates the owner's table.
+ *
+ * @example const outcome = await owner.submit(submission)
+ */
+export function createOwner(deps: OwnerDeps): Owner {
+	const {clock, explainer} = deps
+	const entries = new Map<SubmissionKey, Entry>()
+	const idleWaiters: (() => void)[] = []
+	let running = 0
+
+	function addEntry(key: SubmissionKey, digest: string, state: EntryState): Entry {
+		let settle!: (outcome: Outcome) => void
+		const settled = new Promise<Outcome>(resolve => (settle = resolve))
+		const abort = new AbortController()
+		const entry: Entry = {digest, at: clock.now(), abort, state, waiters: 0, settled, settle}
+		entries.set(key, entry)
+		return entry
+	}
+
+	function finish(entry: Entry, state: EntryState, outcome: Outcome) {
+		entry.state = state
+		entry.outcome = outcome
+		entry.settle(outcome)
+	}
+
+	function evictExpired() {
+		const oldest = clock.now() - deps.retentionMs()
+		for (const [key, entry] of entries) {
+			if (entry.at > oldest || entry.state === "pending" || entry.state === "running") return
+			entries.delete(key)
+		}
+	}
+
+	function stalledOutcome(): Outcome {
+		deps.count("refusal.store_unavailable")
+		return failure("store_unavailable", "the intent could not be made durable", {
+			retryAfterMs: spreadMs(STORE_RETRY_MS, deps.random),
+		})
+	}
+
+	function expiredOutcome(key: SubmissionKey): Outcome | undefined {
+		const minted = mintedAt(splitKey(key).id)
+		if (minted === undefined || clock.wallNow() - minted < deps.retentionMs()) return undefined
+		deps.count("refusal.id_expired")
+		return failure("id_expired", "ids are kept for the retention time; use a new one")
+	}
+
+	/** Waits for an entry, but no longer than the store leaves its intent in doubt. */
+	async function waitFor(entry: Entry): Promise<Outcome> {
+		entry.waiters++
+		try {
+			for (;;) {
+				if (entry.state !== "pending") return await entry.settled
+				const leftMs = STALL_MS - deps.journal().stalledMs()
+				if (leftMs <= 0) return stalledOutcome()
+				let cancel: (() => void) | undefined
+				const timeout = new Promise<void>(resolve => (cancel = clock.schedule(leftMs, resolve)))
+				await Promise.race([entry.settled, timeout])
+				cancel?.()
+			}
+		} finally {
+			entry.waiters--
+		}
+	}
+
+	async function refuse(submission: Submission, error: DispatchError): Promise<Outcome> {
+		const {key, digest, repeatable} = submission.head
+		const outcome = outcomeOf(error)
+		deps.count(`refusal.${error.kind}`)
+		explainer.note(key, "refused", error.detail)
+		if (repeatable) return outcome
+		const entry = addEntry(key, digest, "pending")
+		void deps
+			.journal()
+			.append({type: "closed", key, outcome})
+			.then(durable => {
+				if (durable.isOk()) return finish(entry, "closed", outcome)
+				entries.delete(key)
+				entry.settle(outcomeOf(durable.error))
+			})
+		return waitFor(entry)
+	}
+
+	async function run(submission: Submission, entry: Entry) {
+		const {key, repeatable} = submission.head
+		entry.state = "running"
+		running++
+		const outcome = await deps
+			.execute(submission, entry.abort.signal)
+			.catch((error: unknown) => failure("internal", String(error)))
+		running--
+		finish(entry, "done", outcome)
+		explainer.note(key, "answered", outcome.ok ? "complete" : `${outcome.kind}: ${outcome.detail}`)
+		if (!repeatable) deps.journal().appendLazily({type: "done", key, outcome: keptOutcome(outcome)})
+		if (running === 0) for (const wake of idleWaiters.splice(0)) wake()
+	}
+
+	/** Closes a submission whose intent is durable and that will not be started. */
+	function closeUnstarted(submission: Submission, entry: Entry, kind: ErrorKind, detail: string) {
+		const {key} = submission.head
+		const outcome = failure(kind, detail, {ran: "not run"})
+		finish(entry, "closed", outcome)
+		explainer.note(key, "refused", detail)
+		deps.journal().appendLazily({type: "closed", key, outcome})
+	}
+
+	async function intendAndRun(submission: Submission, entry: Entry) {
+		const {key, digest, deadlineAt} = submission.head
+		const durable = await deps.journal().append({type: "intent", key, digest})
+		if (durable.isErr()) {
+			entries.delete(key)
+			return entry.settle(outcomeOf(durable.error))
+		}
+		explainer.note(key, "intended", "the intent is durable in the journal")
+		if (entry.abort.signal.aborted)
+			return closeUnstarted(submission, entry, "cancelled", "cancelled before the start")
+		if (entry.waiters === 0)
+			return closeUnstarted(submission, entry, "store_unavailable", "nobody waited any more")
+		if (deadlineAt <= clock.now())
+			return closeUnstarted(submission, entry, "deadline_unreachable", "the intent took too long")
+		await run(submission, entry)
+	}
+
+	function join(submission: Submission, entry: Entry): Promise<Outcome> {
+		const {key, digest} = submission.head
+		if (entry.digest !== "" && entry.digest !== digest) {
+			deps.count("refusal.id_reused")
+			return Promise.resolve(failure("id_reused", "the id was used with another body"))
+		}
+		deps.count("joined")
+		explainer.note(key, "joined", `the submission is ${entry.state}`)
+		return entry.state === "inherited" ? resolveInherited(key, entry) : waitFor(entry)
+	}
+
+	async function resolveInherited(key: SubmissionKey, entry: Entry): Promise<Outcome> {
+		const outcome = entry.past ? await deps.askPast(entry.past, key) : undefined
+		if (entry.state !== "inherited") return entry.settled
+		if (outcome === undefined) {
+			return failure("outcome_unknown", "an earlier owner may have run it; its answer is lost")
+		}
+		finish(entry, "done", outcome)
+		return outcome
+	}
+
+	return {
+		async submit(submission) {
+			const {key, digest, repeatable} = submission.head
+			if (!deps.isOwned(shardOf(key))) return failure("moved", "another instance owns the shard")
+			evictExpired()
+			const known = entries.get(key)
+			if (known) return join(submission, known)
+			const expired = expiredOutcome(key)
+			if (expired) return expired
+			const isStalled = deps.journal().stalledMs() >= STALL_MS
+			if (isStalled && !repeatable) return stalledOutcome()
+			const admitted = deps.admit(submission)
+			if (admitted.isErr()) return refuse(submission, admitted.error)
+			explainer.note(key, "admitted", `by the owner of shard ${shardOf(key)}`)
+			const entry = addEntry(key, digest, "pending")
+			if (repeatable) void run(submission, entry)
+			else if (deps.guards?.intentFirst === false) {
+				deps.journal().appendLazily({type: "intent", key, digest})
+				void run(submission, entry)
+			} else void intendAndRun(submission, entry)
+			return waitFor(entry)
+		},
+		find(key) {
+			const entry = entries.get(key)
+			return entry && {state: entry.state, settled: entry.settled}
+		},
+		async cancel(key) {
+			const entry = entries.get(key)
+			if (!entry || entry.state === "inherited") return undefined
+			if (entry.outcome) return entry.outcome
+			explainer.note(key, "cancelled", `while ${entry.state}`)
+			deps.count("cancelled")
+			entry.abort.abort()
+			return waitFor(entry)
+		},
+		inherit(session, records, shards) {
+			for (const record of records) {
+				if (!shards.has(shardOf(record.key))) continue
+				const known = entries.get(record.key)
+				if (record.type === "intent") {
+					if (!known) addEntry(record.key, record.digest, "inherited").past = session
+					continue
+				}
+				if (known && known.state !== "inherited") continue
+				if (record.type === "done" && record.outcome === "too large") continue
+				const entry = known ?? addEntry(record.key, "", "inherited")
+				finish(entry, record.type, record.outcome as Outcome)
+			}
+		},
+		whenIdle: () =>
+			running === 0 ? Promise.resolve() : new Promise(resolve => idleWaiters.push(resolve)),
+		runningCount: () => running,
+		size: () => entries.size,
+		list: limit => [...entries].slice(-limit).map(([key, entry]) => ({key, state: entry.state})),
+	}
+}
+
+/** Says whether an outcome's kind lets another try with the same id find more. */
+export function isWorthAsking(outcome: Outcome): boolean {
+	return !outcome.ok && ERROR_ANSWERS[outcome.kind as ErrorKind]?.next === "same id"
+}
--- /dev/null
+++ b/packages/core/src/core/ownership.ts
@@ -0,0 +1,100 @@
+/**
+ * Who owns which shard of the submission keys.
+ *
+ * The ownership map is one value in the store, changed by compare-and-swap alone. A shard changes
+ * hands in two ways: its owner gives it up (and has stopped using it before it says so), or a
+ * successor takes it after sealing the owner's journal. `past` names the earlier sessions whose
+ * journals a new owner must read before it serves the shard.
+ */
+import {bucketOf, rendezvous} from "../utils/hash.js"
+import type {SessionId, SubmissionKey} from "../types/types-external.js"
+
+/** Fixed for the life of a store: the key's shard must never change. */
+export const SHARD_COUNT = 64
+
+export interface PastOwner {
+	readonly session: SessionId
+	/** Wall-clock milliseconds at which the shard changed hands. */
+	readonly until: number
+}
+
+export interface Shard {
+	readonly owner: SessionId | null
+	readonly past: readonly PastOwner[]
+}
+
+export interface OwnershipMap {
+	/** The last writer's mark, by which it recognizes a write whose answer was lost. */
+	readonly nonce: string
+	readonly shards: readonly Shard[]
+}
+
+export interface OwnershipView {
+	readonly self: SessionId
+	/** Sessions that hold a lease and are not draining, without `self` when it drains. */
+	readonly eligible: readonly SessionId[]
+	/** All sessions that hold a lease. */
+	readonly live: ReadonlySet<SessionId>
+}
+
+export interface OwnershipPlan {
+	/** Shards to take, whose owners (if any) must be sealed first. */
+	readonly claims: readonly number[]
+	/** Sessions to seal before the claims. */
+	readonly seals: readonly SessionId[]
+	/** Shards to give up, with the session that should have each. */
+	readonly releases: readonly {readonly shard: number; readonly to: SessionId}[]
+}
+
+export function emptyOwnership(): OwnershipMap {
+	const free: Shard = {owner: null, past: []}
+	return {nonce: "", shards: Array.from({length: SHARD_COUNT}, () => free)}
+}
+
+export function shardOf(key: SubmissionKey): number {
+	return bucketOf(key, SHARD_COUNT)
+}
+
+/** Says what `self` should do so that the map moves towards the rendezvous assignment. */
+export function planOwnership(map: OwnershipMap, view: OwnershipView): OwnershipPlan {
+	const claims: number[] = []
+	const seals = new Set<SessionId>()
+	const releases: {shard: number; to: SessionId}[] = []
+	map.shards.forEach((shard, index) => {
+		const wanted = rendezvous(`shard-${index}`, view.eligible)
+		if (wanted === undefined) return
+		if (shard.owner === view.self) {
+			if (wanted !== view.self) releases.push({shard: index, to: wanted})
+			return
+		}
+		const isOrphan = shard.owner === null || !view.live.has(shard.owner)
+		if (!isOrphan || wanted !== view.self) return
+		claims.push(index)
+		if (shard.owner !== null) seals.add(shard.owner)
+	})
+	return {claims, seals: [...seals], releases}
+}
+
+/** Moves shards to new owners; drops past owners whose records have all expired. */
+export function moveShards(
+	map: OwnershipMap,
+	moves: readonly {readonly shard: number; readonly to: SessionId}[],
+	nonce: string,
+	wallNow: number,
+	retentionMs: number,
+): OwnershipMap {
+	const shards = [...map.shards]
+	for (const {shard: index, to} of moves) {
+		const {owner, past} = shards[index]!
+		const kept = past.filter(item => wallNow - item.until < retentionMs && item.session !== owner)
+		const last = owner === null || owner === to ? [] : [{session: owner, until: wallNow}]
+		shards[index] = {owner: to, past: [...kept, ...last]}
+	}
+	return {nonce, shards}
+}
+
+/** Sessions whose journals a new owner of these shards must read. */
+export function pastSessions(map: OwnershipMap, shards: readonly number[]): readonly SessionId[] {
+	const sessions = shards.flatMap(index => map.shards[index]!.past.map(item => item.session))
+	return [...new Set(sessions)]
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,23 @@
+/**
+ * The public surface of the core: decisions and protocol state, without I/O.
+ */
+export * from "./types/types-external.js"
+export type {JournalEntry, JournalRecord, KeptOutcome} from "./types/types-internal.js"
+export * from "./utils/errors.js"
+export * from "./utils/clock.js"
+export * from "./utils/backoff.js"
+export * from "./utils/hash.js"
+export * from "./core/ids.js"
+export * from "./core/journal.js"
+export * from "./core/ownership.js"
+export {createOwner, outcomeOf, isWorthAsking, STALL_MS} from "./core/owner.js"
+export type {Owner, OwnerDeps} from "./core/owner.js"
+export * from "./core/scheduler.js"
+export * from "./core/run.js"
+export * from "./core/selector.js"
+export * from "./core/config.js"
+export * from "./core/fair-queue.js"
+export * from "./core/budget.js"
+export * from "./core/estimates.js"
+export * from "./core/health.js"
+export * from "./core/explain.js"
--- /dev/null
+++ b/packages/core/src/utils/backoff.ts
@@ -0,0 +1,23 @@
+/**
+ * Waiting times between tries.
+ */
+
+/**
+ * Returns a full-jitter exponential delay in milliseconds.
+ *
+ * @example await clock.sleep(backoff(attempt, 20, 1000, random))
+ */
+export function backoff(
+	attempt: number,
+	baseMs: number,
+	capMs: number,
+	random: () => number,
+): number {
+	const ceiling = Math.min(capMs, baseMs * 2 ** attempt)
+	return ceiling * (0.5 + random() / 2)
+}
+
+/** Spreads a waiting time over [ms, 2 ms), so that refused callers do not come back together. */
+export function spreadMs(ms: number, random: () => number): number {
+	return Math.round(ms * (1 + random()))
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/forwarding.ts
@@ -0,0 +1,48 @@
+/**
+ * Attempts that are handed to a peer: the batch goes out as one call, events stream back.
+ */
+import type {Attempt, AttemptResult, Clock} from "@cottonwood/core"
+import type {RunEvent__Output} from "@cottonwood/wire"
+import {fromRunEvent, toAttemptMessage, type SelectorTexts} from "../peers/messages.js"
+import type {PeerTable} from "../peers/peer-table.js"
+
+export interface ForwardDeps {
+	readonly clock: Clock
+	readonly peers: PeerTable
+	readonly textsOf: (attempt: Attempt) => SelectorTexts
+	readonly settle: (id: string, result: AttemptResult) => void
+	readonly count: (name: string, by?: number) => void
+}
+
+const CALL_SLACK_MS = 1_000
+
+/** Sends attempts to a peer; each is settled once, as unknown when the stream breaks. */
+export function forwardAttempts(deps: ForwardDeps, instance: string, attempts: readonly Attempt[]) {
+	const peer = deps.peers.byInstance(instance)
+	const open = new Set(attempts.map(attempt => attempt.id))
+	if (!peer) {
+		for (const id of open) {
+			deps.settle(id, {type: "not started", reason: "refused", detail: `${instance} is gone`})
+		}
+		return
+	}
+	deps.count("forwarded.attempts", attempts.length)
+	const now = deps.clock.now()
+	const longestMs = Math.max(...attempts.map(attempt => attempt.deadlineAt - now))
+	const messages = attempts.map(attempt =>
+		toAttemptMessage(attempt, deps.textsOf(attempt), attempt.deadlineAt - now),
+	)
+	const deadline = Date.now() + longestMs + CALL_SLACK_MS
+	const call = peer.client.run({attempts: messages}, {deadline})
+	const settleRest = (detail: string) => {
+		for (const id of open) deps.settle(id, {type: "unknown", detail})
+		open.clear()
+	}
+	call.on("data", (event: RunEvent__Output) => {
+		if (!open.delete(event.id)) return deps.count("wasted.late_answer")
+		deps.peers.noteRoom(instance, event.pool, event.free)
+		deps.settle(event.id, fromRunEvent(event))
+	})
+	call.on("error", error => settleRest(`${instance}: ${error.message}`))
+	call.on("end", () => settleRest(`${instance} ended the stream early`))
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/plans.ts
@@ -0,0 +1,137 @@
+/**
+ * From a submission to the plans of its tasks, and the checks that need the whole fleet's view:
+ * whether an endpoint exists, and whether any worker can ever run a task.
+ */
+import {
+	endpointPool,
+	fail,
+	isMatch,
+	parseSelector,
+	WORKER_POOL,
+	type Config,
+	type DispatchError,
+	type Estimates,
+	type Resources,
+	type Selector,
+	type Submission,
+	type Target,
+	type TaskBody,
+	type TaskPlan,
+} from "@cottonwood/core"
+import {ok, type Result} from "neverthrow"
+
+const SLOT: Resources = Object.freeze({cpu: 1, memoryMb: 0, accelerators: 0})
+
+/** Parsed selectors, since few texts recur in many tasks. */
+const parsed = new Map<string, Selector>()
+const texts = new WeakMap<Selector, string>()
+const MAX_PARSED = 1_000
+
+export function selectorOf(text: string): Selector {
+	let selector = parsed.get(text)
+	if (!selector) {
+		if (parsed.size >= MAX_PARSED) parsed.clear()
+		selector = parseSelector(text).unwrapOr([])
+		parsed.set(text, selector)
+		texts.set(selector, text)
+	}
+	return selector
+}
+
+/** Returns the text that a selector of a plan was made from, for a peer to parse again. */
+export function textOf(selector: Selector): string {
+	return texts.get(selector) ?? ""
+}
+
+function joinSelectors(first: string, second: string): string {
+	return [first, second].filter(text => text.trim() !== "").join(",")
+}
+
+function planTask(
+	task: TaskBody,
+	config: Config,
+	estimates: Estimates,
+	spreadRacks: boolean,
+	isRepeatable: boolean,
+): TaskPlan {
+	const selector = joinSelectors(config.workers.selector, task.selector ?? "")
+	const prefer = task.prefer ?? ""
+	const {cpu, memoryMb, accelerators} = task.resources
+	return {
+		pool: WORKER_POOL,
+		kind: `task:${task.kind}`,
+		need: task.resources,
+		selector: selectorOf(selector),
+		prefer: selectorOf(prefer),
+		shape: `${cpu}/${memoryMb}/${accelerators}/${selector}/${prefer}`,
+		payload: task.payload,
+		costMs: estimates.expectedMs(`task:${task.kind}`) * cpu,
+		spreadRacks,
+		mayRetry: task.repeatable ?? isRepeatable,
+		mayLeaveDomain: config.workers.spill,
+	}
+}
+
+/** Returns one plan per task; a request has one. */
+export function planSubmission(
+	submission: Submission,
+	config: Config,
+	estimates: Estimates,
+): readonly TaskPlan[] {
+	const {repeatable} = submission.head
+	if (submission.type === "job") {
+		const {tasks, spreadRacks} = submission.job
+		return tasks.map(task => planTask(task, config, estimates, spreadRacks ?? false, repeatable))
+	}
+	const {endpoint, payload} = submission.request
+	const settings = config.endpoints[endpoint]
+	const kind = `request:${endpoint}`
+	return [
+		{
+			pool: endpointPool(endpoint),
+			kind,
+			need: SLOT,
+			selector: selectorOf(settings?.selector ?? ""),
+			prefer: [],
+			shape: endpoint,
+			payload,
+			costMs: estimates.expectedMs(kind),
+			spreadRacks: false,
+			mayRetry: repeatable,
+			mayLeaveDomain: settings?.spill ?? false,
+		},
+	]
+}
+
+function isLargeEnough(target: Target, need: Resources): boolean {
+	const {capacity} = target
+	return (
+		need.cpu <= capacity.cpu &&
+		need.memoryMb <= capacity.memoryMb &&
+		need.accelerators <= capacity.accelerators
+	)
+}
+
+/** Refuses a job with a task that no listed worker could ever run. */
+export function checkCanRun(
+	plans: readonly TaskPlan[],
+	targets: readonly Target[],
+): Result<void, DispatchError> {
+	const workers = targets.filter(target => target.type === "worker")
+	const checked = new Set<string>()
+	for (const [index, plan] of plans.entries()) {
+		if (plan.pool !== WORKER_POOL || checked.has(plan.shape)) continue
+		checked.add(plan.shape)
+		if (workers.length === 0) return fail("no_capacity", "no worker is listed")
+		const matching = workers.filter(worker => isMatch(plan.selector, worker.labels))
+		if (matching.length === 0) {
+			return fail("cannot_run", `task ${index}: no worker matches its selector`)
+		}
+		if (!matching.some(worker => isLargeEnough(worker, plan.need))) {
+			const {cpu, memoryMb, accelerators} = plan.need
+			const need = `${cpu} processors, ${memoryMb} MiB, ${accelerators} accelerators`
+			return fail("cannot_run", `task ${index}: no matching worker has ${need}`)
+		}
+	}
+	return ok(undefined)
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/router.ts
@@ -0,0 +1,199 @@
+/**
+ * The way of a submission through the fleet: repeatable requests run here at once; everything else
+ * goes to the owner of its shard, here or at a peer. Offering a submission again is safe, since an
+ * owner joins a key that it knows.
+ */
+import {
+	backoff,
+	isWorthAsking,
+	outcomeOf,
+	DispatchError,
+	shardOf,
+	splitKey,
+	spreadMs,
+	type Clock,
+	type ErrorKind,
+	type Explainer,
+	type Outcome,
+	type Owner,
+	type Submission,
+	type SubmissionKey,
+} from "@cottonwood/core"
+import {packJson} from "@cottonwood/wire"
+import type {LiveView} from "../fleet/live-view.js"
+import {fromOutcomeReply} from "../peers/messages.js"
+import type {Peer, PeerTable} from "../peers/peer-table.js"
+import type {Metrics} from "../utils/metrics.js"
+
+export interface Router {
+	submit(submission: Submission): Promise<Outcome>
+	/** Returns the outcome, or undefined when nobody knows the key or it is not finished in time. */
+	find(key: SubmissionKey, waitMs: number): Promise<FindResult>
+	cancel(key: SubmissionKey): Promise<Outcome | undefined>
+}
+
+export type FindResult =
+	| {readonly type: "outcome"; readonly outcome: Outcome}
+	| {readonly type: "running"}
+	| {readonly type: "unknown key"}
+
+export interface RouterDeps {
+	readonly clock: Clock
+	readonly random: () => number
+	readonly view: LiveView
+	readonly storeSilentMs: () => number
+	readonly peers: PeerTable
+	readonly owner: () => Owner
+	readonly selfSession: () => string | undefined
+	readonly isOwned: (shard: number) => boolean
+	readonly runHere: (submission: Submission) => Promise<Outcome>
+	readonly explainer: Explainer
+	readonly metrics: Metrics
+	readonly patienceMs: number
+}
+
+const RETRY_BASE_MS = 20
+const RETRY_CAP_MS = 500
+const COME_BACK_MS = 1_000
+const CALL_SLACK_MS = 500
+/** Without the store for this long no failover can happen, so waiting for one is pointless. */
+const STORE_SILENCE_MS = 3_000
+
+type Place =
+	{readonly type: "here"} | {readonly type: "peer"; readonly peer: Peer} | {readonly type: "none"}
+
+/** Sends a submission to a peer; undefined when no answer came back. */
+function callSubmit(peer: Peer, submission: Submission, remainingMs: number) {
+	const {key, digest, team, repeatable} = submission.head
+	const body = submission.type === "job" ? submission.job : submission.request
+	const {caller, id} = splitKey(key)
+	const message = {
+		caller,
+		id,
+		type: submission.type,
+		digest,
+		team,
+		repeatable,
+		remainingMs,
+		body: packJson(body),
+	}
+	const deadline = Date.now() + remainingMs + CALL_SLACK_MS
+	return new Promise<Outcome | undefined>(resolve => {
+		peer.client.submit(message, {deadline}, (error, reply) =>
+			resolve(error || !reply ? undefined : fromOutcomeReply(reply)),
+		)
+	})
+}
+
+function callFind(peer: Peer, key: SubmissionKey, waitMs: number) {
+	return new Promise<FindResult | undefined>(resolve => {
+		const deadline = Date.now() + waitMs + CALL_SLACK_MS
+		peer.client.find({key, waitMs}, {deadline}, (error, reply) => {
+			if (error || !reply) return resolve(undefined)
+			const outcome = fromOutcomeReply(reply)
+			if (outcome === undefined) return resolve({type: "unknown key"})
+			const isRunning = !outcome.ok && outcome.kind === "wait_ended"
+			resolve(isRunning ? {type: "running"} : {type: "outcome", outcome})
+		})
+	})
+}
+
+export function createRouter(deps: RouterDeps): Router {
+	const {clock, explainer} = deps
+
+	function placeOf(key: SubmissionKey): Place {
+		const shard = shardOf(key)
+		if (deps.isOwned(shard)) return {type: "here"}
+		const session = deps.view.ownership().map?.shards[shard]?.owner
+		if (!session || session === deps.selfSession()) return {type: "none"}
+		const peer = deps.peers.bySession(session)
+		return peer ? {type: "peer", peer} : {type: "none"}
+	}
+
+	async function offer(submission: Submission): Promise<Outcome> {
+		const place = placeOf(submission.head.key)
+		if (place.type === "here") return deps.owner().submit(submission)
+		if (place.type === "none") {
+			return outcomeOf(new DispatchError("moved", "the shard has no owner yet"))
+		}
+		explainer.note(submission.head.key, "forwarded", `to its owner ${place.peer.instance}`)
+		deps.metrics.count("forwarded.submission")
+		const remainingMs = submission.head.deadlineAt - clock.now()
+		const outcome = await callSubmit(place.peer, submission, remainingMs)
+		if (outcome) return outcome
+		const detail = `${place.peer.instance} gave no answer`
+		return outcomeOf(new DispatchError("owner_unreachable", detail))
+	}
+
+	/** Whether another offer may find an owner that can decide. */
+	function isWorthRetrying(outcome: Outcome): boolean {
+		if (outcome.ok) return false
+		return outcome.kind === "moved" || outcome.kind === "owner_unreachable"
+	}
+
+	function giveUp(outcome: Outcome): Outcome {
+		if (outcome.ok || !isWorthAsking(outcome)) return outcome
+		const retryAfterMs = outcome.retryAfterMs ?? spreadMs(COME_BACK_MS, deps.random)
+		return {...outcome, retryAfterMs}
+	}
+
+	function toOwnerUnreachable(outcome: Outcome): Outcome {
+		if (outcome.ok || outcome.kind !== "moved") return outcome
+		return {...outcome, kind: "owner_unreachable" satisfies ErrorKind}
+	}
+
+	async function submitToOwner(submission: Submission): Promise<Outcome> {
+		const {deadlineAt} = submission.head
+		const until = Math.min(deadlineAt, clock.now() + deps.patienceMs)
+		for (let attempt = 0; ; attempt++) {
+			const outcome = await offer(submission)
+			if (!isWorthRetrying(outcome)) return giveUp(outcome)
+			const pauseMs = backoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, deps.random)
+			const isHopeless = deps.storeSilentMs() > STORE_SILENCE_MS
+			if (isHopeless || clock.now() + pauseMs >= until) {
+				deps.metrics.count("refusal.owner_unreachable")
+				return giveUp(toOwnerUnreachable(outcome))
+			}
+			deps.metrics.count(`retry.${(outcome as {kind: string}).kind}`)
+			await clock.sleep(pauseMs)
+		}
+	}
+
+	async function findHere(key: SubmissionKey, waitMs: number): Promise<FindResult> {
+		const known = deps.owner().find(key)
+		if (!known) return {type: "unknown key"}
+		if (known.state === "inherited") {
+			const detail = "an earlier owner may have run it"
+			return {type: "outcome", outcome: outcomeOf(new DispatchError("outcome_unknown", detail))}
+		}
+		const outcome = await Promise.race([known.settled, clock.sleep(waitMs)])
+		return outcome ? {type: "outcome", outcome} : {type: "running"}
+	}
+
+	return {
+		async submit(submission) {
+			const {key, repeatable} = submission.head
+			explainer.note(key, "received", `a ${submission.type}, ${repeatable ? "" : "not "}repeatable`)
+			if (submission.type === "request" && repeatable) return deps.runHere(submission)
+			return submitToOwner(submission)
+		},
+		async find(key, waitMs) {
+			const place = placeOf(key)
+			if (place.type !== "peer") return findHere(key, waitMs)
+			const found = await callFind(place.peer, key, waitMs)
+			if (found) return found
+			const error = new DispatchError("owner_unreachable", `${place.peer.instance} gave no answer`)
+			return {type: "outcome", outcome: giveUp(outcomeOf(error))}
+		},
+		async cancel(key) {
+			const place = placeOf(key)
+			if (place.type !== "peer") return deps.owner().cancel(key)
+			return new Promise(resolve => {
+				const deadline = Date.now() + COME_BACK_MS * 5
+				place.peer.client.cancel({key}, {deadline}, (error, reply) =>
+					resolve(error || !reply ? undefined : fromOutcomeReply(reply)),
+				)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/packages/entry/src/fleet/ownership-loop.ts
@@ -0,0 +1,199 @@
+/**
+ * Moves shards towards the assignment that all instances compute alike: takes the shards of dead
+ * sessions after sealing their journals, gives up those that another instance should have, and
+ * serves a shard only after the journals of its past owners are read.
+ */
+import {randomUUID} from "node:crypto"
+import {
+	backoff,
+	emptyOwnership,
+	moveShards,
+	pastSessions,
+	planOwnership,
+	sealJournal,
+	type Clock,
+	type JournalRecord,
+	type OwnershipMap,
+	type Owner,
+	type SessionId,
+} from "@cottonwood/core"
+import type {Log} from "../utils/log.js"
+import type {Metrics} from "../utils/metrics.js"
+import type {Store} from "../platform/store.js"
+import {createEntry, listEntries} from "./journals.js"
+import {OWNERSHIP_KEY} from "./keys.js"
+import type {LiveView} from "./live-view.js"
+import type {Session} from "./session.js"
+
+export interface OwnershipLoop {
+	start(): void
+	stop(): void
+	/** Looks at the assignment soon, because something changed. */
+	nudge(): void
+	isOwned(shard: number): boolean
+	ownedCount(): number
+	/** Drops all shards at once, because the session is lost. */
+	dropAll(): void
+}
+
+export interface OwnershipLoopDeps {
+	readonly store: Store
+	readonly view: LiveView
+	readonly session: Session
+	readonly owner: () => Owner
+	readonly clock: Clock
+	readonly random: () => number
+	readonly log: Log
+	readonly metrics: Metrics
+	readonly retentionMs: () => number
+}
+
+type Moves = readonly {readonly shard: number; readonly to: SessionId}[]
+
+const TICK_MS = 1_000
+const SETTLE_MS = 150
+const RETRY_BASE_MS = 50
+const RETRY_CAP_MS = 1_000
+
+export function createOwnershipLoop(deps: OwnershipLoopDeps): OwnershipLoop {
+	const {store, view, session, clock} = deps
+	const owned = new Set<number>()
+	/** The newest revision of the map that this instance has seen; an older copy decides nothing. */
+	let knownRevision = 0
+	let isStopped = false
+	let wake: (() => void) | undefined
+
+	/**
+	 * Writes a change of the map and repeats it until the answer is definite: a write whose fate is
+	 * open could otherwise take effect later, after this instance had decided something else.
+	 */
+	async function writeMap(map: OwnershipMap, revision: number): Promise<boolean> {
+		for (let attempt = 0; !isStopped; attempt++) {
+			const result = await store.put(OWNERSHIP_KEY, map, {expect: revision})
+			if (result.type === "done") {
+				knownRevision = Math.max(knownRevision, result.revision)
+				return true
+			}
+			if (result.type === "conflict") {
+				knownRevision = Math.max(knownRevision, result.current?.revision ?? 0)
+				return (result.current?.value as OwnershipMap | undefined)?.nonce === map.nonce
+			}
+			deps.metrics.count("retry.ownership_put")
+			await clock.sleep(backoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, deps.random))
+		}
+		return false
+	}
+
+	async function move(map: OwnershipMap, revision: number, moves: Moves): Promise<boolean> {
+		const keptMs = 2 * deps.retentionMs()
+		const next = moveShards(map, moves, randomUUID(), clock.wallNow(), keptMs)
+		const isWritten = await writeMap(next, revision)
+		await view.refresh()
+		return isWritten
+	}
+
+	async function sealAll(sessions: readonly SessionId[], by: SessionId): Promise<boolean> {
+		for (const dead of sessions) {
+			const records = await sealJournal(dead, by, {
+				list: name => listEntries(store, name),
+				create: (name, seq, entry) => createEntry(store, name, seq, entry),
+				clock,
+				nonce: randomUUID,
+			})
+			if (records === undefined) return false
+			deps.metrics.count("journal.sealed")
+			deps.log.info(`Journal of ${dead} is sealed with ${records.length} records.`)
+		}
+		return true
+	}
+
+	async function recordsOf(past: SessionId): Promise<readonly JournalRecord[] | undefined> {
+		const entries = await listEntries(store, past)
+		return entries?.flatMap(({entry}) => ("sealedBy" in entry ? [] : entry.records))
+	}
+
+	/** Starts to serve the shards that the map gives to this session, after reading their past. */
+	async function adopt(self: SessionId) {
+		const {map, revision} = view.ownership()
+		if (!map || revision < knownRevision) return
+		const given = map.shards.flatMap((shard, index) =>
+			shard.owner === self && !owned.has(index) ? [index] : [],
+		)
+		if (given.length === 0) return
+		const shards = new Set(given)
+		for (const past of pastSessions(map, given)) {
+			const records = await recordsOf(past)
+			if (records === undefined) return
+			deps.owner().inherit(past, records, shards)
+		}
+		if (session.id() !== self) return
+		for (const shard of given) owned.add(shard)
+		deps.metrics.gauge("shards.owned", owned.size)
+		deps.log.info(`Serving ${given.length} more shards, ${owned.size} in all.`)
+	}
+
+	async function release(map: OwnershipMap, revision: number, moves: Moves) {
+		for (const {shard} of moves) owned.delete(shard)
+		await session.journal().flush()
+		const isWritten = await move(map, revision, moves)
+		deps.metrics.gauge("shards.owned", owned.size)
+		if (isWritten) deps.log.info(`Gave up ${moves.length} shards.`)
+	}
+
+	async function claim(map: OwnershipMap, revision: number, plan: readonly number[], self: string) {
+		const moves = plan.map(shard => ({shard, to: self}))
+		if (await move(map, revision, moves)) deps.log.info(`Took ${plan.length} shards.`)
+	}
+
+	async function reconcile() {
+		const self = session.id()
+		if (self === undefined || !view.isLoaded()) return
+		const sessions = view.sessions()
+		if (!sessions.has(self) || view.ownership().revision < knownRevision) {
+			await view.refresh()
+			return
+		}
+		const eligible = [...sessions.values()].filter(info => !info.draining)
+		const {map: known, revision} = view.ownership()
+		const map = known ?? emptyOwnership()
+		const plan = planOwnership(map, {
+			self,
+			eligible: eligible.map(info => info.session).sort(),
+			live: new Set(sessions.keys()),
+		})
+		if (plan.claims.length > 0 && (await sealAll(plan.seals, self))) {
+			await claim(map, revision, plan.claims, self)
+		} else if (plan.releases.length > 0) {
+			await release(map, revision, plan.releases)
+		}
+		if (session.id() === self) await adopt(self)
+	}
+
+	async function loop() {
+		while (!isStopped) {
+			await reconcile().catch((error: unknown) =>
+				deps.log.error(`The assignment could not be checked: ${String(error)}.`),
+			)
+			await new Promise<void>(resolve => {
+				const cancel = clock.schedule(TICK_MS, resolve)
+				wake = () => {
+					cancel()
+					clock.schedule(SETTLE_MS * deps.random(), resolve)
+				}
+			})
+			wake = undefined
+		}
+	}
+
+	return {
+		start: () => void loop(),
+		stop() {
+			isStopped = true
+			wake?.()
+		},
+		nudge: () => wake?.(),
+		isOwned: shard => owned.has(shard),
+		ownedCount: () => owned.size,
+		dropAll: () => owned.clear(),
+	}
+}
--- /dev/null
+++ b/packages/entry/src/fleet/session.ts
@@ -0,0 +1,162 @@
+/**
+ * This instance's session with the store: its lease, its line among the live sessions, and its
+ * journal. A session that lapsed is never revived; a new one with a new journal takes its place.
+ */
+import {randomBytes} from "node:crypto"
+import {
+	openJournal,
+	writeSpacingMs,
+	type Clock,
+	type Journal,
+	type SessionId,
+} from "@cottonwood/core"
+import type {Log} from "../utils/log.js"
+import type {Metrics} from "../utils/metrics.js"
+import type {Store} from "../platform/store.js"
+import {createEntry, deleteSegment} from "./journals.js"
+import {segmentOf, sessionKey} from "./keys.js"
+import type {SessionInfo} from "./live-view.js"
+
+export interface Session {
+	/** Opens the first session, and a new one whenever the last is lost. */
+	start(): void
+	/** Returns the open session, or undefined before the first and while it is replaced. */
+	id(): SessionId | undefined
+	journal(): Journal
+	/** Rewrites this instance's line as draining. */
+	announceDraining(): Promise<void>
+	/** Ends the session, so that nobody waits for its lease to lapse. */
+	end(): Promise<void>
+}
+
+export interface SessionDeps {
+	readonly store: Store
+	readonly clock: Clock
+	readonly random: () => number
+	readonly log: Log
+	readonly metrics: Metrics
+	readonly leaseTtlMs: number
+	readonly describe: (session: SessionId) => SessionInfo
+	readonly fleetWritesPerSecond: () => number
+	readonly fleetSize: () => number
+	readonly retentionMs: () => number
+	/** Called when the session is lost; its shards may have new owners from now on. */
+	readonly onLost: (session: SessionId) => void
+	readonly onOpen: () => void
+}
+
+const LAZY_MS = 300
+const OPEN_RETRY_MS = 500
+const KEEPALIVES_PER_TERM = 3
+const TRIM_MS = 30_000
+
+interface Open {
+	readonly id: SessionId
+	readonly lease: string
+	readonly journal: Journal
+	/** When each segment got its first entry, for trimming. */
+	readonly segmentStarts: Map<number, number>
+}
+
+export function createSession(deps: SessionDeps): Session {
+	const {store, clock} = deps
+	let open: Open | undefined
+	let lastJournal: Journal | undefined
+	let isEnded = false
+
+	function newJournal(id: SessionId, segmentStarts: Map<number, number>): Journal {
+		return openJournal({
+			session: id,
+			clock,
+			random: deps.random,
+			lazyMs: LAZY_MS,
+			create: (seq, entry) => {
+				const segment = segmentOf(seq)
+				if (!segmentStarts.has(segment)) segmentStarts.set(segment, clock.now())
+				return createEntry(store, id, seq, entry)
+			},
+			spacingMs: () => writeSpacingMs(deps.fleetWritesPerSecond(), deps.fleetSize()),
+			onSealed: () => lose(id, "its journal was sealed by a successor"),
+			onWrite: (result, tookMs, records) => {
+				deps.metrics.count(`journal.write.${result}`)
+				if (result === "created") deps.metrics.count("journal.records", records)
+				deps.metrics.gauge("journal.write_ms", tookMs)
+			},
+		})
+	}
+
+	async function openOne(): Promise<boolean> {
+		const lease = await store.grantLease(deps.leaseTtlMs)
+		if (lease === undefined) return false
+		const info = deps.describe("")
+		const id = `${info.instance}.${randomBytes(4).toString("hex")}`
+		const put = await store.put(sessionKey(id), deps.describe(id), {lease})
+		if (put.type !== "done") return false
+		const segmentStarts = new Map<number, number>()
+		const journal = newJournal(id, segmentStarts)
+		open = {id, lease, journal, segmentStarts}
+		lastJournal = journal
+		deps.log.info(`Session ${id} is open.`)
+		deps.onOpen()
+		return true
+	}
+
+	function lose(id: SessionId, cause: string) {
+		if (open?.id !== id) return
+		open = undefined
+		deps.metrics.count("session.lost")
+		deps.log.warn(`Session ${id} is lost: ${cause}.`)
+		deps.onLost(id)
+	}
+
+	async function keepAlive(current: Open) {
+		const result = await store.keepAlive(current.lease)
+		if (result === "gone") lose(current.id, "its lease lapsed")
+	}
+
+	async function trim(current: Open) {
+		const newest = Math.max(-1, ...current.segmentStarts.keys())
+		const oldest = clock.now() - 2 * deps.retentionMs()
+		for (const [segment] of current.segmentStarts) {
+			const endedAt = current.segmentStarts.get(segment + 1)
+			if (segment === newest || endedAt === undefined || endedAt > oldest) continue
+			if (!(await deleteSegment(store, current.id, segment))) return
+			current.segmentStarts.delete(segment)
+			deps.metrics.count("journal.trimmed")
+		}
+	}
+
+	async function loop() {
+		let trimmedAt = clock.now()
+		while (!isEnded) {
+			if (!open) {
+				const isOpen = await openOne()
+				if (!isOpen) await clock.sleep(OPEN_RETRY_MS * (1 + deps.random()))
+				continue
+			}
+			await clock.sleep(deps.leaseTtlMs / KEEPALIVES_PER_TERM)
+			if (isEnded || !open) continue
+			await keepAlive(open)
+			if (!open || clock.now() - trimmedAt < TRIM_MS) continue
+			trimmedAt = clock.now()
+			await trim(open)
+		}
+	}
+
+	const idleJournal = newJournal("none", new Map())
+	return {
+		start: () => void loop(),
+		id: () => open?.id,
+		journal: () => open?.journal ?? lastJournal ?? idleJournal,
+		async announceDraining() {
+			if (open) await store.put(sessionKey(open.id), deps.describe(open.id), {lease: open.lease})
+		},
+		async end() {
+			isEnded = true
+			const last = open
+			if (!last) return
+			await Promise.race([last.journal.flush(), clock.sleep(deps.leaseTtlMs)])
+			await store.revoke(last.lease)
+		},
+	}
+}
--- /dev/null
+++ b/packages/entry/src/peers/peer-table.ts
@@ -0,0 +1,203 @@
+/**
+ * The other entry instances: their addresses, whether they answer, and what room they report.
+ *
+ * Addresses come from the live sessions and, without the store, from the instance list. Liveness
+ * comes from heartbeats between the instances themselves, so it holds when the store is down.
+ */
+import type {Clock, PeerRoom, SessionId} from "@cottonwood/core"
+import {
+	connectPeer,
+	type HeartbeatMessage,
+	type HeartbeatMessage__Output,
+	type PeerClient,
+} from "@cottonwood/wire"
+import type {SessionInfo} from "../fleet/live-view.js"
+import type {ListedEntry} from "../platform/instance-list.js"
+import type {Log} from "../utils/log.js"
+import type {Metrics} from "../utils/metrics.js"
+
+export interface Peer {
+	readonly instance: string
+	readonly failureDomain: string
+	readonly address: string
+	readonly client: PeerClient
+	session: SessionId
+	lastAnswerAt: number
+	beatAt: number
+	isBeating: boolean
+	draining: boolean
+	configVersion: number
+	room: Map<string, number>
+}
+
+export interface PeerTable {
+	start(): void
+	stop(): void
+	/** Brings the table in line with the sessions and the list. */
+	update(sessions: Iterable<SessionInfo>, listed: readonly ListedEntry[]): void
+	byInstance(instance: string): Peer | undefined
+	bySession(session: SessionId): Peer | undefined
+	/** Instances of a failure domain that answer and do not drain, without this one. */
+	liveIn(failureDomain: string): readonly string[]
+	live(): readonly string[]
+	rooms(): readonly PeerRoom[]
+	noteRoom(instance: string, pool: string, free: number): void
+	/** Takes in what a peer said of itself in a heartbeat. */
+	noteHeartbeat(message: HeartbeatMessage__Output): void
+	all(): Iterable<Peer>
+}
+
+export interface PeerTableDeps {
+	readonly instance: string
+	readonly failureDomain: string
+	readonly clock: Clock
+	readonly log: Log
+	readonly metrics: Metrics
+	readonly heartbeatMs: number
+	readonly peerTimeoutMs: number
+	readonly describe: () => HeartbeatMessage
+	/** Called when the set of live peers, or a peer's room, changed. */
+	readonly onChange: (what: "members" | "room") => void
+	readonly onNewerConfig: (peer: Peer, version: number) => void
+}
+
+const TICK_SHARE = 4
+const FAR_FACTOR = 4
+const HEARTBEAT_DEADLINE_MS = 1_000
+
+export function createPeerTable(deps: PeerTableDeps): PeerTable {
+	const {clock} = deps
+	const peers = new Map<string, Peer>()
+	let isStopped = false
+	let lastLive = ""
+
+	function isSameDomain(peer: Peer): boolean {
+		return peer.failureDomain === deps.failureDomain
+	}
+
+	function isLive(peer: Peer): boolean {
+		const limitMs = isSameDomain(peer) ? deps.peerTimeoutMs : deps.peerTimeoutMs * 2
+		return clock.now() - peer.lastAnswerAt < limitMs
+	}
+
+	function addPeer(instance: string, failureDomain: string, address: string, session: string) {
+		peers.get(instance)?.client.close()
+		peers.set(instance, {
+			instance,
+			failureDomain,
+			address,
+			client: connectPeer(address),
+			session,
+			lastAnswerAt: -Infinity,
+			beatAt: -Infinity,
+			isBeating: false,
+			draining: false,
+			configVersion: 0,
+			room: new Map(),
+		})
+	}
+
+	function takeHeartbeat(peer: Peer, message: HeartbeatMessage__Output) {
+		peer.lastAnswerAt = clock.now()
+		peer.draining = message.draining
+		peer.configVersion = message.configVersion
+		peer.room = new Map(message.room.map(({pool, free}) => [pool, free]))
+		deps.onNewerConfig(peer, message.configVersion)
+	}
+
+	function beat(peer: Peer) {
+		peer.isBeating = true
+		peer.beatAt = clock.now()
+		const deadline = Date.now() + HEARTBEAT_DEADLINE_MS
+		peer.client.heartbeat(deps.describe(), {deadline}, (error, reply) => {
+			peer.isBeating = false
+			if (error || !reply) return deps.metrics.count("peer.heartbeat_failed")
+			takeHeartbeat(peer, reply)
+			deps.onChange("room")
+		})
+	}
+
+	function checkMembers() {
+		const live = liveNames(() => true).join(",")
+		if (live === lastLive) return
+		lastLive = live
+		deps.log.info(`Live peers: ${live || "none"}.`)
+		deps.onChange("members")
+	}
+
+	function liveNames(isWanted: (peer: Peer) => boolean): string[] {
+		return [...peers.values()]
+			.filter(peer => isLive(peer) && !peer.draining && isWanted(peer))
+			.map(peer => peer.instance)
+			.sort()
+	}
+
+	async function loop() {
+		while (!isStopped) {
+			for (const peer of peers.values()) {
+				const everyMs = isSameDomain(peer) ? deps.heartbeatMs : deps.heartbeatMs * FAR_FACTOR
+				if (!peer.isBeating && clock.now() - peer.beatAt >= everyMs) beat(peer)
+			}
+			checkMembers()
+			await clock.sleep(deps.heartbeatMs / TICK_SHARE)
+		}
+	}
+
+	return {
+		start: () => void loop(),
+		stop() {
+			isStopped = true
+			for (const peer of peers.values()) peer.client.close()
+		},
+		update(sessions, listed) {
+			const seen = new Set<string>()
+			for (const info of sessions) {
+				if (info.instance === deps.instance) continue
+				seen.add(info.instance)
+				const address = info.peerFor[deps.failureDomain] ?? info.peer
+				const known = peers.get(info.instance)
+				if (known?.address !== address) {
+					addPeer(info.instance, info.failureDomain, address, info.session)
+				} else known.session = info.session
+			}
+			for (const entry of listed) {
+				if (entry.id === deps.instance) continue
+				seen.add(entry.id)
+				if (!peers.has(entry.id)) addPeer(entry.id, entry.failureDomain, entry.address, "")
+			}
+			for (const [instance, peer] of peers) {
+				if (seen.has(instance) || isLive(peer)) continue
+				peer.client.close()
+				peers.delete(instance)
+			}
+			checkMembers()
+		},
+		byInstance: instance => peers.get(instance),
+		bySession(session) {
+			const instance = session.slice(0, session.lastIndexOf("."))
+			return peers.get(instance)
+		},
+		liveIn: failureDomain => liveNames(peer => peer.failureDomain === failureDomain),
+		live: () => liveNames(() => true),
+		rooms: () =>
+			[...peers.values()]
+				.filter(peer => isLive(peer) && !peer.draining)
+				.map(peer => ({id: peer.instance, isSameDomain: isSameDomain(peer), free: peer.room})),
+		noteRoom(instance, pool, free) {
+			const peer = peers.get(instance)
+			if (!peer) return
+			peer.room.set(pool, free)
+			if (free > 0) deps.onChange("room")
+		},
+		noteHeartbeat(message) {
+			const peer = peers.get(message.instance)
+			if (!peer) return
+			if (message.session !== "") peer.session = message.session
+			// Only what the peer says of itself: that it reaches us does not mean that we reach it.
+			peer.draining = message.draining
+			peer.room = new Map(message.room.map(({pool, free}) => [pool, free]))
+			deps.onNewerConfig(peer, message.configVersion)
+		},
+		all: () => peers.values(),
+	}
+}
--- /dev/null
+++ b/packages/standins/src/fleet/process.ts
@@ -0,0 +1,79 @@
+/**
+ * One child process of a stand-in fleet: started with its settings, known by its id, and ended by
+ * that id alone.
+ */
+import {spawn, type ChildProcess} from "node:child_process"
+import {createInterface} from "node:readline"
+
+export interface FleetProcess {
+	readonly name: string
+	readonly port: number
+	/** What the process announced when it was ready. */
+	readonly announced: Readonly<Record<string, number>>
+	/** The last lines of its log. */
+	readonly logTail: () => readonly string[]
+	signal(signal: NodeJS.Signals): void
+	/** Resolves with the exit code once the process is gone. */
+	readonly exited: Promise<number | null>
+	isRunning(): boolean
+	readonly pid: number
+}
+
+const START_LIMIT_MS = 20_000
+const MAX_LOG_LINES = 400
+
+function keepLog(child: ChildProcess): () => readonly string[] {
+	const lines: string[] = []
+	createInterface({input: child.stderr!}).on("line", line => {
+		lines.push(line)
+		if (lines.length > MAX_LOG_LINES) lines.shift()
+	})
+	return () => lines
+}
+
+/** Starts a process and waits for the line that announces its port. */
+export function startProcess(
+	name: string,
+	script: string,
+	args: readonly string[],
+	env: Readonly<Record<string, string>> = {},
+): Promise<FleetProcess> {
+	const child = spawn(process.execPath, [script, ...args], {
+		stdio: ["ignore", "pipe", "pipe"],
+		env: {...process.env, ...env},
+	})
+	const logTail = keepLog(child)
+	const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)))
+	return new Promise((resolve, reject) => {
+		const timer = setTimeout(() => {
+			child.kill("SIGKILL")
+			reject(new Error(`${name} did not start: ${logTail().join("\n")}`))
+		}, START_LIMIT_MS)
+		void exited.then(code => {
+			clearTimeout(timer)
+			reject(new Error(`${name} ended with ${code}: ${logTail().join("\n")}`))
+		})
+		createInterface({input: child.stdout!}).once("line", line => {
+			clearTimeout(timer)
+			const announced = JSON.parse(line) as Record<string, number>
+			resolve({
+				name,
+				port: announced.port!,
+				announced,
+				logTail,
+				exited,
+				pid: child.pid!,
+				signal: signal => void child.kill(signal),
+				isRunning: () => child.exitCode === null && child.signalCode === null,
+			})
+		})
+	})
+}
+
+/** Ends processes at once and waits for them. */
+export async function killAll(processes: Iterable<FleetProcess>): Promise<void> {
+	const all = [...processes]
+	for (const item of all) item.signal("SIGCONT")
+	for (const item of all) item.signal("SIGKILL")
+	await Promise.all(all.map(item => item.exited))
+}
--- /dev/null
+++ b/packages/standins/src/platform/main.ts
@@ -0,0 +1,8 @@
+/** The process of the platform's stand-in. */
+import {announce, listen, readSettings} from "../utils/server.js"
+import {createPlatform, PLATFORM_DEFAULTS} from "./platform.js"
+import type {Hono} from "hono"
+
+const settings = readSettings(PLATFORM_DEFAULTS)
+const running = await listen(createPlatform(settings) as unknown as Hono, settings.port)
+announce(running.port)
--- /dev/null
+++ b/packages/standins/src/targets/judge.ts
@@ -0,0 +1,43 @@
+/**
+ * The record of starts that the proofs judge by: one line per start, appended to a file, so that
+ * it outlives a killed process.
+ */
+import {appendFileSync, existsSync, readFileSync, readdirSync} from "node:fs"
+import {join} from "node:path"
+
+export interface Start {
+	readonly submission: string
+	readonly task: number
+	readonly attempt: string
+}
+
+export interface Judge {
+	recordStart(start: Start): void
+}
+
+/** Opens the record of one process; without a folder nothing is kept. */
+export function openJudge(folder: string, name: string): Judge {
+	if (folder === "") return {recordStart: () => undefined}
+	const file = join(folder, `${name}.starts`)
+	return {recordStart: start => appendFileSync(file, `${JSON.stringify(start)}\n`)}
+}
+
+/** Reads all starts that any process recorded in the folder. */
+export function readStarts(folder: string): readonly Start[] {
+	if (!existsSync(folder)) return []
+	return readdirSync(folder)
+		.filter(name => name.endsWith(".starts"))
+		.flatMap(name => readFileSync(join(folder, name), "utf8").split("\n"))
+		.filter(line => line !== "")
+		.map(line => JSON.parse(line) as Start)
+}
+
+/** Counts the starts of each task, by `submission#task`. */
+export function countStarts(starts: readonly Start[]): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>()
+	for (const {submission, task} of starts) {
+		const name = `${submission}#${task}`
+		counts.set(name, (counts.get(name) ?? 0) + 1)
+	}
+	return counts
+}
--- /dev/null
+++ b/packages/standins/src/targets/registration.ts
@@ -0,0 +1,40 @@
+/**
+ * Keeps a stand-in's line in the platform's instance list.
+ */
+import {request} from "undici"
+import type {ListedInstance} from "../platform/platform.js"
+
+const RENEW_MS = 1_000
+
+export interface Registration {
+	setState(state: "live" | "leaving"): Promise<void>
+	stop(): Promise<void>
+}
+
+/** Registers a line and renews it until stopped. */
+export function register(platform: string, line: ListedInstance): Registration {
+	let current = line
+	const url = `${platform}/instances/${encodeURIComponent(line.id)}`
+	const put = async () => {
+		const options = {
+			method: "PUT" as const,
+			body: JSON.stringify(current),
+			headers: {"content-type": "application/json"},
+		}
+		await request(url, options)
+			.then(res => res.body.dump())
+			.catch(() => undefined)
+	}
+	void put()
+	const timer = setInterval(put, RENEW_MS)
+	return {
+		async setState(state) {
+			current = {...current, state}
+			await put()
+		},
+		async stop() {
+			clearInterval(timer)
+			await request(url, {method: "DELETE"}).catch(() => undefined)
+		},
+	}
+}
--- /dev/null
+++ b/packages/standins/src/utils/server.ts
@@ -0,0 +1,52 @@
+/**
+ * Starting an HTTP server on loopback, and reading a process's arguments as settings.
+ */
+import {serve} from "@hono/node-server"
+import type {Hono} from "hono"
+import type {Server} from "node:http"
+
+export interface RunningServer {
+	readonly address: string
+	readonly port: number
+	readonly server: Server
+	close(): Promise<void>
+}
+
+const CLOSE_WAIT_MS = 2_000
+
+/** Listens on a loopback port; port 0 picks a free one. */
+export function listen(app: Hono, port: number): Promise<RunningServer> {
+	return new Promise((resolve, reject) => {
+		const server = serve({fetch: app.fetch, port, hostname: "127.0.0.1"}, info =>
+			resolve({
+				address: `http://127.0.0.1:${info.port}`,
+				port: info.port,
+				server: server as Server,
+				close: () => closeServer(server as Server),
+			}),
+		)
+		server.on("error", reject)
+	})
+}
+
+function closeServer(server: Server): Promise<void> {
+	return new Promise(resolve => {
+		const timer = setTimeout(() => server.closeAllConnections(), CLOSE_WAIT_MS)
+		server.close(() => {
+			clearTimeout(timer)
+			resolve()
+		})
+		server.closeIdleConnections()
+	})
+}
+
+/** Reads a stand-in's settings: one JSON object as the first argument. */
+export function readSettings<T>(defaults: T): T {
+	const text = process.argv[2]
+	return text ? {...defaults, ...(JSON.parse(text) as Partial<T>)} : defaults
+}
+
+/** Tells the parent process that this one listens. */
+export function announce(port: number) {
+	process.stdout.write(`${JSON.stringify({port})}\n`)
+}
