Specify the core protocol, explore it whole, and replay it on the core

Cause: the protocol was argued, not checked. Change: packages/spec holds the owner's protocol, the hand-over, the configuration and the exchange; each guard is switched off once and the walk must find the violation. A dropped entry is now finished, so its waiters leave. Ruled out: the fake clock (sleeps end at once) was the first suspect; the loop stood in waitFor.

--- a/packages/core/src/core/journal.ts
+++ b/packages/core/src/core/journal.ts
@@ -41,7 +41,7 @@
 	readonly onSealed: () => void
 	/** Called after each attempt to write, with its milliseconds. */
 	readonly onWrite?: (result: CreateResult["type"], tookMs: number, records: number) => void
-	/** Test hook: with `false` a lost answer is taken for a failure instead of read back. */
+	/** Test hook: with `false` a write without an answer is taken as done instead of read back. */
 	readonly guards?: {readonly readBack: boolean}
 }
 
@@ -109,9 +109,9 @@
 			deps.onWrite?.(result.type, clock.now() - startedAt, records)
 			if (result.type === "created") return "durable"
 			if (result.type === "exists") {
-				const isOwn = deps.guards?.readBack !== false && result.entry.nonce === entry.nonce
-				return isOwn ? "durable" : "sealed"
+				return result.entry.nonce === entry.nonce ? "durable" : "sealed"
 			}
+			if (deps.guards?.readBack === false) return "durable"
 			await clock.sleep(backoff(attempt, RETRY_BASE_MS, RETRY_CAP_MS, deps.random))
 		}
 	}
--- a/packages/core/src/core/owner.ts
+++ b/packages/core/src/core/owner.ts
@@ -124,6 +124,12 @@
 		entry.settle(outcome)
 	}
 
+	/** Forgets a key whose record certainly did not reach the journal. */
+	function drop(key: SubmissionKey, entry: Entry, error: DispatchError) {
+		entries.delete(key)
+		finish(entry, "done", outcomeOf(error))
+	}
+
 	function evictExpired() {
 		const oldest = clock.now() - deps.retentionMs()
 		for (const [key, entry] of entries) {
@@ -176,8 +182,7 @@
 			.append({type: "closed", key, outcome})
 			.then(durable => {
 				if (durable.isOk()) return finish(entry, "closed", outcome)
-				entries.delete(key)
-				entry.settle(outcomeOf(durable.error))
+				drop(key, entry, durable.error)
 			})
 		return waitFor(entry)
 	}
@@ -209,8 +214,7 @@
 		const {key, digest, deadlineAt} = submission.head
 		const durable = await deps.journal().append({type: "intent", key, digest})
 		if (durable.isErr()) {
-			entries.delete(key)
-			return entry.settle(outcomeOf(durable.error))
+			return drop(key, entry, durable.error)
 		}
 		explainer.note(key, "intended", "the intent is durable in the journal")
 		if (entry.abort.signal.aborted)
--- /dev/null
+++ b/packages/spec/src/exchange-protocol.ts
@@ -0,0 +1,67 @@
+/**
+ * The exchange with an endpoint: two attempts wait for answers that come late, twice, or on the
+ * other's connection.
+ */
+import type {Specification} from "./explore.js"
+
+export interface ExchangeState {
+	/** Which attempt's answer each waiting attempt took; -1 while it waits. */
+	readonly taken: readonly number[]
+	/** Answers on their way: whose they are and where they arrive. */
+	readonly answers: readonly {readonly of: number; readonly at: number}[]
+	readonly ran: readonly boolean[]
+}
+
+export interface ExchangeGuards {
+	/** An answer counts only for the attempt whose id it carries. */
+	readonly attemptId: boolean
+}
+
+export type ExchangeEvent =
+	| {readonly type: "run"; readonly attempt: number; readonly at: number}
+	| {readonly type: "arrive"; readonly index: number; readonly again: boolean}
+
+const INITIAL: ExchangeState = Object.freeze({
+	taken: [-1, -1],
+	answers: [],
+	ran: [false, false],
+})
+
+function arrive(state: ExchangeState, index: number, again: boolean, guards: ExchangeGuards) {
+	const answer = state.answers[index]!
+	const answers = again ? state.answers : state.answers.filter((_, i) => i !== index)
+	const isWaiting = state.taken[answer.at] === -1
+	const isMine = !guards.attemptId || answer.of === answer.at
+	if (!isWaiting || !isMine) return {...state, answers}
+	return {
+		...state,
+		answers,
+		taken: state.taken.map((old, i) => (i === answer.at ? answer.of : old)),
+	}
+}
+
+export function exchangeProtocol(
+	guards: ExchangeGuards = {attemptId: true},
+): Specification<ExchangeState, ExchangeEvent> {
+	return {
+		initial: INITIAL,
+		next(state, event) {
+			if (event.type === "arrive") return arrive(state, event.index, event.again, guards)
+			const ran = state.ran.map((old, i) => old || i === event.attempt)
+			return {...state, ran, answers: [...state.answers, {of: event.attempt, at: event.at}]}
+		},
+		enabled(state) {
+			const runs = state.ran.flatMap((ran, attempt) =>
+				ran ? [] : [0, 1].map(at => ({type: "run" as const, attempt, at})),
+			)
+			const arrivals = state.answers.flatMap((_, index) =>
+				[true, false].map(again => ({type: "arrive" as const, index, again})),
+			)
+			return [...runs, ...arrivals]
+		},
+		violation: state =>
+			state.taken.some((of, at) => of !== -1 && of !== at)
+				? "an attempt took another's answer"
+				: undefined,
+	}
+}
--- /dev/null
+++ b/packages/spec/src/explore.ts
@@ -0,0 +1,79 @@
+/**
+ * The exhaustive walk over a specification: every state that any order of events can reach.
+ */
+import {getAdjacencyMap, getShortestPaths} from "@xstate/graph"
+import {fromTransition} from "xstate"
+
+/** A specification: a pure transition function, the events that a state allows, and an invariant. */
+export interface Specification<State, Event extends {readonly type: string}> {
+	readonly initial: State
+	readonly next: (state: State, event: Event) => State
+	readonly enabled: (state: State) => readonly Event[]
+	/** Says what a state breaks; undefined for a good state. */
+	readonly violation: (state: State) => string | undefined
+}
+
+export interface Exploration<Event> {
+	readonly states: number
+	/** A shortest row of events to a state that breaks the invariant. */
+	readonly violation?: {readonly what: string; readonly events: readonly Event[]}
+}
+
+const STATE_LIMIT = 60_000
+
+interface Wrapped<State> {
+	readonly context: State
+}
+
+function toLogic<State, Event extends {readonly type: string}>(spec: Specification<State, Event>) {
+	return fromTransition(
+		(state: State, event: Event) =>
+			spec.violation(state) === undefined ? spec.next(state, event) : state,
+		spec.initial as never,
+	)
+}
+
+function optionsOf<State, Event extends {readonly type: string}>(
+	spec: Specification<State, Event>,
+) {
+	return {
+		events: (snapshot: unknown) => {
+			const state = (snapshot as Wrapped<State>).context
+			return spec.violation(state) === undefined ? [...spec.enabled(state)] : []
+		},
+		serializeState: (snapshot: unknown) => JSON.stringify((snapshot as Wrapped<State>).context),
+		serializeEvent: (event: unknown) => JSON.stringify(event),
+		limit: STATE_LIMIT,
+	}
+}
+
+/** Walks all states; stops at nothing but the limit, which is an error. */
+export function explore<State, Event extends {readonly type: string}>(
+	spec: Specification<State, Event>,
+): Exploration<Event> {
+	const logic = toLogic(spec)
+	const options = optionsOf(spec)
+	const map = getAdjacencyMap(logic as never, options as never)
+	const states = Object.values(map).map(
+		item => (item as unknown as {state: Wrapped<State>}).state.context,
+	)
+	const broken = states.find(state => spec.violation(state) !== undefined)
+	if (broken === undefined) return {states: states.length}
+	return {states: states.length, violation: tracesTo(spec, state => spec.violation(state))[0]!}
+}
+
+/** Returns shortest rows of events to all states for which `wanted` says what they show. */
+export function tracesTo<State, Event extends {readonly type: string}>(
+	spec: Specification<State, Event>,
+	wanted: (state: State) => string | undefined,
+): readonly {readonly what: string; readonly events: readonly Event[]}[] {
+	const paths = getShortestPaths(toLogic(spec) as never, optionsOf(spec) as never)
+	return paths.flatMap(path => {
+		const what = wanted((path.state as unknown as Wrapped<State>).context)
+		if (what === undefined) return []
+		const events = path.steps
+			.map(step => step.event as unknown as Event)
+			.filter(event => event.type !== "xstate.init")
+		return [{what, events}]
+	})
+}
--- /dev/null
+++ b/packages/spec/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The specifications of the core protocol, and the walk that checks them.
+ */
+export * from "./explore.js"
+export * from "./owner-protocol.js"
+export * from "./handover-protocol.js"
+export * from "./config-protocol.js"
+export * from "./exchange-protocol.js"
--- /dev/null
+++ b/packages/spec/test/protocols.test.ts
@@ -0,0 +1,88 @@
+import {
+	ALL_CONFIG_GUARDS,
+	ALL_GUARDS,
+	ALL_HANDOVER_GUARDS,
+	configProtocol,
+	exchangeProtocol,
+	explore,
+	handoverProtocol,
+	ownerProtocol,
+	type Specification,
+} from "@cottonwood/spec"
+import {expect} from "chai"
+
+function holds<State, Event extends {readonly type: string}>(
+	name: string,
+	spec: Specification<State, Event>,
+) {
+	it(`${name}: no order of events breaks the invariant`, () => {
+		const {states, violation} = explore(spec)
+		console.log(`        ${states} states`)
+		expect(violation).to.equal(undefined)
+	})
+}
+
+function breaks<State, Event extends {readonly type: string}>(
+	name: string,
+	spec: Specification<State, Event>,
+	what: string,
+) {
+	it(`${name}: the walk finds that ${what}`, () => {
+		const {violation} = explore(spec)
+		expect(violation?.what).to.equal(what)
+	})
+}
+
+const TWICE = "the work started twice"
+const FALSE_REFUSAL = "a copy was answered `not run`, and the work started"
+
+describe("specification of the owner's protocol", () => {
+	holds("with all guards", ownerProtocol())
+	breaks("without the seal", ownerProtocol({...ALL_GUARDS, seal: false}), TWICE)
+	breaks("without intent before start", ownerProtocol({...ALL_GUARDS, intentFirst: false}), TWICE)
+	breaks("without read-back", ownerProtocol({...ALL_GUARDS, readBack: false}), TWICE)
+	breaks("without inheriting intents", ownerProtocol({...ALL_GUARDS, inherit: false}), TWICE)
+	breaks(
+		"with `not run` before its closing is durable",
+		ownerProtocol({...ALL_GUARDS, closeFirst: false}),
+		FALSE_REFUSAL,
+	)
+})
+
+describe("specification of the hand-over", () => {
+	holds("with all guards", handoverProtocol())
+	breaks("without the flush", handoverProtocol({...ALL_HANDOVER_GUARDS, flush: false}), TWICE)
+	breaks(
+		"with a map write of open fate taken as failed",
+		handoverProtocol({...ALL_HANDOVER_GUARDS, definite: false}),
+		TWICE,
+	)
+})
+
+describe("specification of the configuration", () => {
+	holds("with all guards", configProtocol())
+	breaks(
+		"without the version check",
+		configProtocol({...ALL_CONFIG_GUARDS, versionCheck: false}),
+		"a configuration in force went back",
+	)
+	breaks(
+		"without compare-and-swap",
+		configProtocol({...ALL_CONFIG_GUARDS, compareAndSwap: false}),
+		"an accepted change was lost",
+	)
+	breaks(
+		"without read-back",
+		configProtocol({...ALL_CONFIG_GUARDS, readBack: false}),
+		"an accepted change was lost",
+	)
+})
+
+describe("specification of the exchange with an endpoint", () => {
+	holds("with attempt ids", exchangeProtocol())
+	breaks(
+		"without attempt ids",
+		exchangeProtocol({attemptId: false}),
+		"an attempt took another's answer",
+	)
+})
