--- a/packages/core/src/core/owner.ts
+++ b/packages/core/src/core/owner.ts
@@ -23,7 +23,8 @@
 const STORE_RETRY_MS = 2_000
 const MAX_KEPT_ANSWER = 4_096
 
-type EntryState = "pending" | "running" | "done" | "closed" | "inherited"
+/** `parked`: the intent is durable, nobody waited any more, and nothing has started. */
+type EntryState = "pending" | "parked" | "running" | "done" | "closed" | "inherited"
 
 interface Entry {
 	readonly digest: string
@@ -219,8 +220,10 @@
 		explainer.note(key, "intended", "the intent is durable in the journal")
 		if (entry.abort.signal.aborted)
 			return closeUnstarted(submission, entry, "cancelled", "cancelled before the start")
-		if (entry.waiters === 0)
-			return closeUnstarted(submission, entry, "store_unavailable", "nobody waited any more")
+		if (entry.waiters === 0) {
+			entry.state = "parked"
+			return
+		}
 		if (deadlineAt <= clock.now())
 			return closeUnstarted(submission, entry, "deadline_unreachable", "the intent took too long")
 		await run(submission, entry)
@@ -234,7 +237,10 @@
 		}
 		deps.count("joined")
 		explainer.note(key, "joined", `the submission is ${entry.state}`)
-		return entry.state === "inherited" ? resolveInherited(key, entry) : waitFor(entry)
+		if (entry.state === "inherited") return resolveInherited(key, entry)
+		// Nothing has started, and no other session ever starts what this journal lists.
+		if (entry.state === "parked") void run(submission, entry)
+		return waitFor(entry)
 	}
 
 	async function resolveInherited(key: SubmissionKey, entry: Entry): Promise<Outcome> {
@@ -280,6 +286,13 @@
 			explainer.note(key, "cancelled", `while ${entry.state}`)
 			deps.count("cancelled")
 			entry.abort.abort()
+			if (entry.state === "parked") {
+				finish(
+					entry,
+					"closed",
+					failure("cancelled", "cancelled before the start", {ran: "not run"}),
+				)
+			}
 			return waitFor(entry)
 		},
 		inherit(session, records, shards) {
--- a/packages/core/src/core/run.ts
+++ b/packages/core/src/core/run.ts
@@ -176,6 +176,9 @@
 		const values = ends.map(end => (end as TaskEnd & {ok: true}).value)
 		return {ok: true, value: submission.type === "job" ? values : values[0]}
 	}
+	if (signal.aborted) {
+		return {ok: false, kind: "cancelled", detail: "cancelled while it ran", ran: jobRan(ends)}
+	}
 	const failed = ends[firstFailure] as TaskEnd & {ok: false}
 	const outcome = failureOf(submission, firstFailure, failed)
 	return {...outcome, ran: plans.length > 1 ? jobRan(ends) : failed.ran} as Outcome
--- a/packages/entry/src/fleet/config-keeper.ts
+++ b/packages/entry/src/fleet/config-keeper.ts
@@ -69,8 +69,13 @@
 	/** Keeps the present version in the history before another replaces it. */
 	async function archive(item: StoreItem): Promise<boolean> {
 		const value = item.value as VersionedConfig
-		const kept = await store.put(historyKey(value.version), value, {expect: 0})
-		return kept.type === "done" || kept.type === "conflict"
+		for (let attempt = 0; attempt < PUT_TRIES; attempt++) {
+			const kept = await store.put(historyKey(value.version), value, {expect: 0})
+			if (kept.type === "done" || kept.type === "conflict") return true
+			deps.metrics.count("retry.config_archive")
+			await clock.sleep(PUT_PAUSE_MS)
+		}
+		return false
 	}
 
 	function conflict(winner: VersionedConfig): DispatchError {
--- a/packages/spec/src/owner-protocol.ts
+++ b/packages/spec/src/owner-protocol.ts
@@ -7,7 +7,7 @@
 import type {Specification} from "./explore.js"
 
 export type Session = "a" | "b"
-export type Entry = "none" | "pending" | "closing" | "running" | "closed" | "inherited"
+export type Entry = "none" | "pending" | "closing" | "parked" | "running" | "closed" | "inherited"
 export type RecordType = "intent" | "closed"
 export type Value = RecordType | "seal"
 
@@ -132,6 +132,8 @@
 		case "pending":
 		case "closing":
 			return hold(state, session, copy)
+		case "parked":
+			return start(hold(state, session, copy), session)
 		case "running":
 			return withCopies(state, [copy], "value")
 		case "closed":
@@ -183,8 +185,8 @@
 	}
 	if (side.entry !== "pending") return settled
 	if (side.waiting.length > 0) return start(settled, session)
-	// Nobody waits any more: the intent stands in the journal, but the work is not started.
-	return withSide(settled, session, {entry: "closed"})
+	// Nobody waits any more: the intent stands in the journal, and the work waits for a copy.
+	return withSide(settled, session, {entry: "parked"})
 }
 
 function answerArrives(state: OwnerState, session: Session): OwnerState {
--- /dev/null
+++ b/packages/standins/src/soak/callers.ts
@@ -0,0 +1,117 @@
+/**
+ * Callers that submit and resubmit: each id goes to several entry instances, at once and again,
+ * until it has a final answer.
+ */
+import {randomUUID} from "node:crypto"
+import {submitJob, submitRequest, type CallerAnswer} from "../fleet/client.js"
+import type {Fleet} from "../fleet/fleet.js"
+import type {Exchange} from "./verdict.js"
+
+export interface CallerLoad {
+	readonly submissions: number
+	readonly concurrency: number
+	readonly random: () => number
+	/** How often one id is sent at most. */
+	readonly maxSends: number
+	readonly shareOfJobs: number
+	readonly shareOfTwins: number
+	readonly deadlineMs: number
+	readonly endpoint: string
+	readonly taskMs: number
+}
+
+export const DEFAULT_LOAD = Object.freeze({
+	submissions: 300,
+	concurrency: 24,
+	maxSends: 5,
+	shareOfJobs: 0.2,
+	shareOfTwins: 0.4,
+	deadlineMs: 6_000,
+	endpoint: "inventory",
+	taskMs: 20,
+})
+
+const PAUSE_MS = 300
+const MAX_JOB_TASKS = 8
+const CALLER = "soak"
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+
+function newExchange(load: CallerLoad, index: number): Exchange {
+	const isJob = load.random() < load.shareOfJobs
+	const id = randomUUID()
+	const tasks = isJob ? 2 + Math.floor(load.random() * (MAX_JOB_TASKS - 1)) : 1
+	const mark = `${index}:${id}`
+	return {
+		caller: CALLER,
+		id,
+		type: isJob ? "job" : "request",
+		tasks,
+		repeatable: false,
+		answers: [],
+		broken: 0,
+		sent: 0,
+		isOwnValue: isJob
+			? value =>
+					Array.isArray(value) &&
+					value.length === tasks &&
+					value.every((item, task) => item === `${mark}:${task}`)
+			: value => (value as {payload?: {mark?: string}} | null)?.payload?.mark === mark,
+	}
+}
+
+function bodyOf(exchange: Exchange, load: CallerLoad, index: number, ms: number): unknown {
+	const mark = `${index}:${exchange.id}`
+	if (exchange.type === "request") return {endpoint: load.endpoint, payload: {ms, mark}}
+	const tasks = Array.from({length: exchange.tasks}, (_, task) => ({
+		kind: "soak",
+		payload: {ms, value: `${mark}:${task}`},
+	}))
+	return {tasks}
+}
+
+async function sendOnce(fleet: Fleet, exchange: Exchange, body: unknown, load: CallerLoad) {
+	const entry = fleet.entries[Math.floor(load.random() * fleet.entries.length)]!
+	const submit = exchange.type === "job" ? submitJob : submitRequest
+	exchange.sent++
+	try {
+		const options = {
+			id: exchange.id,
+			caller: exchange.caller,
+			deadlineMs: load.deadlineMs,
+			patienceMs: load.deadlineMs * 2,
+		}
+		exchange.answers.push(await submit(entry.url, body, options))
+	} catch {
+		exchange.broken++
+	}
+}
+
+function isFinal(answer: CallerAnswer | undefined): boolean {
+	return answer !== undefined && answer.body.next !== "same id"
+}
+
+async function runExchange(fleet: Fleet, load: CallerLoad, index: number): Promise<Exchange> {
+	const exchange = newExchange(load, index)
+	const body = bodyOf(exchange, load, index, 1 + load.random() * load.taskMs)
+	while (exchange.sent < load.maxSends) {
+		const sends = [sendOnce(fleet, exchange, body, load)]
+		if (load.random() < load.shareOfTwins) sends.push(sendOnce(fleet, exchange, body, load))
+		await Promise.all(sends)
+		// A caller that has its answer still asks again now and then.
+		if (isFinal(exchange.answers.at(-1)) && load.random() < 0.5) break
+		await sleep(PAUSE_MS * load.random())
+	}
+	return exchange
+}
+
+/** Runs the load until all ids are through. */
+export async function runCallers(fleet: Fleet, load: CallerLoad): Promise<readonly Exchange[]> {
+	const exchanges: Exchange[] = []
+	let next = 0
+	const worker = async () => {
+		while (next < load.submissions) exchanges.push(await runExchange(fleet, load, next++))
+	}
+	await Promise.all(Array.from({length: load.concurrency}, worker))
+	return exchanges
+}
--- /dev/null
+++ b/packages/standins/src/soak/faults.ts
@@ -0,0 +1,116 @@
+/**
+ * The faults that a run mixes: each begins, lasts, and is mended.
+ */
+import type {Fleet, FleetEntry} from "../fleet/fleet.js"
+
+export type FaultName =
+	| "kill entry"
+	| "freeze entry"
+	| "stop entry"
+	| "store down"
+	| "store loses answers"
+	| "store slow"
+	| "cut from platform"
+	| "cut to peers"
+	| "cut from peers"
+	| "freeze worker"
+	| "freeze executor"
+
+export const ALL_FAULTS: readonly FaultName[] = Object.freeze([
+	"kill entry",
+	"freeze entry",
+	"stop entry",
+	"store down",
+	"store loses answers",
+	"store slow",
+	"cut from platform",
+	"cut to peers",
+	"cut from peers",
+	"freeze worker",
+	"freeze executor",
+])
+
+export interface FaultPlan {
+	readonly random: () => number
+	readonly faults: readonly FaultName[]
+	readonly lastsMs: number
+	readonly pauseMs: number
+	readonly onFault: (text: string) => void
+}
+
+const LOST_SHARE = 0.3
+const SLOW_MS = 300
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+
+function pick<T>(items: readonly T[], random: () => number): T {
+	return items[Math.floor(random() * items.length)]!
+}
+
+async function replace(fleet: Fleet, entry: FleetEntry, signal: "SIGKILL" | "SIGTERM") {
+	entry.process.signal(signal)
+	await entry.process.exited
+	await fleet.restartEntry(entry.name)
+}
+
+async function freeze(target: {signal(signal: NodeJS.Signals): void}, ms: number) {
+	target.signal("SIGSTOP")
+	await sleep(ms)
+	target.signal("SIGCONT")
+}
+
+/** Brings about one fault and mends it. */
+export async function runFault(fleet: Fleet, name: FaultName, plan: FaultPlan): Promise<void> {
+	const {random, lastsMs} = plan
+	const entry = pick(fleet.entries, random)
+	plan.onFault(`${name} (${entry.name})`)
+	switch (name) {
+		case "kill entry":
+			return replace(fleet, entry, "SIGKILL")
+		case "stop entry":
+			return replace(fleet, entry, "SIGTERM")
+		case "freeze entry":
+			return freeze(entry.process, lastsMs)
+		case "freeze worker":
+			return freeze(pick(fleet.workers, random), lastsMs)
+		case "freeze executor":
+			return freeze(pick(fleet.executors, random), lastsMs)
+		case "store down":
+		case "store loses answers":
+		case "store slow": {
+			const faults = {
+				"store down": {down: true},
+				"store loses answers": {loseAnswers: LOST_SHARE},
+				"store slow": {delayMs: SLOW_MS},
+			}
+			await fleet.setFaults(faults[name])
+			await sleep(lastsMs)
+			return fleet.setFaults({})
+		}
+		case "cut from platform":
+		case "cut to peers":
+		case "cut from peers": {
+			const kinds = {
+				"cut from platform": "platform",
+				"cut to peers": "to peers",
+				"cut from peers": "from peers",
+			} as const
+			fleet.cut(entry.failureDomain, [kinds[name]])
+			await sleep(lastsMs)
+			return fleet.mend(entry.failureDomain)
+		}
+	}
+}
+
+/** Brings about faults one after the other until told to end; sometimes two at once. */
+export async function runFaults(fleet: Fleet, plan: FaultPlan, isOver: () => boolean) {
+	const order = [...plan.faults]
+	for (let index = 0; !isOver(); index++) {
+		const name = order[index % order.length]!
+		const both = [runFault(fleet, name, plan)]
+		const isDouble = plan.random() < 0.3 && !name.includes("store") && !name.includes("cut")
+		if (isDouble) both.push(runFault(fleet, "store loses answers", plan))
+		await Promise.all(both)
+		await sleep(plan.pauseMs)
+	}
+}
--- /dev/null
+++ b/packages/standins/src/soak/soak.ts
@@ -0,0 +1,72 @@
+/**
+ * A run under faults: callers submit and resubmit while faults come and go, and the judge has the
+ * last word.
+ */
+import {startFleet, type Fleet, type FleetShape} from "../fleet/fleet.js"
+import {seededRandom} from "../utils/random.js"
+import {DEFAULT_LOAD, runCallers, type CallerLoad} from "./callers.js"
+import {ALL_FAULTS, runFaults, type FaultName} from "./faults.js"
+import {judgeExchanges, type Verdict} from "./verdict.js"
+
+export interface SoakPlan {
+	readonly seed: number
+	readonly faults: readonly FaultName[]
+	readonly load: Partial<CallerLoad>
+	readonly shape: Partial<FleetShape>
+	readonly faultMs: number
+	readonly onFault: (text: string) => void
+}
+
+export const SOAK_DEFAULTS: SoakPlan = Object.freeze({
+	seed: 1,
+	faults: ALL_FAULTS,
+	load: {},
+	shape: {},
+	faultMs: 3_000,
+	onFault: () => undefined,
+})
+
+/** Short leases, so that failovers happen within a run. */
+export const QUICK_TIMINGS = Object.freeze({
+	leaseTtlMs: 1_500,
+	storeTimeoutMs: 400,
+	heartbeatMs: 250,
+	peerTimeoutMs: 1_000,
+	drainGraceMs: 300,
+	ownerPatienceMs: 4_000,
+})
+
+const PAUSE_MS = 700
+
+/** Runs one soak and returns its verdict; the fleet is stopped in any case. */
+export async function runSoak(changes: Partial<SoakPlan> = {}): Promise<Verdict> {
+	const plan = {...SOAK_DEFAULTS, ...changes}
+	const random = seededRandom(plan.seed)
+	const fleet: Fleet = await startFleet({
+		isJudged: true,
+		hasLinks: true,
+		logLevel: "warn",
+		timings: QUICK_TIMINGS,
+		...plan.shape,
+	})
+	try {
+		let isOver = false
+		const faults = runFaults(
+			fleet,
+			{
+				random,
+				faults: plan.faults,
+				lastsMs: plan.faultMs,
+				pauseMs: PAUSE_MS,
+				onFault: plan.onFault,
+			},
+			() => isOver,
+		)
+		const exchanges = await runCallers(fleet, {...DEFAULT_LOAD, random, ...plan.load})
+		isOver = true
+		await faults
+		return judgeExchanges(exchanges, fleet.starts())
+	} finally {
+		await fleet.stop()
+	}
+}
