Measure: an experiment with both users' profiles, and a benchmark

Cause: nothing had been measured. Change: npm run experiment plays one seeded load against the fleet and against callers that pick targets at random with plain retries; npm run bench gives the processor time of one entry instance. Targets are now assigned evenly (rendezvous hashing with a bound): plain rendezvous split 10 executors 7 to 3. Ruled out as the cause: uneven targets, peers' room counted twice. Orphans of an earlier aborted run burdened some of these runs; process fleets now end with their parent.

--- a/packages/core/src/core/scheduler.ts
+++ b/packages/core/src/core/scheduler.ts
@@ -120,10 +120,12 @@
 	cancel(key: SubmissionKey): void
 	/** Marks a target as leaving on its own signal, before the list says so. */
 	markLeaving(target: string): void
-	/** Free processors (slots) of a pool here. */
-	freeIn(pool: string): number
+	/** Processors (slots) that peers may use here: what is free less what waits here already. */
+	roomIn(pool: string): number
 	free(): ReadonlyMap<string, number>
-	/** Looks for work to place; called when a peer reports room. */
+	/** Takes in that a peer reported its room; what was sent before it is counted in it. */
+	notePeerRoom(peer: string, pool?: string): void
+	/** Looks for work to place. */
 	pump(): void
 	snapshot(): SchedulerSnapshot
 }
@@ -387,6 +389,10 @@
 		return free
 	}
 
+	function roomIn(pool: string): number {
+		return Math.max(0, freeIn(pool) - queue.size())
+	}
+
 	function capacityOf(pool: string): number {
 		let capacity = 0
 		for (const state of pools.get(pool)?.values() ?? []) capacity += state.target.capacity.cpu
@@ -449,11 +455,7 @@
 				return
 			}
 			removeRunning(id, item)
-			if (typeof item.place === "string") {
-				const debt = debtKey(item.place, item.attempt.pool)
-				peerDebt.set(debt, Math.max(0, (peerDebt.get(debt) ?? 0) - item.attempt.need.cpu))
-				return finish(item, result)
-			}
+			if (typeof item.place === "string") return finish(item, result)
 			observe(item, result)
 			const isAtFault = result.type === "failed" || result.type === "unknown"
 			finish(item, isAtFault ? {...result, target: item.place.target.id} : result)
@@ -473,8 +475,16 @@
 			}
 		},
 		markLeaving,
-		freeIn,
-		free: () => new Map([...pools.keys()].map(pool => [pool, freeIn(pool)])),
+		roomIn,
+		free: () => new Map([...pools.keys()].map(pool => [pool, roomIn(pool)])),
+		notePeerRoom(peer, pool) {
+			for (const key of peerDebt.keys()) {
+				const isMeant =
+					pool === undefined ? key.startsWith(`${peer}|`) : key === debtKey(peer, pool)
+				if (isMeant) peerDebt.delete(key)
+			}
+			if (queue.size() > 0) schedulePump()
+		},
 		pump: () => {
 			if (queue.size() > 0) schedulePump()
 		},
--- a/packages/entry/src/dispatch/targets.ts
+++ b/packages/entry/src/dispatch/targets.ts
@@ -1,7 +1,7 @@
 /**
  * The targets of the fleet as this instance sees them, and which of them it places itself.
  */
-import {rendezvous, type Clock, type Scheduler, type Target} from "@cottonwood/core"
+import {assignEvenly, poolOf, type Clock, type Scheduler, type Target} from "@cottonwood/core"
 import type {createInstanceList, InstanceListing, ListedEntry} from "../platform/instance-list.js"
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
@@ -39,6 +39,7 @@
 	const {clock} = deps
 	let known = new Map<string, {readonly target: Target; readonly seenAt: number}>()
 	let targets: readonly Target[] = []
+	let placers: ReadonlyMap<string, string> = new Map()
 	let isStopped = false
 
 	/** The live instances that may place targets of a failure domain. */
@@ -49,12 +50,25 @@
 		return near.length > 0 ? near : [...deps.livePeers(), ...self]
 	}
 
-	function placerOf(target: Target): string | undefined {
-		return rendezvous(target.id, placersFor(target.failureDomain))
+	/** Assigns the targets of each failure domain and pool evenly to its placers. */
+	function assignAll(): ReadonlyMap<string, string> {
+		const groups = new Map<string, Target[]>()
+		for (const target of targets) {
+			const name = `${target.failureDomain}|${poolOf(target)}`
+			groups.set(name, [...(groups.get(name) ?? []), target])
+		}
+		const all = new Map<string, string>()
+		for (const group of groups.values()) {
+			const members = placersFor(group[0]!.failureDomain)
+			const ids = group.map(target => target.id)
+			for (const [id, member] of assignEvenly(ids, members)) all.set(id, member)
+		}
+		return all
 	}
 
 	function assign() {
-		const mine = targets.filter(target => placerOf(target) === deps.instance)
+		placers = assignAll()
+		const mine = targets.filter(target => placers.get(target.id) === deps.instance)
 		deps.scheduler.setTargets(mine)
 		deps.metrics.gauge("targets.placed", mine.length)
 	}
@@ -86,6 +100,6 @@
 		stop: () => void (isStopped = true),
 		all: () => targets,
 		assign,
-		placerOf,
+		placerOf: target => placers.get(target.id),
 	}
 }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -167,7 +167,8 @@
 		heartbeatMs: timings.heartbeatMs,
 		peerTimeoutMs: timings.peerTimeoutMs,
 		describe,
-		onChange: what => (what === "members" ? board.assign() : scheduler.pump()),
+		onMembers: () => board.assign(),
+		onRoom: (peer, pool) => scheduler.notePeerRoom(peer, pool),
 		onNewerConfig: fetchConfig,
 	})
 
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -99,7 +99,7 @@
 			for (const message of attempts) {
 				const attempt = fromAttemptMessage(message, clock.now())
 				scheduler.submit(attempt, result => {
-					call.write(toRunEvent(attempt, result, scheduler.freeIn(attempt.pool)))
+					call.write(toRunEvent(attempt, result, scheduler.roomIn(attempt.pool)))
 					if (--open === 0) call.end()
 				})
 			}
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -56,8 +56,10 @@
 	readonly heartbeatMs: number
 	readonly peerTimeoutMs: number
 	readonly describe: () => HeartbeatMessage
-	/** Called when the set of live peers, or a peer's room, changed. */
-	readonly onChange: (what: "members" | "room") => void
+	/** Called when the set of live peers changed. */
+	readonly onMembers: () => void
+	/** Called when a peer reported its room, in one pool or in all. */
+	readonly onRoom: (instance: string, pool?: string) => void
 	readonly onNewerConfig: (peer: Peer, version: number) => void
 }
 
@@ -113,7 +115,7 @@
 			peer.isBeating = false
 			if (error || !reply) return deps.metrics.count("peer.heartbeat_failed")
 			takeHeartbeat(peer, reply)
-			deps.onChange("room")
+			deps.onRoom(peer.instance)
 		})
 	}
 
@@ -122,7 +124,7 @@
 		if (live === lastLive) return
 		lastLive = live
 		deps.log.info(`Live peers: ${live || "none"}.`)
-		deps.onChange("members")
+		deps.onMembers()
 	}
 
 	function liveNames(isWanted: (peer: Peer) => boolean): string[] {
@@ -187,7 +189,7 @@
 			const peer = peers.get(instance)
 			if (!peer) return
 			peer.room.set(pool, free)
-			if (free > 0) deps.onChange("room")
+			deps.onRoom(instance, pool)
 		},
 		noteHeartbeat(message) {
 			const peer = peers.get(message.instance)
@@ -196,6 +198,7 @@
 			// Only what the peer says of itself: that it reaches us does not mean that we reach it.
 			peer.draining = message.draining
 			peer.room = new Map(message.room.map(({pool, free}) => [pool, free]))
+			deps.onRoom(peer.instance)
 			deps.onNewerConfig(peer, message.configVersion)
 		},
 		all: () => peers.values(),
--- /dev/null
+++ b/packages/standins/src/experiment/load.ts
@@ -0,0 +1,179 @@
+/**
+ * The load: arrivals in a seeded open loop, and the figures of what came back.
+ */
+import {build, type Histogram} from "hdr-histogram-js"
+import type {Profile, Scenario} from "./profiles.js"
+
+/** One submission of the load. */
+export interface Work {
+	readonly index: number
+	readonly atMs: number
+	readonly type: "request" | "once" | "job"
+	/** The run time of each task, in milliseconds. */
+	readonly runMs: readonly number[]
+}
+
+export type WorkEnd = "complete" | "refused" | "failed"
+
+export interface Figures {
+	readonly responseOverIdeal: {readonly p50: number; readonly p99: number; readonly p999: number}
+	readonly wastedPerNeeded: number
+	/** Run time of complete submissions over what the healthy capacity allows, at most 1. */
+	readonly goodputOverCapacity: number
+	/** Run time of complete submissions over what was offered. */
+	readonly goodputOverOffered: number
+	readonly complete: number
+	readonly refused: number
+	readonly failed: number
+	readonly startsPerSecond: number
+	readonly wastedByReason: Readonly<Record<string, number>>
+	readonly refusalsByReason: Readonly<Record<string, number>>
+	readonly storeCallsPerSecond: number
+}
+
+/** Sends one submission and says how it ended. */
+export type Send = (work: Work) => Promise<WorkEnd>
+
+const RATIO_SCALE = 1_000
+const JOB_TASKS = 20
+const JOB_SHARE_OF_WORK = 0.5
+const ONCE_SHARE = 0.3
+const BURST_MS = 2_000
+const MIN_RUN_MS = 50
+
+/** Run times from 50 ms to about a second, a few of several seconds; mean near 200 ms. */
+function drawRunMs(random: () => number): number {
+	if (random() < 0.005) return 2_000 + random() * 1_000
+	return Math.min(1_000, MIN_RUN_MS - 130 * Math.log(1 - random()))
+}
+
+const MEAN_RUN_MS = 190
+
+function offeredAt(scenario: Scenario, ms: number): number {
+	const middle = scenario.durationMs / 2
+	const isBurst = scenario.burst > 0 && ms >= middle && ms < middle + BURST_MS
+	return isBurst ? scenario.burst : scenario.load
+}
+
+/** Draws all arrivals of a run; the same seed gives the same row. */
+export function drawLoad(
+	profile: Profile,
+	scenario: Scenario,
+	random: () => number,
+): readonly Work[] {
+	const works: Work[] = []
+	const slots = profile.executors * profile.slots
+	const cpus = profile.workers * profile.cpu
+	const exponential = (rate: number) => (-Math.log(1 - random()) / rate) * 1_000
+	let index = 0
+	let at = 0
+	while (at < scenario.durationMs) {
+		const rate = (offeredAt(scenario, at) * slots * 1_000) / MEAN_RUN_MS
+		at += exponential(rate)
+		const type = random() < ONCE_SHARE ? "once" : "request"
+		works.push({index: index++, atMs: at, type, runMs: [drawRunMs(random)]})
+	}
+	at = 0
+	while (at < scenario.durationMs) {
+		const tasks = (offeredAt(scenario, at) * cpus * 1_000) / MEAN_RUN_MS
+		at += exponential((tasks * 2 * JOB_SHARE_OF_WORK) / JOB_TASKS)
+		const runMs = Array.from({length: JOB_TASKS}, () => drawRunMs(random))
+		works.push({index: index++, atMs: at, type: "job", runMs})
+	}
+	return works.sort((a, b) => a.atMs - b.atMs)
+}
+
+interface Tally {
+	readonly ratios: Histogram
+	readonly ends: Record<WorkEnd, number>
+	goodMs: number
+	offeredMs: number
+	needed: number
+}
+
+const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0)
+
+async function runOne(work: Work, send: Send, tally: Tally) {
+	const startedAt = performance.now()
+	const end = await send(work)
+	const tookMs = performance.now() - startedAt
+	tally.ends[end]++
+	tally.offeredMs += sum(work.runMs)
+	if (end !== "complete") return
+	tally.goodMs += sum(work.runMs)
+	tally.needed += work.runMs.length
+	tally.ratios.recordValue(
+		Math.max(1, Math.round((tookMs / Math.max(...work.runMs)) * RATIO_SCALE)),
+	)
+}
+
+export interface Sums {
+	readonly wasted: Readonly<Record<string, number>>
+	readonly refusals: Readonly<Record<string, number>>
+	readonly storeCalls: number
+}
+
+/** Plays a load and returns its figures; `readSums` is read before and after. */
+export async function playLoad(
+	works: readonly Work[],
+	profile: Profile,
+	scenario: Scenario,
+	send: Send,
+	readSums: () => Promise<Sums>,
+): Promise<Figures> {
+	const tally: Tally = {
+		ratios: build({numberOfSignificantValueDigits: 3}),
+		ends: {complete: 0, refused: 0, failed: 0},
+		goodMs: 0,
+		offeredMs: 0,
+		needed: 0,
+	}
+	const before = await readSums()
+	const startedAt = performance.now()
+	const running: Promise<void>[] = []
+	for (const work of works) {
+		const waitMs = startedAt + work.atMs - performance.now()
+		if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs))
+		running.push(runOne(work, send, tally))
+	}
+	await Promise.all(running)
+	const tookMs = performance.now() - startedAt
+	const after = await readSums()
+	return toFigures(tally, before, after, tookMs, profile, scenario)
+}
+
+function difference(
+	after: Readonly<Record<string, number>>,
+	before: Readonly<Record<string, number>>,
+) {
+	const entries = Object.entries(after).map(([name, value]) => [name, value - (before[name] ?? 0)])
+	return Object.fromEntries(entries.filter(([, value]) => value !== 0)) as Record<string, number>
+}
+
+function toFigures(
+	tally: Tally,
+	before: Sums,
+	after: Sums,
+	tookMs: number,
+	profile: Profile,
+	scenario: Scenario,
+): Figures {
+	const wasted = difference(after.wasted, before.wasted)
+	const units = profile.executors * profile.slots + profile.workers * profile.cpu
+	const capacityMs = units * scenario.durationMs
+	const reachable = Math.min(capacityMs, tally.offeredMs)
+	const ratio = (percentile: number) => tally.ratios.getValueAtPercentile(percentile) / RATIO_SCALE
+	return {
+		responseOverIdeal: {p50: ratio(50), p99: ratio(99), p999: ratio(99.9)},
+		wastedPerNeeded: sum(Object.values(wasted)) / Math.max(1, tally.needed),
+		goodputOverCapacity: tally.goodMs / reachable,
+		goodputOverOffered: tally.goodMs / tally.offeredMs,
+		complete: tally.ends.complete,
+		refused: tally.ends.refused,
+		failed: tally.ends.failed,
+		startsPerSecond: (tally.needed / tookMs) * 1_000,
+		wastedByReason: wasted,
+		refusalsByReason: difference(after.refusals, before.refusals),
+		storeCallsPerSecond: ((after.storeCalls - before.storeCalls) / tookMs) * 1_000,
+	}
+}
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -29,6 +29,8 @@
 	/** Whether each failure domain reaches the platform and its peers over links that can be cut. */
 	readonly hasLinks: boolean
 	readonly logLevel: string
+	/** The entry command to run, for comparisons with an earlier build. */
+	readonly entryBin?: string
 }
 
 export interface FleetEntry {
@@ -81,6 +83,7 @@
 const RACKS_PREFIX = "rack"
 
 const scriptOf = (path: string) => fileURLToPath(new URL(path, import.meta.url))
+const ENTRY_BIN = scriptOf("../../../entry/dist/bin.js")
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
 
 async function putJson(url: string, body: unknown, headers: Record<string, string> = {}) {
@@ -220,9 +223,7 @@
 			timings: shape.timings,
 		}
 		writeFileSync(file, JSON.stringify(settings))
-		const started = await add(
-			startProcess(name, scriptOf("../../../entry/dist/bin.js"), ["--settings", file]),
-		)
+		const started = await add(startProcess(name, shape.entryBin ?? ENTRY_BIN, ["--settings", file]))
 		peerPorts.set(name, started.announced.peerPort!)
 		return started
 	}
--- a/packages/standins/src/fleet/process.ts
+++ b/packages/standins/src/fleet/process.ts
@@ -20,8 +20,19 @@
 }
 
 const START_LIMIT_MS = 20_000
+const EXIT_BY_SIGNAL = 143
 const MAX_LOG_LINES = 400
 
+/** Children that still run; they end with this process, however it ends. */
+const children = new Set<ChildProcess>()
+
+process.on("exit", () => {
+	for (const child of children) child.kill("SIGKILL")
+})
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+	process.once(signal, () => process.exit(EXIT_BY_SIGNAL))
+}
+
 function keepLog(child: ChildProcess): () => readonly string[] {
 	const lines: string[] = []
 	createInterface({input: child.stderr!}).on("line", line => {
@@ -42,6 +53,8 @@
 		stdio: ["ignore", "pipe", "pipe"],
 		env: {...process.env, ...env},
 	})
+	children.add(child)
+	child.once("exit", () => children.delete(child))
 	const logTail = keepLog(child)
 	const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)))
 	return new Promise((resolve, reject) => {
