Spend less on each request, and split the large modules

Cause: at 70% load the response was 5 times the ideal; a profile of one entry instance showed it full at 800 requests/s. A fifth of the time went into the web stream and abort signal that the framework builds for a body, the next into abort controllers of our own, then into sorting peers for each placement. Conclusion: helps; the forwarding between instances is the next cost.

--- a/packages/core/src/core/owner.ts
+++ b/packages/core/src/core/owner.ts
@@ -10,6 +10,11 @@
 import type {Result} from "neverthrow"
 import {DispatchError, ERROR_ANSWERS, type ErrorKind} from "../utils/errors.js"
 import {spreadMs} from "../utils/backoff.js"
+import {
+	createCancellation,
+	type Cancellation,
+	type CancellationSource,
+} from "../utils/cancellation.js"
 import type {Clock} from "../utils/clock.js"
 import type {JournalRecord, KeptOutcome} from "../types/types-internal.js"
 import type {Outcome, Ran, SessionId, Submission, SubmissionKey} from "../types/types-external.js"
@@ -29,7 +34,7 @@
 interface Entry {
 	readonly digest: string
 	readonly at: number
-	readonly abort: AbortController
+	readonly cancellation: CancellationSource
 	state: EntryState
 	/** Copies of the submission that still wait for an answer. */
 	waiters: number
@@ -46,7 +51,7 @@
 	readonly isOwned: (shard: number) => boolean
 	readonly journal: () => Journal
 	/** Runs the work; called at most once for a key. */
-	readonly execute: (submission: Submission, signal: AbortSignal) => Promise<Outcome>
+	readonly execute: (submission: Submission, cancellation: Cancellation) => Promise<Outcome>
 	/** Refuses what cannot or should not be queued. */
 	readonly admit: (submission: Submission) => Result<void, DispatchError>
 	/** Asks a session that may still run an inherited submission for its outcome. */
@@ -113,8 +118,8 @@
 	function addEntry(key: SubmissionKey, digest: string, state: EntryState): Entry {
 		let settle!: (outcome: Outcome) => void
 		const settled = new Promise<Outcome>(resolve => (settle = resolve))
-		const abort = new AbortController()
-		const entry: Entry = {digest, at: clock.now(), abort, state, waiters: 0, settled, settle}
+		const cancellation = createCancellation()
+		const entry: Entry = {digest, at: clock.now(), cancellation, state, waiters: 0, settled, settle}
 		entries.set(key, entry)
 		return entry
 	}
@@ -193,7 +198,7 @@
 		entry.state = "running"
 		running++
 		const outcome = await deps
-			.execute(submission, entry.abort.signal)
+			.execute(submission, entry.cancellation)
 			.catch((error: unknown) => failure("internal", String(error)))
 		running--
 		finish(entry, "done", outcome)
@@ -218,7 +223,7 @@
 			return drop(key, entry, durable.error)
 		}
 		explainer.note(key, "intended", "the intent is durable in the journal")
-		if (entry.abort.signal.aborted)
+		if (entry.cancellation.isCancelled())
 			return closeUnstarted(submission, entry, "cancelled", "cancelled before the start")
 		if (entry.waiters === 0) {
 			entry.state = "parked"
@@ -285,7 +290,7 @@
 			if (entry.outcome) return entry.outcome
 			explainer.note(key, "cancelled", `while ${entry.state}`)
 			deps.count("cancelled")
-			entry.abort.abort()
+			entry.cancellation.cancel()
 			if (entry.state === "parked") {
 				finish(
 					entry,
--- a/packages/core/src/core/run.ts
+++ b/packages/core/src/core/run.ts
@@ -7,12 +7,13 @@
  */
 import {DispatchError, type ErrorKind} from "../utils/errors.js"
 import {backoff} from "../utils/backoff.js"
+import {createCancellation, type Cancellation} from "../utils/cancellation.js"
 import type {Clock} from "../utils/clock.js"
 import type {Outcome, Ran, Submission, SubmissionKey} from "../types/types-external.js"
 import type {RetryBudget} from "./budget.js"
 import type {Estimates} from "./estimates.js"
 import type {Explainer} from "./explain.js"
-import type {Attempt, AttemptResult} from "./scheduler.js"
+import type {Attempt, AttemptResult} from "./scheduler/attempt.js"
 
 const REPLACE_BASE_MS = 5
 const REPLACE_CAP_MS = 250
@@ -45,7 +46,7 @@
 	readonly plan: TaskPlan
 	readonly submission: Submission
 	readonly index: number
-	readonly signal: AbortSignal
+	readonly cancellation: Cancellation
 }
 
 function makeAttempt(deps: RunDeps, run: TaskRun, avoid: readonly string[]): Attempt {
@@ -74,7 +75,8 @@
 	let cancelTimer: (() => void) | undefined
 	const second = new Promise<AttemptResult>(resolve => {
 		cancelTimer = deps.clock.schedule(lateMs, () => {
-			if (run.signal.aborted || !deps.budgetOf(attempt.team, attempt.pool).spend()) return
+			if (run.cancellation.isCancelled() || !deps.budgetOf(attempt.team, attempt.pool).spend())
+				return
 			deps.count("wasted.hedge")
 			deps.explainer.note(attempt.key, "hedged", `task ${run.index} is later than ${lateMs} ms`)
 			void submitAttempt(deps, makeAttempt(deps, run, attempt.avoid)).then(result => {
@@ -107,7 +109,7 @@
 		const attempt = makeAttempt(deps, run, [...avoid])
 		const result = await runHedged(deps, run, attempt)
 		if (result.type === "ok") return {ok: true, value: result.value}
-		const isOver = run.signal.aborted || deps.clock.now() >= deadlineAt
+		const isOver = run.cancellation.isCancelled() || deps.clock.now() >= deadlineAt
 		if (result.type === "not started") {
 			if (isOver || result.reason === "cancelled" || result.reason === "deadline") {
 				return endOf(result, started)
@@ -145,38 +147,38 @@
 /**
  * Runs all tasks of a submission and returns every task's value in order, or the first failure.
  *
- * @example const outcome = await runSubmission(deps, submission, plans, signal)
+ * @example const outcome = await runSubmission(deps, submission, plans, cancellation)
  */
 export async function runSubmission(
 	deps: RunDeps,
 	submission: Submission,
 	plans: readonly TaskPlan[],
-	signal: AbortSignal,
+	cancellation: Cancellation,
 ): Promise<Outcome> {
 	const {key} = submission.head
-	const stop = new AbortController()
-	const onAbort = () => {
-		stop.abort()
+	const stop = createCancellation()
+	const stopAll = () => {
+		stop.cancel()
 		deps.cancel(key)
 	}
-	signal.addEventListener("abort", onAbort, {once: true})
+	const forget = cancellation.onCancel(stopAll)
 	const ends = new Array<TaskEnd | undefined>(plans.length)
 	let firstFailure: number | undefined
 	await Promise.all(
 		plans.map(async (plan, index) => {
-			const end = await runTask(deps, {plan, submission, index, signal: stop.signal})
+			const end = await runTask(deps, {plan, submission, index, cancellation: stop})
 			ends[index] = end
 			if (end.ok || firstFailure !== undefined) return
 			firstFailure = index
-			if (plans.length > 1) onAbort()
+			if (plans.length > 1) stopAll()
 		}),
 	)
-	signal.removeEventListener("abort", onAbort)
+	forget()
 	if (firstFailure === undefined) {
 		const values = ends.map(end => (end as TaskEnd & {ok: true}).value)
 		return {ok: true, value: submission.type === "job" ? values : values[0]}
 	}
-	if (signal.aborted) {
+	if (cancellation.isCancelled()) {
 		return {ok: false, kind: "cancelled", detail: "cancelled while it ran", ran: jobRan(ends)}
 	}
 	const failed = ends[firstFailure] as TaskEnd & {ok: false}
--- /dev/null
+++ b/packages/core/src/core/scheduler/attempt.ts
@@ -0,0 +1,48 @@
+/**
+ * Attempts: one try of one task each, and what they come to.
+ */
+import type {Resources, SubmissionKey, Target} from "../../types/types-external.js"
+import type {Queued} from "../fair-queue.js"
+import type {Selector} from "../selector.js"
+
+/** The pool of all workers; the pools of endpoints carry their names. */
+export const WORKER_POOL = "workers"
+
+export function endpointPool(endpoint: string): string {
+	return `endpoint:${endpoint}`
+}
+
+export function poolOf(target: Target): string {
+	return target.type === "worker" ? WORKER_POOL : endpointPool(target.endpoint)
+}
+
+/** One try of one task of a submission. */
+export interface Attempt extends Queued {
+	readonly id: string
+	readonly key: SubmissionKey
+	readonly task: number
+	readonly pool: string
+	readonly kind: string
+	readonly need: Resources
+	readonly selector: Selector
+	readonly prefer: Selector
+	readonly payload: unknown
+	/** Targets that an earlier try of the task used. */
+	readonly avoid: readonly string[]
+	readonly spreadRacks: boolean
+	readonly mayRetry: boolean
+	/** From a peer: it is placed here at once or given back. */
+	readonly isForwarded: boolean
+	readonly mayLeaveDomain: boolean
+}
+
+export type AttemptResult =
+	| {readonly type: "ok"; readonly value: unknown; readonly runMs: number}
+	/** It ran and failed. */
+	| {readonly type: "failed"; readonly detail: string; readonly target?: string}
+	/** Certain: it did not start. */
+	| {readonly type: "not started"; readonly reason: NotStarted; readonly detail: string}
+	/** It may have run. */
+	| {readonly type: "unknown"; readonly detail: string; readonly target?: string}
+
+export type NotStarted = "busy" | "refused" | "peer full" | "deadline" | "cancelled" | "leaving"
--- /dev/null
+++ b/packages/core/src/core/scheduler/peer-rooms.ts
@@ -0,0 +1,57 @@
+/**
+ * The room that peers reported, less what was sent to them since.
+ */
+import type {Attempt} from "./attempt.js"
+
+export interface PeerRoom {
+	readonly id: string
+	readonly isSameDomain: boolean
+	/** Processors (slots) that the peer can give in a pool now. */
+	readonly free: ReadonlyMap<string, number>
+}
+
+export interface PeerRooms {
+	/** The peer with most room for an attempt, own failure domain first. */
+	pick(attempt: Attempt): string | undefined
+	/** Counts an attempt against the room of a peer until the peer reports again. */
+	noteSent(peer: string, attempt: Attempt): void
+	noteReport(peer: string, pool?: string): void
+}
+
+export function createPeerRooms(peers: () => readonly PeerRoom[]): PeerRooms {
+	const sentSince = new Map<string, Map<string, number>>()
+
+	function roomOf(peer: PeerRoom, pool: string): number {
+		return (peer.free.get(pool) ?? 0) - (sentSince.get(peer.id)?.get(pool) ?? 0)
+	}
+
+	function pickAmong(attempt: Attempt, wantSameDomain: boolean): string | undefined {
+		let best: string | undefined
+		let bestRoom = 0
+		for (const peer of peers()) {
+			if (peer.isSameDomain !== wantSameDomain) continue
+			const room = roomOf(peer, attempt.pool)
+			if (room < attempt.need.cpu || room <= bestRoom) continue
+			best = peer.id
+			bestRoom = room
+		}
+		return best
+	}
+
+	return {
+		pick(attempt) {
+			const near = pickAmong(attempt, true)
+			if (near !== undefined || !attempt.mayLeaveDomain) return near
+			return pickAmong(attempt, false)
+		},
+		noteSent(peer, attempt) {
+			const pools = sentSince.get(peer) ?? new Map<string, number>()
+			sentSince.set(peer, pools)
+			pools.set(attempt.pool, (pools.get(attempt.pool) ?? 0) + attempt.need.cpu)
+		},
+		noteReport(peer, pool) {
+			if (pool === undefined) sentSince.delete(peer)
+			else sentSince.get(peer)?.delete(pool)
+		},
+	}
+}
--- /dev/null
+++ b/packages/core/src/core/scheduler/scheduler.ts
@@ -0,0 +1,279 @@
+/**
+ * The placement of attempts on the targets that this instance places.
+ *
+ * Each executor and worker is placed by exactly one instance of its failure domain, so its load is
+ * known here exactly and nothing is sent to a full target knowingly. What does not fit here is
+ * forwarded to a peer that reported room, own failure domain first; the rest waits in the fair
+ * queue.
+ */
+import {ok, type Result} from "neverthrow"
+import {spreadMs} from "../../utils/backoff.js"
+import type {Clock} from "../../utils/clock.js"
+import {fail, type DispatchError} from "../../utils/errors.js"
+import type {SubmissionKey, Target} from "../../types/types-external.js"
+import type {Estimates} from "../estimates.js"
+import {createFairQueue} from "../fair-queue.js"
+import type {Attempt, AttemptResult} from "./attempt.js"
+import {createPeerRooms, type PeerRoom} from "./peer-rooms.js"
+import {createRunningSet, isPeer, type Place, type Running} from "./running-set.js"
+import {createTargetPools} from "./target-pools.js"
+import type {TargetState} from "./target-state.js"
+
+export interface SchedulerDeps {
+	readonly clock: Clock
+	readonly random: () => number
+	readonly estimates: Estimates
+	readonly send: (target: Target, attempts: readonly Attempt[]) => void
+	readonly forward: (peer: string, attempts: readonly Attempt[]) => void
+	readonly stop: (target: Target, attempts: readonly Attempt[]) => void
+	readonly stopForwarded: (peer: string, attempts: readonly Attempt[]) => void
+	readonly peers: () => readonly PeerRoom[]
+	readonly weightOf: (team: string) => number
+	/** Attempts of a team that may run at once through this instance. */
+	readonly maxRunning: (team: string) => number
+	readonly maxQueued: (team: string) => number
+	readonly maxQueuedTotal: () => number
+	readonly health: {readonly maxAsideShare: () => number; readonly probeAfterMs: () => number}
+	readonly onHealth: (target: string, state: "aside" | "back", cause: string) => void
+	readonly onPlaced: (attempt: Attempt, where: string, why: string) => void
+	readonly count: (name: string, by?: number) => void
+}
+
+/** What is asked before a submission is queued. */
+export interface AdmissionQuery {
+	readonly pool: string
+	readonly team: string
+	readonly attempts: number
+	readonly deadlineAt: number
+	readonly kind: string
+}
+
+export interface Scheduler {
+	/** Replaces the targets that this instance places. */
+	setTargets(targets: readonly Target[]): void
+	/** Says whether attempts of a team could be queued now and end in time. */
+	admit(query: AdmissionQuery): Result<void, DispatchError>
+	/** Queues an attempt; `done` is called once, with its result. */
+	submit(attempt: Attempt, done: (result: AttemptResult) => void): void
+	settle(id: string, result: AttemptResult): void
+	/** Gives up all attempts of a key: queued ones at once, running ones by a stop to their place. */
+	cancel(key: SubmissionKey): void
+	/** Processors (slots) that peers may use here: what is free less what waits here already. */
+	roomIn(pool: string): number
+	rooms(): ReadonlyMap<string, number>
+	/** Takes in that a peer reported its room; what was sent before it is counted in it. */
+	notePeerRoom(peer: string, pool?: string): void
+	/** Looks for work to place. */
+	pump(): void
+	snapshot(): SchedulerSnapshot
+}
+
+export interface SchedulerSnapshot {
+	readonly queued: number
+	readonly running: number
+	readonly aside: number
+}
+
+interface Waiting extends Attempt {
+	readonly done: (result: AttemptResult) => void
+}
+
+const BUSY_BLOCK_MS = 25
+const EXPIRY_SWEEP_MS = 50
+/** A wait that a forwarded message would not shorten by much, in milliseconds. */
+const FORWARD_AFTER_MS = 10
+const MIN_RETRY_AFTER_MS = 200
+const MAX_RETRY_AFTER_MS = 10_000
+const LEAVING_MEMORY_MS = 30_000
+
+/** Collects what goes to one place, so that it goes as one batch. */
+function addToBatch<K>(batches: Map<K, Attempt[]>, place: K, attempt: Attempt) {
+	const batch = batches.get(place)
+	if (batch) batch.push(attempt)
+	else batches.set(place, [attempt])
+}
+
+/** Creates the placement of one instance. */
+export function createScheduler(deps: SchedulerDeps): Scheduler {
+	const {clock, estimates} = deps
+	const {now} = clock
+	const pools = createTargetPools({...deps, now})
+	const queue = createFairQueue<Waiting>()
+	const running = createRunningSet()
+	const rooms = createPeerRooms(deps.peers)
+	let isPumpDue = false
+	let isSweepDue = false
+	let forwardedWaiting = 0
+
+	/** Says whether what waits here will wait longer than a message to a peer is worth. */
+	function isWorthForwarding(pool: string): boolean {
+		const capacity = pools.capacityOf(pool)
+		return capacity === 0 || queue.costMs() / capacity > FORWARD_AFTER_MS
+	}
+
+	function findPlace(attempt: Attempt): Place | undefined {
+		const racks = attempt.spreadRacks ? running.racksOf(attempt.key) : new Map<string, number>()
+		const target = pools.pick(attempt, racks)
+		if (target) return target
+		if (attempt.isForwarded || !isWorthForwarding(attempt.pool)) return undefined
+		return rooms.pick(attempt)
+	}
+
+	/** Places queued attempts, and sends what goes to one place as one batch. */
+	function pumpNow() {
+		isPumpDue = false
+		const toTargets = new Map<TargetState, Attempt[]>()
+		const toPeers = new Map<string, Attempt[]>()
+		const start = (item: Waiting): boolean => {
+			if (running.sizeOf(item.team) >= deps.maxRunning(item.team)) return false
+			const place = findPlace(item)
+			if (place === undefined) return false
+			running.add({attempt: item, place, sentAt: now(), done: item.done})
+			if (item.isForwarded) forwardedWaiting--
+			if (isPeer(place)) {
+				rooms.noteSent(place, item)
+				addToBatch(toPeers, place, item)
+				deps.onPlaced(item, `peer ${place}`, "no room here, the peer reported room")
+				return true
+			}
+			pools.healthOf(item.pool).beginProbe(place.target.id)
+			addToBatch(toTargets, place, item)
+			deps.onPlaced(item, place.target.id, `least loaded of ${pools.sizeOf(item.pool)}`)
+			return true
+		}
+		queue.drain(start, deps.weightOf)
+		returnForwarded()
+		for (const [state, attempts] of toTargets) deps.send(state.target, attempts)
+		for (const [peer, attempts] of toPeers) deps.forward(peer, attempts)
+	}
+
+	/** Gives back what a peer sent and what could not be placed at once. */
+	function returnForwarded() {
+		if (forwardedWaiting === 0) return
+		forwardedWaiting = 0
+		for (const item of queue.remove(waiting => waiting.isForwarded)) {
+			item.done({type: "not started", reason: "peer full", detail: "no room at the peer"})
+		}
+	}
+
+	function schedulePump() {
+		if (isPumpDue) return
+		isPumpDue = true
+		queueMicrotask(pumpNow)
+	}
+
+	function scheduleSweep() {
+		if (isSweepDue) return
+		isSweepDue = true
+		clock.schedule(EXPIRY_SWEEP_MS, sweepExpired)
+	}
+
+	function sweepExpired() {
+		isSweepDue = false
+		for (const item of queue.remove(waiting => waiting.deadlineAt <= now())) {
+			item.done({type: "not started", reason: "deadline", detail: "no place before the deadline"})
+		}
+		if (queue.size() === 0) return
+		schedulePump()
+		scheduleSweep()
+	}
+
+	/** Learns from a refusal: the target is blocked for a moment, or leaves. */
+	function observeRefusal(state: TargetState, pool: string, reason: string) {
+		const health = pools.healthOf(pool)
+		health.endProbe(state.target.id)
+		if (reason === "busy" || reason === "refused") state.blockedUntil = now() + BUSY_BLOCK_MS
+		if (reason === "leaving") state.leavingUntil = now() + LEAVING_MEMORY_MS
+		if (reason === "refused") {
+			health.observe({target: state.target.id, failed: true, slowness: 1})
+		}
+	}
+
+	function observe(item: Running, state: TargetState, result: AttemptResult) {
+		const {pool, kind} = item.attempt
+		if (result.type === "not started") return observeRefusal(state, pool, result.reason)
+		const tookMs = now() - item.sentAt
+		const slowness = tookMs / Math.max(1, estimates.expectedMs(kind))
+		const failed = result.type !== "ok"
+		pools.healthOf(pool).observe({target: state.target.id, failed, slowness})
+		if (!failed) estimates.observe(kind, tookMs)
+	}
+
+	function roomIn(pool: string): number {
+		return Math.max(0, pools.freeIn(pool) - queue.size())
+	}
+
+	/** Milliseconds for which a new attempt would wait, by what waits and what could run it. */
+	function expectedWaitMs(pool: string): number {
+		let capacity = pools.capacityOf(pool)
+		for (const peer of deps.peers()) capacity += peer.free.get(pool) ?? 0
+		return queue.costMs() / Math.max(1, capacity)
+	}
+
+	return {
+		setTargets(targets) {
+			pools.set(targets)
+			schedulePump()
+		},
+		admit({pool, team, attempts, deadlineAt, kind}) {
+			const waitMs = expectedWaitMs(pool)
+			const hint = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs))
+			const retryAfterMs = spreadMs(hint, deps.random)
+			if (queue.size() + attempts > deps.maxQueuedTotal()) {
+				return fail("overloaded", `${queue.size()} attempts wait here`, {retryAfterMs})
+			}
+			const ofTeam = queue.sizeOf(team) + running.sizeOf(team)
+			if (ofTeam + attempts > deps.maxQueued(team)) {
+				return fail("quota_exceeded", `team ${team} has ${ofTeam} attempts here`, {retryAfterMs})
+			}
+			const leftMs = deadlineAt - now()
+			const neededMs = waitMs + estimates.expectedMs(kind)
+			if (queue.size() > 0 && neededMs > leftMs) {
+				const detail = `about ${Math.round(neededMs)} ms needed, ${Math.round(leftMs)} ms left`
+				return fail("deadline_unreachable", detail, {retryAfterMs})
+			}
+			return ok(undefined)
+		},
+		submit(attempt, done) {
+			queue.push({...attempt, done})
+			if (attempt.isForwarded) forwardedWaiting++
+			schedulePump()
+			scheduleSweep()
+		},
+		settle(id, result) {
+			const item = running.take(id)
+			if (!item) return deps.count("wasted.late_answer")
+			if (queue.size() > 0) schedulePump()
+			if (isPeer(item.place)) return item.done(result)
+			observe(item, item.place, result)
+			const isAtFault = result.type === "failed" || result.type === "unknown"
+			item.done(isAtFault ? {...result, target: item.place.target.id} : result)
+		},
+		cancel(key) {
+			for (const item of queue.remove(waiting => waiting.key === key)) {
+				item.done({type: "not started", reason: "cancelled", detail: "cancelled in the queue"})
+			}
+			const stops = new Map<Place, Attempt[]>()
+			for (const item of running.ofKey(key)) addToBatch(stops, item.place, item.attempt)
+			for (const [place, attempts] of stops) {
+				if (isPeer(place)) deps.stopForwarded(place, attempts)
+				else deps.stop(place.target, attempts)
+			}
+		},
+		roomIn,
+		rooms: () => new Map([...pools.names()].map(pool => [pool, roomIn(pool)])),
+		notePeerRoom(peer, pool) {
+			rooms.noteReport(peer, pool)
+			if (queue.size() > 0) schedulePump()
+		},
+		pump: () => {
+			if (queue.size() > 0) schedulePump()
+		},
+		snapshot: () => ({
+			queued: queue.size(),
+			running: running.size(),
+			aside: pools.all().filter(({pool, state}) => pools.healthOf(pool).isAside(state.target.id))
+				.length,
+		}),
+	}
+}
--- /dev/null
+++ b/packages/core/src/core/scheduler/target-pools.ts
@@ -0,0 +1,116 @@
+/**
+ * The targets that this instance places, by pool, with the health of each pool.
+ */
+import type {Target} from "../../types/types-external.js"
+import {createHealth, type Health, type HealthDeps} from "../health.js"
+import {poolOf, type Attempt} from "./attempt.js"
+import {costOf, isLeaving, isOpen, newTargetState, type TargetState} from "./target-state.js"
+
+export interface TargetPools {
+	/** Replaces the targets; those that stay keep what runs on them. */
+	set(targets: readonly Target[]): void
+	/** The cheapest target that is open for an attempt. */
+	pick(attempt: Attempt, racks: ReadonlyMap<string, number>): TargetState | undefined
+	healthOf(pool: string): Health
+	find(target: string): TargetState | undefined
+	/** Free processors (slots) of the usable targets of a pool. */
+	freeIn(pool: string): number
+	/** All processors (slots) of a pool. */
+	capacityOf(pool: string): number
+	sizeOf(pool: string): number
+	names(): Iterable<string>
+	all(): readonly {readonly pool: string; readonly state: TargetState}[]
+}
+
+export interface TargetPoolsDeps {
+	readonly now: () => number
+	readonly random: () => number
+	readonly health: Omit<HealthDeps, "now" | "onChange">
+	readonly onHealth: HealthDeps["onChange"]
+}
+
+export function createTargetPools(deps: TargetPoolsDeps): TargetPools {
+	const pools = new Map<string, Map<string, TargetState>>()
+	const healths = new Map<string, Health>()
+
+	function statesOf(pool: string): Iterable<TargetState> {
+		return pools.get(pool)?.values() ?? []
+	}
+
+	function healthOf(pool: string): Health {
+		let health = healths.get(pool)
+		if (!health) {
+			health = createHealth({now: deps.now, ...deps.health, onChange: deps.onHealth})
+			healths.set(pool, health)
+		}
+		return health
+	}
+
+	function keepOrAdd(target: Target) {
+		const pool = poolOf(target)
+		const states = pools.get(pool) ?? new Map<string, TargetState>()
+		pools.set(pool, states)
+		const known = states.get(target.id)
+		if (known) known.target = target
+		else states.set(target.id, newTargetState(target))
+	}
+
+	return {
+		set(targets) {
+			for (const target of targets) keepOrAdd(target)
+			const kept = new Set(targets.map(target => target.id))
+			for (const [pool, states] of pools) {
+				for (const id of states.keys()) {
+					if (kept.has(id)) continue
+					states.delete(id)
+					healthOf(pool).forget(id)
+				}
+			}
+		},
+		pick(attempt, racks) {
+			const health = healthOf(attempt.pool)
+			const now = deps.now()
+			let best: TargetState | undefined
+			let bestCost = Infinity
+			let ties = 1
+			for (const state of statesOf(attempt.pool)) {
+				if (!isOpen(state, attempt, health, now)) continue
+				const cost = costOf(state, attempt, racks)
+				if (cost > bestCost) continue
+				// Ties are broken evenly, in one pass: the n-th tie wins with chance 1/n.
+				ties = cost === bestCost ? ties + 1 : 1
+				if (ties > 1 && deps.random() * ties >= 1) continue
+				best = state
+				bestCost = cost
+			}
+			return best
+		},
+		healthOf,
+		find(target) {
+			for (const states of pools.values()) {
+				const state = states.get(target)
+				if (state) return state
+			}
+			return undefined
+		},
+		freeIn(pool) {
+			const health = healthOf(pool)
+			const now = deps.now()
+			let free = 0
+			for (const state of statesOf(pool)) {
+				if (isLeaving(state, now) || health.isAside(state.target.id)) continue
+				free += Math.max(0, state.target.capacity.cpu - state.used.cpu)
+			}
+			return free
+		},
+		capacityOf(pool) {
+			let capacity = 0
+			for (const state of statesOf(pool)) capacity += state.target.capacity.cpu
+			return capacity
+		},
+		sizeOf: pool => pools.get(pool)?.size ?? 0,
+		names: () => pools.keys(),
+		all: () =>
+			[...pools].flatMap(([pool, states]) => [...states.values()].map(state => ({pool, state}))),
+	}
+}
--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -4,7 +4,6 @@
 import {DispatchError, type Clock, type Config, type SubmissionKey} from "@cottonwood/core"
 import {serve, type ServerType} from "@hono/node-server"
 import {Hono} from "hono"
-import {bodyLimit} from "hono/body-limit"
 import type {Router} from "../dispatch/router.js"
 import type {ConfigKeeper} from "../fleet/config-keeper.js"
 import type {Log} from "../utils/log.js"
@@ -35,18 +34,6 @@
 
 export function createApp(deps: HttpDeps): Hono {
 	const app = new Hono()
-	app.use(
-		bodyLimit({
-			maxSize: deps.bodyBytes,
-			onError: c => {
-				deps.metrics.count("refusal.body_too_large")
-				return sendError(
-					c,
-					new DispatchError("body_too_large", `more than ${deps.bodyBytes} bytes`),
-				)
-			},
-		}),
-	)
 	addSubmissionRoutes(app, deps)
 	addOperatorRoutes(app, deps)
 	app.notFound(c => sendError(c, new DispatchError("not_found", `${c.req.method} ${c.req.path}`)))
--- a/packages/entry/src/http/operators.ts
+++ b/packages/entry/src/http/operators.ts
@@ -4,6 +4,7 @@
 import {DispatchError} from "@cottonwood/core"
 import type {Hono} from "hono"
 import {sendError} from "./problem.js"
+import {readBody} from "./read-body.js"
 import type {HttpDeps} from "./app.js"
 
 const AUTHOR_HEADER = "cottonwood-author"
@@ -25,9 +26,11 @@
 			const detail = "if-match: expected the version that the change replaces, 0 for the first"
 			return sendError(c, new DispatchError("invalid_request", detail))
 		}
+		const text = await readBody(c, deps.bodyBytes)
+		if (text.isErr()) return sendError(c, text.error)
 		let body: unknown
 		try {
-			body = await c.req.json()
+			body = JSON.parse(text.value)
 		} catch (error) {
 			return sendError(c, new DispatchError("not_json", (error as Error).message))
 		}
--- a/packages/entry/src/http/submissions.ts
+++ b/packages/entry/src/http/submissions.ts
@@ -14,6 +14,7 @@
 import type {Context, Hono} from "hono"
 import {ok, type Result} from "neverthrow"
 import {v7 as mintId} from "uuid"
+import {readBody} from "./read-body.js"
 import {parseJob, parseRequest} from "./schemas.js"
 import {sendError, sendOutcome, sendProblem} from "./problem.js"
 import type {HttpDeps} from "./app.js"
@@ -134,8 +135,9 @@
 		const caller = readCaller(c, config)
 		if (caller.isErr()) return refuse(c, caller.error)
 		const {id} = caller.value
-		const text = await c.req.text()
-		const parsed = parse(text, caller.value, config)
+		const text = await readBody(c, deps.bodyBytes)
+		if (text.isErr()) return refuse(c, text.error, id)
+		const parsed = parse(text.value, caller.value, config)
 		if (parsed.isErr()) return refuse(c, parsed.error, id)
 		const deadlineMs = readDeadlineMs(c, defaultDeadline(parsed.value, config))
 		if (deadlineMs.isErr()) return refuse(c, deadlineMs.error, id)
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -72,6 +72,8 @@
 	const peers = new Map<string, Peer>()
 	let isStopped = false
 	let lastLive = ""
+	/** Asked for with every placement, so it is computed once per check. */
+	let liveCache: readonly string[] = []
 
 	function isSameDomain(peer: Peer): boolean {
 		return peer.failureDomain === deps.failureDomain
@@ -120,7 +122,8 @@
 	}
 
 	function checkMembers() {
-		const live = liveNames(() => true).join(",")
+		liveCache = liveNames(() => true)
+		const live = liveCache.join(",")
 		if (live === lastLive) return
 		lastLive = live
 		deps.log.info(`Live peers: ${live || "none"}.`)
@@ -180,11 +183,16 @@
 			return peers.get(instance)
 		},
 		liveIn: failureDomain => liveNames(peer => peer.failureDomain === failureDomain),
-		live: () => liveNames(() => true),
-		rooms: () =>
-			[...peers.values()]
-				.filter(peer => isLive(peer) && !peer.draining)
-				.map(peer => ({id: peer.instance, isSameDomain: isSameDomain(peer), free: peer.room})),
+		live: () => liveCache,
+		rooms() {
+			const rooms: PeerRoom[] = []
+			for (const instance of liveCache) {
+				const peer = peers.get(instance)
+				if (!peer || peer.draining) continue
+				rooms.push({id: instance, isSameDomain: isSameDomain(peer), free: peer.room})
+			}
+			return rooms
+		},
 		noteRoom(instance, pool, free) {
 			const peer = peers.get(instance)
 			if (!peer) return
