Let an attempt from a peer wait, trim forgotten journals, and make the soak go through all faults

Sealed journals stayed in the store for good. The soak ended when its load did, before most faults had come. Change: an attempt from a peer waits up to 500 ms if a target there fits it, and is given back at once if none does. Journals that the map no longer names are trimmed, but for the segment with the seal. The soak's load goes on until each fault has been and gone.

--- a/packages/core/src/core/scheduler/scheduler.ts
+++ b/packages/core/src/core/scheduler/scheduler.ts
@@ -85,7 +85,7 @@
 /** A wait that a forwarded message would not shorten by much, in milliseconds. */
 const FORWARD_AFTER_MS = 10
 /** How long an attempt from a peer waits here before it is given back, in milliseconds. */
-const FORWARDED_PATIENCE_MS = 50
+const FORWARDED_PATIENCE_MS = 500
 const MIN_RETRY_AFTER_MS = 200
 const MAX_RETRY_AFTER_MS = 10_000
 const LEAVING_MEMORY_MS = 30_000
@@ -233,6 +233,9 @@
 			return ok(undefined)
 		},
 		submit(attempt, done) {
+			if (attempt.isForwarded && !pools.couldRun(attempt)) {
+				return done({type: "not started", reason: "peer full", detail: "no target here fits"})
+			}
 			const patientUntil = attempt.isForwarded ? now() + FORWARDED_PATIENCE_MS : Infinity
 			queue.push({...attempt, done, waitsUntil: Math.min(attempt.deadlineAt, patientUntil)})
 			schedulePump()
--- a/packages/core/src/core/scheduler/target-pools.ts
+++ b/packages/core/src/core/scheduler/target-pools.ts
@@ -4,15 +4,23 @@
 import type {Target} from "../../types/types-external.js"
 import {createHealth, type Health, type HealthDeps} from "../health.js"
 import {poolOf, type Attempt} from "./attempt.js"
-import {costOf, isLeaving, isOpen, newTargetState, type TargetState} from "./target-state.js"
+import {
+	costOf,
+	isFitting,
+	isLeaving,
+	isOpen,
+	newTargetState,
+	type TargetState,
+} from "./target-state.js"
 
 export interface TargetPools {
 	/** Replaces the targets; those that stay keep what runs on them. */
 	set(targets: readonly Target[]): void
 	/** The cheapest target that is open for an attempt. */
 	pick(attempt: Attempt, racks: ReadonlyMap<string, number>): TargetState | undefined
+	/** Says whether any target here could run an attempt when it is idle. */
+	couldRun(attempt: Attempt): boolean
 	healthOf(pool: string): Health
-	find(target: string): TargetState | undefined
 	/** Free processors (slots) of the usable targets of a pool. */
 	freeIn(pool: string): number
 	/** All processors (slots) of a pool. */
@@ -85,14 +93,11 @@
 			}
 			return best
 		},
-		healthOf,
-		find(target) {
-			for (const states of pools.values()) {
-				const state = states.get(target)
-				if (state) return state
-			}
-			return undefined
+		couldRun(attempt) {
+			for (const state of statesOf(attempt.pool)) if (isFitting(state, attempt)) return true
+			return false
 		},
+		healthOf,
 		freeIn(pool) {
 			const health = healthOf(pool)
 			const now = deps.now()
--- a/packages/core/src/core/scheduler/target-state.ts
+++ b/packages/core/src/core/scheduler/target-state.ts
@@ -54,6 +54,16 @@
 	)
 }
 
+/** Says whether a target could run an attempt when it is idle. */
+export function isFitting({target}: TargetState, {need, selector}: Attempt): boolean {
+	const {capacity} = target
+	const isLargeEnough =
+		need.cpu <= capacity.cpu &&
+		need.memoryMb <= capacity.memoryMb &&
+		need.accelerators <= capacity.accelerators
+	return isLargeEnough && isMatch(selector, target.labels)
+}
+
 /** Says whether an attempt may be sent to a target now. */
 export function isOpen(state: TargetState, attempt: Attempt, health: Health, now: number): boolean {
 	const {target} = state
--- a/packages/entry/src/fleet/journals.ts
+++ b/packages/entry/src/fleet/journals.ts
@@ -3,7 +3,7 @@
  */
 import type {CreateResult, JournalEntry, SessionId} from "@cottonwood/core"
 import type {Store} from "../platform/store.js"
-import {entryKey, journalPrefix, segmentPrefix, seqOfKey} from "./keys.js"
+import {entryKey, journalPrefix, segmentOf, segmentPrefix, seqOfKey} from "./keys.js"
 
 export interface ListedEntry {
 	readonly seq: number
@@ -39,3 +39,16 @@
 export function deleteSegment(store: Store, session: SessionId, segment: number): Promise<boolean> {
 	return store.deletePrefix(segmentPrefix(session, segment))
 }
+
+/**
+ * Deletes a sealed journal that nobody needs any more, but for its last segment: without the seal in
+ * it, an owner that was paused for the whole retention time could append again.
+ */
+export async function trimSealed(store: Store, session: SessionId): Promise<void> {
+	const entries = await listEntries(store, session)
+	const last = entries?.at(-1)
+	if (!entries || !last) return
+	const segments = new Set(entries.map(({seq}) => segmentOf(seq)))
+	segments.delete(segmentOf(last.seq))
+	for (const segment of segments) await deleteSegment(store, session, segment)
+}
--- a/packages/entry/src/fleet/ownership-loop.ts
+++ b/packages/entry/src/fleet/ownership-loop.ts
@@ -20,7 +20,7 @@
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
 import type {Store} from "../platform/store.js"
-import {createEntry, listEntries} from "./journals.js"
+import {createEntry, listEntries, trimSealed} from "./journals.js"
 import {OWNERSHIP_KEY} from "./keys.js"
 import type {LiveView} from "./live-view.js"
 import type {Session} from "./session.js"
@@ -89,9 +89,21 @@
 		const next = moveShards(map, moves, randomUUID(), clock.wallNow(), keptMs)
 		const isWritten = await writeMap(next, revision)
 		await view.refresh()
+		if (isWritten) void trimForgotten(map, next)
 		return isWritten
 	}
 
+	/** Trims the journals of sessions that the map no longer names. */
+	async function trimForgotten(before: OwnershipMap, after: OwnershipMap) {
+		const all = before.shards.map((_, index) => index)
+		const kept = new Set(pastSessions(after, all))
+		for (const past of pastSessions(before, all)) {
+			if (kept.has(past) || view.sessions().has(past)) continue
+			deps.metrics.count("journal.forgotten")
+			await trimSealed(store, past)
+		}
+	}
+
 	async function sealAll(sessions: readonly SessionId[], by: SessionId): Promise<boolean> {
 		for (const dead of sessions) {
 			const records = await sealJournal(dead, by, {
--- a/packages/standins/src/soak/callers.ts
+++ b/packages/standins/src/soak/callers.ts
@@ -8,7 +8,10 @@
 import type {Exchange} from "./verdict.js"
 
 export interface CallerLoad {
+	/** How many ids are submitted at least. */
 	readonly submissions: number
+	/** The load goes on while this holds. */
+	readonly isNeeded: () => boolean
 	readonly concurrency: number
 	readonly random: () => number
 	/** How often one id is sent at most. */
@@ -21,7 +24,7 @@
 }
 
 export const DEFAULT_LOAD = Object.freeze({
-	submissions: 300,
+	submissions: 200,
 	concurrency: 24,
 	maxSends: 5,
 	shareOfJobs: 0.2,
@@ -110,7 +113,8 @@
 	const exchanges: Exchange[] = []
 	let next = 0
 	const worker = async () => {
-		while (next < load.submissions) exchanges.push(await runExchange(fleet, load, next++))
+		while (next < load.submissions || load.isNeeded())
+			exchanges.push(await runExchange(fleet, load, next++))
 	}
 	await Promise.all(Array.from({length: load.concurrency}, worker))
 	return exchanges
--- a/packages/standins/src/soak/faults.ts
+++ b/packages/standins/src/soak/faults.ts
@@ -33,6 +33,7 @@
 export interface FaultPlan {
 	readonly random: () => number
 	readonly faults: readonly FaultName[]
+	readonly rounds: number
 	readonly lastsMs: number
 	readonly pauseMs: number
 	readonly onFault: (text: string) => void
@@ -102,15 +103,15 @@
 	}
 }
 
-/** Brings about faults one after the other until told to end; sometimes two at once. */
-export async function runFaults(fleet: Fleet, plan: FaultPlan, isOver: () => boolean) {
-	const order = [...plan.faults]
-	for (let index = 0; !isOver(); index++) {
-		const name = order[index % order.length]!
-		const both = [runFault(fleet, name, plan)]
-		const isDouble = plan.random() < 0.3 && !name.includes("store") && !name.includes("cut")
-		if (isDouble) both.push(runFault(fleet, "store loses answers", plan))
-		await Promise.all(both)
-		await sleep(plan.pauseMs)
+/** Brings about all faults one after the other, as often as planned; sometimes two at once. */
+export async function runFaults(fleet: Fleet, plan: FaultPlan) {
+	for (let round = 0; round < plan.rounds; round++) {
+		for (const name of plan.faults) {
+			const both = [runFault(fleet, name, plan)]
+			const isDouble = plan.random() < 0.3 && !name.includes("store") && !name.includes("cut")
+			if (isDouble) both.push(runFault(fleet, "store loses answers", plan))
+			await Promise.all(both)
+			await sleep(plan.pauseMs)
+		}
 	}
 }
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -8,7 +8,7 @@
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--seed N] [--runs N] [--submissions N] [--fault NAME ...]
+	  $ npm run soak -- [--seed N] [--runs N] [--rounds N] [--fault NAME ...]
 
 	Prints one verdict per run and exits 1 when a promise was broken.
 `,
@@ -17,7 +17,7 @@
 		flags: {
 			seed: {type: "number", default: 1},
 			runs: {type: "number", default: 1},
-			submissions: {type: "number", default: 1_000},
+			rounds: {type: "number", default: 1},
 			fault: {type: "string", isMultiple: true, default: []},
 		},
 	},
@@ -29,7 +29,7 @@
 	const verdict = await runSoak({
 		seed,
 		faults,
-		load: {submissions: cli.flags.submissions},
+		rounds: cli.flags.rounds,
 		onFault: text => process.stderr.write(`seed ${seed}: ${text}\n`),
 	})
 	process.stdout.write(`${JSON.stringify({seed, ...verdict})}\n`)
--- a/packages/standins/src/soak/soak.ts
+++ b/packages/standins/src/soak/soak.ts
@@ -14,6 +14,8 @@
 	readonly load: Partial<CallerLoad>
 	readonly shape: Partial<FleetShape>
 	readonly faultMs: number
+	/** How often the row of faults is gone through. */
+	readonly rounds: number
 	readonly onFault: (text: string) => void
 }
 
@@ -23,6 +25,7 @@
 	load: {},
 	shape: {},
 	faultMs: 3_000,
+	rounds: 1,
 	onFault: () => undefined,
 })
 
@@ -50,21 +53,14 @@
 		...plan.shape,
 	})
 	try {
-		let isOver = false
-		const faults = runFaults(
-			fleet,
-			{
-				random,
-				faults: plan.faults,
-				lastsMs: plan.faultMs,
-				pauseMs: PAUSE_MS,
-				onFault: plan.onFault,
-			},
-			() => isOver,
+		const {faults, rounds, onFault} = plan
+		let isNeeded = true
+		const lasting = {lastsMs: plan.faultMs, pauseMs: PAUSE_MS}
+		const running = runFaults(fleet, {random, faults, rounds, onFault, ...lasting}).finally(
+			() => (isNeeded = false),
 		)
-		const exchanges = await runCallers(fleet, {...DEFAULT_LOAD, random, ...plan.load})
-		isOver = true
-		await faults
+		const load = {...DEFAULT_LOAD, random, isNeeded: () => isNeeded, ...plan.load}
+		const [exchanges] = await Promise.all([runCallers(fleet, load), running])
 		return judgeExchanges(exchanges, fleet.starts())
 	} finally {
 		await fleet.stop()
--- a/packages/standins/test/promises.test.ts
+++ b/packages/standins/test/promises.test.ts
@@ -84,7 +84,6 @@
 				seed: 100 + index,
 				faults,
 				faultMs: 2_500,
-				load: {submissions: 250},
 			})
 			console.log(`        ${JSON.stringify(verdict)}`)
 			expect(verdict.violations).to.deep.equal([])
