Say once what stood twice, and drop what nothing calls

Cause: read as a newcomer, the change held the same logic in two places: asking an owner for an outcome stood in the router and in the service for peers; whether a target is large enough stood in the plans and in the scheduler. Change: findHere in dispatch/find.ts and isLargeEnough in the core serve both places; the three dead members are gone. Behaviour is the same, no test was touched. Ruled out: the other pairs of like shape (lists of constants, fields of unrelated types, the clocks of two test worlds, which sleep and advance differently) are not the same logic.

--- a/packages/core/src/core/journal.ts
+++ b/packages/core/src/core/journal.ts
@@ -55,8 +55,6 @@
 	/** Milliseconds for which the present write has had no definite answer; 0 when idle. */
 	stalledMs(): number
 	isSealed(): boolean
-	/** The number that the next write will use. */
-	nextSeq(): number
 }
 
 interface Pending {
@@ -174,7 +172,6 @@
 		},
 		stalledMs: () => (stalledSince === undefined ? 0 : clock.now() - stalledSince),
 		isSealed: () => isSealed,
-		nextSeq: () => seq,
 	}
 }
 
--- a/packages/core/src/core/owner.ts
+++ b/packages/core/src/core/owner.ts
@@ -56,7 +56,6 @@
 	inherit(session: SessionId, records: readonly JournalRecord[], shards: ReadonlySet<number>): void
 	/** Resolves when no submission runs. */
 	whenIdle(): Promise<void>
-	runningCount(): number
 	size(): number
 	list(limit: number): readonly {readonly key: SubmissionKey; readonly state: EntryState}[]
 }
@@ -244,7 +243,6 @@
 		},
 		whenIdle: () =>
 			running === 0 ? Promise.resolve() : new Promise(resolve => idleWaiters.push(resolve)),
-		runningCount: () => running,
 		size: table.size,
 		list: table.newest,
 	}
--- a/packages/core/src/core/scheduler/target-state.ts
+++ b/packages/core/src/core/scheduler/target-state.ts
@@ -54,14 +54,18 @@
 	)
 }
 
-/** Says whether a target could run an attempt when it is idle. */
-export function isFitting({target}: TargetState, {need, selector}: Attempt): boolean {
-	const {capacity} = target
-	const isLargeEnough =
+/** Says whether an idle target has what a task needs. */
+export function isLargeEnough({capacity}: Target, need: Resources): boolean {
+	return (
 		need.cpu <= capacity.cpu &&
 		need.memoryMb <= capacity.memoryMb &&
 		need.accelerators <= capacity.accelerators
-	return isLargeEnough && isMatch(selector, target.labels)
+	)
+}
+
+/** Says whether a target could run an attempt when it is idle. */
+export function isFitting({target}: TargetState, {need, selector}: Attempt): boolean {
+	return isLargeEnough(target, need) && isMatch(selector, target.labels)
 }
 
 /** Says whether an attempt may be sent to a target now. */
--- /dev/null
+++ b/packages/entry/src/dispatch/find.ts
@@ -0,0 +1,33 @@
+/**
+ * What an owner here knows of a submission, for callers and for peers alike.
+ */
+import {
+	DispatchError,
+	outcomeOf,
+	type Clock,
+	type Outcome,
+	type Owner,
+	type SubmissionKey,
+} from "@cottonwood/core"
+
+export type FindResult =
+	| {readonly type: "outcome"; readonly outcome: Outcome}
+	| {readonly type: "running"}
+	| {readonly type: "unknown key"}
+
+/** Waits up to `waitMs` milliseconds for the outcome of a submission that is owned here. */
+export async function findHere(
+	owner: Owner,
+	clock: Clock,
+	key: SubmissionKey,
+	waitMs: number,
+): Promise<FindResult> {
+	const known = owner.find(key)
+	if (!known) return {type: "unknown key"}
+	if (known.state === "inherited") {
+		const error = new DispatchError("outcome_unknown", "an earlier owner may have run it")
+		return {type: "outcome", outcome: outcomeOf(error)}
+	}
+	const outcome = await Promise.race([known.settled, clock.sleep(waitMs)])
+	return outcome ? {type: "outcome", outcome} : {type: "running"}
+}
--- a/packages/entry/src/dispatch/plans.ts
+++ b/packages/entry/src/dispatch/plans.ts
@@ -5,6 +5,7 @@
 import {
 	endpointPool,
 	fail,
+	isLargeEnough,
 	isMatch,
 	parseSelector,
 	poolOf,
@@ -105,15 +106,6 @@
 	]
 }
 
-function isLargeEnough(target: Target, need: Resources): boolean {
-	const {capacity} = target
-	return (
-		need.cpu <= capacity.cpu &&
-		need.memoryMb <= capacity.memoryMb &&
-		need.accelerators <= capacity.accelerators
-	)
-}
-
 const COME_BACK_MS = 1_000
 
 function noCapacity(detail: string): Result<void, DispatchError> {
--- a/packages/entry/src/dispatch/router.ts
+++ b/packages/entry/src/dispatch/router.ts
@@ -20,6 +20,7 @@
 	type SubmissionKey,
 } from "@cottonwood/core"
 import {packJson} from "@cottonwood/wire"
+import {findHere, type FindResult} from "./find.js"
 import type {LiveView} from "../fleet/live-view.js"
 import {fromOutcomeReply} from "../peers/messages.js"
 import type {Peer, PeerTable} from "../peers/peer-table.js"
@@ -32,11 +33,6 @@
 	cancel(key: SubmissionKey): Promise<Outcome | undefined>
 }
 
-export type FindResult =
-	| {readonly type: "outcome"; readonly outcome: Outcome}
-	| {readonly type: "running"}
-	| {readonly type: "unknown key"}
-
 export interface RouterDeps {
 	readonly clock: Clock
 	readonly random: () => number
@@ -159,17 +155,6 @@
 		}
 	}
 
-	async function findHere(key: SubmissionKey, waitMs: number): Promise<FindResult> {
-		const known = deps.owner().find(key)
-		if (!known) return {type: "unknown key"}
-		if (known.state === "inherited") {
-			const detail = "an earlier owner may have run it"
-			return {type: "outcome", outcome: outcomeOf(new DispatchError("outcome_unknown", detail))}
-		}
-		const outcome = await Promise.race([known.settled, clock.sleep(waitMs)])
-		return outcome ? {type: "outcome", outcome} : {type: "running"}
-	}
-
 	return {
 		async submit(submission) {
 			const {key, repeatable} = submission.head
@@ -179,7 +164,7 @@
 		},
 		async find(key, waitMs) {
 			const place = placeOf(key)
-			if (place.type !== "peer") return findHere(key, waitMs)
+			if (place.type !== "peer") return findHere(deps.owner(), clock, key, waitMs)
 			const found = await callFind(place.peer, key, waitMs)
 			if (found) return found
 			const error = new DispatchError("owner_unreachable", `${place.peer.instance} gave no answer`)
--- a/packages/entry/src/fleet/live-view.ts
+++ b/packages/entry/src/fleet/live-view.ts
@@ -29,8 +29,6 @@
 	sessions(): ReadonlyMap<SessionId, SessionInfo>
 	ownership(): {readonly map: OwnershipMap | undefined; readonly revision: number}
 	config(): StoreItem | undefined
-	/** Milliseconds since the store last answered; Infinity before the first answer. */
-	ageMs(): number
 	isLoaded(): boolean
 }
 
@@ -51,7 +49,6 @@
 	let items = new Map<string, StoreItem>()
 	let sessions: ReadonlyMap<SessionId, SessionInfo> = new Map()
 	let revision = 0
-	let lastAnswerAt = -Infinity
 	let isStopped = false
 	let isLoaded = false
 
@@ -66,7 +63,6 @@
 	async function refresh(): Promise<boolean> {
 		const listed = await store.list(LIVE_PREFIX)
 		if (!listed) return false
-		lastAnswerAt = clock.now()
 		if (isLoaded && listed.revision < revision) return true
 		isLoaded = true
 		items = new Map(listed.items.map(item => [item.key, item]))
@@ -78,7 +74,6 @@
 	async function watchOnce(): Promise<boolean> {
 		const change = await store.watch(LIVE_PREFIX, revision, WATCH_MS)
 		if (!change) return false
-		lastAnswerAt = clock.now()
 		if (change.revision < revision) return true
 		revision = change.revision
 		for (const key of change.deleted) items.delete(key)
@@ -113,7 +108,6 @@
 			return {map: item?.value as OwnershipMap | undefined, revision: item?.revision ?? 0}
 		},
 		config: () => items.get(CONFIG_KEY),
-		ageMs: () => clock.now() - lastAnswerAt,
 		isLoaded: () => isLoaded,
 	}
 }
--- a/packages/entry/src/peers/peer-server.ts
+++ b/packages/entry/src/peers/peer-server.ts
@@ -25,6 +25,7 @@
 	type PeerHandlers,
 	type SubmitRequest__Output,
 } from "@cottonwood/wire"
+import {findHere} from "../dispatch/find.js"
 import type {ConfigKeeper} from "../fleet/config-keeper.js"
 import type {Metrics} from "../utils/metrics.js"
 import {fromAttemptMessage, toOutcomeReply, toRunEvent} from "./messages.js"
@@ -65,13 +66,10 @@
 	const {clock, owner, scheduler} = deps
 
 	async function find(key: SubmissionKey, waitMs: number) {
-		const known = owner().find(key)
-		if (!known) return undefined
-		if (known.state === "inherited") {
-			return outcomeOf(new DispatchError("outcome_unknown", "an earlier owner may have run it"))
-		}
-		const outcome = await Promise.race([known.settled, clock.sleep(waitMs)])
-		return outcome ?? outcomeOf(new DispatchError("wait_ended", "still running"))
+		const found = await findHere(owner(), clock, key, waitMs)
+		if (found.type === "unknown key") return undefined
+		if (found.type === "outcome") return found.outcome
+		return outcomeOf(new DispatchError("wait_ended", "still running"))
 	}
 
 	return {
