--- a/packages/core/src/core/scheduler/attempt.ts
+++ b/packages/core/src/core/scheduler/attempt.ts
@@ -30,7 +30,7 @@
 	readonly avoid: readonly string[]
 	readonly spreadRacks: boolean
 	readonly mayRetry: boolean
-	/** From a peer: it is placed here at once or given back. */
+	/** From a peer: it is never forwarded again, and given back when it cannot be placed soon. */
 	readonly isForwarded: boolean
 	readonly mayLeaveDomain: boolean
 }
