--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint"
 
 export default tseslint.config(
-	{ignores: ["**/dist/**", "build/**", "packages/wire/src/generated/**"]},
+	{ignores: ["**/dist/**", "build/**", "target/**", "packages/wire/src/generated/**"]},
 	js.configs.recommended,
 	...tseslint.configs.recommended,
 	{
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
  * The public surface of the core: decisions and protocol state, without I/O.
  */
 export * from "./types/types-external.js"
+export type * from "./types/store.js"
 export type {JournalEntry, JournalRecord, KeptOutcome} from "./types/types-internal.js"
 export * from "./utils/errors.js"
 export * from "./utils/clock.js"
--- a/packages/entry/src/fleet/config-keeper.ts
+++ b/packages/entry/src/fleet/config-keeper.ts
@@ -13,7 +13,7 @@
 	type VersionedConfig,
 } from "@cottonwood/core"
 import {err, ok, type Result} from "neverthrow"
-import type {Store, StoreItem} from "../platform/store.js"
+import type {Store, StoreItem} from "@cottonwood/core"
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
 import {CONFIG_KEY, HISTORY_PREFIX, historyKey} from "./keys.js"
--- a/packages/entry/src/fleet/journals.ts
+++ b/packages/entry/src/fleet/journals.ts
@@ -2,7 +2,7 @@
  * Journals as values of the store: creating entries, listing a journal, trimming old segments.
  */
 import type {CreateResult, JournalEntry, SessionId} from "@cottonwood/core"
-import type {Store} from "../platform/store.js"
+import type {Store} from "@cottonwood/core"
 import {entryKey, journalPrefix, segmentOf, segmentPrefix, seqOfKey} from "./keys.js"
 
 export interface ListedEntry {
--- a/packages/entry/src/fleet/live-view.ts
+++ b/packages/entry/src/fleet/live-view.ts
@@ -4,7 +4,7 @@
  */
 import {backoff, type Clock, type OwnershipMap, type SessionId} from "@cottonwood/core"
 import type {Log} from "../utils/log.js"
-import type {Store, StoreItem} from "../platform/store.js"
+import type {Store, StoreItem} from "@cottonwood/core"
 import {CONFIG_KEY, LIVE_PREFIX, OWNERSHIP_KEY, SESSION_PREFIX} from "./keys.js"
 
 /** What an instance says of itself for the length of a session. */
--- a/packages/entry/src/fleet/ownership-loop.ts
+++ b/packages/entry/src/fleet/ownership-loop.ts
@@ -19,7 +19,7 @@
 } from "@cottonwood/core"
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
-import type {Store} from "../platform/store.js"
+import type {Store} from "@cottonwood/core"
 import {createEntry, listEntries, trimSealed} from "./journals.js"
 import {OWNERSHIP_KEY} from "./keys.js"
 import type {LiveView} from "./live-view.js"
--- a/packages/entry/src/fleet/session.ts
+++ b/packages/entry/src/fleet/session.ts
@@ -12,7 +12,7 @@
 } from "@cottonwood/core"
 import type {Log} from "../utils/log.js"
 import type {Metrics} from "../utils/metrics.js"
-import type {Store} from "../platform/store.js"
+import type {Store} from "@cottonwood/core"
 import {createEntry, deleteSegment} from "./journals.js"
 import {segmentOf, sessionKey} from "./keys.js"
 import type {SessionInfo} from "./live-view.js"
--- a/packages/entry/src/platform/store.ts
+++ b/packages/entry/src/platform/store.ts
@@ -2,51 +2,10 @@
  * The client of the platform's key-value service. Every call is counted, and an answer that does
  * not arrive is reported as unknown, never guessed.
  */
+import type {PutResult, Store, StoreChange, StoreItem} from "@cottonwood/core"
 import {Agent, request, type Dispatcher} from "undici"
 import type {Metrics} from "../utils/metrics.js"
 
-export interface StoreItem {
-	readonly key: string
-	readonly value: unknown
-	readonly revision: number
-}
-
-export type PutResult =
-	| {readonly type: "done"; readonly revision: number}
-	| {readonly type: "conflict"; readonly current: StoreItem | undefined}
-	| {readonly type: "no lease"}
-	| {readonly type: "unknown"}
-
-export interface StoreChange {
-	readonly items: readonly StoreItem[]
-	readonly deleted: readonly string[]
-	readonly revision: number
-}
-
-export interface PutOptions {
-	/** The revision that the key must have; 0 for an absent key. */
-	readonly expect?: number
-	readonly lease?: string
-}
-
-export interface Store {
-	/** `undefined` means no answer; `null` means that the key is absent. */
-	get(key: string): Promise<StoreItem | null | undefined>
-	list(
-		prefix: string,
-	): Promise<{readonly items: readonly StoreItem[]; readonly revision: number} | undefined>
-	put(key: string, value: unknown, options?: PutOptions): Promise<PutResult>
-	deletePrefix(prefix: string): Promise<boolean>
-	grantLease(ttlMs: number): Promise<string | undefined>
-	keepAlive(lease: string): Promise<"alive" | "gone" | "unknown">
-	revoke(lease: string): Promise<void>
-	/** Waits for changes under a prefix; `undefined` means no answer. */
-	watch(prefix: string, after: number, waitMs: number): Promise<StoreChange | undefined>
-	/** Milliseconds for which every call has gone unanswered; 0 when the last one was answered. */
-	silentMs(): number
-	close(): Promise<void>
-}
-
 export interface StoreDeps {
 	readonly url: string
 	readonly timeoutMs: number
--- /dev/null
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -0,0 +1,182 @@
+/**
+ * Takes jobs from callers to placers: here, or at another instance.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {FleetView} from "../fleet/members.js"
+import type {JobMessage, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
+import type {TaskRequest} from "../place/run.js"
+import type {FleetConfig, Queue} from "../types/fleet-config.js"
+import type {Claim, Member} from "../types/fleet.js"
+import type {Job, JobEnd} from "../types/job.js"
+import type {EventLog} from "../utils/log.js"
+import type {Hosts} from "./hosts.js"
+
+/** A placer that said nothing for so long gets no new jobs: three beats. */
+const PLACER_QUIET_MS = 650
+/** Placers that are tried in turn for a job that no placer has seen yet. */
+const MAX_PLACERS_TRIED = 3
+/** A placer's answer at the deadline itself takes a moment to arrive. */
+const ANSWER_SLACK_MS = 400
+/** A job accepted under a newer configuration waits so long for it at the placer. */
+const CONFIG_WAIT_MS = 400
+const CONFIG_POLL_MS = 20
+
+export interface DispatcherDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly peers: Peers
+	readonly view: FleetView
+	readonly self: Member
+	readonly hosts: Hosts
+	readonly config: () => FleetConfig | undefined
+	readonly refreshConfig: () => void
+	readonly isLeaving: () => boolean
+}
+
+type OnCancel = (callback: () => void) => void
+
+export interface Dispatcher {
+	/** Runs a job to its end, here or at another instance. */
+	dispatch(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd>
+	/** Runs a job that another instance's caller handed in. */
+	runJob(message: JobMessage, onCancel: OnCancel): Promise<JobReply>
+	/** Runs a task of a job that another placer has. */
+	runTask(message: TaskMessage, onCancel: OnCancel): Promise<TaskReply>
+	/** Whether a job that comes now would find a placer. */
+	canPlace(): boolean
+	jobCount(): number
+}
+
+export function createDispatcher(deps: DispatcherDeps): Dispatcher {
+	const {clock, log, view, self, peers, hosts} = deps
+	let jobCount = 0
+
+	function isHeard({failureDomain, placer}: Claim): boolean {
+		if (placer.session === self.session) {
+			const host = hosts.of(failureDomain)
+			return host !== undefined && host.placer.counts().usable > 0
+		}
+		return view.silentMs(placer.session) < PLACER_QUIET_MS && !view.isLeaving(placer.session)
+	}
+
+	/** The own domain's placer first, then one that is here, then the others. */
+	function candidates(): readonly Claim[] {
+		const order = ({failureDomain, placer}: Claim) => {
+			if (failureDomain === self.failureDomain) return 0
+			return placer.session === self.session ? 1 : 2
+		}
+		return view
+			.claims()
+			.filter(isHeard)
+			.sort((a, b) => order(a) - order(b))
+	}
+
+	function messageOf(job: Job, claim: Claim): JobMessage {
+		const {receivedAt, deadlineAt, ...rest} = job
+		const now = clock.now()
+		return {
+			job: rest,
+			ageMs: now - receivedAt,
+			leftMs: deadlineAt - now,
+			configVersion: deps.config()?.version ?? 0,
+			failureDomain: claim.failureDomain,
+			from: self.session,
+		}
+	}
+
+	async function runThere(
+		claim: Claim,
+		job: Job,
+		onCancel: OnCancel,
+	): Promise<JobReply | {readonly type: "unsent"}> {
+		const message = messageOf(job, claim)
+		const call = peers.runJob(claim.placer.address, message, message.leftMs + ANSWER_SLACK_MS)
+		onCancel(() => call.cancel())
+		const reply = await call.reply
+		if (reply) return reply
+		if (call.wasUnsent()) return {type: "unsent"}
+		return {type: "given up", kind: "placer_lost", cause: `${claim.placer.name} is silent`}
+	}
+
+	/** Asks placers in turn, as long as those before have certainly not begun the job. */
+	async function tryPlacers(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd> {
+		const tried = new Set<string>()
+		while (tried.size < MAX_PLACERS_TRIED) {
+			const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
+			if (!claim) break
+			tried.add(claim.failureDomain)
+			const host = hosts.of(claim.failureDomain)
+			const end = host
+				? await hosts.run(host, job, queue, onCancel)
+				: await runThere(claim, job, onCancel)
+			noteTry(job, claim, end.type)
+			if (end.type === "unsent" || end.type === "not placer") continue
+			if (end.type === "refused" && end.kind !== "overloaded") continue
+			return end
+		}
+		return {type: "refused", kind: "no_capacity", cause: "no placer can be reached"}
+	}
+
+	function noteTry(job: Job, {placer, fence, failureDomain}: Claim, outcome: string) {
+		const silentMs = Math.round(view.silentMs(placer.session))
+		log.event("job", "placer_asked", "job: a placer answered.", {
+			job: job.id,
+			peer: placer.name,
+			failureDomain,
+			fence,
+			outcome,
+			inputAgeMs: Number.isFinite(silentMs) ? silentMs : undefined,
+			tookMs: Math.round(clock.now() - job.receivedAt),
+		})
+	}
+
+	async function queueFor(name: string, version: number): Promise<Queue | undefined> {
+		const until = clock.now() + CONFIG_WAIT_MS
+		while ((deps.config()?.version ?? 0) < version && clock.now() < until) {
+			deps.refreshConfig()
+			await clock.sleep(CONFIG_POLL_MS)
+		}
+		return deps.config()?.queues.find(queue => queue.name === name)
+	}
+
+	return {
+		async dispatch(job, queue, onCancel) {
+			jobCount++
+			try {
+				return await tryPlacers(job, queue, onCancel)
+			} finally {
+				jobCount--
+			}
+		},
+		async runJob(message, onCancel) {
+			const host = hosts.of(message.failureDomain)
+			if (!host || deps.isLeaving()) return {type: "not placer"}
+			const now = clock.now()
+			const job: Job = {
+				...message.job,
+				receivedAt: now - message.ageMs,
+				deadlineAt: now + message.leftMs,
+			}
+			const queue = await queueFor(job.queue, message.configVersion)
+			if (!queue) return {type: "refused", kind: "no_configuration", cause: "unknown queue here"}
+			return hosts.run(host, job, queue, onCancel)
+		},
+		runTask(message, onCancel) {
+			const host = hosts.of(message.failureDomain)
+			if (!host || deps.isLeaving()) return Promise.resolve({type: "not placer"})
+			const now = clock.now()
+			const req: TaskRequest = {
+				...message.task,
+				startBy: now + message.startInMs,
+				deadlineAt: now + message.leftMs,
+				isForeign: true,
+			}
+			return new Promise(resolve => {
+				const handle = host.placer.submit(req, resolve, () => undefined)
+				onCancel(() => handle.cancel())
+			})
+		},
+		canPlace: () => candidates().length > 0,
+		jobCount: () => jobCount,
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -0,0 +1,194 @@
+/**
+ * The progress of one job at the placer that has it: which tasks may start, what became of each, and
+ * when the whole has ended.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {TaskHandle} from "../place/placer.js"
+import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {Queue} from "../types/fleet-config.js"
+import type {Job, JobEnd, Step} from "../types/job.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+/** A run number that an executor has seen already is followed by one this much higher. */
+const RUN_NUMBER_STEP = 16
+/** Tasks that were given back or lost are tried again after this, so that a full fleet is not asked in a loop. */
+const RETRY_MS = 15
+/** Runs that were lost do not count as attempts, but there is an end to everything. */
+const MAX_RUNS = 12
+
+export interface JobRunDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly submit: (
+		req: TaskRequest,
+		onEnd: (end: TaskEnd) => void,
+		onStart: () => void,
+	) => TaskHandle
+}
+
+export interface JobRun {
+	readonly ended: Promise<JobEnd>
+	/** Its submitter has left. */
+	cancel(): void
+	/** Its placer may place no more; what runs is left to the next fence. */
+	abandon(cause: string): void
+}
+
+interface TaskState {
+	readonly step: number
+	readonly name: string
+	run: number
+	runs: number
+	failures: number
+	readonly avoid: string[]
+	handle: TaskHandle | undefined
+	isOver: boolean
+}
+
+/** The longest chain of estimated work through a job's steps, in milliseconds. */
+export function longestChainMs(steps: readonly Step[]): number {
+	const ends: number[] = []
+	for (const step of steps) {
+		const start = step.after.reduce((latest, before) => Math.max(latest, ends[before] ?? 0), 0)
+		ends.push(start + step.estimateMs)
+	}
+	return Math.max(0, ...ends)
+}
+
+/** Runs a job's tasks in the order of its steps until all are done or one has failed for good. */
+export function startJobRun(job: Job, queue: Queue, deps: JobRunDeps): JobRun {
+	const {clock, log, metrics} = deps
+	const objectiveMs = queue.stretch * longestChainMs(job.steps) + queue.slackMs
+	const dueAt = job.receivedAt + objectiveMs
+	const remaining = job.steps.map(step => step.count)
+	const begun = new Set<number>()
+	const tasks: TaskState[] = []
+	let firstStartAt: number | undefined
+	let isOver = false
+	let settle: (end: JobEnd) => void = () => undefined
+	const ended = new Promise<JobEnd>(resolve => (settle = resolve))
+
+	function finish(end: JobEnd) {
+		if (isOver) return
+		isOver = true
+		cancelDeadline()
+		for (const task of tasks) if (!task.isOver) task.handle?.cancel()
+		settle(end)
+	}
+
+	function chainAfterMs(index: number): number {
+		const following = job.steps
+			.map((step, at) => ({step, at}))
+			.filter(({step, at}) => at > index && step.after.includes(index))
+		return Math.max(0, ...following.map(({step, at}) => step.estimateMs + chainAfterMs(at)))
+	}
+
+	function requestOf(task: TaskState): TaskRequest {
+		const step = job.steps[task.step] as Step
+		return {
+			job: job.id,
+			task: task.name,
+			run: task.run,
+			spec: job.spec,
+			service: queue.service,
+			need: step.need,
+			estimateMs: step.estimateMs,
+			startBy: dueAt - step.estimateMs - chainAfterMs(task.step),
+			deadlineAt: job.deadlineAt,
+			priority: queue.priority,
+			label: step.label,
+			rack: step.rack,
+			maxPerExecutor: step.maxPerExecutor,
+			avoid: [...task.avoid],
+			isForeign: false,
+		}
+	}
+
+	function noteStart() {
+		if (firstStartAt !== undefined) return
+		firstStartAt = clock.now()
+		metrics.observe("first_start_ms", firstStartAt - job.receivedAt)
+	}
+
+	function submitTask(task: TaskState) {
+		if (isOver) return
+		if (task.runs >= MAX_RUNS) return finish({type: "failed", cause: "lost too often"})
+		task.runs++
+		task.handle = deps.submit(requestOf(task), end => noteEnd(task, end), noteStart)
+	}
+
+	function retry(task: TaskState, reason: string, cause: string) {
+		metrics.count("task_retries", reason)
+		const fields = {job: job.id, task: task.name, run: task.run, outcome: reason, cause}
+		log.event("job", "task_retry", "job: a task is tried again.", fields)
+		clock.schedule(RETRY_MS, () => submitTask(task))
+	}
+
+	function noteEnd(task: TaskState, end: TaskEnd) {
+		if (isOver || task.isOver) return
+		if (end.type === "done") return noteDone(task)
+		if (end.type === "stopped") return
+		if (end.type === "returned") {
+			task.runs--
+			return retry(task, "returned", end.cause)
+		}
+		if (end.type === "outnumbered") {
+			task.run += RUN_NUMBER_STEP
+			return retry(task, "outnumbered", end.executor)
+		}
+		task.run++
+		task.avoid.push(end.executor)
+		if (end.type === "lost") return retry(task, "lost", end.cause)
+		task.failures++
+		if (task.failures < queue.maxAttempts) return retry(task, "failed", end.cause)
+		finish({type: "failed", cause: `${task.name} failed ${task.failures} times`})
+	}
+
+	function noteDone(task: TaskState) {
+		task.isOver = true
+		const left = (remaining[task.step] as number) - 1
+		remaining[task.step] = left
+		if (left > 0) return
+		if (remaining.every(count => count === 0)) return finish({type: "completed"})
+		beginSteps()
+	}
+
+	function beginSteps() {
+		job.steps.forEach((step, index) => {
+			if (begun.has(index) || step.after.some(before => remaining[before] !== 0)) return
+			begun.add(index)
+			for (let at = 0; at < step.count; at++) {
+				const name = `${job.id}.0.${index}.${at}`
+				const task: TaskState = {
+					step: index,
+					name,
+					run: 1,
+					runs: 0,
+					failures: 0,
+					avoid: [],
+					handle: undefined,
+					isOver: false,
+				}
+				tasks.push(task)
+				submitTask(task)
+			}
+		})
+	}
+
+	function giveUp(kind: "deadline_exceeded" | "cancelled") {
+		const cause = kind === "cancelled" ? "its submitter left" : "its deadline passed"
+		if (firstStartAt !== undefined) return finish({type: "given up", kind, cause})
+		finish({type: "refused", kind: "overloaded", cause: `${cause} before anything started`})
+	}
+
+	const leftMs = Math.max(0, job.deadlineAt - clock.now())
+	const cancelDeadline = clock.schedule(leftMs, () => giveUp("deadline_exceeded"))
+	beginSteps()
+	return {
+		ended,
+		cancel: () => giveUp("cancelled"),
+		abandon: cause => finish({type: "given up", kind: "placer_lost", cause}),
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -0,0 +1,124 @@
+/**
+ * Hands tasks that find no room here to placers that told of room.
+ *
+ * The told room is counted down by what was handed over since; the next telling replaces the count.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {FleetView, ToldRoom} from "../fleet/members.js"
+import type {Peers, TaskMessage} from "../fleet/peers.js"
+import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {Waiting} from "../place/task-queue.js"
+import type {Claim, Member} from "../types/fleet.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+/** Told room that is older says nothing any more: two beats. */
+const ROOM_AGE_MS = 500
+/**
+ * A task whose placer fell silent runs no more after this: the placer notices within 600 ms that its
+ * caller is gone and stops it, or its executor's lease of 1,000 ms (2% slow) ends; and a margin.
+ */
+const PRESUMED_ENDED_MS = 2_000
+/** An answer is waited for beyond the task's deadline, since its stop takes a moment. */
+const ANSWER_SLACK_MS = 300
+
+export interface OverflowDeps {
+	readonly clock: Clock
+	readonly peers: Peers
+	readonly view: FleetView
+	readonly self: Member
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+}
+
+export interface Overflow {
+	/** Hands the task to a placer with room; false when there is none. */
+	handOver(item: Waiting): boolean
+}
+
+interface Counted {
+	readonly told: ToldRoom
+	readonly freeCpu: number[]
+}
+
+export function createOverflow(deps: OverflowDeps): Overflow {
+	const {clock, peers, view, self, log, metrics} = deps
+	const counted = new Map<string, Counted>()
+
+	function roomOf(failureDomain: string): Counted | undefined {
+		const told = view.roomOf(failureDomain)
+		if (!told || clock.now() - told.at > ROOM_AGE_MS) return undefined
+		const known = counted.get(failureDomain)
+		if (known?.told === told) return known
+		const fresh = {told, freeCpu: [...told.room.freeCpu]}
+		counted.set(failureDomain, fresh)
+		return fresh
+	}
+
+	const isLabelled = ({told}: Counted, {label, rack}: TaskRequest) =>
+		(label === undefined || told.room.labels.includes(label)) &&
+		(rack === undefined || told.room.labels.includes(rack))
+
+	function choose(req: TaskRequest): {readonly claim: Claim; readonly room: Counted} | undefined {
+		let best: {readonly claim: Claim; readonly room: Counted} | undefined
+		for (const claim of view.claims()) {
+			if (claim.placer.session === self.session || view.isLeaving(claim.placer.session)) continue
+			const room = roomOf(claim.failureDomain)
+			if (!room || (room.freeCpu[0] ?? 0) < req.need.cpu || !isLabelled(room, req)) continue
+			if (!best || (room.freeCpu[0] ?? 0) > (best.room.freeCpu[0] ?? 0)) best = {claim, room}
+		}
+		return best
+	}
+
+	function countDown({freeCpu}: Counted, cpu: number) {
+		freeCpu[0] = (freeCpu[0] ?? 0) - cpu
+		freeCpu.sort((a, b) => b - a)
+	}
+
+	async function send(claim: Claim, item: Waiting): Promise<void> {
+		const {req} = item
+		const {startBy, deadlineAt, ...task} = req
+		const now = clock.now()
+		const leftMs = deadlineAt - now
+		const message: TaskMessage = {
+			task,
+			startInMs: startBy - now,
+			leftMs,
+			failureDomain: claim.failureDomain,
+			from: self.session,
+		}
+		const call = peers.runTask(claim.placer.address, message, leftMs + ANSWER_SLACK_MS)
+		item.onStart(() => call.cancel())
+		const reply = await call.reply
+		const outcome = reply?.type ?? "silent"
+		metrics.count("tasks_handed_over", outcome)
+		const fields = {job: req.job, task: req.task, run: req.run, peer: claim.placer.name}
+		log.event("placer", "task_handed_over", "placer: another placer had a task.", {
+			...fields,
+			failureDomain: claim.failureDomain,
+			outcome,
+			tookMs: Math.round(clock.now() - now),
+		})
+		item.onEnd(await endOf(reply, claim))
+	}
+
+	async function endOf(
+		reply: TaskEnd | {readonly type: "not placer"} | undefined,
+		{placer}: Claim,
+	): Promise<TaskEnd> {
+		if (reply?.type === "not placer") return {type: "returned", cause: "not placer"}
+		if (reply) return reply
+		await clock.sleep(PRESUMED_ENDED_MS)
+		return {type: "lost", executor: placer.name, cause: "its placer is silent"}
+	}
+
+	return {
+		handOver(item) {
+			const chosen = choose(item.req)
+			if (!chosen) return false
+			countDown(chosen.room, item.req.need.cpu)
+			void send(chosen.claim, item)
+			return true
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/fleet/claims.ts
@@ -0,0 +1,157 @@
+/**
+ * Decides when this instance becomes the placer of a failure domain, and writes the claim.
+ *
+ * A claim changes only by comparison with the one that was read, and each change raises the fence, so
+ * two instances that try at once cannot both succeed, and the placer before is refused by every
+ * executor that has seen the new fence. Silence only decides when to try.
+ */
+import type {Clock, Store} from "@cottonwood/core"
+import type {Claim, Member} from "../types/fleet.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {claimKey, type FleetView} from "./members.js"
+
+const TICK_MS = 100
+/** A placer that said nothing for so long is replaced: five beats. */
+export const PLACER_SILENT_MS = 1_000
+/** Each further candidate waits longer by this, a few writes to the store. */
+const RANK_STEP_MS = 250
+/** Instances of other domains step in only after the domain's own had every chance. */
+const FOREIGN_SILENT_MS = 2_500
+/** At the very first start the domain's own instances register within this. */
+const START_GRACE_MS = 1_500
+/** No second try for the same claim within this: the store's answer and its news take less. */
+const RETRY_MS = 500
+/** Other instances that are asked whether it is us who is cut off. */
+const WITNESSES = 3
+
+export interface ClaimsDeps {
+	readonly clock: Clock
+	readonly store: Store
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly self: Member
+	readonly view: FleetView
+	readonly failureDomains: () => readonly string[]
+	readonly isLeaving: () => boolean
+	/** Asks a member for a sign of life. */
+	readonly ping: (member: Member) => Promise<boolean>
+	/** Whether any executor of the domain answers us. */
+	readonly canReachExecutors: (failureDomain: string) => Promise<boolean>
+}
+
+export interface ClaimsLoop {
+	/** Takes a domain over now, from a placer that gives it up. */
+	takeNow(failureDomain: string): Promise<boolean>
+	close(): void
+}
+
+export function createClaimsLoop(deps: ClaimsDeps): ClaimsLoop {
+	const {clock, store, log, metrics, self, view} = deps
+	const startedAt = clock.now()
+	const learnedAt = new Map<string, {readonly fence: number; readonly at: number}>()
+	const triedAt = new Map<string, number>()
+	let isClosed = false
+
+	/** How long the domain has been without a word from its placer, by what we know. */
+	function vacantMs(failureDomain: string, claim: Claim | undefined): number {
+		const fence = claim?.fence ?? 0
+		const known = learnedAt.get(failureDomain)
+		if (known?.fence !== fence) learnedAt.set(failureDomain, {fence, at: clock.now()})
+		const sinceLearned = clock.now() - (learnedAt.get(failureDomain)?.at ?? startedAt)
+		if (!claim) return sinceLearned
+		return Math.min(sinceLearned, view.silentMs(claim.placer.session))
+	}
+
+	function rankOf(candidates: readonly Member[]): number {
+		const names = candidates.filter(member => !view.isLeaving(member.session))
+		const before = names.filter(member => member.name < self.name)
+		return before.length
+	}
+
+	function mustWaitMs(failureDomain: string, claim: Claim | undefined): number {
+		const isOwn = failureDomain === self.failureDomain
+		const natives = view.membersOf(failureDomain).filter(isAnother(claim?.placer))
+		const candidates = isOwn ? natives : view.members().filter(isAnother(claim?.placer))
+		const ranked = rankOf(candidates) * RANK_STEP_MS
+		if (isOwn) return ranked + (claim ? PLACER_SILENT_MS : 0)
+		if (natives.length > 0) return Infinity
+		return ranked + FOREIGN_SILENT_MS + (claim ? 0 : START_GRACE_MS)
+	}
+
+	const isAnother = (placer: Member | undefined) => (member: Member) =>
+		member.session !== placer?.session
+
+	function isOwnEarlierLife(claim: Claim | undefined): boolean {
+		return claim?.placer.name === self.name && claim.placer.session !== self.session
+	}
+
+	/** Whether it is rather us who is cut off: nobody else answers either. */
+	async function isIsolated(placer: Member | undefined): Promise<boolean> {
+		const others = view.members().filter(isAnother(placer)).filter(isAnother(self))
+		if (others.length === 0) return false
+		const answers = await Promise.all(others.slice(0, WITNESSES).map(deps.ping))
+		return !answers.includes(true)
+	}
+
+	async function consider(failureDomain: string) {
+		const claim = view.claimOf(failureDomain)
+		if (claim?.placer.session === self.session) return
+		const vacant = vacantMs(failureDomain, claim)
+		if (!isOwnEarlierLife(claim) && vacant < mustWaitMs(failureDomain, claim)) return
+		if (clock.now() - (triedAt.get(failureDomain) ?? -Infinity) < RETRY_MS) return
+		triedAt.set(failureDomain, clock.now())
+		if (claim && !isOwnEarlierLife(claim) && (await deps.ping(claim.placer))) return
+		if (await isIsolated(claim?.placer)) return noteHeldBack(failureDomain, "nobody answers us")
+		const isOwn = failureDomain === self.failureDomain
+		if (!isOwn && !(await deps.canReachExecutors(failureDomain)))
+			return noteHeldBack(failureDomain, "its executors do not answer")
+		await write(failureDomain, `no word for ${Math.round(vacant)} ms`)
+	}
+
+	function noteHeldBack(failureDomain: string, cause: string) {
+		metrics.count("claims", "held_back")
+		const fields = {failureDomain, cause}
+		log.event("fleet", "claim_held_back", "fleet: does not take a failure domain over.", fields)
+	}
+
+	async function write(failureDomain: string, cause: string): Promise<boolean> {
+		const key = claimKey(failureDomain)
+		const item = await store.get(key)
+		if (item === undefined) return false
+		const stored = item ? (item.value as Claim) : undefined
+		if (stored) view.noteClaim(stored)
+		const known = view.claimOf(failureDomain)
+		if (stored?.placer.session === self.session) return true
+		if (stored && known && stored.fence < known.fence) return false
+		const claim: Claim = {failureDomain, fence: (known?.fence ?? 0) + 1, placer: self}
+		const put = await store.put(key, claim, {expect: item?.revision ?? 0})
+		metrics.count("claims", put.type)
+		const fields = {failureDomain, fence: claim.fence, cause, outcome: put.type}
+		log.alarm("fleet", "claim_written", "fleet: claims a failure domain.", {
+			...fields,
+			peer: known?.placer.name,
+		})
+		if (put.type !== "done") return false
+		view.noteClaim(claim)
+		return true
+	}
+
+	async function loop() {
+		while (!isClosed) {
+			await clock.sleep(TICK_MS)
+			if (deps.isLeaving()) continue
+			for (const failureDomain of deps.failureDomains()) {
+				if (!isClosed) await consider(failureDomain)
+			}
+		}
+	}
+
+	void loop()
+	return {
+		takeNow: failureDomain => write(failureDomain, "its placer gives it up"),
+		close() {
+			isClosed = true
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/fleet/members.ts
@@ -0,0 +1,100 @@
+/**
+ * The fleet as this instance sees it: members and claims from the store, and what beats said.
+ *
+ * The store's list is one view; beats are another and are often newer. For claims the higher fence
+ * wins, whoever told it.
+ */
+import type {Clock, StoreItem} from "@cottonwood/core"
+import type {Beat, Claim, Member, Room} from "../types/fleet.js"
+
+export const FLEET_PREFIX = "fleet/"
+const NODE_PREFIX = "fleet/node/"
+const CLAIM_PREFIX = "fleet/claim/"
+
+export const nodeKey = (name: string) => NODE_PREFIX + name
+export const claimKey = (failureDomain: string) => CLAIM_PREFIX + failureDomain
+
+export interface ToldRoom {
+	readonly room: Room
+	readonly at: number
+}
+
+export interface FleetView {
+	/** Takes a whole listing of the store. */
+	takeListing(items: readonly StoreItem[]): void
+	takeChanges(items: readonly StoreItem[], deleted: readonly string[]): void
+	takeBeat(beat: Beat): void
+	noteClaim(claim: Claim): void
+	claims(): readonly Claim[]
+	claimOf(failureDomain: string): Claim | undefined
+	members(): readonly Member[]
+	membersOf(failureDomain: string): readonly Member[]
+	/** Milliseconds since anything was heard from a session; Infinity if never. */
+	silentMs(session: string): number
+	isLeaving(session: string): boolean
+	roomOf(failureDomain: string): ToldRoom | undefined
+	/** Sessions heard from within so many milliseconds. */
+	heardWithin(ms: number): number
+}
+
+interface Heard {
+	readonly at: number
+	readonly isLeaving: boolean
+}
+
+export function createFleetView(clock: Clock, onClaim: (claim: Claim) => void): FleetView {
+	const members = new Map<string, Member>()
+	const claims = new Map<string, Claim>()
+	const heard = new Map<string, Heard>()
+	const rooms = new Map<string, ToldRoom>()
+
+	function noteClaim(claim: Claim) {
+		const known = claims.get(claim.failureDomain)
+		if (known && known.fence >= claim.fence) return
+		claims.set(claim.failureDomain, claim)
+		rooms.delete(claim.failureDomain)
+		onClaim(claim)
+	}
+
+	function takeItem(item: StoreItem) {
+		if (item.key.startsWith(NODE_PREFIX)) members.set(item.key, item.value as Member)
+		if (item.key.startsWith(CLAIM_PREFIX)) noteClaim(item.value as Claim)
+	}
+
+	return {
+		noteClaim,
+		takeListing(items) {
+			members.clear()
+			for (const item of items) takeItem(item)
+		},
+		takeChanges(items, deleted) {
+			for (const key of deleted) members.delete(key)
+			for (const item of items) takeItem(item)
+		},
+		takeBeat(beat) {
+			const at = clock.now()
+			heard.set(beat.from.session, {at, isLeaving: beat.isLeaving})
+			for (const claim of beat.claims) noteClaim(claim)
+			for (const [failureDomain, room] of Object.entries(beat.rooms)) {
+				const claim = claims.get(failureDomain)
+				if (claim?.placer.session === beat.from.session) rooms.set(failureDomain, {room, at})
+			}
+		},
+		claims: () => [...claims.values()],
+		claimOf: failureDomain => claims.get(failureDomain),
+		members: () => [...members.values()],
+		membersOf: failureDomain =>
+			[...members.values()].filter(member => member.failureDomain === failureDomain),
+		silentMs(session) {
+			const last = heard.get(session)
+			return last ? clock.now() - last.at : Infinity
+		},
+		isLeaving: session => heard.get(session)?.isLeaving ?? false,
+		roomOf: failureDomain => rooms.get(failureDomain),
+		heardWithin(ms) {
+			let count = 0
+			for (const {at} of heard.values()) if (clock.now() - at <= ms) count++
+			return count
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/fleet/peers.ts
@@ -0,0 +1,112 @@
+/**
+ * Calls between instances: signs of life that are asked for, jobs handed to a placer, tasks handed from
+ * placer to placer.
+ *
+ * A call is at the same time the proof that its caller still wants the work: when it is cancelled or
+ * its connection dies, the work behind it is stopped.
+ */
+import {connectJson, listenJson, type JsonClient, type JsonServer} from "@cottonwood/wire/json"
+import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {Beat} from "../types/fleet.js"
+import type {Job, JobEnd} from "../types/job.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+const SERVICE = "cottonwood.Jobs"
+/** Clients to addresses that nobody used for so many others are closed. */
+const MAX_CLIENTS = 256
+
+/** A job on its way: times are relative, since steady clocks differ between instances. */
+export interface JobMessage {
+	readonly job: Omit<Job, "receivedAt" | "deadlineAt">
+	readonly ageMs: number
+	readonly leftMs: number
+	/** The configuration under which it was accepted. */
+	readonly configVersion: number
+	readonly failureDomain: string
+	readonly from: string
+}
+
+export interface TaskMessage {
+	readonly task: Omit<TaskRequest, "startBy" | "deadlineAt">
+	readonly startInMs: number
+	readonly leftMs: number
+	readonly failureDomain: string
+	readonly from: string
+}
+
+export type JobReply = JobEnd | {readonly type: "not placer"}
+export type TaskReply = TaskEnd | {readonly type: "not placer"}
+
+export interface PeerHandlers {
+	beat(beat: Beat): Beat
+	runJob(message: JobMessage, onCancel: (callback: () => void) => void): Promise<JobReply>
+	runTask(message: TaskMessage, onCancel: (callback: () => void) => void): Promise<TaskReply>
+}
+
+/** Serves the peers; rejects when the port is taken. */
+export function listenPeers(address: string, handlers: PeerHandlers): Promise<JsonServer> {
+	return listenJson(SERVICE, address, {
+		beat: async message => handlers.beat(message as Beat),
+		runJob: (message, {onCancel}) => handlers.runJob(message as JobMessage, onCancel),
+		runTask: (message, {onCancel}) => handlers.runTask(message as TaskMessage, onCancel),
+	})
+}
+
+export interface PeerCall<T> {
+	/** `undefined`: no answer; what was asked for may have been done. */
+	readonly reply: Promise<T | undefined>
+	/** After an `undefined` reply: whether the peer certainly never saw the call. */
+	wasUnsent(): boolean
+	cancel(): void
+}
+
+export interface Peers {
+	beat(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined>
+	runJob(address: string, message: JobMessage, timeoutMs: number): PeerCall<JobReply>
+	runTask(address: string, message: TaskMessage, timeoutMs: number): PeerCall<TaskReply>
+	close(): void
+}
+
+export function createPeers(metrics: JobMetrics): Peers {
+	const clients = new Map<string, JsonClient>()
+
+	function clientOf(address: string): JsonClient {
+		let client = clients.get(address)
+		if (!client) {
+			client = connectJson(SERVICE, address)
+			clients.set(address, client)
+			const [oldest] = clients
+			if (clients.size > MAX_CLIENTS && oldest) {
+				oldest[1].close()
+				clients.delete(oldest[0])
+			}
+		}
+		return client
+	}
+
+	function call<T>(
+		address: string,
+		method: string,
+		message: unknown,
+		timeoutMs: number,
+	): PeerCall<T> {
+		const sent = clientOf(address).call(method, message, timeoutMs)
+		let isUnsent = false
+		const reply = sent.reply.then(answer => {
+			isUnsent = answer.type === "no answer" && !answer.wasSent
+			metrics.count("peer_calls", `${method}_${answer.type === "answer" ? "ok" : "silent"}`)
+			return answer.type === "answer" ? (answer.value as T) : undefined
+		})
+		return {reply, wasUnsent: () => isUnsent, cancel: sent.cancel}
+	}
+
+	return {
+		beat: (address, beat, timeoutMs) => call<Beat>(address, "beat", beat, timeoutMs).reply,
+		runJob: (address, message, timeoutMs) => call(address, "runJob", message, timeoutMs),
+		runTask: (address, message, timeoutMs) => call(address, "runTask", message, timeoutMs),
+		close() {
+			for (const client of clients.values()) client.close()
+			clients.clear()
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * The public surface of the job fleet: jobs on leased executors, placed by the fleet's instances.
+ */
+export * from "./types/job.js"
+export * from "./types/executor.js"
+export * from "./types/fleet-config.js"
+export * from "./types/fleet.js"
+export {startJobInstance} from "./instance.js"
+export type {InstanceDeps, InstanceSettings, JobInstance} from "./instance.js"
+export {createEventLog, silentLog} from "./utils/log.js"
+export type {EventLog, LogFields, LogPart} from "./utils/log.js"
+export {createJobMetrics} from "./utils/metrics.js"
+export type {JobMetrics} from "./utils/metrics.js"
--- /dev/null
+++ b/packages/jobs/src/instance.ts
@@ -0,0 +1,271 @@
+/**
+ * An instance of the job fleet: joins the store, the peers, the executors and the callers.
+ */
+import {randomUUID} from "node:crypto"
+import {systemClock, type Clock, type Store, type StoreItem} from "@cottonwood/core"
+import type {Result} from "neverthrow"
+import {createDispatcher} from "./coordinate/dispatcher.js"
+import {createHosts, type Hosts} from "./coordinate/hosts.js"
+import {createOverflow} from "./coordinate/overflow.js"
+import {openDatagrams} from "@cottonwood/wire/datagrams"
+import {createBeats, type BeatMessage} from "./fleet/beats.js"
+import {createClaimsLoop} from "./fleet/claims.js"
+import {followPrefix} from "./fleet/follow.js"
+import {createFleetView, FLEET_PREFIX} from "./fleet/members.js"
+import {createPeers, listenPeers} from "./fleet/peers.js"
+import {beginRegistration} from "./fleet/registration.js"
+import {createExecutorList} from "./place/executor-list.js"
+import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
+import type {FleetConfig, Queue} from "./types/fleet-config.js"
+import type {Beat, Member} from "./types/fleet.js"
+import type {Job, JobEnd} from "./types/job.js"
+import type {EventLog} from "./utils/log.js"
+import type {JobMetrics} from "./utils/metrics.js"
+
+/** While leaving: jobs that are under way are looked at this often. */
+const DRAIN_POLL_MS = 25
+const REACH_TIMEOUT_MS = 250
+/** Executors that are asked before a foreign failure domain is taken over. */
+const REACH_SAMPLES = 3
+const LOOP_PROBE_MS = 500
+
+export interface InstanceSettings {
+	readonly name: string
+	readonly failureDomain: string
+	readonly failureDomains: readonly string[]
+	/** Where peers reach this instance: host and port. */
+	readonly peerAddress: string
+	readonly maxLeaseMs: number
+	/** A stop takes at most this long. */
+	readonly drainMs: number
+}
+
+/** What the surroundings offer; implemented for each platform. */
+export interface InstanceDeps {
+	readonly store: Store
+	readonly orders: ExecutorOrders
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly configPrefix: string
+	readonly decodeConfig: (items: readonly StoreItem[]) => Result<FleetConfig, string> | undefined
+	readonly executorPrefix: string
+	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
+}
+
+export interface JobInstance {
+	config(): FleetConfig | undefined
+	dispatch(job: Job, queue: Queue, onCancel: (callback: () => void) => void): Promise<JobEnd>
+	/** Why no caller should be sent here; undefined when ready. */
+	notReadyCause(): string | undefined
+	isLeaving(): boolean
+	/** Finishes what is under way, then gives everything up. */
+	drain(): Promise<void>
+}
+
+/** Starts an instance; rejects when its port is taken. */
+export async function startJobInstance(
+	settings: InstanceSettings,
+	deps: InstanceDeps,
+): Promise<JobInstance> {
+	const clock = systemClock
+	const {store, log, metrics} = deps
+	const {name, failureDomain, peerAddress} = settings
+	const self: Member = {name, session: randomUUID(), failureDomain, address: peerAddress}
+	let config: FleetConfig | undefined
+	let isLeaving = false
+
+	const peers = createPeers(metrics)
+	const view = createFleetView(clock, claim => {
+		const {fence, placer} = claim
+		const fields = {failureDomain: claim.failureDomain, fence, peer: placer.name}
+		log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
+		hosts.noteClaim(claim)
+	})
+	const overflow = createOverflow({clock, peers, view, self, log, metrics})
+
+	const hosts: Hosts = createHosts({
+		clock,
+		orders: deps.orders,
+		log,
+		metrics,
+		self,
+		maxLeaseMs: settings.maxLeaseMs,
+		handOver: item => overflow.handOver(item),
+		onRoomChange: () => beats.tellRoom(hosts.rooms()),
+		executorsOf: domain => executors.records().filter(record => record.failureDomain === domain),
+	})
+	const dispatcher = createDispatcher({
+		clock,
+		log,
+		peers,
+		view,
+		self,
+		hosts,
+		config: () => config,
+		refreshConfig: () => configFollower.refresh(),
+		isLeaving: () => isLeaving,
+	})
+
+	const executors = createExecutorList({
+		clock,
+		store,
+		log,
+		prefix: deps.executorPrefix,
+		decode: deps.decodeExecutor,
+		onList: records => hosts.setExecutors(records),
+		isNeeded: () => hosts.isPlacing(),
+	})
+
+	const ownBeat = (): Beat => ({
+		from: self,
+		claims: view.claims(),
+		rooms: hosts.rooms(),
+		isLeaving,
+		configVersion: config?.version ?? 0,
+	})
+
+	function takeBeat(beat: Beat) {
+		view.takeBeat(beat)
+		if (beat.configVersion > (config?.version ?? 0)) configFollower.refresh()
+		if (Object.values(beat.rooms).some(room => room.freeCpu.length > 0)) hosts.walk()
+	}
+
+	function takeConfig(items: readonly StoreItem[]) {
+		const decoded = deps.decodeConfig(items)
+		if (!decoded) return
+		if (decoded.isErr()) {
+			metrics.count("broken_assumptions", "config_undecodable")
+			const fields = {cause: decoded.error}
+			log.alarm("config", "config_refused", "config: cannot be read; the last stays.", fields)
+			return
+		}
+		if (config && decoded.value.version <= config.version) return
+		config = decoded.value
+		const fields = {configVersion: config.version, count: config.queues.length}
+		log.alarm("config", "config_in_force", "config: a version is in force.", fields)
+	}
+
+	const configFollower = followPrefix({
+		clock,
+		store,
+		log,
+		prefix: deps.configPrefix,
+		onListing: takeConfig,
+		onChanges: takeConfig,
+	})
+	const fleetFollower = followPrefix({
+		clock,
+		store,
+		log,
+		prefix: FLEET_PREFIX,
+		onListing: view.takeListing,
+		onChanges: view.takeChanges,
+	})
+	const server = await listenPeers(peerAddress, {
+		beat(beat) {
+			takeBeat(beat)
+			return ownBeat()
+		},
+		runJob: (message, onCancel) => dispatcher.runJob(message, onCancel),
+		runTask: (message, onCancel) => dispatcher.runTask(message, onCancel),
+	})
+	const datagrams = await openDatagrams(
+		peerAddress,
+		message => beats.take(message as BeatMessage),
+		error => {
+			metrics.count("broken_assumptions", "datagram")
+			log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
+		},
+	)
+	const beats = createBeats({
+		clock,
+		peers,
+		send: datagrams.send,
+		view,
+		self,
+		own: ownBeat,
+		onBeat: takeBeat,
+	})
+	const registration = beginRegistration(self, {clock, store, log})
+
+	async function canReachExecutors(domain: string): Promise<boolean> {
+		const listing = await store.list(deps.executorPrefix)
+		const records = (listing?.items ?? [])
+			.map(deps.decodeExecutor)
+			.filter(record => record?.failureDomain === domain) as ExecutorRecord[]
+		const answers = await Promise.all(
+			records
+				.slice(0, REACH_SAMPLES)
+				.map(record => deps.orders.isReachable(record, REACH_TIMEOUT_MS)),
+		)
+		return answers.includes(true)
+	}
+
+	const claims = createClaimsLoop({
+		clock,
+		store,
+		log,
+		metrics,
+		self,
+		view,
+		failureDomains: () => settings.failureDomains,
+		isLeaving: () => isLeaving,
+		ping: beats.ping,
+		canReachExecutors,
+	})
+
+	publishGauges(metrics, hosts, store, () => config?.version ?? 0)
+	probeLoop(clock, metrics)
+
+	return {
+		config: () => config,
+		dispatch: dispatcher.dispatch,
+		notReadyCause() {
+			if (isLeaving) return "leaving"
+			if (!config) return "no configuration yet"
+			return dispatcher.canPlace() ? undefined : "no placer can be reached"
+		},
+		isLeaving: () => isLeaving,
+		async drain() {
+			isLeaving = true
+			const until = clock.now() + settings.drainMs
+			const fields = {count: dispatcher.jobCount()}
+			log.alarm("instance", "leaving", "instance: finishes what is under way.", fields)
+			while (dispatcher.jobCount() + hosts.counts().running > 0 && clock.now() < until)
+				await clock.sleep(DRAIN_POLL_MS)
+			await registration.end()
+			claims.close()
+			beats.close()
+			configFollower.close()
+			fleetFollower.close()
+			executors.close()
+			hosts.close()
+			datagrams.close()
+			server.close()
+			peers.close()
+		},
+	}
+}
+
+function publishGauges(
+	metrics: JobMetrics,
+	hosts: Hosts,
+	store: Store,
+	configVersion: () => number,
+) {
+	metrics.gauge("tasks_waiting", () => hosts.counts().waiting)
+	metrics.gauge("tasks_running", () => hosts.counts().running)
+	metrics.gauge("executors_usable", () => hosts.counts().usable)
+	metrics.gauge("claims_held", () => Object.keys(hosts.rooms()).length)
+	metrics.gauge("config_version", configVersion)
+	metrics.gauge("store_silent_ms", () => store.silentMs())
+}
+
+/** How late timers fire: what a slow or overloaded machine looks like from inside. */
+function probeLoop(clock: Clock, metrics: JobMetrics) {
+	const due = clock.now() + LOOP_PROBE_MS
+	clock.schedule(LOOP_PROBE_MS, () => {
+		metrics.observe("loop_delay_ms", clock.now() - due)
+		probeLoop(clock, metrics)
+	})
+}
--- /dev/null
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -0,0 +1,41 @@
+/**
+ * What is known of an executor's steady clock, and until when its lease can last.
+ *
+ * All lease times are on the executor's clock, which may run slow. Sending uses the likely reading;
+ * judging that a lease has ended uses the lowest reading possible.
+ */
+
+/** The slowest that an executor's clock may run; from the platform's contract (2%). */
+const SLOWEST_RATE = 0.98
+/** What is being stopped at a lease's end takes up to 50 ms by the contract, and 10 ms for our timer. */
+const END_MARGIN_MS = 60
+
+export interface ExecutorClock {
+	/** Notes a reading that has just arrived. */
+	observe(clockMs: number, now: number): void
+	/** The likely reading now; undefined before the first one. */
+	estimate(now: number): number | undefined
+	/** Notes that an order asks for a lease until then. */
+	extend(leaseUntilMs: number): void
+	/** Whether everything under the leases asked for has certainly ended. */
+	hasLapsed(now: number): boolean
+}
+
+export function createExecutorClock(): ExecutorClock {
+	let reading: {readonly clockMs: number; readonly at: number} | undefined
+	let leaseUntilMs = -Infinity
+	return {
+		observe(clockMs, now) {
+			reading = {clockMs, at: now}
+		},
+		estimate: now => reading && reading.clockMs + (now - reading.at),
+		extend(untilMs) {
+			leaseUntilMs = Math.max(leaseUntilMs, untilMs)
+		},
+		hasLapsed(now) {
+			if (!reading) return leaseUntilMs === -Infinity
+			const lowest = reading.clockMs + (now - reading.at) * SLOWEST_RATE
+			return lowest > leaseUntilMs + END_MARGIN_MS
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/place/link-hold.ts
@@ -0,0 +1,128 @@
+/**
+ * Keeps an executor's lease and learns of ends: one `hold` call is always under way.
+ *
+ * It presents the fence, renews the lease, waits for an end, and lists what runs there. A run that a
+ * list asked for after the run's last answered order does not name is gone. While the executor stays
+ * silent its runs count as running until its lease has certainly ended.
+ */
+import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
+import {stopOrphan, stopRun} from "./link-orders.js"
+import {
+	closeLink,
+	isOwnReply,
+	lostOrStopped,
+	nextLeaseUntil,
+	noteAnswering,
+	noteSilence,
+	settleAllLost,
+	settleRun,
+	type LinkState,
+} from "./link-state.js"
+import type {Run, TaskEnd} from "./run.js"
+
+/** A hold's answer waits this long for an end; two more tries fit in the shortest lease of 1 s. */
+const HOLD_WAIT_MS = 400
+/** Beyond the wait, a hold's answer is missed after this: about a hundred round trips. */
+const HOLD_SLACK_MS = 200
+/** Between tries to reach a silent executor: a fraction of the lease. */
+const SILENT_RETRY_MS = 60
+/** Without progress for this long, or for this share of its estimate, a run counts as stuck. */
+const STUCK_MS = 450
+const STUCK_ESTIMATES = 1.5
+
+type Held = Extract<HoldReply, {type: "held"}>
+
+/** Runs until the link is closed. */
+export async function holdLoop(link: LinkState) {
+	const {clock, orders, fence} = link.deps
+	while (!link.isClosed) {
+		const sentAt = clock.now()
+		const waitMs = link.isFenceTaken && link.silentSince === undefined ? HOLD_WAIT_MS : 0
+		const leaseUntilMs = nextLeaseUntil(link)
+		const order = {fence, seenSerial: link.seenSerial, leaseUntilMs, waitMs}
+		const reply = await orders.hold(link.record, order, waitMs + HOLD_SLACK_MS)
+		if (isOwnReply(link, reply, "hold")) noteHeld(link, reply, sentAt)
+		else if (!link.isClosed) await noteUnheld(link, reply)
+	}
+}
+
+async function noteUnheld(link: LinkState, reply: HoldReply) {
+	const {clock} = link.deps
+	noteSilence(link, reply.type === "silent" ? reply.cause : reply.type)
+	if (link.executorClock.hasLapsed(clock.now())) settleAllLost(link, "its lease ended while silent")
+	if (link.isRetired && link.runs.size === 0) return closeLink(link)
+	await clock.sleep(SILENT_RETRY_MS)
+}
+
+function noteHeld(link: LinkState, reply: Held, sentAt: number) {
+	const now = link.deps.clock.now()
+	link.executorClock.observe(reply.clockMs, now)
+	noteAnswering(link)
+	for (const end of reply.ends) noteEnd(link, end)
+	const listed = new Set<string>()
+	const unknown = new Set<string>()
+	for (const row of reply.running) {
+		const run = link.runs.get(row.task)
+		if (run?.req.run === row.run) {
+			listed.add(row.task)
+			noteProgress(link, run, row.percent, now)
+		} else unknown.add(noteOrphan(link, row))
+	}
+	const hadOrphans = link.orphans.size > 0
+	link.orphans = unknown
+	settleUnlisted(link, listed, sentAt)
+	if (!link.isFenceTaken) noteFenceTaken(link)
+	else if (hadOrphans && unknown.size === 0) link.deps.onRoom()
+}
+
+function noteOrphan(link: LinkState, row: RunningRow): string {
+	const name = `${row.task}/${row.run}`
+	if (!link.orphans.has(name)) void stopOrphan(link, row.task, row.run)
+	return name
+}
+
+function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
+	for (const run of [...link.runs.values()]) {
+		if (run.answeredAt === undefined || run.answeredAt > sentAt) continue
+		if (!listed.has(run.req.task)) settleRun(link, run, lostOrStopped(link, run, "not there"))
+	}
+}
+
+function noteFenceTaken(link: LinkState) {
+	link.isFenceTaken = true
+	const {log, fence, onRoom} = link.deps
+	const fields = {executor: link.record.id, fence, count: link.orphans.size}
+	log.event("executor", "fence_taken", "executor: obeys our fence.", fields)
+	onRoom()
+}
+
+function noteEnd(link: LinkState, end: RunEnd) {
+	if (end.serial <= link.seenSerial) return
+	link.seenSerial = end.serial
+	const run = link.runs.get(end.task)
+	if (run?.req.run === end.run) settleRun(link, run, endOf(link, run, end))
+}
+
+function endOf(link: LinkState, run: Run, {how}: RunEnd): TaskEnd {
+	const executor = link.record.id
+	if (how === "done") return {type: "done", executor}
+	if (how === "failed") return {type: "failed", executor, cause: "failed"}
+	return lostOrStopped(link, run, how)
+}
+
+function noteProgress(link: LinkState, run: Run, percent: number, now: number) {
+	if (run.state === "starting") run.state = "running"
+	if (percent > run.percent) {
+		run.percent = percent
+		run.progressAt = now
+		return
+	}
+	const limitMs = Math.max(STUCK_MS, run.req.estimateMs * STUCK_ESTIMATES)
+	if (run.state !== "running" || now - run.progressAt < limitMs) return
+	const {job, task, run: number, estimateMs} = run.req
+	const inputAgeMs = Math.round(now - run.progressAt)
+	const fields = {job, task, run: number, executor: link.record.id, estimateMs, inputAgeMs}
+	const message = "placer: a run makes no progress; stopping it."
+	link.deps.log.alarm("placer", "run_stuck", message, fields)
+	stopRun(link, run, "stuck")
+}
--- /dev/null
+++ b/packages/jobs/src/place/link-orders.ts
@@ -0,0 +1,131 @@
+/**
+ * Starts and stops runs on an executor, whatever becomes of the orders' answers.
+ *
+ * A start without an answer is repeated with the same run number, which changes nothing if the first
+ * was done. If that stays without an answer too, only a stop that is answered, or the end of the lease,
+ * settles whether it runs.
+ */
+import type {StartReply} from "../types/executor.js"
+import {
+	addRun,
+	freeCpu,
+	isCurrent,
+	isOwnReply,
+	nextLeaseUntil,
+	noteSilence,
+	settleRun,
+	type LinkState,
+} from "./link-state.js"
+import type {Run, TaskEnd, TaskRequest} from "./run.js"
+
+/** A start's answer is missed after this: slower instances need tens of milliseconds. */
+const START_TIMEOUT_MS = 90
+const START_TRIES = 3
+const STOP_TIMEOUT_MS = 150
+/** Between tries to stop a run on a silent executor: a fraction of the lease. */
+const STOP_RETRY_MS = 60
+/** No starts there for this long after it said that it is unhealthy. */
+const UNHEALTHY_PAUSE_MS = 300
+
+/** Starts a run; `onEnd` is called once, when it certainly runs no more. */
+export function startRun(link: LinkState, req: TaskRequest, onEnd: (end: TaskEnd) => void): Run {
+	const now = link.deps.clock.now()
+	const run: Run = {
+		req,
+		startedAt: now,
+		state: "starting",
+		answeredAt: undefined,
+		stopCause: undefined,
+		percent: -1,
+		progressAt: now,
+		onEnd,
+	}
+	addRun(link, run)
+	void sendStart(link, run)
+	return run
+}
+
+/** Ends a run; its `onEnd` follows when it has ended. */
+export function stopRun(link: LinkState, run: Run, cause: NonNullable<Run["stopCause"]>) {
+	if (run.state === "stopping") return
+	run.stopCause ??= cause
+	run.state = "stopping"
+	void sendStop(link, run)
+}
+
+/** Stops a run that nobody here started. */
+export async function stopOrphan(link: LinkState, task: string, run: number) {
+	const {log, metrics, orders, fence} = link.deps
+	const fields = {task, run, executor: link.record.id, fence, job: task.split(".")[0]}
+	log.alarm("executor", "orphan_stopped", "executor: runs what nobody here started.", fields)
+	metrics.count("orphan_runs", "stopped")
+	const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
+	isOwnReply(link, reply, "stop")
+}
+
+async function sendStart(link: LinkState, run: Run) {
+	const {clock, orders, metrics, fence} = link.deps
+	const {task, run: number, spec} = run.req
+	for (let tries = 0; tries < START_TRIES && isCurrent(link, run); tries++) {
+		const leaseUntilMs = nextLeaseUntil(link)
+		if (leaseUntilMs === undefined) break
+		const sentAt = clock.now()
+		const order = {task, run: number, spec, fence, leaseUntilMs}
+		const reply = await orders.start(link.record, order, START_TIMEOUT_MS)
+		metrics.observe("start_order_ms", clock.now() - sentAt)
+		if (!isCurrent(link, run)) return
+		if (isOwnReply(link, reply, "start")) return noteStartReply(link, run, reply)
+		if (link.isClosed) return
+	}
+	noteSilence(link, "starts without an answer")
+	stopRun(link, run, "uncertain")
+}
+
+function noteStartReply(
+	link: LinkState,
+	run: Run,
+	reply: Extract<StartReply, {type: "started" | "refused"}>,
+) {
+	const now = link.deps.clock.now()
+	run.answeredAt = now
+	if (reply.clockMs !== undefined) link.executorClock.observe(reply.clockMs, now)
+	link.deps.metrics.count("task_starts", reply.type === "started" ? "started" : reply.cause)
+	if (reply.type === "started") {
+		if (run.state === "starting") run.state = "running"
+		run.progressAt = now
+		return
+	}
+	noteRefusedStart(link, run, reply.cause)
+}
+
+function noteRefusedStart(link: LinkState, run: Run, cause: string) {
+	const {job, task, run: number, need} = run.req
+	link.deps.log.alarm("placer", "start_refused", "placer: an executor refused a start.", {
+		job,
+		task,
+		run: number,
+		executor: link.record.id,
+		cause,
+		freeCpu: freeCpu(link),
+		needCpu: need.cpu,
+	})
+	if (cause === "unhealthy") link.unhealthyUntil = link.deps.clock.now() + UNHEALTHY_PAUSE_MS
+	const isNumberTaken = cause === "old"
+	const end: TaskEnd = isNumberTaken
+		? {type: "outnumbered", executor: link.record.id}
+		: {type: "returned", cause}
+	settleRun(link, run, end)
+}
+
+async function sendStop(link: LinkState, run: Run) {
+	const {orders, clock, fence} = link.deps
+	const {task, run: number} = run.req
+	while (!link.isClosed && isCurrent(link, run)) {
+		const reply = await orders.stop(link.record, {task, run: number, fence}, STOP_TIMEOUT_MS)
+		if (isOwnReply(link, reply, "stop")) {
+			run.answeredAt = clock.now()
+			return
+		}
+		await clock.sleep(STOP_RETRY_MS)
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/place/link-state.ts
@@ -0,0 +1,195 @@
+/**
+ * What a placer holds of one executor: its runs, its room, its clock, and whether it answers.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {ExecutorOrders, ExecutorRecord, HoldReply, StartReply} from "../types/executor.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
+import type {Run, TaskEnd, TaskRequest} from "./run.js"
+
+export interface LinkDeps {
+	readonly clock: Clock
+	readonly orders: ExecutorOrders
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly fence: number
+	/** The longest lease that an executor grants, in milliseconds. */
+	readonly maxLeaseMs: number
+	/** Called when room appeared or an executor became usable. */
+	readonly onRoom: () => void
+	/** Called when a higher fence was seen. */
+	readonly onFenced: () => void
+	readonly onRunEnd: (executor: string, run: Run, end: TaskEnd) => void
+}
+
+export interface LinkState {
+	readonly deps: LinkDeps
+	record: ExecutorRecord
+	readonly executorClock: ExecutorClock
+	readonly runs: Map<string, Run>
+	/** Runs there that nobody here started; while there are any, the free room is unknown. */
+	orphans: ReadonlySet<string>
+	readonly used: {cpu: number; memoryMb: number; accelerators: number}
+	/** Ends up to this serial are settled here. */
+	seenSerial: number
+	isFenceTaken: boolean
+	isRetired: boolean
+	isClosed: boolean
+	silentSince: number | undefined
+	unhealthyUntil: number
+}
+
+export function newLinkState(record: ExecutorRecord, deps: LinkDeps): LinkState {
+	return {
+		deps,
+		record,
+		executorClock: createExecutorClock(),
+		runs: new Map(),
+		orphans: new Set(),
+		used: {cpu: 0, memoryMb: 0, accelerators: 0},
+		seenSerial: 0,
+		isFenceTaken: false,
+		isRetired: false,
+		isClosed: false,
+		silentSince: undefined,
+		unhealthyUntil: -Infinity,
+	}
+}
+
+/** Whether new work may go there. */
+export function isUsable(link: LinkState): boolean {
+	return (
+		link.isFenceTaken &&
+		!link.isRetired &&
+		!link.isClosed &&
+		!link.record.isLeaving &&
+		link.silentSince === undefined &&
+		link.orphans.size === 0 &&
+		link.deps.clock.now() >= link.unhealthyUntil
+	)
+}
+
+export function freeCpu({record, used}: LinkState): number {
+	return record.capacity.cpu - used.cpu
+}
+
+export function hasRoom({record, used}: LinkState, {need}: TaskRequest): boolean {
+	const {capacity} = record
+	return (
+		used.cpu + need.cpu <= capacity.cpu &&
+		used.memoryMb + need.memoryMb <= capacity.memoryMb &&
+		used.accelerators + need.accelerators <= capacity.accelerators
+	)
+}
+
+function occupy({used}: LinkState, {need}: TaskRequest, sign: 1 | -1) {
+	used.cpu += sign * need.cpu
+	used.memoryMb += sign * need.memoryMb
+	used.accelerators += sign * need.accelerators
+}
+
+export function isCurrent(link: LinkState, run: Run): boolean {
+	return link.runs.get(run.req.task) === run
+}
+
+export function addRun(link: LinkState, run: Run) {
+	link.runs.set(run.req.task, run)
+	occupy(link, run.req, 1)
+}
+
+/** Ends a run here; its room is free from now on. */
+export function settleRun(link: LinkState, run: Run, end: TaskEnd) {
+	if (!isCurrent(link, run)) return
+	link.runs.delete(run.req.task)
+	occupy(link, run.req, -1)
+	link.deps.metrics.count("task_ends", end.type)
+	link.deps.onRunEnd(link.record.id, run, end)
+	run.onEnd(end)
+	link.deps.onRoom()
+}
+
+/** How a run without a result ended, by what was wanted of it. */
+export function lostOrStopped(link: LinkState, run: Run, cause: string): TaskEnd {
+	const executor = link.record.id
+	if (run.stopCause === "cancelled") return {type: "stopped"}
+	if (run.stopCause === "stuck") return {type: "failed", executor, cause: "stuck"}
+	return {type: "lost", executor, cause}
+}
+
+export function settleAllLost(link: LinkState, cause: string) {
+	for (const run of [...link.runs.values()]) settleRun(link, run, lostOrStopped(link, run, cause))
+}
+
+/** The end of the lease to ask for, on the executor's clock; undefined before its first answer. */
+export function nextLeaseUntil(link: LinkState): number | undefined {
+	const reading = link.executorClock.estimate(link.deps.clock.now())
+	if (reading === undefined) return undefined
+	const untilMs = Math.floor(reading + link.deps.maxLeaseMs)
+	link.executorClock.extend(untilMs)
+	return untilMs
+}
+
+export function noteSilence(link: LinkState, cause: string) {
+	if (link.silentSince !== undefined) return
+	link.silentSince = link.deps.clock.now()
+	const {id, address} = link.record
+	const fields = {executor: id, address, cause, count: link.runs.size}
+	link.deps.log.alarm("executor", "executor_silent", "executor: does not answer.", fields)
+}
+
+export function noteAnswering(link: LinkState) {
+	if (link.silentSince === undefined) return
+	const inputAgeMs = Math.round(link.deps.clock.now() - link.silentSince)
+	link.silentSince = undefined
+	const fields = {executor: link.record.id, inputAgeMs}
+	link.deps.log.event("executor", "executor_answers", "executor: answers again.", fields)
+}
+
+function noteReplaced(link: LinkState) {
+	const fields = {executor: link.record.id, count: link.runs.size}
+	const message = "executor: another life answers there."
+	link.deps.log.alarm("executor", "executor_replaced", message, fields)
+	closeLink(link)
+	settleAllLost(link, "replaced")
+}
+
+function noteFenced(link: LinkState, order: string) {
+	const {metrics, log, fence, onFenced} = link.deps
+	metrics.count("fences_lost", order)
+	const fields = {executor: link.record.id, fence, outcome: order}
+	log.alarm("executor", "fence_lost", "executor: a higher fence was seen there.", fields)
+	link.isClosed = true
+	onFenced()
+}
+
+export function closeLink(link: LinkState) {
+	if (link.isClosed) return
+	link.isClosed = true
+	link.isRetired = true
+	link.deps.orders.forget(link.record)
+}
+
+type OwnReply<T> = Exclude<T, {type: "fenced"} | {type: "replaced"} | {type: "silent"}>
+
+/** Handles what all orders' replies have in common; says whether the reply is the order's own. */
+export function isOwnReply<T extends StartReply | HoldReply | {readonly type: string}>(
+	link: LinkState,
+	reply: T,
+	order: "start" | "stop" | "hold",
+): reply is OwnReply<T> {
+	if (link.isClosed) return false
+	switch (reply.type) {
+		case "fenced":
+			noteFenced(link, order)
+			return false
+		case "replaced":
+			noteReplaced(link)
+			return false
+		case "silent":
+			link.deps.metrics.count("executor_orders_silent", order)
+			return false
+		default:
+			return true
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/place/run.ts
@@ -0,0 +1,56 @@
+/**
+ * One run of a task: what a placer was asked for, and how it ended.
+ */
+import type {TaskNeed} from "../types/job.js"
+
+/** Asks a placer to run a task once to an end. */
+export interface TaskRequest {
+	readonly job: string
+	/** The name that executors know the task by. */
+	readonly task: string
+	/** Rises with each run of the task. */
+	readonly run: number
+	readonly spec: string
+	readonly service: string
+	readonly need: TaskNeed
+	readonly estimateMs: number
+	/** Steady milliseconds: a start after this cannot meet the objective any more. */
+	readonly startBy: number
+	/** Steady milliseconds: nothing runs beyond it. */
+	readonly deadlineAt: number
+	readonly priority: number
+	readonly label?: string
+	readonly rack?: string
+	readonly maxPerExecutor?: number
+	/** Executors where it failed or was lost before. */
+	readonly avoid: readonly string[]
+	/** It came from another placer and is not handed on again. */
+	readonly isForeign: boolean
+}
+
+export type TaskEnd =
+	| {readonly type: "done"; readonly executor: string}
+	/** It ended as failed, by its own fault or the executor's. */
+	| {readonly type: "failed"; readonly executor: string; readonly cause: string}
+	/** It certainly runs no more, without a result. */
+	| {readonly type: "lost"; readonly executor: string; readonly cause: string}
+	/** It has not started here and will not. */
+	| {readonly type: "returned"; readonly cause: string}
+	/** A run with this number or a higher one has been there; a higher one is needed. */
+	| {readonly type: "outnumbered"; readonly executor: string}
+	| {readonly type: "stopped"}
+
+/** A run on an executor. */
+export interface Run {
+	readonly req: TaskRequest
+	readonly startedAt: number
+	state: "starting" | "running" | "stopping"
+	/** When the executor last answered an order about this run; undefined before the first answer. */
+	answeredAt: number | undefined
+	/** Why it is being stopped; undefined while nobody wants that. */
+	stopCause: "cancelled" | "stuck" | "uncertain" | undefined
+	percent: number
+	/** When `percent` last rose. */
+	progressAt: number
+	readonly onEnd: (end: TaskEnd) => void
+}
--- /dev/null
+++ b/packages/jobs/src/place/selection.ts
@@ -0,0 +1,73 @@
+/**
+ * Which executor a task should start on: the fastest that has room, packed tightly.
+ */
+import type {Health} from "@cottonwood/core"
+import {stepNameOf, type ExecutorLink} from "./executor-link.js"
+import type {TaskRequest} from "./run.js"
+
+/** Weights of what speaks against an executor: how slow it has been, and how much room would be left. */
+const SLOWNESS_WEIGHT = 1
+const LEFTOVER_WEIGHT = 0.3
+const AVOID_PENALTY = 10
+const OFF_RACK_PENALTY = 3
+/** How much one run moves the smoothed speed of its executor. */
+const SPEED_STEP = 0.15
+/** One run counts as at most this many times slower than its estimate. */
+const MAX_SLOWNESS = 4
+
+export interface Speeds {
+	/** Notes a run's time over its estimate. */
+	observe(executor: string, slowness: number): void
+	/** Smoothed time over estimate; 1 for an unknown executor. */
+	of(executor: string): number
+	forget(executor: string): void
+}
+
+export function createSpeeds(): Speeds {
+	const speeds = new Map<string, number>()
+	return {
+		observe(executor, slowness) {
+			const speed = speeds.get(executor) ?? 1
+			speeds.set(executor, speed + SPEED_STEP * (Math.min(MAX_SLOWNESS, slowness) - speed))
+		},
+		of: executor => speeds.get(executor) ?? 1,
+		forget: executor => void speeds.delete(executor),
+	}
+}
+
+function costOf(link: ExecutorLink, req: TaskRequest, speeds: Speeds): number {
+	const {id, capacity, labels} = link.record
+	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
+	let cost = SLOWNESS_WEIGHT * speeds.of(id) + LEFTOVER_WEIGHT * left
+	if (req.avoid.includes(id)) cost += AVOID_PENALTY
+	if (req.rack !== undefined && !labels.includes(req.rack)) cost += OFF_RACK_PENALTY
+	return cost
+}
+
+function isOpen(link: ExecutorLink, req: TaskRequest, health: Health): boolean {
+	const {record} = link
+	if (record.service !== req.service) return false
+	if (!link.isUsable() || !link.hasRoom(req)) return false
+	if (req.label !== undefined && !record.labels.includes(req.label)) return false
+	if (req.maxPerExecutor && link.countOf(stepNameOf(req.task)) >= req.maxPerExecutor) return false
+	return health.isUsable(record.id)
+}
+
+/** The best executor for a task now; undefined when none may take it. */
+export function chooseExecutor(
+	links: Iterable<ExecutorLink>,
+	req: TaskRequest,
+	health: Health,
+	speeds: Speeds,
+): ExecutorLink | undefined {
+	let best: ExecutorLink | undefined
+	let bestCost = Infinity
+	for (const link of links) {
+		if (!isOpen(link, req, health)) continue
+		const cost = costOf(link, req, speeds)
+		if (cost >= bestCost) continue
+		best = link
+		bestCost = cost
+	}
+	return best
+}
--- /dev/null
+++ b/packages/jobs/src/place/task-queue.ts
@@ -0,0 +1,92 @@
+/**
+ * What waits for room at a placer: tasks of one shape in groups, the most urgent group first.
+ *
+ * A group is a step's tasks that need the same; when one does not fit the others do not either. Groups
+ * go by the class of their urgency, then by the latest start that is still useful. A group that can no
+ * longer meet its objective goes behind all that can.
+ */
+import type {TaskEnd, TaskRequest} from "./run.js"
+
+export interface Waiting {
+	readonly req: TaskRequest
+	readonly since: number
+	readonly onEnd: (end: TaskEnd) => void
+	/** Called when it is started, with the run; it is no longer in the queue. */
+	readonly onStart: (stop: () => void) => void
+}
+
+export interface Group {
+	readonly key: string
+	readonly startBy: number
+	readonly waiting: Waiting[]
+}
+
+export interface TaskQueue {
+	push(item: Waiting): void
+	/** Whether it was waiting here. */
+	remove(item: Waiting): boolean
+	/** Groups in the order in which they should start. */
+	inOrder(now: number): readonly Group[]
+	/** Takes the first of a group out of the queue. */
+	take(group: Group): Waiting | undefined
+	size(): number
+	/** Core-milliseconds that wait. */
+	work(): number
+	expired(now: number): readonly Waiting[]
+}
+
+const workOf = ({need, estimateMs}: TaskRequest) => (need.cpu / 1_000) * estimateMs
+
+function groupKeyOf(req: TaskRequest): string {
+	const {job, need, label, rack} = req
+	return [job, need.cpu, need.memoryMb, need.accelerators, label, rack, req.avoid.join()].join("|")
+}
+
+export function createTaskQueue(): TaskQueue {
+	const groups = new Map<string, Group>()
+	let size = 0
+	let work = 0
+
+	function forget(item: Waiting) {
+		size--
+		work -= workOf(item.req)
+	}
+
+	return {
+		push(item) {
+			const key = groupKeyOf(item.req)
+			let group = groups.get(key)
+			if (!group) groups.set(key, (group = {key, startBy: item.req.startBy, waiting: []}))
+			group.waiting.push(item)
+			size++
+			work += workOf(item.req)
+		},
+		remove(item) {
+			const group = groups.get(groupKeyOf(item.req))
+			const index = group?.waiting.indexOf(item) ?? -1
+			if (!group || index < 0) return false
+			group.waiting.splice(index, 1)
+			forget(item)
+			if (group.waiting.length === 0) groups.delete(group.key)
+			return true
+		},
+		inOrder(now) {
+			const late = (group: Group) => (group.startBy < now ? 1 : 0)
+			return [...groups.values()].sort((a, b) => late(a) - late(b) || a.startBy - b.startBy)
+		},
+		take(group) {
+			const item = group.waiting.shift()
+			if (item) forget(item)
+			if (group.waiting.length === 0) groups.delete(group.key)
+			return item
+		},
+		size: () => size,
+		work: () => Math.max(0, work),
+		expired(now) {
+			const gone: Waiting[] = []
+			for (const group of groups.values())
+				for (const item of group.waiting) if (item.req.deadlineAt <= now) gone.push(item)
+			return gone
+		},
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/types/fleet.ts
@@ -0,0 +1,43 @@
+/**
+ * The fleet: its instances, and which of them places the tasks of each failure domain.
+ */
+
+/** One process of the fleet during one life. */
+export interface Member {
+	readonly name: string
+	/** Differs between two lives of an instance with the same name. */
+	readonly session: string
+	readonly failureDomain: string
+	/** Where peers reach it: host and port. */
+	readonly address: string
+}
+
+/** Who places the tasks of a failure domain's executors. */
+export interface Claim {
+	readonly failureDomain: string
+	/** Rises with each change of the placer; executors obey the highest. */
+	readonly fence: number
+	readonly placer: Member
+}
+
+/** What a placer tells of the room that it has. */
+export interface Room {
+	/** Free thousandths of a core of its freest usable executors, largest first. */
+	readonly freeCpu: readonly number[]
+	/** All thousandths of a core of its usable executors. */
+	readonly totalCpu: number
+	/** Core-milliseconds of work that wait there. */
+	readonly waitingWork: number
+	/** Labels and racks of its usable executors. */
+	readonly labels: readonly string[]
+}
+
+/** What instances tell each other; each answer to a beat is a beat of the other side. */
+export interface Beat {
+	readonly from: Member
+	readonly claims: readonly Claim[]
+	/** The room of the failure domains that the sender places, by name. */
+	readonly rooms: Readonly<Record<string, Room>>
+	readonly isLeaving: boolean
+	readonly configVersion: number
+}
--- /dev/null
+++ b/packages/jobs/src/types/job.ts
@@ -0,0 +1,52 @@
+/**
+ * A job whose answer is the answer to its submission: some steps of like tasks, each run once to its
+ * end on an executor.
+ */
+
+/** What a task takes of an executor while it runs. */
+export interface TaskNeed {
+	/** Thousandths of a core. */
+	readonly cpu: number
+	readonly memoryMb: number
+	readonly accelerators: number
+}
+
+export interface Step {
+	readonly count: number
+	readonly need: TaskNeed
+	/** The submitter's rough guess of one task's run time, in milliseconds. */
+	readonly estimateMs: number
+	/** Numbers of earlier steps whose tasks must all be done first. */
+	readonly after: readonly number[]
+	/** A label that the executor must have. */
+	readonly label?: string
+	/** The rack that holds the data; elsewhere the tasks take `remoteFactor` times as long. */
+	readonly rack?: string
+	/** At most this many tasks of the step on one executor at once. */
+	readonly maxPerExecutor?: number
+}
+
+export interface Job {
+	readonly id: string
+	readonly queue: string
+	/** Handed to the executors as it came. */
+	readonly spec: string
+	readonly steps: readonly Step[]
+	/** Steady milliseconds of this process. */
+	readonly receivedAt: number
+	/** Steady milliseconds; nothing runs and nobody waits beyond it. */
+	readonly deadlineAt: number
+}
+
+/** How a job ended, as its submitter is told. */
+export type JobEnd =
+	| {readonly type: "completed"}
+	/** A task failed as often as its queue allows. */
+	| {readonly type: "failed"; readonly cause: string}
+	/** No task of it has started or ever will. */
+	| {readonly type: "refused"; readonly kind: RefusalKind; readonly cause: string}
+	/** It was given up, and some task may have run. */
+	| {readonly type: "given up"; readonly kind: GiveUpKind; readonly cause: string}
+
+export type RefusalKind = "overloaded" | "no_capacity" | "draining" | "no_configuration"
+export type GiveUpKind = "deadline_exceeded" | "placer_lost" | "cancelled"
--- /dev/null
+++ b/packages/jobs/src/utils/log.ts
@@ -0,0 +1,173 @@
+/**
+ * Structured lines, one for each decision: JSON on standard output, written by winston.
+ *
+ * Writing never blocks the process. Lines go through a bounded buffer; a reader that stops costs
+ * lines, which are counted and named in a later line, never time. Lines of one kind above a rate are
+ * sampled, but not those that say what became of work that may have run.
+ */
+import {write} from "node:fs"
+import winston from "winston"
+import Transport from "winston-transport"
+
+/** The fixed prefixes, one for each part. */
+export type LogPart =
+	"instance" | "ingress" | "job" | "placer" | "executor" | "fleet" | "store" | "config"
+
+/** The fields of all lines, named once. Times are milliseconds. */
+export interface LogFields {
+	/** The job's id. */
+	readonly job?: string
+	readonly task?: string
+	readonly run?: number
+	readonly queue?: string
+	readonly executor?: string
+	readonly failureDomain?: string
+	readonly peer?: string
+	readonly fence?: number
+	readonly configVersion?: number
+	/** What was decided or happened. */
+	readonly outcome?: string
+	readonly cause?: string
+	/** How old the deciding input was. */
+	readonly inputAgeMs?: number
+	readonly tookMs?: number
+	readonly waitedMs?: number
+	readonly deadlineInMs?: number
+	readonly estimateMs?: number
+	readonly count?: number
+	readonly freeCpu?: number
+	readonly needCpu?: number
+	readonly waitingTasks?: number
+	readonly waitingWork?: number
+	readonly address?: string
+	readonly detail?: string
+}
+
+export interface EventLog {
+	/** Writes one line. `kind` groups lines for sampling and search. */
+	event(part: LogPart, kind: string, message: string, fields?: LogFields): void
+	/** Like `event`, and never sampled away. */
+	alarm(part: LogPart, kind: string, message: string, fields?: LogFields): void
+}
+
+export interface LogSettings {
+	readonly instance: string
+	/** Lines of one kind that are written whole in each second; 0 writes none but alarms. */
+	readonly linesPerKindPerSecond: number
+}
+
+/** Bytes that wait for a slow reader at most; a quarter of a percent of an instance's memory. */
+const BUFFER_BYTES = 1_000_000
+/** Above a kind's rate one line in this many is kept. */
+const SAMPLE_ONE_IN = 20
+const SECOND_MS = 1_000
+/** Lines are gathered this long before they are written: each write costs a thread's wake-up. */
+const FLUSH_MS = 100
+const STDOUT = 1
+
+/** Writes a descriptor without blocking the loop: one write at a time, the rest waits or is dropped. */
+class BoundedOutput extends Transport {
+	private chunks: string[] = []
+	private waitingBytes = 0
+	private isWriting = false
+	private isFlushDue = false
+	private dropped = 0
+
+	override log(info: Record<symbol, string>, next: () => void) {
+		const line = `${info[Symbol.for("message")]}\n`
+		if (this.waitingBytes + line.length > BUFFER_BYTES) this.dropped++
+		else {
+			this.chunks.push(line)
+			this.waitingBytes += line.length
+			this.flushSoon()
+		}
+		next()
+	}
+
+	private flushSoon() {
+		if (this.isFlushDue || this.isWriting) return
+		this.isFlushDue = true
+		setTimeout(() => this.flush(), FLUSH_MS).unref()
+	}
+
+	/** Writes what waits; the end of a process calls it too. */
+	flush() {
+		this.isFlushDue = false
+		if (this.isWriting || this.chunks.length === 0) return
+		this.isWriting = true
+		const text = this.chunks.join("") + this.describeDrops()
+		this.chunks = []
+		this.waitingBytes = 0
+		this.writeAll(Buffer.from(text))
+	}
+
+	private writeAll(bytes: Buffer) {
+		write(STDOUT, bytes, 0, bytes.length, null, (err, written) => {
+			// A closed or full output loses this chunk; there is nowhere left to say so.
+			const rest = err ? bytes.subarray(bytes.length) : bytes.subarray(written)
+			if (rest.length > 0) return this.writeAll(rest)
+			this.isWriting = false
+			if (this.chunks.length > 0) this.flushSoon()
+		})
+	}
+
+	private describeDrops(): string {
+		if (this.dropped === 0) return ""
+		const line = {level: "warn", part: "instance", kind: "lines_dropped", count: this.dropped}
+		this.dropped = 0
+		return `${JSON.stringify(line)}\n`
+	}
+}
+
+interface KindRate {
+	since: number
+	lines: number
+	skipped: number
+}
+
+/**
+ * Creates the log of a process.
+ *
+ * @example log.event("job", "accepted", "job: accepted.", {job: id, queue: "orders"})
+ */
+export function createEventLog(
+	settings: LogSettings,
+	output: Transport = new BoundedOutput(),
+): EventLog {
+	const {combine, timestamp, json} = winston.format
+	const logger = winston.createLogger({
+		defaultMeta: {instance: settings.instance},
+		format: combine(timestamp(), json()),
+		transports: [output],
+	})
+	const rates = new Map<string, KindRate>()
+
+	function isKept(kind: string): KindRate | undefined {
+		const now = performance.now()
+		let rate = rates.get(kind)
+		if (!rate) rates.set(kind, (rate = {since: now, lines: 0, skipped: 0}))
+		if (now - rate.since > SECOND_MS) {
+			rate.since = now
+			rate.lines = 0
+		}
+		rate.lines++
+		if (rate.lines <= settings.linesPerKindPerSecond) return rate
+		if (settings.linesPerKindPerSecond > 0 && rate.lines % SAMPLE_ONE_IN === 0) return rate
+		rate.skipped++
+		return undefined
+	}
+
+	return {
+		event(part, kind, message, fields = {}) {
+			const rate = isKept(kind)
+			if (!rate) return
+			const sampledOut = rate.skipped > 0 ? {sampledOut: rate.skipped} : {}
+			rate.skipped = 0
+			logger.info(message, {part, kind, ...fields, ...sampledOut})
+		},
+		alarm: (part, kind, message, fields = {}) => void logger.warn(message, {part, kind, ...fields}),
+	}
+}
+
+/** A log that keeps nothing; for tests of other things. */
+export const silentLog: EventLog = Object.freeze({event: () => undefined, alarm: () => undefined})
--- /dev/null
+++ b/packages/jobs/src/utils/metrics.ts
@@ -0,0 +1,89 @@
+/**
+ * The metrics of a process: counters by reason, latencies, and gauges that are read when asked for.
+ */
+import {Counter, Gauge, Histogram, Registry} from "prom-client"
+
+export interface JobMetrics {
+	/** Counts one event; `reason` is one of a closed set of words. */
+	count(name: CounterName, reason?: string, by?: number): void
+	/** Records a duration in milliseconds. */
+	observe(name: TimingName, ms: number): void
+	/** Calls `read` whenever the figures are asked for. */
+	gauge(name: GaugeName, read: () => number): void
+	/** All figures as text. */
+	text(): Promise<string>
+}
+
+export const COUNTERS = Object.freeze({
+	jobs_received: "Jobs that callers handed in, by queue kind",
+	jobs_ended: "Jobs answered, by how they ended",
+	jobs_refused: "Jobs refused without having run, by reason",
+	bad_requests: "Calls that do not follow the contract, by reason",
+	task_starts: "Start orders, by their reply",
+	task_ends: "Runs that ended, by how",
+	task_retries: "Runs started again, by reason",
+	tasks_handed_over: "Tasks handed to another failure domain's placer, by outcome",
+	executor_orders_silent: "Orders to executors without an answer, by order",
+	executors_aside: "Executors set aside or taken back, by direction",
+	store_calls: "Calls to the key-value service, by call and outcome",
+	claims: "Failure domains claimed, by outcome",
+	fences_lost: "Orders refused since a higher fence was seen, by order",
+	peer_calls: "Calls to peers, by call and outcome",
+	broken_assumptions: "Things that should not happen, by name",
+	orphan_runs: "Runs found on executors that nobody here started, by outcome",
+} as const)
+export type CounterName = keyof typeof COUNTERS
+
+export const TIMINGS = Object.freeze({
+	job_ms: "From a job's arrival to its answer",
+	first_start_ms: "From a job's arrival to its first start",
+	run_ms: "From a start's reply to the news of its end",
+	queue_wait_ms: "From a task's arrival at a placer to its start",
+	store_call_ms: "Calls to the key-value service",
+	start_order_ms: "Start orders to executors",
+	loop_delay_ms: "How late a timer of the process fires",
+} as const)
+export type TimingName = keyof typeof TIMINGS
+
+export type GaugeName =
+	| "tasks_waiting"
+	| "tasks_running"
+	| "executors_usable"
+	| "claims_held"
+	| "config_version"
+	| "store_silent_ms"
+	| "placer_silent_ms"
+
+const PREFIX = "cottonwood_"
+/** Around the objectives of sub-second tasks. */
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000]
+
+export function createJobMetrics(): JobMetrics {
+	const registry = new Registry()
+	const counters = new Map<string, Counter>()
+	for (const [name, help] of Object.entries(COUNTERS)) {
+		const options = {name: PREFIX + name, help, labelNames: ["reason"], registers: [registry]}
+		counters.set(name, new Counter(options))
+	}
+	const timings = new Map<string, Histogram>()
+	for (const [name, help] of Object.entries(TIMINGS)) {
+		const options = {name: PREFIX + name, help, buckets: BUCKETS_MS, registers: [registry]}
+		timings.set(name, new Histogram(options))
+	}
+	return {
+		count: (name, reason = "all", by = 1) => counters.get(name)?.inc({reason}, by),
+		observe: (name, ms) => timings.get(name)?.observe(ms),
+		gauge(name, read) {
+			const options = {
+				name: PREFIX + name,
+				help: name.replaceAll("_", " "),
+				registers: [registry],
+				collect(this: Gauge) {
+					this.set(read())
+				},
+			}
+			new Gauge(options)
+		},
+		text: () => registry.metrics(),
+	}
+}
--- /dev/null
+++ b/packages/standins/src/leased/edges.ts
@@ -0,0 +1,187 @@
+/**
+ * Real instances of the program on loopback, against the stand-in of the users' platform.
+ */
+import {spawn, type ChildProcess} from "node:child_process"
+import {mkdtempSync, rmSync, writeFileSync} from "node:fs"
+import {createServer} from "node:net"
+import type {AddressInfo} from "node:net"
+import {tmpdir} from "node:os"
+import {join} from "node:path"
+import {fileURLToPath} from "node:url"
+import {request} from "undici"
+import {HOST, PREFIX, type LeasedPlatform} from "./platform.js"
+import type {StandInSpec} from "./wire-executor.js"
+
+const PROGRAM = fileURLToPath(new URL("../../../../platform/dist/bin.js", import.meta.url))
+const READY_POLL_MS = 50
+const READY_TRIES = 200
+
+export interface Edge {
+	readonly name: string
+	readonly failureDomain: string
+	readonly callers: string
+	readonly readiness: string
+	readonly child: ChildProcess
+	/** The structured lines that it has written. */
+	readonly lines: readonly Readonly<Record<string, unknown>>[]
+	readonly exited: Promise<number | null>
+}
+
+export interface EdgeFleet {
+	readonly edges: readonly Edge[]
+	/** Starts one more instance. */
+	start(name: string, failureDomain: string): Promise<Edge>
+	/** Starts an instance again with the name and addresses that it had. */
+	restart(edge: Edge): Promise<Edge>
+	close(): Promise<void>
+}
+
+export interface EdgeAnswer {
+	readonly status: number
+	readonly body: unknown
+	readonly retryAfter: string | undefined
+}
+
+async function freePort(): Promise<number> {
+	const server = createServer()
+	await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+	const {port} = server.address() as AddressInfo
+	await new Promise(resolve => server.close(resolve))
+	return port
+}
+
+function settingsOf(
+	name: string,
+	failureDomain: string,
+	platform: LeasedPlatform,
+	ports: readonly number[],
+): object {
+	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
+	return {
+		node: name,
+		ip: "127.0.0.1",
+		zone: failureDomain,
+		zones: Object.fromEntries(domains.map(domain => [domain, "region"])),
+		listen: {front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}`},
+		"port-range": [ports[2], ports[2]],
+		orders: "rpc",
+		platform: {address: platform.storeAddress},
+		bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
+	}
+}
+
+function follow(child: ChildProcess, lines: Record<string, unknown>[]) {
+	let rest = ""
+	child.stdout?.on("data", (chunk: Buffer) => {
+		const parts = (rest + chunk.toString("utf8")).split("\n")
+		rest = parts.pop() ?? ""
+		for (const part of parts) lines.push(JSON.parse(part) as Record<string, unknown>)
+	})
+}
+
+async function untilReady(edge: Edge) {
+	for (let tries = 0; tries < READY_TRIES; tries++) {
+		if (await isReady(edge)) return
+		await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
+	}
+	throw new Error(`${edge.name} did not become ready`)
+}
+
+export async function isReady(edge: Edge): Promise<boolean> {
+	try {
+		const res = await request(`http://${edge.readiness}/ready`)
+		await res.body.dump()
+		return res.statusCode === 200
+	} catch {
+		return false
+	}
+}
+
+/** Hands a job of like tasks in; rejects when the connection breaks. */
+export async function handIn(
+	edge: Edge,
+	id: string,
+	options: {
+		readonly count?: number
+		readonly cpu?: number
+		readonly estimateMs?: number
+		readonly deadlineMs?: number
+		readonly spec?: Partial<StandInSpec>
+		readonly body?: object
+		readonly signal?: AbortSignal
+	} = {},
+): Promise<EdgeAnswer> {
+	const cpu = options.cpu ?? 27_000
+	const spec: StandInSpec = {workMs: 60, cpu, ...options.spec}
+	const estimate = options.estimateMs ?? spec.workMs
+	const step = {count: options.count ?? 1, cpu, "mem-mb": 64, "est-ms": estimate}
+	const body = {spec: JSON.stringify(spec), steps: [step], "best-effort": true, ...options.body}
+	const res = await request(`http://${edge.callers}${PREFIX}${id}`, {
+		method: "POST",
+		headers: {
+			host: HOST,
+			"content-type": "application/json",
+			"x-deadline-ms": String(options.deadlineMs ?? 3_000),
+		},
+		body: JSON.stringify(body),
+		signal: options.signal,
+	})
+	const text = await res.body.text()
+	return {
+		status: res.statusCode,
+		body: text === "" ? undefined : JSON.parse(text),
+		retryAfter: res.headers["retry-after"]?.toString(),
+	}
+}
+
+export async function startEdges(
+	platform: LeasedPlatform,
+	names: readonly (readonly [name: string, failureDomain: string])[],
+	nodeArgs: readonly string[] = [],
+): Promise<EdgeFleet> {
+	const folder = mkdtempSync(join(tmpdir(), "cottonwood-edges-"))
+	const edges: Edge[] = []
+
+	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
+		const file = join(folder, `${name}.json`)
+		writeFileSync(file, JSON.stringify(settingsOf(name, failureDomain, platform, ports)))
+		const env = {...process.env, COTTONWOOD_CONFIG: file}
+		const child = spawn(process.execPath, [...nodeArgs, PROGRAM, "edge"], {
+			env,
+			stdio: ["ignore", "pipe", "inherit"],
+		})
+		const lines: Record<string, unknown>[] = []
+		follow(child, lines)
+		const exited = new Promise<number | null>(resolve => child.once("exit", resolve))
+		const callers = `127.0.0.1:${ports[0]}`
+		const readiness = `127.0.0.1:${ports[1]}`
+		const edge: Edge = {name, failureDomain, callers, readiness, child, lines, exited}
+		edges.push(edge)
+		return edge
+	}
+
+	async function start(name: string, failureDomain: string): Promise<Edge> {
+		const ports = [await freePort(), await freePort(), await freePort()]
+		const edge = launch(name, failureDomain, ports)
+		await untilReady(edge)
+		return edge
+	}
+
+	await Promise.all(names.map(([name, failureDomain]) => start(name, failureDomain)))
+	return {
+		edges,
+		start,
+		async restart(edge) {
+			const portOf = (address: string) => Number(address.split(":")[1])
+			const ports = [portOf(edge.callers), portOf(edge.readiness), await freePort()]
+			const next = launch(edge.name, edge.failureDomain, ports)
+			await untilReady(next)
+			return next
+		},
+		async close() {
+			for (const {child} of edges) child.kill("SIGKILL")
+			await Promise.all(edges.map(({exited}) => exited))
+			rmSync(folder, {recursive: true, force: true})
+		},
+	}
+}
--- /dev/null
+++ b/packages/standins/src/leased/platform.ts
@@ -0,0 +1,155 @@
+/**
+ * The users' platform on loopback: the store, executors in failure domains, the operator, and a judge
+ * that watches every start for what must never be.
+ */
+import {createServer, type IncomingMessage, type Server} from "node:http"
+import type {AddressInfo} from "node:net"
+import {WireExecutor, type ExecutorEvents} from "./wire-executor.js"
+import {WireStore} from "./wire-store.js"
+
+export interface LeasedPlatformOptions {
+	readonly failureDomains: readonly string[]
+	readonly executorsPerDomain: number
+	/** Thousandths of a core of each executor. */
+	readonly capacityCpu?: number
+}
+
+export interface HostedExecutor {
+	executor: WireExecutor
+	readonly failureDomain: string
+	readonly address: string
+	readonly server: Server
+}
+
+export interface LeasedPlatform {
+	readonly store: WireStore
+	readonly storeAddress: string
+	readonly executors: readonly HostedExecutor[]
+	/** Rules that were broken so far. */
+	readonly violations: readonly string[]
+	/** Runs begun so far, by task. */
+	startsOf(task: string): number
+	putConfig(version: number, changes?: object): void
+	/** The executor's process dies; another life begins at the same address. */
+	restart(hosted: HostedExecutor): void
+	close(): Promise<void>
+}
+
+export const HOST = "orders.example"
+export const PREFIX = "/orders/"
+export const QUEUE = "orders"
+const SERVICE = "svc"
+const BEAT_MS = 500
+
+function readBody(req: IncomingMessage): Promise<string> {
+	return new Promise(resolve => {
+		const chunks: Buffer[] = []
+		req.on("data", (chunk: Buffer) => chunks.push(chunk))
+		req.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")))
+	})
+}
+
+async function listen(server: Server): Promise<string> {
+	await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+/** Watches all executors for two runs of one task at once. */
+function createJudge() {
+	const violations: string[] = []
+	const running = new Map<string, Set<string>>()
+	const starts = new Map<string, number>()
+	const events: ExecutorEvents = {
+		onStart(executor, task, run) {
+			const now = running.get(task) ?? new Set()
+			if (now.size > 0) violations.push(`TWICE: ${task} runs at ${[...now].join()} and ${executor}`)
+			now.add(`${executor}/${run}`)
+			running.set(task, now)
+			starts.set(task, (starts.get(task) ?? 0) + 1)
+		},
+		onEnd: (executor, task, run) => void running.get(task)?.delete(`${executor}/${run}`),
+		onBroken: rule => void violations.push(rule),
+	}
+	return {violations, starts, events}
+}
+
+export async function startLeasedPlatform(options: LeasedPlatformOptions): Promise<LeasedPlatform> {
+	const capacityCpu = options.capacityCpu ?? 64_000
+	const store = new WireStore()
+	const judge = createJudge()
+	const executors: HostedExecutor[] = []
+	let serial = 0
+	const storeServer = createServer((req, res) => {
+		void readBody(req).then(body => store.handle(req, body, res))
+	})
+	const storeAddress = await listen(storeServer)
+
+	const newExecutor = () => new WireExecutor(`i-${++serial}`, capacityCpu, judge.events)
+
+	function beat({executor, address, failureDomain}: HostedExecutor) {
+		store.write(`servers/${executor.id}`, {
+			service: SERVICE,
+			address,
+			zone: failureDomain,
+			version: "v1",
+			slots: 8,
+			state: "ready",
+			capacity: {cpu: capacityCpu, "mem-mb": 131_072, gpu: 0},
+			labels: ["a", `r-${failureDomain}`],
+			"clock-ms": executor.clock(),
+			seq: serial,
+		})
+	}
+
+	for (const failureDomain of options.failureDomains)
+		for (let at = 0; at < options.executorsPerDomain; at++) {
+			const server = createServer((req, res) => {
+				void readBody(req).then(body => hosted.executor.handle(req, body, res))
+			})
+			const address = await listen(server)
+			const hosted: HostedExecutor = {executor: newExecutor(), failureDomain, address, server}
+			executors.push(hosted)
+			beat(hosted)
+		}
+	const beats = setInterval(() => {
+		if (store.faults.down === undefined) for (const hosted of executors) beat(hosted)
+	}, BEAT_MS)
+
+	return {
+		store,
+		storeAddress,
+		executors,
+		violations: judge.violations,
+		startsOf: task => judge.starts.get(task) ?? 0,
+		putConfig(version, changes = {}) {
+			const route = {
+				name: QUEUE,
+				host: HOST,
+				"path-prefix": PREFIX,
+				service: SERVICE,
+				priority: 0,
+				"max-attempts": 2,
+				stretch: 1.6,
+				"slo-ms": 60,
+			}
+			const services = [{name: SERVICE, "enforces-capacity": false}]
+			store.write("op/config", {version, routes: [route], services, ...changes})
+		},
+		restart(hosted) {
+			store.remove(`servers/${hosted.executor.id}`)
+			hosted.executor.crash()
+			hosted.executor = newExecutor()
+			beat(hosted)
+		},
+		async close() {
+			clearInterval(beats)
+			store.close()
+			const servers = [storeServer, ...executors.map(({server}) => server)]
+			for (const {executor} of executors) executor.crash()
+			for (const server of servers) {
+				server.closeAllConnections()
+				await new Promise(resolve => server.close(resolve))
+			}
+		},
+	}
+}
--- /dev/null
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -0,0 +1,219 @@
+/**
+ * A stand-in of the users' executors: fences, run numbers, leases on its own steady clock, lists of
+ * what runs and what ended, and the ways in which executors fail.
+ *
+ * It judges the product while it runs: see `violations`.
+ */
+import type {IncomingMessage, ServerResponse} from "node:http"
+
+export interface ExecutorFaults {
+	/** Nothing is answered, and nothing done. */
+	mute?: boolean
+	/** Orders are done and not answered. */
+	loseAnswers?: boolean
+	/** The next so many starts are not answered, and done so much later. */
+	lateStarts?: {count: number; delayMs: number}
+	/** Tasks end as failed. */
+	failAll?: boolean
+	/** Tasks make no progress. */
+	hang?: boolean
+	/** Starts are refused as by an unhealthy executor. */
+	unhealthy?: boolean
+	/** Tasks take so many times as long. */
+	slowness?: number
+}
+
+interface Running {
+	readonly task: string
+	readonly run: number
+	readonly cpu: number
+	readonly startedAt: number
+	readonly workMs: number
+	readonly cancel: () => void
+}
+
+/** What one executor tells the judge of all. */
+export interface ExecutorEvents {
+	onStart(executor: string, task: string, run: number): void
+	onEnd(executor: string, task: string, run: number, how: string): void
+	onBroken(rule: string): void
+}
+
+/** What the stand-in's specs say; the product hands them on unread. */
+export interface StandInSpec {
+	readonly workMs: number
+	readonly cpu: number
+	readonly fails?: boolean
+}
+
+interface Order {
+	readonly task: string
+	readonly run: number
+	readonly spec: string
+	readonly fence: number
+	readonly "deadline-ms"?: number
+	readonly "last-seen"?: number
+	readonly "wait-ms"?: number
+}
+
+const MAX_LEASE_MS = 1_000
+const STOP_MS = 5
+
+export class WireExecutor {
+	readonly faults: ExecutorFaults = {}
+	/** Starts that were carried out. */
+	starts = 0
+	private readonly clockOffset = Math.floor(Math.random() * 1e6)
+	private readonly running = new Map<string, Running>()
+	private readonly lastRun = new Map<string, number>()
+	private finished: [number, string, number, string, string][] = []
+	private serial = 0
+	private highestFence = 0
+	private leaseUntil = 0
+	private readonly leaseTimer = setInterval(() => this.checkLease(), 10)
+	private readonly waiting = new Set<() => void>()
+
+	constructor(
+		readonly id: string,
+		private readonly capacityCpu: number,
+		private readonly events: ExecutorEvents,
+	) {}
+
+	clock(): number {
+		return Math.floor(performance.now() + this.clockOffset)
+	}
+
+	runningCount(): number {
+		return this.running.size
+	}
+
+	/** Its process dies with all that runs there. */
+	crash() {
+		clearInterval(this.leaseTimer)
+		for (const run of [...this.running.values()]) this.drop(run, "crashed")
+		for (const resolve of this.waiting) resolve()
+	}
+
+	async handle(req: IncomingMessage, body: string, res: ServerResponse) {
+		if (this.faults.mute) return
+		const expected = req.headers["x-expect-instance"]
+		if (expected !== undefined && expected !== this.id) return this.answer(res, 421, {})
+		const order = JSON.parse(body || "{}") as Order
+		const late = this.faults.lateStarts
+		if (req.url === "/run-start" && late && late.count > 0) {
+			late.count--
+			setTimeout(() => this.carryOut(req.url ?? "", order), late.delayMs)
+			return
+		}
+		if (req.url === "/hold") return this.answerHold(order, res)
+		const [status, answer] = this.carryOut(req.url ?? "", order)
+		if (!this.faults.loseAnswers) this.answer(res, status, answer)
+	}
+
+	private answer(res: ServerResponse, status: number, body: object) {
+		res.writeHead(status, {"content-type": "application/json"})
+		res.end(JSON.stringify({"clock-ms": this.clock(), ...body}))
+	}
+
+	private carryOut(path: string, order: Order): [number, object] {
+		const fence = order.fence ?? 0
+		if (fence < this.highestFence) return [409, {reason: "fence"}]
+		this.highestFence = fence
+		if (path === "/run-start") return this.startTask(order)
+		if (path === "/run-stop") return this.stopTask(order)
+		return [404, {}]
+	}
+
+	private extend(deadlineMs: number | undefined) {
+		if (deadlineMs === undefined) return
+		this.leaseUntil = Math.max(this.leaseUntil, Math.min(deadlineMs, this.clock() + MAX_LEASE_MS))
+	}
+
+	private startTask(order: Order): [number, object] {
+		const {task, run} = order
+		if (this.faults.unhealthy) return [503, {}]
+		if ((order["deadline-ms"] ?? 0) <= this.clock()) return [409, {reason: "late"}]
+		this.extend(order["deadline-ms"])
+		if (this.running.get(task)?.run === run) return [200, {}]
+		if (run <= (this.lastRun.get(task) ?? 0)) return [409, {reason: "old"}]
+		this.begin(order)
+		return [200, {}]
+	}
+
+	private begin({task, run, spec}: Order) {
+		const {workMs, cpu, fails} = JSON.parse(spec) as StandInSpec
+		this.lastRun.set(task, run)
+		this.starts++
+		const takesMs = workMs * (this.faults.slowness ?? 1)
+		const ends = fails || this.faults.failAll ? "failed" : "done"
+		const timer = this.faults.hang
+			? undefined
+			: setTimeout(() => this.end(task, run, ends), takesMs)
+		const cancel = () => clearTimeout(timer)
+		const startedAt = this.clock()
+		this.running.set(task, {task, run, cpu, startedAt, workMs: takesMs, cancel})
+		this.events.onStart(this.id, task, run)
+		let used = 0
+		for (const running of this.running.values()) used += running.cpu
+		if (used > this.capacityCpu) this.events.onBroken(`LIMIT at ${this.id}: ${used}`)
+	}
+
+	private stopTask({task, run}: Order): [number, object] {
+		const running = this.running.get(task)
+		if (running?.run === run) {
+			running.cancel()
+			setTimeout(() => this.end(task, run, "stopped"), STOP_MS)
+		}
+		this.lastRun.set(task, Math.max(this.lastRun.get(task) ?? 0, run))
+		return [200, {}]
+	}
+
+	private drop(run: Running, how: string) {
+		run.cancel()
+		this.running.delete(run.task)
+		this.events.onEnd(this.id, run.task, run.run, how)
+	}
+
+	private end(task: string, run: number, how: string) {
+		const running = this.running.get(task)
+		if (running?.run !== run) return
+		this.drop(running, how)
+		this.finished.push([++this.serial, task, run, how, ""])
+		for (const resolve of this.waiting) resolve()
+		this.waiting.clear()
+	}
+
+	private checkLease() {
+		if (this.running.size === 0 || this.clock() <= this.leaseUntil) return
+		for (const {task, run} of [...this.running.values()]) this.end(task, run, "lapsed")
+	}
+
+	private rows() {
+		const now = this.clock()
+		return [...this.running.values()].map(({task, run, startedAt, workMs}) => {
+			const percent = this.faults.hang ? 0 : Math.floor(((now - startedAt) / workMs) * 100)
+			return [task, run, "", Math.min(99, percent)]
+		})
+	}
+
+	private async answerHold(order: Order, res: ServerResponse) {
+		if ((order.fence ?? 0) < this.highestFence) return this.answer(res, 409, {reason: "fence"})
+		this.highestFence = order.fence ?? 0
+		this.extend(order["deadline-ms"])
+		this.finished = this.finished.filter(([serial]) => serial > (order["last-seen"] ?? 0))
+		if (this.finished.length === 0) await this.nextEnd(order["wait-ms"] ?? 0)
+		if (this.faults.mute || this.faults.loseAnswers) return
+		this.answer(res, 200, {running: this.rows(), finished: this.finished})
+	}
+
+	private nextEnd(ms: number): Promise<void> {
+		return new Promise(resolve => {
+			const wake = () => {
+				clearTimeout(timer)
+				resolve()
+			}
+			const timer = setTimeout(wake, ms)
+			this.waiting.add(wake)
+		})
+	}
+}
--- /dev/null
+++ b/packages/standins/src/leased/wire-store.ts
@@ -0,0 +1,237 @@
+/**
+ * A stand-in of the users' key-value service: revisions, transactions, leases and waiting watches, and
+ * the ways in which the service fails.
+ */
+import type {IncomingMessage, ServerResponse} from "node:http"
+
+interface Item {
+	readonly key: string
+	readonly value: string
+	readonly rev: number
+	readonly created: number
+	readonly lease: number
+}
+
+interface Change {
+	readonly rev: number
+	readonly key: string
+	readonly item: Item | undefined
+}
+
+interface Lease {
+	readonly ttlMs: number
+	expiresAt: number
+}
+
+/** How the service misbehaves at the moment. */
+export interface StoreFaults {
+	/** Every call gets no answer, or 503. */
+	down?: "silent" | "busy"
+	/** Milliseconds that each answer takes longer. */
+	slowMs?: number
+	/** The next so many writes are done and not answered. */
+	loseAnswers?: number
+}
+
+interface TxnBody {
+	readonly "expected-rev"?: readonly {readonly key: string; readonly rev: number}[]
+	readonly puts?: readonly {readonly key: string; readonly value: string; readonly lease?: number}[]
+	readonly remove?: readonly string[]
+}
+
+const PAGE_ITEMS = 500
+const SWEEP_MS = 50
+const MAX_ENTRIES = 32
+
+export class WireStore {
+	readonly faults: StoreFaults = {}
+	/** Calls by path, for tests that count them. */
+	readonly calls = new Map<string, number>()
+	private readonly items = new Map<string, Item>()
+	private readonly leases = new Map<number, Lease>()
+	private changes: Change[] = []
+	private oldestKept = 0
+	private revision = 0
+	private leaseSerial = 0
+	private readonly waiting = new Set<() => void>()
+	private readonly sweeper = setInterval(() => this.sweep(), SWEEP_MS)
+
+	/** Writes as the operator or an executor would. */
+	write(key: string, value: unknown) {
+		this.set(key, Buffer.from(JSON.stringify(value)).toString("base64"), 0)
+		this.wake()
+	}
+
+	remove(key: string) {
+		this.unset(key)
+		this.wake()
+	}
+
+	read(key: string): unknown {
+		const item = this.items.get(key)
+		return item && JSON.parse(Buffer.from(item.value, "base64").toString("utf8"))
+	}
+
+	/** Forgets what changed before now, as a compaction does. */
+	forgetHistory() {
+		this.changes = []
+		this.oldestKept = this.revision
+		this.wake()
+	}
+
+	close() {
+		clearInterval(this.sweeper)
+		this.wake()
+	}
+
+	async handle(req: IncomingMessage, body: string, res: ServerResponse) {
+		const url = new URL(req.url ?? "/", "http://store")
+		const [, call = "", id = ""] = url.pathname.split("/")
+		this.calls.set(call, (this.calls.get(call) ?? 0) + 1)
+		if (this.faults.down === "silent") return
+		if (this.faults.down === "busy") return void this.answer(res, 503, {error: "down"})
+		if (this.faults.slowMs) await sleep(this.faults.slowMs)
+		const query = url.searchParams
+		switch (call) {
+			case "kv-key":
+				return this.answerKey(res, query.get("key") ?? "")
+			case "kv-range":
+				return this.answerRange(res, query)
+			case "kv-watch":
+				return this.answerWatch(res, query)
+			case "kv-txn":
+				return this.answerTxn(res, JSON.parse(body) as TxnBody)
+			case "kv-lease":
+				return this.answerLease(res, (JSON.parse(body) as {"ttl-ms": number})["ttl-ms"])
+			case "kv-keep":
+				return this.answerKeep(res, Number(id))
+			case "kv-lease-end":
+				this.endLease(Number(id))
+				return this.answer(res, 200, {})
+			default:
+				return this.answer(res, 404, {error: "no such call"})
+		}
+	}
+
+	private answer(res: ServerResponse, status: number, body: object) {
+		res.writeHead(status, {"content-type": "application/json"})
+		res.end(JSON.stringify(body))
+	}
+
+	private answerKey(res: ServerResponse, key: string) {
+		const item = this.items.get(key)
+		if (item) this.answer(res, 200, {...item, "at-rev": this.revision})
+		else this.answer(res, 404, {"at-rev": this.revision})
+	}
+
+	private answerRange(res: ServerResponse, query: URLSearchParams) {
+		const prefix = query.get("path-prefix") ?? ""
+		const after = query.get("after-rev") ?? ""
+		const found = [...this.items.values()]
+			.filter(({key}) => key.startsWith(prefix) && key > after)
+			.sort((a, b) => (a.key < b.key ? -1 : 1))
+		const items = found.slice(0, PAGE_ITEMS)
+		this.answer(res, 200, {
+			items,
+			"has-more": found.length > items.length,
+			"at-rev": this.revision,
+		})
+	}
+
+	private async answerWatch(res: ServerResponse, query: URLSearchParams) {
+		const prefix = query.get("path-prefix") ?? ""
+		const after = Number(query.get("after-rev"))
+		const until = performance.now() + Number(query.get("wait-ms"))
+		for (;;) {
+			if (after < this.oldestKept) return this.answer(res, 410, {})
+			const seen = this.changes.filter(({rev, key}) => rev > after && key.startsWith(prefix))
+			const leftMs = until - performance.now()
+			if (seen.length > 0 || leftMs <= 0) {
+				const events = seen.map(({key, rev, item}) => item ?? {key, rev, deleted: true})
+				return this.answer(res, 200, {events, "at-rev": this.revision})
+			}
+			await this.nextChange(leftMs)
+			if (res.destroyed) return
+		}
+	}
+
+	private answerTxn(res: ServerResponse, body: TxnBody) {
+		const conditions = body["expected-rev"] ?? []
+		const puts = body.puts ?? []
+		const removed = body.remove ?? []
+		if (conditions.length + puts.length + removed.length > MAX_ENTRIES)
+			return this.answer(res, 400, {error: "over 32 entries"})
+		const isMet = conditions.every(({key, rev}) => (this.items.get(key)?.rev ?? 0) === rev)
+		if (!isMet) {
+			const items = conditions.map(({key}) => this.items.get(key)).filter(Boolean)
+			return this.answer(res, 412, {items, "at-rev": this.revision})
+		}
+		const leases = puts.map(({lease}) => lease ?? 0)
+		if (leases.some(lease => lease !== 0 && !this.leases.has(lease)))
+			return this.answer(res, 404, {error: "no lease"})
+		for (const {key, value, lease} of puts) this.set(key, value, lease ?? 0)
+		for (const key of removed) this.unset(key)
+		this.wake()
+		if (this.faults.loseAnswers) {
+			this.faults.loseAnswers--
+			return
+		}
+		this.answer(res, 200, {rev: this.revision})
+	}
+
+	private answerLease(res: ServerResponse, ttlMs: number) {
+		const lease = ++this.leaseSerial
+		this.leases.set(lease, {ttlMs, expiresAt: performance.now() + ttlMs})
+		this.answer(res, 200, {lease, "ttl-ms": ttlMs})
+	}
+
+	private answerKeep(res: ServerResponse, id: number) {
+		const lease = this.leases.get(id)
+		if (!lease) return this.answer(res, 404, {})
+		lease.expiresAt = performance.now() + lease.ttlMs
+		this.answer(res, 200, {lease: id, "ttl-ms": lease.ttlMs})
+	}
+
+	private set(key: string, value: string, lease: number) {
+		const rev = ++this.revision
+		const created = this.items.get(key)?.created ?? rev
+		const item = {key, value, rev, created, lease}
+		this.items.set(key, item)
+		this.changes.push({rev, key, item})
+	}
+
+	private unset(key: string) {
+		if (!this.items.delete(key)) return
+		this.changes.push({rev: ++this.revision, key, item: undefined})
+	}
+
+	private endLease(id: number) {
+		this.leases.delete(id)
+		for (const item of [...this.items.values()]) if (item.lease === id) this.unset(item.key)
+		this.wake()
+	}
+
+	private sweep() {
+		const now = performance.now()
+		for (const [id, {expiresAt}] of this.leases) if (expiresAt < now) this.endLease(id)
+	}
+
+	private wake() {
+		for (const resolve of this.waiting) resolve()
+		this.waiting.clear()
+	}
+
+	private nextChange(ms: number): Promise<void> {
+		return new Promise(resolve => {
+			const wake = () => {
+				clearTimeout(timer)
+				this.waiting.delete(wake)
+				resolve()
+			}
+			const timer = setTimeout(wake, ms)
+			this.waiting.add(wake)
+		})
+	}
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
