--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -188,19 +188,6 @@
 	})
 	const registration = beginRegistration(self, {clock, store, log})
 
-	async function canReachExecutors(domain: string): Promise<boolean> {
-		const listing = await store.list(deps.executorPrefix)
-		const records = (listing?.items ?? [])
-			.map(deps.decodeExecutor)
-			.filter(record => record?.failureDomain === domain) as ExecutorRecord[]
-		const answers = await Promise.all(
-			records
-				.slice(0, REACH_SAMPLES)
-				.map(record => deps.orders.isReachable(record, REACH_TIMEOUT_MS)),
-		)
-		return answers.includes(true)
-	}
-
 	const claims = createClaimsLoop({
 		clock,
 		store,
@@ -211,7 +198,7 @@
 		failureDomains: () => settings.failureDomains,
 		isLeaving: () => isLeaving,
 		ping: beats.ping,
-		canReachExecutors,
+		canReachExecutors: domain => canReachExecutors(deps, domain),
 	})
 
 	publishGauges(metrics, hosts, store, () => config?.version ?? 0)
@@ -247,6 +234,22 @@
 	}
 }
 
+/** Whether any of a few executors of a failure domain answers. */
+async function canReachExecutors(
+	{store, orders, executorPrefix, decodeExecutor}: InstanceDeps,
+	failureDomain: string,
+): Promise<boolean> {
+	const listing = await store.list(executorPrefix)
+	const records = (listing?.items ?? [])
+		.map(decodeExecutor)
+		.filter(record => record?.failureDomain === failureDomain) as ExecutorRecord[]
+	const samples = records.slice(0, REACH_SAMPLES)
+	const answers = await Promise.all(
+		samples.map(record => orders.isReachable(record, REACH_TIMEOUT_MS)),
+	)
+	return answers.includes(true)
+}
+
 function publishGauges(
 	metrics: JobMetrics,
 	hosts: Hosts,
--- /dev/null
+++ b/packages/jobs/test/fleet.test.ts
@@ -0,0 +1,248 @@
+/**
+ * Membership and claims: who tries to place a failure domain, and when.
+ */
+import type {PutResult, Store, StoreItem} from "@cottonwood/core"
+import {createJobMetrics, silentLog, type Claim, type Member} from "@cottonwood/jobs"
+import {
+	claimKey,
+	createClaimsLoop,
+	createExecutorList,
+	createFleetView,
+	followPrefix,
+	nodeKey,
+	type ClaimsDeps,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+
+const member = (name: string, failureDomain = "a", session = `${name}-s`): Member => ({
+	name,
+	session,
+	failureDomain,
+	address: `${name}:1`,
+})
+
+/** A store of single values with compare-and-swap. */
+function createFakeStore() {
+	const items = new Map<string, StoreItem>()
+	let revision = 0
+	const unused = () => Promise.reject(new Error("not used"))
+	const fake = {
+		isAway: false,
+		puts: 0,
+		items,
+		lists: 0,
+		watch: undefined as Store["watch"] | undefined,
+		write(key: string, value: unknown) {
+			items.set(key, {key, value, revision: ++revision})
+		},
+	}
+	const store: Store = {
+		get: key => Promise.resolve(fake.isAway ? undefined : (items.get(key) ?? null)),
+		list(prefix) {
+			fake.lists++
+			const found = [...items.values()].filter(({key}) => key.startsWith(prefix))
+			return Promise.resolve(fake.isAway ? undefined : {items: found, revision})
+		},
+		put(key, value, {expect: expected} = {}) {
+			fake.puts++
+			const current = items.get(key)
+			const result: PutResult =
+				expected !== undefined && expected !== (current?.revision ?? 0)
+					? {type: "conflict", current}
+					: {type: "done", revision: revision + 1}
+			if (result.type === "done") fake.write(key, value)
+			return Promise.resolve(fake.isAway ? {type: "unknown"} : result)
+		},
+		deletePrefix: unused,
+		grantLease: unused,
+		keepAlive: unused,
+		revoke: unused,
+		watch: (...args) => (fake.watch ? fake.watch(...args) : Promise.resolve(undefined)),
+		silentMs: () => 0,
+		close: () => Promise.resolve(),
+	}
+	return {fake, store}
+}
+
+function createWorld(options: {
+	readonly self: Member
+	readonly members: readonly Member[]
+	readonly claims?: readonly Claim[]
+	readonly answers?: (member: Member) => boolean
+	readonly canReachExecutors?: boolean
+	readonly domains?: readonly string[]
+}) {
+	const clock = createFakeClock()
+	const {fake, store} = createFakeStore()
+	const view = createFleetView(clock, () => undefined)
+	for (const one of options.members) fake.write(nodeKey(one.name), one)
+	for (const claim of options.claims ?? []) fake.write(claimKey(claim.failureDomain), claim)
+	view.takeListing([...fake.items.values()])
+	const deps: ClaimsDeps = {
+		clock,
+		store,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		self: options.self,
+		view,
+		failureDomains: () => options.domains ?? ["a"],
+		isLeaving: () => false,
+		ping: one => Promise.resolve(options.answers?.(one) ?? false),
+		canReachExecutors: () => Promise.resolve(options.canReachExecutors ?? true),
+	}
+	const loop = createClaimsLoop(deps)
+	return {clock, fake, view, loop, fenceOf: (domain = "a") => view.claimOf(domain)?.fence}
+}
+
+describe("claims", () => {
+	const [one, two, far] = [member("a-1"), member("a-2"), member("b-1", "b")] as const
+	const heldByOne: Claim = {failureDomain: "a", fence: 4, placer: one}
+
+	it("takes a vacant domain with the first fence", async () => {
+		const world = createWorld({self: one, members: [one, two], answers: () => true})
+		await world.clock.advance(300)
+		expect(world.view.claimOf("a")?.placer.name).to.equal("a-1")
+		expect(world.fenceOf()).to.equal(1)
+	})
+
+	it("raises the fence when the placer has been silent and does not answer", async () => {
+		const answers = ({name}: Member) => name === "b-1"
+		const world = createWorld({self: two, members: [one, two, far], claims: [heldByOne], answers})
+		await world.clock.advance(800)
+		expect(world.fenceOf()).to.equal(4)
+		await world.clock.advance(1_200)
+		expect(world.fenceOf()).to.equal(5)
+		expect(world.view.claimOf("a")?.placer.name).to.equal("a-2")
+	})
+
+	it("leaves a silent placer that answers when asked", async () => {
+		const world = createWorld({
+			self: two,
+			members: [one, two],
+			claims: [heldByOne],
+			answers: () => true,
+		})
+		await world.clock.advance(5_000)
+		expect(world.fenceOf()).to.equal(4)
+	})
+
+	it("takes nothing over when nobody at all answers it", async () => {
+		const world = createWorld({self: two, members: [one, two, far], claims: [heldByOne]})
+		await world.clock.advance(5_000)
+		expect(world.fake.puts).to.equal(0)
+	})
+
+	it("takes a foreign domain only without instances of its own, and with executors in reach", async () => {
+		const heldByFar: Claim = {failureDomain: "b", fence: 2, placer: far}
+		const base = {self: one, claims: [heldByFar], domains: ["b"], answers: () => false}
+		const withNative = createWorld({...base, members: [one, member("b-2", "b")]})
+		await withNative.clock.advance(6_000)
+		expect(withNative.fenceOf("b")).to.equal(2)
+		const cutOff = createWorld({...base, members: [one], canReachExecutors: false})
+		await cutOff.clock.advance(6_000)
+		expect(cutOff.fenceOf("b")).to.equal(2)
+		const alone = createWorld({...base, members: [one]})
+		await alone.clock.advance(6_000)
+		expect(alone.fenceOf("b")).to.equal(3)
+	})
+
+	it("loses to a claim that was written in between", async () => {
+		const world = createWorld({self: two, members: [two], claims: [heldByOne]})
+		const other: Claim = {failureDomain: "a", fence: 9, placer: member("a-3")}
+		world.fake.write(claimKey("a"), other)
+		await world.clock.advance(1_400)
+		expect(world.fenceOf()).to.be.oneOf([9, 10])
+		expect(world.fake.items.get(claimKey("a"))?.value).to.deep.include({fence: world.fenceOf()})
+	})
+})
+
+describe("fleet view", () => {
+	it("keeps the claim with the highest fence, whoever told it", () => {
+		const view = createFleetView(createFakeClock(), () => undefined)
+		const claim = (fence: number): Claim => ({failureDomain: "a", fence, placer: member("a-1")})
+		view.noteClaim(claim(3))
+		view.noteClaim(claim(2))
+		expect(view.claimOf("a")?.fence).to.equal(3)
+	})
+})
+
+describe("following a prefix", () => {
+	it("lists again when the changes were lost", async () => {
+		const clock = createFakeClock()
+		const {fake, store} = createFakeStore()
+		fake.write("p/1", 1)
+		let turns = 0
+		fake.watch = async () => {
+			await clock.sleep(50)
+			turns++
+			return turns === 1 ? undefined : new Promise(() => undefined)
+		}
+		const listings: number[] = []
+		const follower = followPrefix({
+			clock,
+			store,
+			log: silentLog,
+			prefix: "p/",
+			onListing: items => void listings.push(items.length),
+			onChanges: () => undefined,
+		})
+		await clock.advance(20)
+		fake.write("p/2", 2)
+		await clock.advance(300)
+		expect(listings).to.eql([1, 2])
+		follower.close()
+	})
+})
+
+describe("executor list", () => {
+	it("keeps entries that lapsed while the store was away until its return is over", async () => {
+		const clock = createFakeClock()
+		const {fake, store} = createFakeStore()
+		let last: readonly string[] = []
+		fake.write("e/1", "e1")
+		fake.write("e/2", "e2")
+		const list = createExecutorList({
+			clock,
+			store,
+			log: silentLog,
+			prefix: "e/",
+			decode: item => record(String(item.value)),
+			onList: records => void (last = records.map(({id}) => id)),
+			isNeeded: () => true,
+		})
+		await clock.advance(100)
+		expect(last).to.eql(["e1", "e2"])
+		fake.isAway = true
+		await clock.advance(5_000)
+		fake.items.delete("e/2")
+		fake.isAway = false
+		await clock.advance(2_000)
+		expect(last).to.eql(["e1", "e2"])
+		await clock.advance(3_000)
+		expect(last).to.eql(["e1"])
+		list.close()
+	})
+
+	it("drops an entry that is missing with the store there", async () => {
+		const clock = createFakeClock()
+		const {fake, store} = createFakeStore()
+		let last: readonly string[] = []
+		fake.write("e/1", "e1")
+		const list = createExecutorList({
+			clock,
+			store,
+			log: silentLog,
+			prefix: "e/",
+			decode: item => record(String(item.value)),
+			onList: records => void (last = records.map(({id}) => id)),
+			isNeeded: () => true,
+		})
+		await clock.advance(2_000)
+		fake.items.delete("e/1")
+		await clock.advance(2_500)
+		expect(last).to.eql([])
+		list.close()
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/placer.test.ts
@@ -0,0 +1,178 @@
+/**
+ * The placer and its links: room, fences, leases, and orders whose answers are lost.
+ */
+import {createJobMetrics, silentLog} from "@cottonwood/jobs"
+import {createPlacer, type PlacerDeps, type TaskEnd} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {FakeExecutors, record} from "./support/fake-executors.js"
+import {taskRequest} from "./support/requests.js"
+
+function createWorld(extra: Partial<PlacerDeps> = {}) {
+	const clock = createFakeClock()
+	const orders = new FakeExecutors(clock)
+	const ends: (TaskEnd & {readonly task: string})[] = []
+	let fencedTimes = 0
+	const placer = createPlacer({
+		clock,
+		orders,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		failureDomain: "a",
+		fence: 7,
+		maxLeaseMs: 1_000,
+		handOver: () => false,
+		onFenced: () => void fencedTimes++,
+		onRoomChange: () => undefined,
+		...extra,
+	})
+	function submit(task: string, options: Parameters<typeof taskRequest>[1] = {}) {
+		const onEnd = (end: TaskEnd) => void ends.push({...end, task})
+		return placer.submit(taskRequest(task, options), onEnd, () => undefined)
+	}
+	return {clock, orders, placer, ends, submit, fencedTimes: () => fencedTimes}
+}
+
+describe("placer", () => {
+	it("starts nothing before the executor has taken its fence", async () => {
+		const {clock, orders, placer, submit} = createWorld()
+		orders.isSilent = true
+		placer.setExecutors([record("e1")])
+		submit("j.0.0.0")
+		await clock.advance(300)
+		expect(orders.starts).to.have.length(0)
+		orders.isSilent = false
+		await clock.advance(800)
+		expect(orders.fences).to.include(7)
+		expect(orders.starts).to.have.length(1)
+	})
+
+	it("never starts more than fits, and goes on when room appears", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		for (let at = 0; at < 3; at++) submit(`j.0.0.${at}`)
+		await clock.advance(10)
+		expect(orders.starts.map(({task}) => task)).to.eql(["j.0.0.0", "j.0.0.1"])
+		orders.end("j.0.0.0", "done")
+		await clock.advance(10)
+		expect(orders.starts).to.have.length(3)
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("repeats a start without an answer under the same run number", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.startReplies = ["silent but done"]
+		submit("j.0.0.0")
+		await clock.advance(200)
+		expect(orders.starts.map(({run}) => run)).to.eql([1, 1])
+		orders.end("j.0.0.0", "done")
+		await clock.advance(10)
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("keeps a run's room until the lease of a silent executor has certainly ended", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		submit("j.0.0.0")
+		await clock.advance(10)
+		orders.isSilent = true
+		const silentAt = clock.now()
+		while (ends.length === 0 && clock.now() < silentAt + 5_000) await clock.advance(20)
+		expect(ends[0]?.type).to.equal("lost")
+		// The last lease asked for ends 1,000 ms after it was asked; the clock there may run 2% slow.
+		expect(clock.now() - silentAt).to.be.greaterThan(1_020)
+		expect(clock.now() - silentAt).to.be.lessThan(2_200)
+	})
+
+	it("takes runs as lost at once when another life of the executor answers", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		submit("j.0.0.0")
+		await clock.advance(10)
+		orders.isReplaced = true
+		await clock.advance(500)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+	})
+
+	it("stops what runs there and nobody here started, and starts nothing beside it", async () => {
+		const {clock, orders, placer, submit} = createWorld()
+		orders.running.set("other.0.0.0", 3)
+		placer.setExecutors([record("e1")])
+		submit("j.0.0.0")
+		await clock.advance(3)
+		expect(orders.stops).to.deep.include({task: "other.0.0.0", run: 3, fence: 7})
+		await clock.advance(500)
+		expect(orders.running.has("other.0.0.0")).to.equal(false)
+		expect(orders.starts).to.have.length(1)
+	})
+
+	it("asks for a higher run number when the executor has seen this one", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.startReplies = [{type: "refused", cause: "old", clockMs: clock.now()}]
+		submit("j.0.0.0")
+		await clock.advance(10)
+		expect(ends.map(({type}) => type)).to.eql(["outnumbered"])
+	})
+
+	it("starts nothing on a leaving executor", async () => {
+		const {clock, orders, placer, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		placer.setExecutors([record("e1", {isLeaving: true})])
+		submit("j.0.0.0")
+		await clock.advance(100)
+		expect(orders.starts).to.have.length(0)
+	})
+
+	it("gives up placing when a higher fence was seen", async () => {
+		const {clock, orders, placer, submit, fencedTimes} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.startReplies = [{type: "fenced"}]
+		submit("j.0.0.0")
+		await clock.advance(10)
+		expect(fencedTimes()).to.equal(1)
+	})
+
+	it("stops a cancelled run and frees its room only when it has ended", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1", {capacity: {cpu: 30_000, memoryMb: 1_000, accelerators: 0}})])
+		await clock.advance(10)
+		const handle = submit("j.0.0.0")
+		await clock.advance(10)
+		orders.isSilent = true
+		handle.cancel()
+		submit("k.0.0.0")
+		await clock.advance(150)
+		expect(orders.starts).to.have.length(1)
+		orders.isSilent = false
+		await clock.advance(700)
+		expect(ends.map(({type, task}) => `${task} ${type}`)).to.eql(["j.0.0.0 stopped"])
+		expect(orders.starts).to.have.length(2)
+	})
+
+	it("gives a foreign task back when no room appears", async () => {
+		const {clock, placer, ends, submit} = createWorld()
+		placer.setExecutors([])
+		submit("j.0.0.0", {isForeign: true})
+		await clock.advance(100)
+		expect(ends.map(({type}) => type)).to.eql(["returned"])
+	})
+
+	it("stops a run that makes no progress and counts it against the executor", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		submit("j.0.0.0")
+		await clock.advance(1_500)
+		expect(orders.stops.map(({task}) => task)).to.eql(["j.0.0.0"])
+		expect(ends.map(({type}) => type)).to.eql(["failed"])
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -0,0 +1,113 @@
+/**
+ * Executors in memory whose answers a test decides; what is not decided is answered as by a sound one.
+ */
+import type {
+	ExecutorOrders,
+	ExecutorRecord,
+	HoldReply,
+	RunEnd,
+	StartOrder,
+	StartReply,
+	StopReply,
+} from "@cottonwood/jobs"
+import type {FakeClock} from "./fake-clock.js"
+
+export function record(id: string, extra: Partial<ExecutorRecord> = {}): ExecutorRecord {
+	return {
+		id,
+		service: "svc",
+		address: `${id}:1`,
+		failureDomain: "a",
+		capacity: {cpu: 64_000, memoryMb: 1_000, accelerators: 0},
+		labels: [],
+		isLeaving: false,
+		...extra,
+	}
+}
+
+const SILENT = {type: "silent", cause: "test"} as const
+
+export class FakeExecutors implements ExecutorOrders {
+	readonly starts: (StartOrder & {readonly executor: string})[] = []
+	readonly stops: {readonly task: string; readonly run: number}[] = []
+	readonly fences: number[] = []
+	/** What runs there, by task. */
+	readonly running = new Map<string, number>()
+	isSilent = false
+	isReplaced = false
+	startReplies: (StartReply | "silent but done")[] = []
+	private ends: RunEnd[] = []
+	private serial = 0
+	private wakers: (() => void)[] = []
+
+	constructor(private readonly clock: FakeClock) {}
+
+	/** Ends a run, as the executor lists it. */
+	end(task: string, how: RunEnd["how"]) {
+		const run = this.running.get(task) ?? 0
+		this.running.delete(task)
+		this.ends.push({serial: ++this.serial, task, run, how})
+		for (const wake of this.wakers) wake()
+		this.wakers = []
+	}
+
+	async start(executor: ExecutorRecord, order: StartOrder, timeoutMs: number): Promise<StartReply> {
+		this.starts.push({...order, executor: executor.id})
+		const reply = this.startReplies.shift()
+		if (this.isSilent || reply === "silent but done") {
+			if (reply === "silent but done") this.running.set(order.task, order.run)
+			await this.clock.sleep(timeoutMs)
+			return SILENT
+		}
+		if (this.isReplaced) return {type: "replaced"}
+		if (reply) return reply
+		this.running.set(order.task, order.run)
+		return {type: "started", clockMs: this.clock.now()}
+	}
+
+	async stop(
+		_executor: ExecutorRecord,
+		order: {readonly task: string; readonly run: number},
+		timeoutMs: number,
+	): Promise<StopReply> {
+		this.stops.push(order)
+		if (this.isSilent) {
+			await this.clock.sleep(timeoutMs)
+			return SILENT
+		}
+		if (this.running.get(order.task) === order.run) this.end(order.task, "stopped")
+		return {type: "stopping", clockMs: this.clock.now()}
+	}
+
+	async hold(
+		_executor: ExecutorRecord,
+		order: {readonly fence: number; readonly seenSerial: number; readonly waitMs: number},
+		timeoutMs: number,
+	): Promise<HoldReply> {
+		this.fences.push(order.fence)
+		if (this.isSilent) {
+			await this.clock.sleep(timeoutMs)
+			return SILENT
+		}
+		if (this.isReplaced) return {type: "replaced"}
+		this.ends = this.ends.filter(({serial}) => serial > order.seenSerial)
+		if (this.ends.length === 0 && order.waitMs > 0) await this.nextEnd(order.waitMs)
+		// A hold without a wait is answered after a moment, so that no loop runs at one instant.
+		else await this.clock.sleep(1)
+		const running = [...this.running].map(([task, run]) => ({task, run, percent: 50}))
+		return {type: "held", clockMs: this.clock.now(), running, ends: [...this.ends]}
+	}
+
+	async isReachable(): Promise<boolean> {
+		return !this.isSilent
+	}
+
+	forget() {}
+
+	private nextEnd(ms: number): Promise<void> {
+		return new Promise(resolve => {
+			this.wakers.push(resolve)
+			this.clock.schedule(ms, resolve)
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/test/support/requests.ts
@@ -0,0 +1,33 @@
+/** Task requests and queues for tests. */
+import type {Queue} from "@cottonwood/jobs"
+import type {TaskRequest} from "@cottonwood/jobs/internals"
+
+export function taskRequest(task: string, extra: Partial<TaskRequest> = {}): TaskRequest {
+	return {
+		job: task.split(".")[0] as string,
+		task,
+		run: 1,
+		spec: "spec",
+		service: "svc",
+		need: {cpu: 27_000, memoryMb: 64, accelerators: 0},
+		estimateMs: 100,
+		startBy: 2_000,
+		deadlineAt: 60_000,
+		priority: 0,
+		avoid: [],
+		isForeign: false,
+		...extra,
+	}
+}
+
+export const QUEUE: Queue = {
+	name: "orders",
+	host: "orders.example",
+	pathPrefix: "/orders/",
+	service: "svc",
+	priority: 0,
+	maxAttempts: 2,
+	stretch: 1.6,
+	slackMs: 60,
+	needsAdvice: false,
+}
