Hand a failure domain over on a planned stop, without losing a run

Cause: a placer told to stop left its domain without placing until it had ended and a second more. Change: the successor raises the fence, then gets every run and the queue; a foreign placer gives a domain back to an instance of its own.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -4,7 +4,7 @@
 import type {Clock} from "@cottonwood/core"
 import type {FleetView} from "../fleet/members.js"
 import type {JobMessage, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
-import type {TaskRequest} from "../place/run.js"
+import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
@@ -44,12 +44,22 @@
 	runTask(message: TaskMessage, onCancel: OnCancel): Promise<TaskReply>
 	/** Whether a job that comes now would find a placer. */
 	canPlace(): boolean
-	jobCount(): number
+	/** Jobs and tasks under way here, for callers and for peers. */
+	workCount(): number
 }
 
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
-	let jobCount = 0
+	let workCount = 0
+
+	async function counted<T>(work: Promise<T>): Promise<T> {
+		workCount++
+		try {
+			return await work
+		} finally {
+			workCount--
+		}
+	}
 
 	function isHeard({failureDomain, placer}: Claim): boolean {
 		if (placer.session === self.session) {
@@ -140,14 +150,7 @@
 	}
 
 	return {
-		async dispatch(job, queue, onCancel) {
-			jobCount++
-			try {
-				return await tryPlacers(job, queue, onCancel)
-			} finally {
-				jobCount--
-			}
-		},
+		dispatch: (job, queue, onCancel) => counted(tryPlacers(job, queue, onCancel)),
 		async runJob(message, onCancel) {
 			const host = hosts.of(message.failureDomain)
 			if (!host || deps.isLeaving()) return {type: "not placer"}
@@ -159,7 +162,7 @@
 			}
 			const queue = await queueFor(job.queue, message.configVersion)
 			if (!queue) return {type: "refused", kind: "no_configuration", cause: "unknown queue here"}
-			return hosts.run(host, job, queue, onCancel)
+			return counted(hosts.run(host, job, queue, onCancel))
 		},
 		runTask(message, onCancel) {
 			const host = hosts.of(message.failureDomain)
@@ -171,12 +174,16 @@
 				deadlineAt: now + message.leftMs,
 				isForeign: true,
 			}
-			return new Promise(resolve => {
-				const handle = host.placer.submit(req, resolve, () => undefined)
+			const {runsAt} = message
+			const end = new Promise<TaskEnd>(resolve => {
+				const handle = runsAt
+					? host.placer.adopt(req, runsAt, resolve)
+					: host.placer.submit(req, resolve, () => undefined)
 				onCancel(() => handle.cancel())
 			})
+			return counted(end)
 		},
 		canPlace: () => candidates().length > 0,
-		jobCount: () => jobCount,
+		workCount: () => workCount,
 	}
 }
--- /dev/null
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -0,0 +1,142 @@
+/**
+ * Hands a failure domain to another placer without losing a run: on a planned stop, and from an
+ * instance of another domain back to one of its own.
+ *
+ * The successor raises the fence first; from then on the placer before can order nothing. It then
+ * gives every run to the successor, which goes on watching it, and tells the end to the job where it
+ * began.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {ClaimsLoop} from "../fleet/claims.js"
+import type {FleetView} from "../fleet/members.js"
+import type {Peers, TakeOverMessage, TakeOverReply} from "../fleet/peers.js"
+import type {ExecutorRecord} from "../types/executor.js"
+import type {Member} from "../types/fleet.js"
+import type {EventLog} from "../utils/log.js"
+import type {Hosts} from "./hosts.js"
+import type {Overflow} from "./overflow.js"
+
+/** A claim is written within this, or another successor is asked. */
+const TAKE_TIMEOUT_MS = 600
+/** Successors that are asked in turn. */
+const MAX_ASKED = 3
+/** A native instance must have been there this long before it gets its domain back. */
+const NATIVE_SETTLED_MS = 2_000
+const NATIVE_POLL_MS = 500
+
+export interface HandoverDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly peers: Peers
+	readonly view: FleetView
+	readonly self: Member
+	readonly hosts: Hosts
+	readonly overflow: Overflow
+	readonly claims: () => ClaimsLoop
+	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
+	/** Where this instance places now. */
+	readonly placedDomains: () => readonly string[]
+	readonly isLeaving: () => boolean
+}
+
+export interface Handover {
+	/** Gives every domain away that is placed here. */
+	giveAllAway(): Promise<void>
+	/** Takes a domain over for a placer that asks. */
+	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
+	close(): void
+}
+
+export function createHandover(deps: HandoverDeps): Handover {
+	const {clock, log, peers, view, self, hosts, overflow} = deps
+	const nativeSince = new Map<string, number>()
+	let isClosed = false
+
+	function successorsFor(failureDomain: string): readonly Member[] {
+		const others = view.members().filter(({session}) => session !== self.session)
+		const staying = others.filter(({session}) => !view.isLeaving(session))
+		const rank = (member: Member) => {
+			if (member.failureDomain === failureDomain) return 0
+			return view.claims().some(({placer}) => placer.session === member.session) ? 2 : 1
+		}
+		return [...staying].sort((a, b) => rank(a) - rank(b)).slice(0, MAX_ASKED)
+	}
+
+	async function giveTo(failureDomain: string, member: Member): Promise<boolean> {
+		const claim = view.claimOf(failureDomain)
+		if (!claim || claim.placer.session !== self.session) return true
+		const message: TakeOverMessage = {
+			failureDomain,
+			fence: claim.fence,
+			executors: deps.executorsOf(failureDomain),
+			from: self.session,
+		}
+		hosts.offerHandover(failureDomain)
+		const reply = await peers.takeOver(member.address, message, TAKE_TIMEOUT_MS).reply
+		const fields = {failureDomain, fence: claim.fence, peer: member.name}
+		const outcome = reply?.isTaken ? "taken" : reply ? "declined" : "silent"
+		log.alarm("placer", "handover", "placer: asked an instance to take over.", {...fields, outcome})
+		if (!reply?.isTaken) {
+			hosts.withdrawHandover(failureDomain)
+			return false
+		}
+		const successor = {failureDomain, fence: claim.fence + 1, placer: member}
+		hosts.giveTo(successor, overflow)
+		view.noteClaim(successor)
+		return true
+	}
+
+	async function giveAway(failureDomain: string) {
+		for (const member of successorsFor(failureDomain))
+			if (await giveTo(failureDomain, member)) return
+		const fields = {failureDomain}
+		log.alarm("placer", "handover_failed", "placer: nobody takes the domain over.", fields)
+	}
+
+	/** An instance of the domain itself that has been there for a while. */
+	function settledNative(failureDomain: string): Member | undefined {
+		const natives = view.membersOf(failureDomain).filter(({session}) => !view.isLeaving(session))
+		const [native] = natives
+		if (!native) {
+			nativeSince.delete(failureDomain)
+			return undefined
+		}
+		const since = nativeSince.get(failureDomain) ?? clock.now()
+		nativeSince.set(failureDomain, since)
+		return clock.now() - since >= NATIVE_SETTLED_MS ? native : undefined
+	}
+
+	async function giveBack() {
+		for (const failureDomain of deps.placedDomains()) {
+			if (failureDomain === self.failureDomain) continue
+			const native = settledNative(failureDomain)
+			if (native) await giveTo(failureDomain, native)
+		}
+	}
+
+	async function loop() {
+		while (!isClosed) {
+			await clock.sleep(NATIVE_POLL_MS)
+			if (!isClosed && !deps.isLeaving()) await giveBack()
+		}
+	}
+
+	void loop()
+	return {
+		async giveAllAway() {
+			await Promise.all(deps.placedDomains().map(giveAway))
+		},
+		async takeOver({failureDomain, fence, executors}) {
+			if (deps.isLeaving()) return {isTaken: false}
+			const known = view.claimOf(failureDomain)
+			if (known && known.fence > fence) return {isTaken: false}
+			hosts.expectHandover(failureDomain)
+			const isTaken = await deps.claims().takeNow(failureDomain)
+			if (isTaken) hosts.setExecutors(executors)
+			return {isTaken}
+		},
+		close() {
+			isClosed = true
+		},
+	}
+}
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -8,10 +8,13 @@
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
+import type {Overflow} from "./overflow.js"
 import {longestChainMs, startJobRun, type JobRun} from "./job-run.js"
 
 /** A job that would start later than this many objectives from now is refused. */
 const MAX_WAIT_OBJECTIVES = 1.5
+/** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
+const HANDOVER_WAIT_MS = 800
 
 export interface Host {
 	readonly claim: Claim
@@ -32,6 +35,13 @@
 	of(failureDomain: string): Host | undefined
 	/** Begins or ends placing after a claim changed. */
 	noteClaim(claim: Claim): void
+	/** Whoever places the domain now hands its runs over; they are waited for. */
+	expectHandover(failureDomain: string): void
+	/** From now on a higher fence means that the successor has begun, not that all is lost. */
+	offerHandover(failureDomain: string): void
+	withdrawHandover(failureDomain: string): void
+	/** Gives a domain's runs and queue to the placer that has the claim now. */
+	giveTo(successor: Claim, overflow: Overflow): void
 	setExecutors(records: readonly ExecutorRecord[]): void
 	/** Runs a job at a placer here, or refuses it at once. */
 	run(host: Host, job: Job, queue: Queue, onCancel: (callback: () => void) => void): Promise<JobEnd>
@@ -46,11 +56,17 @@
 export function createHosts(deps: HostsDeps): Hosts {
 	const {clock, log, metrics, self} = deps
 	const hosts = new Map<string, Host>()
+	/** Domains that the placer before hands over, until when it is waited for. */
+	const handoversUntil = new Map<string, number>()
+	/** Domains whose placing ends by a handover: another claim is expected. */
+	const givenUp = new Set<string>()
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
 		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
-		const placer = createPlacer({...deps, failureDomain, fence, onFenced})
+		const waitsUntil = handoversUntil.get(failureDomain) ?? -Infinity
+		const orphansWaitMs = Math.max(0, waitsUntil - clock.now())
+		const placer = createPlacer({...deps, failureDomain, fence, onFenced, orphansWaitMs})
 		hosts.set(failureDomain, {claim, placer, jobs: new Set()})
 		placer.setExecutors(deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence}
@@ -59,7 +75,7 @@
 
 	function endPlacing(failureDomain: string, fence: number, cause: string) {
 		const host = hosts.get(failureDomain)
-		if (!host || host.claim.fence !== fence) return
+		if (!host || host.claim.fence !== fence || givenUp.has(failureDomain)) return
 		hosts.delete(failureDomain)
 		host.placer.close()
 		const fields = {failureDomain, fence, cause, count: host.jobs.size}
@@ -84,6 +100,26 @@
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
 		},
+		expectHandover(failureDomain) {
+			handoversUntil.set(failureDomain, clock.now() + HANDOVER_WAIT_MS)
+		},
+		offerHandover(failureDomain) {
+			givenUp.add(failureDomain)
+		},
+		withdrawHandover(failureDomain) {
+			givenUp.delete(failureDomain)
+		},
+		giveTo(successor, overflow) {
+			const {failureDomain, fence} = successor
+			const host = hosts.get(failureDomain)
+			givenUp.delete(failureDomain)
+			if (!host) return
+			hosts.delete(failureDomain)
+			const count = host.placer.counts().running
+			host.placer.giveAll((item, from) => overflow.sendTo(successor, item, from))
+			const fields = {failureDomain, fence, peer: successor.placer.name, count}
+			log.alarm("placer", "handed_over", "placer: gave its domain to a successor.", fields)
+		},
 		setExecutors(records) {
 			for (const [failureDomain, {placer}] of hosts)
 				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -6,6 +6,7 @@
 import type {Clock} from "@cottonwood/core"
 import type {FleetView, ToldRoom} from "../fleet/members.js"
 import type {Peers, TaskMessage} from "../fleet/peers.js"
+import type {RunningAt} from "../place/placer.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {Waiting} from "../place/task-queue.js"
 import type {Claim, Member} from "../types/fleet.js"
@@ -34,6 +35,8 @@
 export interface Overflow {
 	/** Hands the task to a placer with room; false when there is none. */
 	handOver(item: Waiting): boolean
+	/** Hands it to a certain placer, with the executor that has it if it runs already. */
+	sendTo(claim: Claim, item: Waiting, from?: RunningAt): void
 }
 
 interface Counted {
@@ -75,7 +78,7 @@
 		freeCpu.sort((a, b) => b - a)
 	}
 
-	async function send(claim: Claim, item: Waiting): Promise<void> {
+	async function send(claim: Claim, item: Waiting, runsAt?: RunningAt): Promise<void> {
 		const {req} = item
 		const {startBy, deadlineAt, ...task} = req
 		const now = clock.now()
@@ -86,6 +89,7 @@
 			leftMs,
 			failureDomain: claim.failureDomain,
 			from: self.session,
+			runsAt,
 		}
 		const call = peers.runTask(claim.placer.address, message, leftMs + ANSWER_SLACK_MS)
 		item.onStart(() => call.cancel())
@@ -113,6 +117,7 @@
 	}
 
 	return {
+		sendTo: (claim, item, runsAt) => void send(claim, item, runsAt),
 		handOver(item) {
 			const chosen = choose(item.req)
 			if (!chosen) return false
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -6,7 +6,9 @@
  * its connection dies, the work behind it is stopped.
  */
 import {connectJson, listenJson, type JsonClient, type JsonServer} from "@cottonwood/wire/json"
+import type {RunningAt} from "../place/placer.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {ExecutorRecord} from "../types/executor.js"
 import type {Beat} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
 import type {JobMetrics} from "../utils/metrics.js"
@@ -32,6 +34,20 @@
 	readonly leftMs: number
 	readonly failureDomain: string
 	readonly from: string
+	/** Where it runs already, when a placer hands over all that it has. */
+	readonly runsAt?: RunningAt
+}
+
+/** Asks an instance to become the placer of a failure domain in the sender's place. */
+export interface TakeOverMessage {
+	readonly failureDomain: string
+	readonly fence: number
+	readonly executors: readonly ExecutorRecord[]
+	readonly from: string
+}
+
+export interface TakeOverReply {
+	readonly isTaken: boolean
 }
 
 export type JobReply = JobEnd | {readonly type: "not placer"}
@@ -41,6 +57,7 @@
 	beat(beat: Beat): Beat
 	runJob(message: JobMessage, onCancel: (callback: () => void) => void): Promise<JobReply>
 	runTask(message: TaskMessage, onCancel: (callback: () => void) => void): Promise<TaskReply>
+	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
 }
 
 /** Serves the peers; rejects when the port is taken. */
@@ -49,6 +66,7 @@
 		beat: async message => handlers.beat(message as Beat),
 		runJob: (message, {onCancel}) => handlers.runJob(message as JobMessage, onCancel),
 		runTask: (message, {onCancel}) => handlers.runTask(message as TaskMessage, onCancel),
+		takeOver: message => handlers.takeOver(message as TakeOverMessage),
 	})
 }
 
@@ -64,6 +82,7 @@
 	beat(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined>
 	runJob(address: string, message: JobMessage, timeoutMs: number): PeerCall<JobReply>
 	runTask(address: string, message: TaskMessage, timeoutMs: number): PeerCall<TaskReply>
+	takeOver(address: string, message: TakeOverMessage, timeoutMs: number): PeerCall<TakeOverReply>
 	close(): void
 }
 
@@ -104,6 +123,7 @@
 		beat: (address, beat, timeoutMs) => call<Beat>(address, "beat", beat, timeoutMs).reply,
 		runJob: (address, message, timeoutMs) => call(address, "runJob", message, timeoutMs),
 		runTask: (address, message, timeoutMs) => call(address, "runTask", message, timeoutMs),
+		takeOver: (address, message, timeoutMs) => call(address, "takeOver", message, timeoutMs),
 		close() {
 			for (const client of clients.values()) client.close()
 			clients.clear()
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -6,6 +6,7 @@
 import type {Result} from "neverthrow"
 import {createDispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
+import {createHandover} from "./coordinate/handover.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, type BeatMessage} from "./fleet/beats.js"
@@ -92,7 +93,7 @@
 		maxLeaseMs: settings.maxLeaseMs,
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.tellRoom(hosts.rooms()),
-		executorsOf: domain => executors.records().filter(record => record.failureDomain === domain),
+		executorsOf: domain => executors.recordsOf(domain),
 	})
 	const dispatcher = createDispatcher({
 		clock,
@@ -133,12 +134,7 @@
 	function takeConfig(items: readonly StoreItem[]) {
 		const decoded = deps.decodeConfig(items)
 		if (!decoded) return
-		if (decoded.isErr()) {
-			metrics.count("broken_assumptions", "config_undecodable")
-			const fields = {cause: decoded.error}
-			log.alarm("config", "config_refused", "config: cannot be read; the last stays.", fields)
-			return
-		}
+		if (decoded.isErr()) return noteBadConfig(deps, decoded.error)
 		if (config && decoded.value.version <= config.version) return
 		config = decoded.value
 		const fields = {configVersion: config.version, count: config.queues.length}
@@ -168,14 +164,12 @@
 		},
 		runJob: (message, onCancel) => dispatcher.runJob(message, onCancel),
 		runTask: (message, onCancel) => dispatcher.runTask(message, onCancel),
+		takeOver: message => handover.takeOver(message),
 	})
 	const datagrams = await openDatagrams(
 		peerAddress,
 		message => beats.take(message as BeatMessage),
-		error => {
-			metrics.count("broken_assumptions", "datagram")
-			log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
-		},
+		error => noteDatagramError(deps, error),
 	)
 	const beats = createBeats({
 		clock,
@@ -188,6 +182,19 @@
 	})
 	const registration = beginRegistration(self, {clock, store, log})
 
+	const handover = createHandover({
+		clock,
+		log,
+		peers,
+		view,
+		self,
+		hosts,
+		overflow,
+		claims: () => claims,
+		executorsOf: domain => executors.recordsOf(domain),
+		placedDomains: () => Object.keys(hosts.rooms()),
+		isLeaving: () => isLeaving,
+	})
 	const claims = createClaimsLoop({
 		clock,
 		store,
@@ -216,12 +223,13 @@
 		async drain() {
 			isLeaving = true
 			const until = clock.now() + settings.drainMs
-			const fields = {count: dispatcher.jobCount()}
+			const fields = {count: dispatcher.workCount()}
 			log.alarm("instance", "leaving", "instance: finishes what is under way.", fields)
-			while (dispatcher.jobCount() + hosts.counts().running > 0 && clock.now() < until)
-				await clock.sleep(DRAIN_POLL_MS)
+			await handover.giveAllAway()
+			while (dispatcher.workCount() > 0 && clock.now() < until) await clock.sleep(DRAIN_POLL_MS)
 			await registration.end()
 			claims.close()
+			handover.close()
 			beats.close()
 			configFollower.close()
 			fleetFollower.close()
@@ -250,6 +258,16 @@
 	return answers.includes(true)
 }
 
+function noteBadConfig({metrics, log}: InstanceDeps, cause: string) {
+	metrics.count("broken_assumptions", "config_undecodable")
+	log.alarm("config", "config_refused", "config: cannot be read; the last stays.", {cause})
+}
+
+function noteDatagramError({metrics, log}: InstanceDeps, error: Error) {
+	metrics.count("broken_assumptions", "datagram")
+	log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
+}
+
 function publishGauges(
 	metrics: JobMetrics,
 	hosts: Hosts,
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -2,8 +2,8 @@
  * The placer's link to one executor, as the placer uses it.
  */
 import type {ExecutorRecord} from "../types/executor.js"
-import {holdLoop} from "./link-hold.js"
-import {startRun, stopRun} from "./link-orders.js"
+import {adoptRun, holdLoop} from "./link-hold.js"
+import {inheritedRun, repeatStart, startRun, stopRun} from "./link-orders.js"
 import {closeLink, freeCpu, hasRoom, isUsable, newLinkState, type LinkDeps} from "./link-state.js"
 import type {Run, TaskEnd, TaskRequest} from "./run.js"
 
@@ -20,6 +20,10 @@
 	/** Tasks of one job's step that run there. */
 	countOf(stepName: string): number
 	start(req: TaskRequest, onEnd: (end: TaskEnd) => void): Run
+	/** Takes over a run that the placer before had there. */
+	adopt(req: TaskRequest, isStarted: boolean, onEnd: (end: TaskEnd) => void): Run
+	/** What runs here now, with whether its start was answered. */
+	runs(): readonly {readonly run: Run; readonly isStarted: boolean}[]
 	/** Ends a run that nobody wants any more; its `onEnd` follows when it has ended. */
 	cancel(run: Run): void
 	/** The list no longer names it: nothing new, and gone once nothing runs. */
@@ -54,6 +58,14 @@
 			return count
 		},
 		start: (req, onEnd) => startRun(link, req, onEnd),
+		adopt(req, isStarted, onEnd) {
+			const run = inheritedRun(link, req, isStarted, onEnd)
+			adoptRun(link, run)
+			repeatStart(link, run)
+			return run
+		},
+		runs: () =>
+			[...link.runs.values()].map(run => ({run, isStarted: run.answeredAt !== undefined})),
 		cancel: run => stopRun(link, run, "cancelled"),
 		retire() {
 			link.isRetired = true
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -28,7 +28,7 @@
 }
 
 export interface ExecutorList {
-	records(): readonly ExecutorRecord[]
+	recordsOf(failureDomain: string): readonly ExecutorRecord[]
 	close(): void
 }
 
@@ -81,7 +81,10 @@
 
 	void loop()
 	return {
-		records: () => [...known.values()].map(({record}) => record),
+		recordsOf: failureDomain =>
+			[...known.values()]
+				.map(({record}) => record)
+				.filter(record => record.failureDomain === failureDomain),
 		close() {
 			isClosed = true
 		},
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -8,12 +8,14 @@
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
 import {stopOrphan, stopRun} from "./link-orders.js"
 import {
+	addRun,
 	closeLink,
 	isOwnReply,
 	lostOrStopped,
 	nextLeaseUntil,
 	noteAnswering,
 	noteSilence,
+	runName,
 	settleAllLost,
 	settleRun,
 	type LinkState,
@@ -79,8 +81,12 @@
 }
 
 function noteOrphan(link: LinkState, row: RunningRow): string {
-	const name = `${row.task}/${row.run}`
-	if (!link.orphans.has(name)) void stopOrphan(link, row.task, row.run)
+	const name = runName(row.task, row.run)
+	const isWaitedFor = link.deps.clock.now() < link.orphansWaitUntil
+	if (!isWaitedFor && !link.stoppedOrphans.has(name)) {
+		link.stoppedOrphans.add(name)
+		void stopOrphan(link, row.task, row.run)
+	}
 	return name
 }
 
@@ -104,6 +110,19 @@
 	link.seenSerial = end.serial
 	const run = link.runs.get(end.task)
 	if (run?.req.run === end.run) settleRun(link, run, endOf(link, run, end))
+	else if (link.deps.clock.now() < link.orphansWaitUntil)
+		link.strayEnds.set(runName(end.task, end.run), end)
+}
+
+/** Takes over a run that the placer before had there. */
+export function adoptRun(link: LinkState, run: Run) {
+	addRun(link, run)
+	const name = runName(run.req.task, run.req.run)
+	const end = link.strayEnds.get(name)
+	link.strayEnds.delete(name)
+	if (end) return settleRun(link, run, endOf(link, run, end))
+	link.orphans = new Set([...link.orphans].filter(orphan => orphan !== name))
+	if (link.orphans.size === 0) link.deps.onRoom()
 }
 
 function endOf(link: LinkState, run: Run, {how}: RunEnd): TaskEnd {
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -27,10 +27,9 @@
 /** No starts there for this long after it said that it is unhealthy. */
 const UNHEALTHY_PAUSE_MS = 300
 
-/** Starts a run; `onEnd` is called once, when it certainly runs no more. */
-export function startRun(link: LinkState, req: TaskRequest, onEnd: (end: TaskEnd) => void): Run {
+function newRun(link: LinkState, req: TaskRequest, onEnd: (end: TaskEnd) => void): Run {
 	const now = link.deps.clock.now()
-	const run: Run = {
+	return {
 		req,
 		startedAt: now,
 		state: "starting",
@@ -40,11 +39,39 @@
 		progressAt: now,
 		onEnd,
 	}
+}
+
+/** Starts a run; `onEnd` is called once, when it certainly runs no more. */
+export function startRun(link: LinkState, req: TaskRequest, onEnd: (end: TaskEnd) => void): Run {
+	const run = newRun(link, req, onEnd)
 	addRun(link, run)
 	void sendStart(link, run)
 	return run
 }
 
+/**
+ * A run that the placer before had on this executor. If its start was not answered there, the same
+ * start is sent again, which changes nothing if it was done.
+ */
+export function inheritedRun(
+	link: LinkState,
+	req: TaskRequest,
+	isStarted: boolean,
+	onEnd: (end: TaskEnd) => void,
+): Run {
+	const run = newRun(link, req, onEnd)
+	if (isStarted) {
+		run.state = "running"
+		run.answeredAt = link.deps.clock.now()
+	}
+	return run
+}
+
+/** Sends an inherited run's start again once the run counts here. */
+export function repeatStart(link: LinkState, run: Run) {
+	if (run.state === "starting" && isCurrent(link, run)) void sendStart(link, run)
+}
+
 /** Ends a run; its `onEnd` follows when it has ended. */
 export function stopRun(link: LinkState, run: Run, cause: NonNullable<Run["stopCause"]>) {
 	if (run.state === "stopping") return
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -2,7 +2,13 @@
  * What a placer holds of one executor: its runs, its room, its clock, and whether it answers.
  */
 import type {Clock} from "@cottonwood/core"
-import type {ExecutorOrders, ExecutorRecord, HoldReply, StartReply} from "../types/executor.js"
+import type {
+	ExecutorOrders,
+	ExecutorRecord,
+	HoldReply,
+	RunEnd,
+	StartReply,
+} from "../types/executor.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
@@ -16,6 +22,8 @@
 	readonly fence: number
 	/** The longest lease that an executor grants, in milliseconds. */
 	readonly maxLeaseMs: number
+	/** Runs that nobody here started are left alone until then: the placer before hands them over. */
+	readonly orphansWaitUntil: number
 	/** Called when room appeared or an executor became usable. */
 	readonly onRoom: () => void
 	/** Called when a higher fence was seen. */
@@ -30,6 +38,12 @@
 	readonly runs: Map<string, Run>
 	/** Runs there that nobody here started; while there are any, the free room is unknown. */
 	orphans: ReadonlySet<string>
+	/** Until then such runs may still be handed over by the placer before, and are not stopped. */
+	readonly orphansWaitUntil: number
+	/** Such runs that were told to stop. */
+	readonly stoppedOrphans: Set<string>
+	/** Ends of such runs, until they are asked for. */
+	readonly strayEnds: Map<string, RunEnd>
 	readonly used: {cpu: number; memoryMb: number; accelerators: number}
 	/** Ends up to this serial are settled here. */
 	seenSerial: number
@@ -47,6 +61,9 @@
 		executorClock: createExecutorClock(),
 		runs: new Map(),
 		orphans: new Set(),
+		orphansWaitUntil: deps.orphansWaitUntil,
+		stoppedOrphans: new Set(),
+		strayEnds: new Map(),
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
 		isFenceTaken: false,
@@ -193,3 +210,6 @@
 			return true
 	}
 }
+
+/** Names a run of a task. */
+export const runName = (task: string, run: number) => `${task}/${run}`
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -35,6 +35,8 @@
 	readonly failureDomain: string
 	readonly fence: number
 	readonly maxLeaseMs: number
+	/** Runs left by the placer before wait this long to be handed over. */
+	readonly orphansWaitMs: number
 	/** Hands a task to another domain's placer; false when none has room. */
 	readonly handOver: (item: Waiting) => boolean
 	readonly onFenced: () => void
@@ -57,10 +59,26 @@
 	expectedWaitMs(): number
 	/** Tries the queue again soon: room may have appeared elsewhere. */
 	walk(): void
+	/** Takes over a run that the placer before had on an executor. */
+	adopt(
+		req: TaskRequest,
+		from: {readonly executor: string; readonly isStarted: boolean},
+		onEnd: (end: TaskEnd) => void,
+	): TaskHandle
+	/**
+	 * Gives everything to a successor, which has raised the fence already: `send` takes what waits, and
+	 * what runs with the executor that has it. What is submitted later goes there too.
+	 */
+	giveAll(send: (item: Waiting, from?: RunningAt) => void): void
 	/** Starts nothing more here; what runs is left to the next fence. */
 	close(): void
 }
 
+export interface RunningAt {
+	readonly executor: string
+	readonly isStarted: boolean
+}
+
 export interface PlacerCounts {
 	readonly waiting: number
 	readonly running: number
@@ -69,10 +87,15 @@
 
 interface PlacerState {
 	readonly deps: PlacerDeps
+	readonly createdAt: number
 	readonly queue: TaskQueue
 	readonly links: Map<string, ExecutorLink>
 	readonly speeds: Speeds
 	readonly health: Health
+	/** What runs, by run; kept to be able to hand it over. */
+	readonly started: Map<Run, Waiting>
+	/** Takes everything once the placer has given all to a successor. */
+	successor: ((item: Waiting, from?: RunningAt) => void) | undefined
 	isWalkDue: boolean
 	isSweepDue: boolean
 	isClosed: boolean
@@ -81,10 +104,13 @@
 export function createPlacer(deps: PlacerDeps): Placer {
 	const state: PlacerState = {
 		deps,
+		createdAt: deps.clock.now(),
 		queue: createTaskQueue(),
 		links: new Map(),
 		speeds: createSpeeds(),
 		health: createPlacerHealth(deps),
+		started: new Map(),
+		successor: undefined,
 		isWalkDue: false,
 		isSweepDue: false,
 		isClosed: false,
@@ -98,10 +124,43 @@
 		walk() {
 			if (state.queue.size() > 0) walkSoon(state)
 		},
-		close() {
-			state.isClosed = true
-			for (const link of state.links.values()) link.close()
-		},
+		adopt: (req, from, onEnd) => adopt(state, req, from, onEnd),
+		giveAll: send => giveAll(state, send),
+		close: () => close(state),
+	}
+}
+
+function close(state: PlacerState) {
+	state.isClosed = true
+	for (const link of state.links.values()) link.close()
+}
+
+function adopt(
+	state: PlacerState,
+	req: TaskRequest,
+	{executor, isStarted}: RunningAt,
+	onEnd: (end: TaskEnd) => void,
+): TaskHandle {
+	const link = state.links.get(executor)
+	if (!link) {
+		onEnd({type: "lost", executor, cause: "its executor is not listed here"})
+		return {cancel: () => undefined}
+	}
+	const run = link.adopt(req, isStarted, onEnd)
+	return {cancel: () => link.cancel(run)}
+}
+
+function giveAll(state: PlacerState, send: (item: Waiting, from?: RunningAt) => void) {
+	state.successor = send
+	for (const group of state.queue.inOrder(state.deps.clock.now()))
+		for (let item = state.queue.take(group); item; item = state.queue.take(group)) send(item)
+	const running = [...state.links.values()].flatMap(link =>
+		link.runs().map(({run, isStarted}) => ({run, isStarted, executor: link.record.id})),
+	)
+	close(state)
+	for (const {run, isStarted, executor} of running) {
+		const item = state.started.get(run)
+		if (item) send(item, {executor, isStarted})
 	}
 }
 
@@ -137,17 +196,22 @@
 			if (isCancelled) stopRun()
 		},
 	}
-	state.queue.push(item)
-	sweepSoon(state)
-	if (req.isForeign) clock.schedule(FOREIGN_WAIT_MS, () => giveBack(state, item, "no room"))
-	walkSoon(state)
-	return {
+	const handle: TaskHandle = {
 		cancel() {
 			isCancelled = true
 			if (state.queue.remove(item)) onEnd({type: "stopped"})
 			else stop?.()
 		},
 	}
+	if (state.successor) {
+		state.successor(item)
+		return handle
+	}
+	state.queue.push(item)
+	sweepSoon(state)
+	if (req.isForeign) clock.schedule(FOREIGN_WAIT_MS, () => giveBack(state, item, "no room"))
+	walkSoon(state)
+	return handle
 }
 
 function giveBack({queue}: PlacerState, item: Waiting, cause: string) {
@@ -215,7 +279,11 @@
 		waitingTasks: state.queue.size(),
 	})
 	state.health.beginProbe(executor)
-	const run = link.start(item.req, item.onEnd)
+	const run = link.start(item.req, end => {
+		state.started.delete(run)
+		item.onEnd(end)
+	})
+	state.started.set(run, item)
 	item.onStart(() => link.cancel(run))
 }
 
@@ -254,6 +322,7 @@
 
 function addLink(state: PlacerState, record: ExecutorRecord) {
 	const {clock, orders, log, metrics, fence, maxLeaseMs, onFenced} = state.deps
+	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
 		clock,
 		orders,
@@ -261,6 +330,7 @@
 		metrics,
 		fence,
 		maxLeaseMs,
+		orphansWaitUntil,
 		onRoom: () => walkSoon(state),
 		onFenced,
 		onRunEnd: (executor, run, end) => observeEnd(state, executor, run, end),
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -21,6 +21,7 @@
 		failureDomain: "a",
 		fence: 7,
 		maxLeaseMs: 1_000,
+		orphansWaitMs: 0,
 		handOver: () => false,
 		onFenced: () => void fencedTimes++,
 		onRoomChange: () => undefined,
--- /dev/null
+++ b/packages/standins/test/leased.test.ts
@@ -0,0 +1,180 @@
+/**
+ * The program on the users' platform, as separate processes against a stand-in of it.
+ */
+import {handIn, isReady, startEdges, startLeasedPlatform} from "@cottonwood/standins"
+import type {EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
+import {expect} from "chai"
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+let serial = 0
+const newId = () => (++serial + 0xabc000).toString(16).padStart(16, "0")
+
+describe("jobs on the users' platform", () => {
+	let platform: LeasedPlatform
+	let fleet: EdgeFleet
+
+	beforeEach(async () => {
+		platform = await startLeasedPlatform({failureDomains: ["a", "b"], executorsPerDomain: 3})
+		platform.putConfig(1)
+		fleet = await startEdges(platform, [
+			["a-1", "a"],
+			["a-2", "a"],
+			["b-1", "b"],
+		])
+	})
+
+	afterEach(async () => {
+		await fleet.close()
+		await platform.close()
+	})
+
+	const edgeOf = (name: string) => fleet.edges.find(edge => edge.name === name)!
+	const anyEdge = (at: number) => fleet.edges[at % fleet.edges.length]!
+	const placerOf = (domain: string) =>
+		(platform.store.read(`fleet/claim/${domain}`) as {placer: {name: string}}).placer.name
+	const linesOf = (id: string) =>
+		fleet.edges.flatMap(edge => edge.lines).filter(line => line["job"] === id)
+
+	it("runs each task once and answers when all have ended", async () => {
+		const ids = Array.from({length: 12}, newId)
+		const answers = await Promise.all(ids.map((id, at) => handIn(anyEdge(at), id, {count: 3})))
+		for (const answer of answers) expect(answer).to.deep.include({status: 200})
+		for (const id of ids)
+			for (let at = 0; at < 3; at++) expect(platform.startsOf(`${id}.0.0.${at}`)).to.equal(1)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("uses the other domain's room for a job that its own cannot hold", async () => {
+		const id = newId()
+		const answer = await handIn(edgeOf("a-1"), id, {count: 12, spec: {workMs: 400}})
+		expect(answer.status).to.equal(200)
+		const domains = linesOf(id).filter(line => line["kind"] === "task_handed_over")
+		expect(domains.length).to.be.greaterThan(0)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("refuses what it cannot serve, and never runs it", async () => {
+		const kept = newId()
+		const answer = await handIn(edgeOf("a-1"), kept, {body: {"best-effort": false}})
+		expect(answer.status).to.equal(503)
+		expect(answer.retryAfter).to.not.equal(undefined)
+		await sleep(300)
+		expect(platform.startsOf(`${kept}.0.0.0`)).to.equal(0)
+		const malformed = await handIn(edgeOf("a-1"), newId(), {body: {steps: "none"}})
+		expect(malformed.status).to.equal(400)
+	})
+
+	it("goes on while the store is away", async () => {
+		platform.store.faults.down = "silent"
+		const answers = []
+		for (let at = 0; at < 20; at++) {
+			answers.push(handIn(anyEdge(at), newId(), {count: 2}))
+			await sleep(150)
+		}
+		for (const answer of await Promise.all(answers)) expect(answer.status).to.equal(200)
+		platform.store.faults.down = undefined
+	})
+
+	it("another instance takes over after a placer is killed, and nothing runs twice", async () => {
+		const victim = edgeOf(placerOf("a"))
+		const other = fleet.edges.find(edge => edge.failureDomain === "a" && edge !== victim)!
+		const early = Array.from({length: 6}, newId)
+		const pending = early.map(id => handIn(other, id, {count: 2, spec: {workMs: 600}}))
+		await sleep(150)
+		victim.child.kill("SIGKILL")
+		const answers = await Promise.all(pending)
+		for (const {status} of answers) expect(status).to.be.oneOf([200, 502, 503])
+		await sleep(2_500)
+		expect(placerOf("a")).to.equal(other.name)
+		// The callers of lost jobs come back with the same ids.
+		const again = await Promise.all(early.map(id => handIn(other, id, {count: 2})))
+		for (const {status} of again) expect(status).to.equal(200)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("starts a task once though the answers to starts are lost or late", async () => {
+		for (const {executor} of platform.executors)
+			executor.faults.lateStarts = {count: 2, delayMs: 2_000}
+		const ids = Array.from({length: 8}, newId)
+		const answers = await Promise.all(ids.map((id, at) => handIn(anyEdge(at), id, {count: 2})))
+		for (const {status} of answers) expect(status).to.equal(200)
+		await sleep(2_500)
+		for (const id of ids) expect(platform.startsOf(`${id}.0.0.0`)).to.equal(1)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("runs elsewhere what a crashed executor had", async () => {
+		const id = newId()
+		const pending = handIn(edgeOf("b-1"), id, {count: 6, spec: {workMs: 500}})
+		await sleep(200)
+		const busy = platform.executors.find(({executor}) => executor.runningCount() > 0)!
+		platform.restart(busy)
+		expect((await pending).status).to.equal(200)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("sets an executor aside that fails everything", async () => {
+		const bad = platform.executors[0]!.executor
+		bad.faults.failAll = true
+		const statuses: unknown[] = []
+		for (let at = 0; at < 30; at++) {
+			const answer = await handIn(anyEdge(at), newId(), {count: 2, spec: {workMs: 20}})
+			statuses.push((answer.body as {state?: string}).state)
+		}
+		expect(statuses.filter(state => state === "completed").length).to.be.greaterThan(25)
+	})
+
+	it("stops the tasks of a caller that has left", async () => {
+		const leaving = new AbortController()
+		const id = newId()
+		const pending = handIn(edgeOf("a-2"), id, {
+			count: 4,
+			spec: {workMs: 2_000},
+			signal: leaving.signal,
+		}).catch(() => undefined)
+		await sleep(300)
+		leaving.abort()
+		await pending
+		await sleep(500)
+		const running = platform.executors.map(({executor}) => executor.runningCount())
+		expect(running.every(count => count === 0)).to.equal(true)
+	})
+
+	it("answers what is under way before a planned stop, and is not ready meanwhile", async () => {
+		const edge = edgeOf(placerOf("a"))
+		const pending = handIn(edge, newId(), {count: 2, spec: {workMs: 800}})
+		await sleep(200)
+		edge.child.kill("SIGTERM")
+		await sleep(50)
+		expect(await isReady(edge)).to.equal(false)
+		expect((await pending).status).to.equal(200)
+		expect(await edge.exited).to.equal(0)
+	})
+
+	it("serves a new configuration, and refuses a queue that is gone", async () => {
+		platform.putConfig(2, {routes: []})
+		await sleep(500)
+		expect((await handIn(edgeOf("a-1"), newId())).status).to.equal(404)
+		platform.putConfig(5)
+		await sleep(500)
+		expect((await handIn(edgeOf("b-1"), newId())).status).to.equal(200)
+	})
+
+	it("takes a configuration that was written while history was forgotten", async () => {
+		platform.putConfig(2, {routes: []})
+		platform.store.forgetHistory()
+		await sleep(800)
+		expect((await handIn(edgeOf("a-1"), newId())).status).to.equal(404)
+	})
+
+	it("writes a line for each decision, found by the job's id alone", async () => {
+		const id = newId()
+		await handIn(edgeOf("a-2"), id, {count: 2})
+		await sleep(300)
+		const kinds = linesOf(id).map(line => line["kind"])
+		for (const kind of ["task_started", "run_ended", "placer_asked", "job_completed"])
+			expect(kinds).to.include(kind)
+		for (const line of linesOf(id)) expect(JSON.stringify(line)).to.not.include("workMs")
+	})
+})
