Read the list of executors at once when placing begins; test the program as processes

Cause: a new placer waited up to 650 ms for its first list and refused jobs meanwhile. Change: it reads at once.

--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -80,7 +80,9 @@
 		const {fence, placer} = claim
 		const fields = {failureDomain: claim.failureDomain, fence, peer: placer.name}
 		log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
+		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
 		hosts.noteClaim(claim)
+		if (isNew) executors.readNow()
 	})
 	const overflow = createOverflow({clock, peers, view, self, log, metrics})
 
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -29,6 +29,8 @@
 
 export interface ExecutorList {
 	recordsOf(failureDomain: string): readonly ExecutorRecord[]
+	/** Reads at once: somebody here needs the list from now on. */
+	readNow(): void
 	close(): void
 }
 
@@ -69,12 +71,14 @@
 		deps.log.event("placer", "list_returned", "placer: the list of executors is back.", fields)
 	}
 
+	async function read() {
+		const listing = await store.list(deps.prefix)
+		if (listing && !isClosed) take(listing.items)
+	}
+
 	async function loop() {
 		while (!isClosed) {
-			if (deps.isNeeded()) {
-				const listing = await store.list(deps.prefix)
-				if (listing && !isClosed) take(listing.items)
-			}
+			if (deps.isNeeded()) await read()
 			await clock.sleep(READ_MS)
 		}
 	}
@@ -85,6 +89,7 @@
 			[...known.values()]
 				.map(({record}) => record)
 				.filter(record => record.failureDomain === failureDomain),
+		readNow: () => void read(),
 		close() {
 			isClosed = true
 		},
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -87,6 +87,17 @@
 	throw new Error(`${edge.name} did not become ready`)
 }
 
+/** Waits until every executor obeys the fence of a placer. */
+export async function untilPlaced(fleet: EdgeFleet, executors: number) {
+	for (let tries = 0; tries < READY_TRIES; tries++) {
+		const lines = fleet.edges.flatMap(edge => edge.lines)
+		const fenced = lines.filter(line => line["kind"] === "fence_taken")
+		if (fenced.length >= executors) return
+		await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
+	}
+	throw new Error("not every executor is placed")
+}
+
 export async function isReady(edge: Edge): Promise<boolean> {
 	try {
 		const res = await request(`http://${edge.readiness}/ready`)
