--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -15,6 +15,8 @@
 const PLACER_QUIET_MS = 650
 /** Placers that are tried in turn for a job that no placer has seen yet. */
 const MAX_PLACERS_TRIED = 3
+/** A job that was refused after it had waited so long is not tried elsewhere. */
+const ELSEWHERE_MS = 25
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
 /** A job accepted under a newer configuration waits so long for it at the placer. */
@@ -69,18 +71,30 @@
 		return view.silentMs(placer.session) < PLACER_QUIET_MS && !view.isLeaving(placer.session)
 	}
 
+	/** A placer of which nothing is known either way; a last resort, since it may be cut off. */
+	function isUntold({placer}: Claim): boolean {
+		return placer.session !== self.session && view.isUnknown(placer.session)
+	}
+
 	/** The own domain's placer first, then one that is here, then the others. */
 	function candidates(): readonly Claim[] {
+		const heard = rankedClaims(isHeard)
+		return heard.length > 0 ? heard : rankedClaims(isUntold)
+	}
+
+	function rankedClaims(isWanted: (claim: Claim) => boolean): readonly Claim[] {
 		const order = ({failureDomain, placer}: Claim) => {
 			if (failureDomain === self.failureDomain) return 0
 			return placer.session === self.session ? 1 : 2
 		}
 		return view
 			.claims()
-			.filter(isHeard)
-			.sort((a, b) => order(a) - order(b))
+			.filter(isWanted)
+			.sort((a, b) => order(a) - order(b) || waitingWork(a) - waitingWork(b))
 	}
 
+	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
+
 	function messageOf(job: Job, claim: Claim): JobMessage {
 		const {receivedAt, deadlineAt, ...rest} = job
 		const now = clock.now()
@@ -104,16 +118,20 @@
 		onCancel(() => call.cancel())
 		const reply = await call.reply
 		if (reply) return reply
-		if (call.wasUnsent()) return {type: "unsent"}
+		if (call.wasUnsent()) {
+			view.noteUnreachable(claim.placer.session)
+			return {type: "unsent"}
+		}
 		return {type: "given up", kind: "placer_lost", cause: `${claim.placer.name} is silent`}
 	}
 
 	/** Asks placers in turn, as long as those before have certainly not begun the job. */
 	async function tryPlacers(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd> {
 		const tried = new Set<string>()
+		let refusal: JobEnd | undefined
 		while (tried.size < MAX_PLACERS_TRIED) {
 			const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
-			if (!claim) break
+			if (!claim || (tried.size > 0 && isUntold(claim) && refusal)) break
 			tried.add(claim.failureDomain)
 			const host = hosts.of(claim.failureDomain)
 			const end = host
@@ -121,10 +139,11 @@
 				: await runThere(claim, job, onCancel)
 			noteTry(job, claim, end.type)
 			if (end.type === "unsent" || end.type === "not placer") continue
-			if (end.type === "refused" && end.kind !== "overloaded") continue
-			return end
+			if (end.type !== "refused") return end
+			refusal = end
+			if (clock.now() - job.receivedAt > ELSEWHERE_MS) return end
 		}
-		return {type: "refused", kind: "no_capacity", cause: "no placer can be reached"}
+		return refusal ?? {type: "refused", kind: "no_capacity", cause: "no placer can be reached"}
 	}
 
 	function noteTry(job: Job, {placer, fence, failureDomain}: Claim, outcome: string) {
--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -82,6 +82,7 @@
 		}
 		const successor = {failureDomain, fence: claim.fence + 1, placer: member}
 		hosts.giveTo(successor, overflow)
+		view.noteHeard(member.session)
 		view.noteClaim(successor)
 		return true
 	}
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -9,10 +9,10 @@
 import type {Claim, Member, Room} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
 import type {Overflow} from "./overflow.js"
-import {longestChainMs, startJobRun, type JobRun} from "./job-run.js"
+import {latestUsefulStart, startJobRun, type JobRun} from "./job-run.js"
 
-/** A job that would start later than this many objectives from now is refused. */
-const MAX_WAIT_OBJECTIVES = 1.5
+/** Estimates are not good enough to refuse for a wait shorter than this. */
+const SHORT_WAIT_MS = 30
 /** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
 const HANDOVER_WAIT_MS = 800
 
@@ -83,12 +83,13 @@
 		for (const job of host.jobs) job.abandon(cause)
 	}
 
+	/** A job that cannot start in time here is refused while another may still take it. */
 	function refusalOf(job: Job, queue: Queue, placer: Placer): JobEnd | undefined {
-		const objectiveMs = queue.stretch * longestChainMs(job.steps) + queue.slackMs
-		const waitMs = placer.expectedWaitMs()
-		if (waitMs <= objectiveMs * MAX_WAIT_OBJECTIVES) return undefined
-		const cause = `${Math.round(waitMs)} ms of work wait here`
-		return {type: "refused", kind: waitMs === Infinity ? "no_capacity" : "overloaded", cause}
+		const startBy = latestUsefulStart(job, queue)
+		const waitMs = placer.expectedWaitMs(startBy)
+		if (clock.now() + waitMs <= startBy || waitMs < SHORT_WAIT_MS) return undefined
+		const kind = waitMs === Infinity ? "no_capacity" : "overloaded"
+		return {type: "refused", kind, cause: `${Math.round(waitMs)} ms of work wait here`}
 	}
 
 	return {
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -14,6 +14,9 @@
 const RUN_NUMBER_STEP = 16
 /** Tasks that were given back or lost are tried again after this, so that a full fleet is not asked in a loop. */
 const RETRY_MS = 15
+/** A job of which nothing has started is refused after so many objectives, or this share of its time. */
+const UNSTARTED_OBJECTIVES = 1.5
+const UNSTARTED_SHARE = 0.4
 /** Runs that were lost do not count as attempts, but there is an end to everything. */
 const MAX_RUNS = 12
 
@@ -57,10 +60,20 @@
 	return Math.max(0, ...ends)
 }
 
+/** When a job counts as late, in milliseconds from its arrival. */
+export function objectiveMsOf(job: Job, queue: Queue): number {
+	return queue.stretch * longestChainMs(job.steps) + queue.slackMs
+}
+
+/** The steady time after which a job cannot meet its objective any more. */
+export function latestUsefulStart(job: Job, queue: Queue): number {
+	return job.receivedAt + objectiveMsOf(job, queue) - longestChainMs(job.steps)
+}
+
 /** Runs a job's tasks in the order of its steps until all are done or one has failed for good. */
 export function startJobRun(job: Job, queue: Queue, deps: JobRunDeps): JobRun {
 	const {clock, log, metrics} = deps
-	const objectiveMs = queue.stretch * longestChainMs(job.steps) + queue.slackMs
+	const objectiveMs = objectiveMsOf(job, queue)
 	const dueAt = job.receivedAt + objectiveMs
 	const remaining = job.steps.map(step => step.count)
 	const begun = new Set<number>()
@@ -74,6 +87,7 @@
 		if (isOver) return
 		isOver = true
 		cancelDeadline()
+		cancelUnstarted()
 		for (const task of tasks) if (!task.isOver) task.handle?.cancel()
 		settle(end)
 	}
@@ -183,6 +197,21 @@
 		finish({type: "refused", kind: "overloaded", cause: `${cause} before anything started`})
 	}
 
+	/** The caller is told while it still has time to come back. */
+	function refuseUnstarted() {
+		if (firstStartAt !== undefined) return
+		const cause = "nothing of it could start in time"
+		finish({type: "refused", kind: "overloaded", cause})
+	}
+
+	const patienceMs = Math.min(
+		objectiveMs * UNSTARTED_OBJECTIVES,
+		(job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE,
+	)
+	const cancelUnstarted = clock.schedule(
+		Math.max(0, job.receivedAt + patienceMs - clock.now()),
+		refuseUnstarted,
+	)
 	const leftMs = Math.max(0, job.deadlineAt - clock.now())
 	const cancelDeadline = clock.schedule(leftMs, () => giveUp("deadline_exceeded"))
 	beginSteps()
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -31,6 +31,12 @@
 	membersOf(failureDomain: string): readonly Member[]
 	/** Milliseconds since anything was heard from a session; Infinity if never. */
 	silentMs(session: string): number
+	/** Nothing was ever heard of the session, good or bad. */
+	isUnknown(session: string): boolean
+	/** The session has just answered something else than a beat. */
+	noteHeard(session: string): void
+	/** Nothing listens where the session was: it is as good as silent for ever. */
+	noteUnreachable(session: string): void
 	isLeaving(session: string): boolean
 	roomOf(failureDomain: string): ToldRoom | undefined
 	/** Sessions heard from within so many milliseconds. */
@@ -89,6 +95,13 @@
 			const last = heard.get(session)
 			return last ? clock.now() - last.at : Infinity
 		},
+		isUnknown: session => !heard.has(session),
+		noteHeard(session) {
+			heard.set(session, {at: clock.now(), isLeaving: false})
+		},
+		noteUnreachable(session) {
+			heard.set(session, {at: -Infinity, isLeaving: false})
+		},
 		isLeaving: session => heard.get(session)?.isLeaving ?? false,
 		roomOf: failureDomain => rooms.get(failureDomain),
 		heardWithin(ms) {
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -39,6 +39,8 @@
 	readonly maxLeaseMs: number
 	/** A stop takes at most this long. */
 	readonly drainMs: number
+	/** Callers go on coming for so long after the readiness has ended. */
+	readonly noticeMs: number
 }
 
 /** What the surroundings offer; implemented for each platform. */
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -18,6 +18,8 @@
 const MAX_GROUPS_PER_WALK = 24
 /** A task from another placer that found no room is given back after this. */
 const FOREIGN_WAIT_MS = 40
+/** Whole tasks fill about this share of executors of two or three times their size; measured on the sheets. */
+const PACKED_SHARE = 0.8
 /** Deadlines are looked at this often. */
 const SWEEP_MS = 25
 /** The freest executors that are told to other placers. */
@@ -55,8 +57,11 @@
 	setExecutors(records: readonly ExecutorRecord[]): void
 	room(): Room
 	counts(): PlacerCounts
-	/** How long a task that comes now will wait at the pace of the estimates, in milliseconds. */
-	expectedWaitMs(): number
+	/**
+	 * How long a task with this latest useful start will wait at the pace of the estimates, in
+	 * milliseconds; Infinity without a usable executor.
+	 */
+	expectedWaitMs(startBy: number): number
 	/** Tries the queue again soon: room may have appeared elsewhere. */
 	walk(): void
 	/** Takes over a run that the placer before had on an executor. */
@@ -120,7 +125,7 @@
 		setExecutors: records => setExecutors(state, records),
 		room: () => roomOf(state),
 		counts: () => countsOf(state),
-		expectedWaitMs: () => expectedWaitMs(state),
+		expectedWaitMs: startBy => expectedWaitMs(state, startBy),
 		walk() {
 			if (state.queue.size() > 0) walkSoon(state)
 		},
@@ -371,7 +376,9 @@
 	return {waiting: state.queue.size(), running, usable: usableLinks(state).length}
 }
 
-function expectedWaitMs(state: PlacerState): number {
+function expectedWaitMs(state: PlacerState, startBy: number): number {
 	const cpu = usableLinks(state).reduce((sum, link) => sum + link.record.capacity.cpu, 0)
-	return cpu === 0 ? Infinity : state.queue.work() / (cpu / 1_000)
+	if (cpu === 0) return Infinity
+	const work = state.queue.workBefore(startBy, state.deps.clock.now())
+	return work / ((cpu / 1_000) * PACKED_SHARE)
 }
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -32,6 +32,8 @@
 	size(): number
 	/** Core-milliseconds that wait. */
 	work(): number
+	/** Core-milliseconds that go before a task with this latest useful start. */
+	workBefore(startBy: number, now: number): number
 	expired(now: number): readonly Waiting[]
 }
 
@@ -82,6 +84,14 @@
 		},
 		size: () => size,
 		work: () => Math.max(0, work),
+		workBefore(startBy, now) {
+			let before = 0
+			for (const group of groups.values()) {
+				if (group.startBy < now || group.startBy > startBy) continue
+				for (const item of group.waiting) before += workOf(item.req)
+			}
+			return before
+		},
 		expired(now) {
 			const gone: Waiting[] = []
 			for (const group of groups.values())
