--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -13,6 +13,8 @@
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
 const SHORT_WAIT_MS = 30
+/** No more is taken while so much waits: about the slack of the users' middle kind of job. */
+const LONG_QUEUE_MS = 180
 /** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
 const HANDOVER_WAIT_MS = 800
 
@@ -87,7 +89,10 @@
 	function refusalOf(job: Job, queue: Queue, placer: Placer): JobEnd | undefined {
 		const startBy = latestUsefulStart(job, queue)
 		const waitMs = placer.expectedWaitMs(startBy)
-		if (clock.now() + waitMs <= startBy || waitMs < SHORT_WAIT_MS) return undefined
+		const isInTime = clock.now() + waitMs <= startBy || waitMs < SHORT_WAIT_MS
+		// What waits long in all starves whoever can wait longest.
+		const isShort = waitMs < Infinity && placer.expectedWaitMs(Infinity) < LONG_QUEUE_MS
+		if (isInTime && isShort) return undefined
 		const kind = waitMs === Infinity ? "no_capacity" : "overloaded"
 		return {type: "refused", kind, cause: `${Math.round(waitMs)} ms of work wait here`}
 	}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -23,8 +23,6 @@
 import type {EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
 
-/** While leaving: jobs that are under way are looked at this often. */
-const DRAIN_POLL_MS = 25
 const REACH_TIMEOUT_MS = 250
 /** Executors that are asked before a foreign failure domain is taken over. */
 const REACH_SAMPLES = 3
@@ -37,10 +35,6 @@
 	/** Where peers reach this instance: host and port. */
 	readonly peerAddress: string
 	readonly maxLeaseMs: number
-	/** A stop takes at most this long. */
-	readonly drainMs: number
-	/** Callers go on coming for so long after the readiness has ended. */
-	readonly noticeMs: number
 }
 
 /** What the surroundings offer; implemented for each platform. */
@@ -61,8 +55,11 @@
 	/** Why no caller should be sent here; undefined when ready. */
 	notReadyCause(): string | undefined
 	isLeaving(): boolean
-	/** Finishes what is under way, then gives everything up. */
-	drain(): Promise<void>
+	/** Takes no more work of others and hands over what it places; its callers are served on. */
+	leave(): Promise<void>
+	/** Whether jobs or tasks are under way here. */
+	isWorking(): boolean
+	close(): Promise<void>
 }
 
 /** Starts an instance; rejects when its port is taken. */
@@ -224,13 +221,14 @@
 			return dispatcher.canPlace() ? undefined : "no placer can be reached"
 		},
 		isLeaving: () => isLeaving,
-		async drain() {
+		async leave() {
 			isLeaving = true
-			const until = clock.now() + settings.drainMs
 			const fields = {count: dispatcher.workCount()}
 			log.alarm("instance", "leaving", "instance: finishes what is under way.", fields)
 			await handover.giveAllAway()
-			while (dispatcher.workCount() > 0 && clock.now() < until) await clock.sleep(DRAIN_POLL_MS)
+		},
+		isWorking: () => dispatcher.workCount() > 0,
+		async close() {
 			await registration.end()
 			claims.close()
 			handover.close()
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -2,8 +2,7 @@
  * What waits for room at a placer: tasks of one shape in groups, the most urgent group first.
  *
  * A group is a step's tasks that need the same; when one does not fit the others do not either. Groups
- * go by the class of their urgency, then by the latest start that is still useful. A group that can no
- * longer meet its objective goes behind all that can.
+ * go by rank, then by the latest start that is still useful.
  */
 import type {TaskEnd, TaskRequest} from "./run.js"
 
@@ -19,6 +18,8 @@
 	readonly key: string
 	readonly startBy: number
 	readonly waiting: Waiting[]
+	/** Whether tasks of it have started already. */
+	hasBegun: boolean
 }
 
 export interface TaskQueue {
@@ -44,6 +45,16 @@
 	return [job, need.cpu, need.memoryMb, need.accelerators, label, rack, req.avoid.join()].join("|")
 }
 
+function newGroup(key: string, {startBy, run}: TaskRequest): Group {
+	return {key, startBy, waiting: [], hasBegun: run > 1}
+}
+
+/** Begun work goes first, since what was done for it is lost with it; work that is late anyway, last. */
+function rankOf({hasBegun, startBy}: Group, now: number): number {
+	if (hasBegun) return 0
+	return startBy < now ? 2 : 1
+}
+
 export function createTaskQueue(): TaskQueue {
 	const groups = new Map<string, Group>()
 	let size = 0
@@ -58,7 +69,7 @@
 		push(item) {
 			const key = groupKeyOf(item.req)
 			let group = groups.get(key)
-			if (!group) groups.set(key, (group = {key, startBy: item.req.startBy, waiting: []}))
+			if (!group) groups.set(key, (group = newGroup(key, item.req)))
 			group.waiting.push(item)
 			size++
 			work += workOf(item.req)
@@ -73,12 +84,14 @@
 			return true
 		},
 		inOrder(now) {
-			const late = (group: Group) => (group.startBy < now ? 1 : 0)
-			return [...groups.values()].sort((a, b) => late(a) - late(b) || a.startBy - b.startBy)
+			return [...groups.values()].sort(
+				(a, b) => rankOf(a, now) - rankOf(b, now) || a.startBy - b.startBy,
+			)
 		},
 		take(group) {
 			const item = group.waiting.shift()
 			if (item) forget(item)
+			group.hasBegun = true
 			if (group.waiting.length === 0) groups.delete(group.key)
 			return item
 		},
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -62,7 +62,7 @@
 const SAMPLE_ONE_IN = 20
 const SECOND_MS = 1_000
 /** Lines are gathered this long before they are written: each write costs a thread's wake-up. */
-const FLUSH_MS = 100
+export const LOG_FLUSH_MS = 100
 const STDOUT = 1
 
 /** Writes a descriptor without blocking the loop: one write at a time, the rest waits or is dropped. */
@@ -87,7 +87,7 @@
 	private flushSoon() {
 		if (this.isFlushDue || this.isWriting) return
 		this.isFlushDue = true
-		setTimeout(() => this.flush(), FLUSH_MS).unref()
+		setTimeout(() => this.flush(), LOG_FLUSH_MS).unref()
 	}
 
 	/** Writes what waits; the end of a process calls it too. */
