A stopped run is no failed attempt; a retry does not go back where it failed

Found from the job's id alone: run_stuck, run_ended, task_retry, job_failed. Change: stuck runs are lost runs for the job and weigh three failures for the executor; what was lost too often is given up, never called failed; an avoided executor is used again only when nothing else works; stuck after 250 ms without a hundredth of progress (450 before).

--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -9,12 +9,10 @@
 import type {Claim, Member, Room} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
 import type {Overflow} from "./overflow.js"
-import {latestUsefulStart, startJobRun, type JobRun} from "./job-run.js"
+import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
 const SHORT_WAIT_MS = 30
-/** No more is taken while so much waits: about the slack of the users' middle kind of job. */
-const LONG_QUEUE_MS = 180
 /** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
 const HANDOVER_WAIT_MS = 800
 
@@ -91,10 +89,11 @@
 		const waitMs = placer.expectedWaitMs(startBy)
 		const isInTime = clock.now() + waitMs <= startBy || waitMs < SHORT_WAIT_MS
 		// What waits long in all starves whoever can wait longest.
-		const isShort = waitMs < Infinity && placer.expectedWaitMs(Infinity) < LONG_QUEUE_MS
-		if (isInTime && isShort) return undefined
+		const allMs = placer.expectedWaitMs(Infinity)
+		if (isInTime && allMs <= objectiveMsOf(job, queue)) return undefined
 		const kind = waitMs === Infinity ? "no_capacity" : "overloaded"
-		return {type: "refused", kind, cause: `${Math.round(waitMs)} ms of work wait here`}
+		const cause = `${Math.round(waitMs)} ms of work go before it, ${Math.round(allMs)} ms wait`
+		return {type: "refused", kind, cause}
 	}
 
 	return {
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -128,7 +128,8 @@
 
 	function submitTask(task: TaskState) {
 		if (isOver) return
-		if (task.runs >= MAX_RUNS) return finish({type: "failed", cause: "lost too often"})
+		if (task.runs >= MAX_RUNS)
+			return finish({type: "given up", kind: "placer_lost", cause: "its runs were lost too often"})
 		task.runs++
 		task.handle = deps.submit(requestOf(task), end => noteEnd(task, end), noteStart)
 	}
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -28,9 +28,12 @@
 const HOLD_SLACK_MS = 200
 /** Between tries to reach a silent executor: a fraction of the lease. */
 const SILENT_RETRY_MS = 60
-/** Without progress for this long, or for this share of its estimate, a run counts as stuck. */
-const STUCK_MS = 450
-const STUCK_ESTIMATES = 1.5
+/**
+ * Without progress for this long, and for this share of its estimate, a run counts as stuck. Progress
+ * comes in hundredths, so a run eight times slower than estimated shows some in a tenth of that share.
+ */
+const STUCK_MS = 250
+const STUCK_ESTIMATES = 0.6
 
 type Held = Extract<HoldReply, {type: "held"}>
 
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -130,8 +130,7 @@
 export function lostOrStopped(link: LinkState, run: Run, cause: string): TaskEnd {
 	const executor = link.record.id
 	if (run.stopCause === "cancelled") return {type: "stopped"}
-	if (run.stopCause === "stuck") return {type: "failed", executor, cause: "stuck"}
-	return {type: "lost", executor, cause}
+	return {type: "lost", executor, cause: run.stopCause === "stuck" ? "stuck" : cause}
 }
 
 export function settleAllLost(link: LinkState, cause: string) {
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -26,6 +26,8 @@
 const ROOM_ENTRIES = 6
 /** At most this share of the executors is set aside. */
 const MAX_ASIDE_SHARE = 0.4
+/** A stuck run counts as so many failed ones: one is enough to judge by. */
+const STUCK_WEIGHT = 3
 /** An executor that was set aside gets a probe after this. */
 const PROBE_AFTER_MS = 1_500
 
@@ -255,7 +257,7 @@
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
-		const link = chooseExecutor(links.values(), next.req, health, speeds)
+		const link = chooseExecutor(links, next.req, health, speeds)
 		if (link) {
 			queue.take(group)
 			startOn(state, link, next)
@@ -306,14 +308,21 @@
 		outcome: end.type,
 		cause: "cause" in end ? end.cause : undefined,
 	})
-	if (end.type !== "done" && end.type !== "failed") return state.health.endProbe(executor)
 	const slowness = tookMs / Math.max(1, estimateMs)
+	if (run.stopCause === "stuck") return observeStuck(state, executor, slowness)
+	if (end.type !== "done" && end.type !== "failed") return state.health.endProbe(executor)
 	state.health.observe({target: executor, failed: end.type === "failed", slowness})
 	if (end.type === "failed") return
 	metrics.observe("run_ms", tookMs)
 	state.speeds.observe(executor, slowness)
 }
 
+/** A stuck run is the executor's doing, while a failed one may be the task's. */
+function observeStuck({health}: PlacerState, target: string, slowness: number) {
+	for (let times = 0; times < STUCK_WEIGHT; times++)
+		health.observe({target, failed: true, slowness})
+}
+
 function setExecutors(state: PlacerState, records: readonly ExecutorRecord[]) {
 	const listed = new Set(records.map(record => record.id))
 	for (const record of records) {
--- a/packages/jobs/src/place/selection.ts
+++ b/packages/jobs/src/place/selection.ts
@@ -8,7 +8,6 @@
 /** Weights of what speaks against an executor: how slow it has been, and how much room would be left. */
 const SLOWNESS_WEIGHT = 1
 const LEFTOVER_WEIGHT = 0.3
-const AVOID_PENALTY = 10
 const OFF_RACK_PENALTY = 3
 /** How much one run moves the smoothed speed of its executor. */
 const SPEED_STEP = 0.15
@@ -39,7 +38,6 @@
 	const {id, capacity, labels} = link.record
 	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
 	let cost = SLOWNESS_WEIGHT * speeds.of(id) + LEFTOVER_WEIGHT * left
-	if (req.avoid.includes(id)) cost += AVOID_PENALTY
 	if (req.rack !== undefined && !labels.includes(req.rack)) cost += OFF_RACK_PENALTY
 	return cost
 }
@@ -53,17 +51,33 @@
 	return health.isUsable(record.id)
 }
 
+/** Whether any executor that is not avoided works for the service, with room now or later. */
+function hasOther(
+	links: ReadonlyMap<string, ExecutorLink>,
+	req: TaskRequest,
+	health: Health,
+): boolean {
+	for (const link of links.values()) {
+		const {id, service} = link.record
+		const isOther = service === req.service && !req.avoid.includes(id)
+		if (isOther && link.isUsable() && health.isUsable(id)) return true
+	}
+	return false
+}
+
 /** The best executor for a task now; undefined when none may take it. */
 export function chooseExecutor(
-	links: Iterable<ExecutorLink>,
+	links: ReadonlyMap<string, ExecutorLink>,
 	req: TaskRequest,
 	health: Health,
 	speeds: Speeds,
 ): ExecutorLink | undefined {
 	let best: ExecutorLink | undefined
 	let bestCost = Infinity
-	for (const link of links) {
+	const mayGoBack = req.avoid.length > 0 && !hasOther(links, req, health)
+	for (const link of links.values()) {
 		if (!isOpen(link, req, health)) continue
+		if (!mayGoBack && req.avoid.includes(link.record.id)) continue
 		const cost = costOf(link, req, speeds)
 		if (cost >= bestCost) continue
 		best = link
--- a/packages/jobs/test/job-run.test.ts
+++ b/packages/jobs/test/job-run.test.ts
@@ -79,6 +79,16 @@
 		expect(end()?.type).to.equal("completed")
 	})
 
+	it("is never said to have failed when its runs were only lost", async () => {
+		const {clock, submitted, end} = createWorld([{}])
+		for (let at = 0; at < 40 && end() === undefined; at++) {
+			submitted[at]?.onStart()
+			submitted[at]?.onEnd({type: "lost", executor: `e${at}`, cause: "stuck"})
+			await clock.advance(20)
+		}
+		expect(end()).to.deep.include({type: "given up"})
+	})
+
 	it("raises the run number past one that an executor has seen", async () => {
 		const {clock, submitted} = createWorld([{}])
 		submitted[0]?.onEnd({type: "outnumbered", executor: "e1"})
