Add a command that tells a job's story from the log lines; say when its submitter left

Cause: the road from an id to its cause was a search by hand; a job whose caller had left was named placer_lost. Change: cottonwoodctl trace ID [FILE...]; the given-up kind says cancelled.

--- a/packages/ctl/src/bin.ts
+++ b/packages/ctl/src/bin.ts
@@ -6,6 +6,7 @@
 import type {Command} from "./commands/command.js"
 import {config, drain, endpoints, instances, workers} from "./commands/operators.js"
 import {cancel, explain, jobs, status, submit} from "./commands/submissions.js"
+import {trace} from "./commands/trace.js"
 import {EXIT} from "./output.js"
 
 const COMMANDS: Readonly<Record<string, Command>> = Object.freeze({
@@ -19,6 +20,7 @@
 	endpoints,
 	workers,
 	drain,
+	trace,
 })
 
 const cli = meow(
@@ -37,6 +39,7 @@
 	  config diff FILE     what a file would change
 	  config history       all versions, with author and time
 	  instances | endpoints | workers
+	  trace ID [FILE...]   a job's timeline from the instances' log lines (or standard input)
 	  drain                stop the instance at --url without cutting a request
 
 	Options
--- /dev/null
+++ b/packages/ctl/test/trace.test.ts
@@ -0,0 +1,24 @@
+/**
+ * The timeline of a job from log lines.
+ */
+import {readLines, timelineOf} from "cottonwoodctl/trace"
+import {expect} from "chai"
+
+const LINES = [
+	'  5.1 edge-a-1 {"timestamp":"2026-01-01T00:00:02.000Z","kind":"run_ended","job":"aa"}',
+	'{"timestamp":"2026-01-01T00:00:01.000Z","kind":"task_started","job":"aa"}',
+	'{"timestamp":"2026-01-01T00:00:01.500Z","kind":"task_started","job":"bb"}',
+	"not a line {of ours}",
+	"",
+]
+
+describe("trace", () => {
+	it("orders a job's lines by time and passes over what is not a line", () => {
+		const timeline = timelineOf(readLines(LINES.join("\n")), "aa")
+		expect(timeline.map(({kind}) => kind)).to.eql(["task_started", "run_ended"])
+	})
+
+	it("knows nothing of a job without lines", () => {
+		expect(timelineOf(readLines(LINES.join("\n")), "cc")).to.eql([])
+	})
+})
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -115,9 +115,14 @@
 	): Promise<JobReply | {readonly type: "unsent"}> {
 		const message = messageOf(job, claim)
 		const call = peers.runJob(claim.placer.address, message, message.leftMs + ANSWER_SLACK_MS)
-		onCancel(() => call.cancel())
+		let isCancelled = false
+		onCancel(() => {
+			isCancelled = true
+			call.cancel()
+		})
 		const reply = await call.reply
 		if (reply) return reply
+		if (isCancelled) return {type: "given up", kind: "cancelled", cause: "its submitter left"}
 		if (call.wasUnsent()) {
 			view.noteUnreachable(claim.placer.session)
 			return {type: "unsent"}
