--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -195,6 +195,7 @@
 			const req: TaskRequest = {
 				...message.task,
 				startBy: now + message.startInMs,
+				uselessAt: now + message.uselessInMs,
 				deadlineAt: now + message.leftMs,
 				isForeign: true,
 			}
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -14,6 +14,8 @@
 const RUN_NUMBER_STEP = 16
 /** Tasks that were given back or lost are tried again after this, so that a full fleet is not asked in a loop. */
 const RETRY_MS = 15
+/** An answer after so many objectives is of no use to its submitter; from the users' pages. */
+const USELESS_OBJECTIVES = 3
 /** A job of which nothing has started is refused after so many objectives, or this share of its time. */
 const UNSTARTED_OBJECTIVES = 1.5
 const UNSTARTED_SHARE = 0.4
@@ -110,7 +112,9 @@
 			need: step.need,
 			estimateMs: step.estimateMs,
 			startBy: dueAt - step.estimateMs - chainAfterMs(task.step),
+			uselessAt: job.receivedAt + objectiveMs * USELESS_OBJECTIVES,
 			deadlineAt: job.deadlineAt,
+			isBegun: firstStartAt !== undefined,
 			priority: queue.priority,
 			label: step.label,
 			rack: step.rack,
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -80,12 +80,13 @@
 
 	async function send(claim: Claim, item: Waiting, runsAt?: RunningAt): Promise<void> {
 		const {req} = item
-		const {startBy, deadlineAt, ...task} = req
+		const {startBy, uselessAt, deadlineAt, ...task} = req
 		const now = clock.now()
 		const leftMs = deadlineAt - now
 		const message: TaskMessage = {
 			task,
 			startInMs: startBy - now,
+			uselessInMs: uselessAt - now,
 			leftMs,
 			failureDomain: claim.failureDomain,
 			from: self.session,
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -29,8 +29,9 @@
 }
 
 export interface TaskMessage {
-	readonly task: Omit<TaskRequest, "startBy" | "deadlineAt">
+	readonly task: Omit<TaskRequest, "startBy" | "uselessAt" | "deadlineAt">
 	readonly startInMs: number
+	readonly uselessInMs: number
 	readonly leftMs: number
 	readonly failureDomain: string
 	readonly from: string
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -22,10 +22,15 @@
 } from "./link-state.js"
 import type {Run, TaskEnd} from "./run.js"
 
-/** A hold's answer waits this long for an end; two more tries fit in the shortest lease of 1 s. */
-const HOLD_WAIT_MS = 400
-/** Beyond the wait, a hold's answer is missed after this: about a hundred round trips. */
-const HOLD_SLACK_MS = 200
+/**
+ * A hold's answer waits this long for an end while something runs there: answers get lost on bad days,
+ * and what ended is not known until the next one.
+ */
+const BUSY_WAIT_MS = 160
+/** And this long while nothing does; two more tries fit in the shortest lease of 1 s. */
+const IDLE_WAIT_MS = 400
+/** Beyond the wait, a hold's answer is missed after this: some fifty round trips. */
+const HOLD_SLACK_MS = 110
 /** Between tries to reach a silent executor: a fraction of the lease. */
 const SILENT_RETRY_MS = 60
 /**
@@ -43,7 +48,7 @@
 	while (!link.isClosed) {
 		const sentAt = clock.now()
 		const isSilent = link.silentSince !== undefined
-		const waitMs = link.isFenceTaken && !isSilent ? HOLD_WAIT_MS : 0
+		const waitMs = link.isFenceTaken && !isSilent ? waitMsOf(link) : 0
 		// A silent executor may hear us: what is asked while it is silent must not keep its lease alive,
 		// or nobody could ever tell that its runs have ended.
 		const leaseUntilMs = isSilent ? undefined : nextLeaseUntil(link)
@@ -54,6 +59,8 @@
 	}
 }
 
+const waitMsOf = (link: LinkState) => (link.runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS)
+
 async function noteUnheld(link: LinkState, reply: HoldReply) {
 	const {clock} = link.deps
 	noteSilence(link, reply.type === "silent" ? reply.cause : reply.type)
@@ -137,6 +144,7 @@
 
 function noteProgress(link: LinkState, run: Run, percent: number, now: number) {
 	if (run.state === "starting") run.state = "running"
+	run.seenAt = now
 	if (percent > run.percent) {
 		run.percent = percent
 		run.progressAt = now
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -37,6 +37,7 @@
 		stopCause: undefined,
 		percent: -1,
 		progressAt: now,
+		seenAt: now,
 		onEnd,
 	}
 }
@@ -120,6 +121,7 @@
 	if (reply.type === "started") {
 		if (run.state === "starting") run.state = "running"
 		run.progressAt = now
+		run.seenAt = now
 		return
 	}
 	noteRefusedStart(link, run, reply.cause)
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -28,6 +28,8 @@
 const MAX_ASIDE_SHARE = 0.4
 /** A stuck run counts as so many failed ones: one is enough to judge by. */
 const STUCK_WEIGHT = 3
+/** Two waits of a busy executor's hold: an end that was not told within it was told late. */
+const LATE_NEWS_MS = 320
 /** An executor that was set aside gets a probe after this. */
 const PROBE_AFTER_MS = 1_500
 
@@ -308,13 +310,16 @@
 		outcome: end.type,
 		cause: "cause" in end ? end.cause : undefined,
 	})
-	const slowness = tookMs / Math.max(1, estimateMs)
+	// News of the end may be late; then only the time for which it was seen to run is certain.
+	const isLateNews = clock.now() - run.seenAt > LATE_NEWS_MS
+	const ranMs = isLateNews ? run.seenAt - run.startedAt : tookMs
+	const slowness = ranMs / Math.max(1, estimateMs)
 	if (run.stopCause === "stuck") return observeStuck(state, executor, slowness)
 	if (end.type !== "done" && end.type !== "failed") return state.health.endProbe(executor)
 	state.health.observe({target: executor, failed: end.type === "failed", slowness})
 	if (end.type === "failed") return
 	metrics.observe("run_ms", tookMs)
-	state.speeds.observe(executor, slowness)
+	if (!isLateNews) state.speeds.observe(executor, slowness)
 }
 
 /** A stuck run is the executor's doing, while a failed one may be the task's. */
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -16,8 +16,12 @@
 	readonly estimateMs: number
 	/** Steady milliseconds: a start after this cannot meet the objective any more. */
 	readonly startBy: number
+	/** Steady milliseconds: an end after this is late beyond any use. */
+	readonly uselessAt: number
 	/** Steady milliseconds: nothing runs beyond it. */
 	readonly deadlineAt: number
+	/** Tasks of its job have started before; what was done for them is lost with it. */
+	readonly isBegun: boolean
 	readonly priority: number
 	readonly label?: string
 	readonly rack?: string
@@ -52,5 +56,7 @@
 	percent: number
 	/** When `percent` last rose. */
 	progressAt: number
+	/** When it was last known to run. */
+	seenAt: number
 	readonly onEnd: (end: TaskEnd) => void
 }
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -18,8 +18,9 @@
 	readonly key: string
 	readonly startBy: number
 	readonly waiting: Waiting[]
-	/** Whether tasks of it have started already. */
-	hasBegun: boolean
+	readonly uselessAt: number
+	/** Whether tasks of its job have started already. */
+	isBegun: boolean
 }
 
 export interface TaskQueue {
@@ -41,17 +42,22 @@
 const workOf = ({need, estimateMs}: TaskRequest) => (need.cpu / 1_000) * estimateMs
 
 function groupKeyOf(req: TaskRequest): string {
-	const {job, need, label, rack} = req
-	return [job, need.cpu, need.memoryMb, need.accelerators, label, rack, req.avoid.join()].join("|")
+	const {job, need, label, rack, avoid} = req
+	const shape = [need.cpu, need.memoryMb, need.accelerators, label, rack, avoid.join()]
+	return [job, ...shape].join("|")
 }
 
-function newGroup(key: string, {startBy, run}: TaskRequest): Group {
-	return {key, startBy, waiting: [], hasBegun: run > 1}
+function newGroup(key: string, {startBy, uselessAt, isBegun}: TaskRequest): Group {
+	return {key, startBy, uselessAt, waiting: [], isBegun}
 }
 
-/** Begun work goes first, since what was done for it is lost with it; work that is late anyway, last. */
-function rankOf({hasBegun, startBy}: Group, now: number): number {
-	if (hasBegun) return 0
+/**
+ * Begun work goes first, since what was done for it is lost with it; then what can be in time, then
+ * what is late, and last what is too late to be of use.
+ */
+function rankOf({isBegun, startBy, uselessAt}: Group, now: number): number {
+	if (now >= uselessAt) return 3
+	if (isBegun) return 0
 	return startBy < now ? 2 : 1
 }
 
@@ -91,7 +97,7 @@
 		take(group) {
 			const item = group.waiting.shift()
 			if (item) forget(item)
-			group.hasBegun = true
+			group.isBegun = true
 			if (group.waiting.length === 0) groups.delete(group.key)
 			return item
 		},
