Take a foreign failure domain over only when it has been in reach for a while; the largest instance places

Change: (1) a foreign domain must be silent and in reach for 2 s; (2) instances tell their cores, the largest tries first, and a placer hands over to a much larger instance of its domain.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -1,6 +1,6 @@
 /**
- * Hands a failure domain to another placer without losing a run: on a planned stop, and from an
- * instance of another domain back to one of its own.
+ * Hands a failure domain to another placer without losing a run: on a planned stop, from an instance of
+ * another domain back to one of its own, and from a small instance to a much larger one.
  *
  * The successor raises the fence first; from then on the placer before can order nothing. It then
  * gives every run to the successor, which goes on watching it, and tells the end to the job where it
@@ -20,9 +20,11 @@
 const TAKE_TIMEOUT_MS = 600
 /** Successors that are asked in turn. */
 const MAX_ASKED = 3
-/** A native instance must have been there this long before it gets its domain back. */
-const NATIVE_SETTLED_MS = 2_000
-const NATIVE_POLL_MS = 500
+/** A better placer must have been there this long before it gets the domain. */
+const SETTLED_MS = 2_000
+const POLL_MS = 500
+/** A handover within a domain is worth its trouble for an instance so many times as large. */
+const MUCH_LARGER = 1.5
 
 export interface HandoverDeps {
 	readonly clock: Clock
@@ -49,7 +51,7 @@
 
 export function createHandover(deps: HandoverDeps): Handover {
 	const {clock, log, peers, view, self, hosts, overflow} = deps
-	const nativeSince = new Map<string, number>()
+	const betterSince = new Map<string, {readonly session: string; readonly at: number}>()
 	let isClosed = false
 
 	function successorsFor(failureDomain: string): readonly Member[] {
@@ -59,7 +61,9 @@
 			if (member.failureDomain === failureDomain) return 0
 			return view.claims().some(({placer}) => placer.session === member.session) ? 2 : 1
 		}
-		return [...staying].sort((a, b) => rank(a) - rank(b)).slice(0, MAX_ASKED)
+		return [...staying]
+			.sort((a, b) => rank(a) - rank(b) || b.cpuShare - a.cpuShare)
+			.slice(0, MAX_ASKED)
 	}
 
 	async function giveTo(failureDomain: string, member: Member): Promise<boolean> {
@@ -94,30 +98,37 @@
 		log.alarm("placer", "handover_failed", "placer: nobody takes the domain over.", fields)
 	}
 
-	/** An instance of the domain itself that has been there for a while. */
-	function settledNative(failureDomain: string): Member | undefined {
-		const natives = view.membersOf(failureDomain).filter(({session}) => !view.isLeaving(session))
-		const [native] = natives
-		if (!native) {
-			nativeSince.delete(failureDomain)
-			return undefined
-		}
-		const since = nativeSince.get(failureDomain) ?? clock.now()
-		nativeSince.set(failureDomain, since)
-		return clock.now() - since >= NATIVE_SETTLED_MS ? native : undefined
+	/** An instance of the domain itself that should place it rather than this one. */
+	function betterPlacer(failureDomain: string): Member | undefined {
+		const isNativeHere = failureDomain === self.failureDomain
+		return view
+			.membersOf(failureDomain)
+			.filter(({session}) => session !== self.session && !view.isLeaving(session))
+			.filter(({cpuShare}) => !isNativeHere || cpuShare > self.cpuShare * MUCH_LARGER)
+			.sort((a, b) => b.cpuShare - a.cpuShare || (a.name < b.name ? -1 : 1))[0]
+	}
+
+	/** The same, once it has been there for a while. */
+	function settledBetterPlacer(failureDomain: string): Member | undefined {
+		const better = betterPlacer(failureDomain)
+		const known = betterSince.get(failureDomain)
+		if (!better) betterSince.delete(failureDomain)
+		else if (known?.session !== better.session)
+			betterSince.set(failureDomain, {session: better.session, at: clock.now()})
+		else if (clock.now() - known.at >= SETTLED_MS) return better
+		return undefined
 	}
 
 	async function giveBack() {
 		for (const failureDomain of deps.placedDomains()) {
-			if (failureDomain === self.failureDomain) continue
-			const native = settledNative(failureDomain)
-			if (native) await giveTo(failureDomain, native)
+			const better = settledBetterPlacer(failureDomain)
+			if (better) await giveTo(failureDomain, better)
 		}
 	}
 
 	async function loop() {
 		while (!isClosed) {
-			await clock.sleep(NATIVE_POLL_MS)
+			await clock.sleep(POLL_MS)
 			if (!isClosed && !deps.isLeaving()) await giveBack()
 		}
 	}
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -18,6 +18,8 @@
 const RANK_STEP_MS = 250
 /** Instances of other domains step in only after the domain's own had every chance. */
 const FOREIGN_SILENT_MS = 2_500
+/** Beats, leases and connections are back within this after a cut. */
+const REACHABLE_MS = 2_000
 /** At the very first start the domain's own instances register within this. */
 const START_GRACE_MS = 1_500
 /** No second try for the same claim within this: the store's answer and its news take less. */
@@ -51,6 +53,7 @@
 	const startedAt = clock.now()
 	const learnedAt = new Map<string, {readonly fence: number; readonly at: number}>()
 	const triedAt = new Map<string, number>()
+	const reachableSince = new Map<string, number>()
 	let isClosed = false
 
 	/** How long the domain has been without a word from its placer, by what we know. */
@@ -65,8 +68,27 @@
 
 	function rankOf(candidates: readonly Member[]): number {
 		const names = candidates.filter(member => !view.isLeaving(member.session))
-		const before = names.filter(member => member.name < self.name)
-		return before.length
+		return names.filter(isBefore).length
+	}
+
+	/** Larger instances try first; among equals the name decides. */
+	function isBefore(member: Member): boolean {
+		if (member.cpuShare !== self.cpuShare) return member.cpuShare > self.cpuShare
+		return member.name < self.name
+	}
+
+	/**
+	 * After a cut has healed executors are in reach again before their placer is heard again; so a
+	 * foreign domain must have been in reach, and silent, for a while.
+	 */
+	async function isLongInReach(failureDomain: string): Promise<boolean> {
+		if (!(await deps.canReachExecutors(failureDomain))) {
+			reachableSince.delete(failureDomain)
+			return false
+		}
+		const since = reachableSince.get(failureDomain) ?? clock.now()
+		reachableSince.set(failureDomain, since)
+		return clock.now() - since >= REACHABLE_MS
 	}
 
 	function mustWaitMs(failureDomain: string, claim: Claim | undefined): number {
@@ -101,11 +123,14 @@
 		if (!isOwnEarlierLife(claim) && vacant < mustWaitMs(failureDomain, claim)) return
 		if (clock.now() - (triedAt.get(failureDomain) ?? -Infinity) < RETRY_MS) return
 		triedAt.set(failureDomain, clock.now())
-		if (claim && !isOwnEarlierLife(claim) && (await deps.ping(claim.placer))) return
+		if (claim && !isOwnEarlierLife(claim) && (await deps.ping(claim.placer))) {
+			reachableSince.delete(failureDomain)
+			return
+		}
 		if (await isIsolated(claim?.placer)) return noteHeldBack(failureDomain, "nobody answers us")
 		const isOwn = failureDomain === self.failureDomain
-		if (!isOwn && !(await deps.canReachExecutors(failureDomain)))
-			return noteHeldBack(failureDomain, "its executors do not answer")
+		if (!isOwn && !(await isLongInReach(failureDomain)))
+			return noteHeldBack(failureDomain, "its executors were not in reach for long enough")
 		await write(failureDomain, `no word for ${Math.round(vacant)} ms`)
 	}
 
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -35,6 +35,8 @@
 	/** Where peers reach this instance: host and port. */
 	readonly peerAddress: string
 	readonly maxLeaseMs: number
+	/** The cores that this instance may use. */
+	readonly cpuShare: number
 }
 
 /** What the surroundings offer; implemented for each platform. */
@@ -69,8 +71,7 @@
 ): Promise<JobInstance> {
 	const clock = systemClock
 	const {store, log, metrics} = deps
-	const {name, failureDomain, peerAddress} = settings
-	const self: Member = {name, session: randomUUID(), failureDomain, address: peerAddress}
+	const self = newMember(settings)
 	let config: FleetConfig | undefined
 	let isLeaving = false
 
@@ -158,7 +159,7 @@
 		onListing: view.takeListing,
 		onChanges: view.takeChanges,
 	})
-	const server = await listenPeers(peerAddress, {
+	const server = await listenPeers(self.address, {
 		beat(beat) {
 			takeBeat(beat)
 			return ownBeat()
@@ -168,7 +169,7 @@
 		takeOver: message => handover.takeOver(message),
 	})
 	const datagrams = await openDatagrams(
-		peerAddress,
+		self.address,
 		message => beats.take(message as BeatMessage),
 		error => noteDatagramError(deps, error),
 	)
@@ -244,6 +245,10 @@
 	}
 }
 
+function newMember({name, failureDomain, peerAddress, cpuShare}: InstanceSettings): Member {
+	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
+}
+
 /** Whether any of a few executors of a failure domain answers. */
 async function canReachExecutors(
 	{store, orders, executorPrefix, decodeExecutor}: InstanceDeps,
--- a/packages/jobs/src/types/fleet.ts
+++ b/packages/jobs/src/types/fleet.ts
@@ -10,6 +10,8 @@
 	readonly failureDomain: string
 	/** Where peers reach it: host and port. */
 	readonly address: string
+	/** The cores that it may use; the largest instance of a failure domain places it. */
+	readonly cpuShare: number
 }
 
 /** Who places the tasks of a failure domain's executors. */
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -21,6 +21,7 @@
 	session,
 	failureDomain,
 	address: `${name}:1`,
+	cpuShare: 0.675,
 })
 
 /** A store of single values with compare-and-swap. */
@@ -71,7 +72,7 @@
 	readonly members: readonly Member[]
 	readonly claims?: readonly Claim[]
 	readonly answers?: (member: Member) => boolean
-	readonly canReachExecutors?: boolean
+	readonly canReachExecutors?: () => boolean
 	readonly domains?: readonly string[]
 }) {
 	const clock = createFakeClock()
@@ -90,7 +91,7 @@
 		failureDomains: () => options.domains ?? ["a"],
 		isLeaving: () => false,
 		ping: one => Promise.resolve(options.answers?.(one) ?? false),
-		canReachExecutors: () => Promise.resolve(options.canReachExecutors ?? true),
+		canReachExecutors: () => Promise.resolve(options.canReachExecutors?.() ?? true),
 	}
 	const loop = createClaimsLoop(deps)
 	return {clock, fake, view, loop, fenceOf: (domain = "a") => view.claimOf(domain)?.fence}
@@ -140,7 +141,7 @@
 		const withNative = createWorld({...base, members: [one, member("b-2", "b")]})
 		await withNative.clock.advance(6_000)
 		expect(withNative.fenceOf("b")).to.equal(2)
-		const cutOff = createWorld({...base, members: [one], canReachExecutors: false})
+		const cutOff = createWorld({...base, members: [one], canReachExecutors: () => false})
 		await cutOff.clock.advance(6_000)
 		expect(cutOff.fenceOf("b")).to.equal(2)
 		const alone = createWorld({...base, members: [one]})
@@ -148,6 +149,35 @@
 		expect(alone.fenceOf("b")).to.equal(3)
 	})
 
+	it("leaves a foreign domain alone that has only just come into reach", async () => {
+		const heldByFar: Claim = {failureDomain: "b", fence: 2, placer: far}
+		let canReach = false
+		const world = createWorld({
+			self: one,
+			members: [one],
+			claims: [heldByFar],
+			domains: ["b"],
+			canReachExecutors: () => canReach,
+		})
+		await world.clock.advance(6_000)
+		canReach = true
+		await world.clock.advance(1_200)
+		expect(world.fenceOf("b")).to.equal(2)
+		await world.clock.advance(3_000)
+		expect(world.fenceOf("b")).to.equal(3)
+	})
+
+	it("lets the largest instance of a domain try first", async () => {
+		const small = {...member("a-1"), cpuShare: 0.3}
+		const large = {...member("a-2"), cpuShare: 1.3}
+		const members = [small, large]
+		const answers = () => true
+		const atSmall = createWorld({self: small, members, answers})
+		const atLarge = createWorld({self: large, members, answers})
+		await Promise.all([atSmall.clock.advance(230), atLarge.clock.advance(230)])
+		expect([atSmall.fenceOf(), atLarge.fenceOf()]).to.eql([undefined, 1])
+	})
+
 	it("loses to a claim that was written in between", async () => {
 		const world = createWorld({self: two, members: [two], claims: [heldByOne]})
 		const other: Claim = {failureDomain: "a", fence: 9, placer: member("a-3")}
