--- a/packages/spec/test/protocols.test.ts
+++ b/packages/spec/test/protocols.test.ts
@@ -2,11 +2,13 @@
 	ALL_CONFIG_GUARDS,
 	ALL_GUARDS,
 	ALL_HANDOVER_GUARDS,
+	ALL_PLACER_GUARDS,
 	configProtocol,
 	exchangeProtocol,
 	explore,
 	handoverProtocol,
 	ownerProtocol,
+	placerProtocol,
 	type Specification,
 } from "@cottonwood/spec"
 import {expect} from "chai"
@@ -86,3 +88,10 @@
 		"an attempt took another's answer",
 	)
 })
+
+describe("specification of placing on leased executors", () => {
+	const twice = "a task ran twice at once"
+	holds("with all guards", placerProtocol())
+	for (const guard of ["fence", "deadline", "settle", "stopOrphans"] as const)
+		breaks(`without ${guard}`, placerProtocol({...ALL_PLACER_GUARDS, [guard]: false}), twice)
+})
