--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -65,14 +65,25 @@
 export const LOG_FLUSH_MS = 100
 const STDOUT = 1
 
-/** Writes a descriptor without blocking the loop: one write at a time, the rest waits or is dropped. */
-class BoundedOutput extends Transport {
+type Write = (
+	bytes: Buffer,
+	done: (err: NodeJS.ErrnoException | null, written: number) => void,
+) => void
+
+const writeStdout: Write = (bytes, done) => write(STDOUT, bytes, 0, bytes.length, null, done)
+
+/** Writes without blocking the loop: one write at a time, the rest waits or is dropped. */
+export class BoundedOutput extends Transport {
 	private chunks: string[] = []
 	private waitingBytes = 0
 	private isWriting = false
 	private isFlushDue = false
 	private dropped = 0
 
+	constructor(private readonly writeOut: Write = writeStdout) {
+		super()
+	}
+
 	override log(info: Record<symbol, string>, next: () => void) {
 		const line = `${info[Symbol.for("message")]}\n`
 		if (this.waitingBytes + line.length > BUFFER_BYTES) this.dropped++
@@ -102,7 +113,7 @@
 	}
 
 	private writeAll(bytes: Buffer) {
-		write(STDOUT, bytes, 0, bytes.length, null, (err, written) => {
+		this.writeOut(bytes, (err, written) => {
 			// A closed or full output loses this chunk; there is nowhere left to say so.
 			const rest = err ? bytes.subarray(bytes.length) : bytes.subarray(written)
 			if (rest.length > 0) return this.writeAll(rest)
