--- /dev/null
+++ b/packages/jobs/test/overflow.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Tasks that go to another domain's placer, and what becomes of them when it falls silent.
+ */
+import {createJobMetrics, silentLog, type Beat, type Claim, type Member} from "@cottonwood/jobs"
+import {
+	createFleetView,
+	createOverflow,
+	type TaskEnd,
+	type TaskReply,
+	type Waiting,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock, settle} from "./support/fake-clock.js"
+import {taskRequest} from "./support/requests.js"
+
+const member = (name: string, failureDomain: string): Member => ({
+	name,
+	session: `${name}-s`,
+	failureDomain,
+	address: `${name}:1`,
+	cpuShare: 0.675,
+})
+
+function createWorld() {
+	const clock = createFakeClock()
+	const [self, other] = [member("a-1", "a"), member("b-1", "b")]
+	const view = createFleetView(clock, () => undefined)
+	const claim: Claim = {failureDomain: "b", fence: 1, placer: other}
+	view.noteClaim(claim)
+	const calls: {readonly answer: (reply: TaskReply | undefined) => void; isCancelled: boolean}[] =
+		[]
+	const unused = () => {
+		throw new Error("not used")
+	}
+	const overflow = createOverflow({
+		clock,
+		view,
+		self,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		peers: {
+			beat: unused,
+			runJob: unused,
+			takeOver: unused,
+			close: () => undefined,
+			runTask() {
+				let answer: (reply: TaskReply | undefined) => void = () => undefined
+				const reply = new Promise<TaskReply | undefined>(resolve => (answer = resolve))
+				const call = {answer, isCancelled: false}
+				calls.push(call)
+				return {reply, wasUnsent: () => false, cancel: () => void (call.isCancelled = true)}
+			},
+		},
+	})
+	function tellRoom(freeCpu: readonly number[]) {
+		const room = {freeCpu, totalCpu: 64_000, waitingWork: 0, labels: ["r1"]}
+		const beat: Beat = {
+			from: other,
+			claims: [claim],
+			rooms: {b: room},
+			isLeaving: false,
+			configVersion: 1,
+		}
+		view.takeBeat(beat)
+	}
+	const ends: TaskEnd[] = []
+	let stop: (() => void) | undefined
+	function hand(task: string, extra: Parameters<typeof taskRequest>[1] = {}) {
+		const item: Waiting = {
+			req: taskRequest(task, extra),
+			since: clock.now(),
+			onEnd: end => void ends.push(end),
+			onStart: stopRun => (stop = stopRun),
+		}
+		return overflow.handOver(item)
+	}
+	return {clock, calls, tellRoom, hand, ends, stop: () => stop?.()}
+}
+
+describe("overflow", () => {
+	it("goes only where room was told, and counts it down", () => {
+		const {tellRoom, hand, calls} = createWorld()
+		expect(hand("j.0.0.0")).to.equal(false)
+		tellRoom([54_000])
+		expect([hand("j.0.0.0"), hand("j.0.0.1"), hand("j.0.0.2")]).to.eql([true, true, false])
+		expect(calls).to.have.length(2)
+	})
+
+	it("takes no old word for room", async () => {
+		const {tellRoom, hand, clock} = createWorld()
+		tellRoom([54_000])
+		await clock.advance(800)
+		expect(hand("j.0.0.0")).to.equal(false)
+	})
+
+	it("asks for labels that the other domain has", () => {
+		const {tellRoom, hand} = createWorld()
+		tellRoom([54_000])
+		expect(hand("j.0.0.0", {rack: "r9"})).to.equal(false)
+		expect(hand("j.0.0.0", {rack: "r1"})).to.equal(true)
+	})
+
+	it("hands the end on, and a cancel there", async () => {
+		const {tellRoom, hand, calls, ends, stop} = createWorld()
+		tellRoom([54_000])
+		hand("j.0.0.0")
+		stop()
+		expect(calls[0]?.isCancelled).to.equal(true)
+		calls[0]?.answer({type: "done", executor: "e9"})
+		await settle()
+		expect(ends).to.eql([{type: "done", executor: "e9"}])
+	})
+
+	it("takes a task as lost only when its silent placer and executor have certainly given it up", async () => {
+		const {tellRoom, hand, calls, ends, clock} = createWorld()
+		tellRoom([54_000])
+		hand("j.0.0.0")
+		calls[0]?.answer(undefined)
+		await clock.advance(1_900)
+		expect(ends).to.eql([])
+		await clock.advance(200)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/selection.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Which executor a task goes to: labels, racks, tasks per executor, speed.
+ */
+import {createJobMetrics, silentLog, type ExecutorRecord} from "@cottonwood/jobs"
+import {createPlacer} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {FakeExecutors, record} from "./support/fake-executors.js"
+import {taskRequest} from "./support/requests.js"
+
+async function createWorld(records: readonly ExecutorRecord[]) {
+	const clock = createFakeClock()
+	const orders = new FakeExecutors(clock)
+	const placer = createPlacer({
+		clock,
+		orders,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		failureDomain: "a",
+		fence: 1,
+		maxLeaseMs: 1_000,
+		orphansWaitMs: 0,
+		handOver: () => false,
+		onFenced: () => undefined,
+		onRoomChange: () => undefined,
+	})
+	placer.setExecutors(records)
+	await clock.advance(10)
+	async function place(task: string, extra: Parameters<typeof taskRequest>[1] = {}) {
+		placer.submit(
+			taskRequest(task, extra),
+			() => undefined,
+			() => undefined,
+		)
+		await clock.advance(10)
+		return orders.starts.find(start => start.task === task)?.executor
+	}
+	return {place, orders, clock}
+}
+
+describe("choice of an executor", () => {
+	it("keeps to a label", async () => {
+		const {place} = await createWorld([record("e1"), record("e2", {labels: ["b"]})])
+		expect(await place("j.0.0.0", {label: "b"})).to.equal("e2")
+		expect(await place("k.0.0.0", {label: "c"})).to.equal(undefined)
+	})
+
+	it("prefers the rack that has the data, and goes elsewhere when it is full", async () => {
+		const {place} = await createWorld([record("e1"), record("e2", {labels: ["r1"]})])
+		expect(await place("j.0.0.0", {rack: "r1"})).to.equal("e2")
+		expect(await place("j.0.0.1", {rack: "r1"})).to.equal("e2")
+		expect(await place("j.0.0.2", {rack: "r1"})).to.equal("e1")
+	})
+
+	it("puts no more of a step's tasks on one executor than it may", async () => {
+		const {place} = await createWorld([record("e1"), record("e2")])
+		const first = await place("j.0.0.0", {maxPerExecutor: 1})
+		const second = await place("j.0.0.1", {maxPerExecutor: 1})
+		expect([first, second].sort()).to.eql(["e1", "e2"])
+		expect(await place("j.0.0.2", {maxPerExecutor: 1})).to.equal(undefined)
+	})
+
+	it("goes only to executors of its service", async () => {
+		const {place} = await createWorld([record("e1", {service: "other"})])
+		expect(await place("j.0.0.0")).to.equal(undefined)
+	})
+
+	it("packs tightly among equals, so that wide tasks find room", async () => {
+		const large = record("e1", {capacity: {cpu: 96_000, memoryMb: 1_000, accelerators: 0}})
+		const {place} = await createWorld([large, record("e2")])
+		expect(await place("j.0.0.0")).to.equal("e2")
+	})
+})
