Judge a claim anew when the store has another one; wait for a slow successor; look for reach early

Change: a claim is written only over the one that was judged; a successor has 1.8 s, two are asked; executors of a silent foreign domain are looked for from the first second of silence.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -16,10 +16,13 @@
 import type {Hosts} from "./hosts.js"
 import type {Overflow} from "./overflow.js"
 
-/** A claim is written within this, or another successor is asked. */
-const TAKE_TIMEOUT_MS = 600
-/** Successors that are asked in turn. */
-const MAX_ASKED = 3
+/**
+ * A claim is written within this though the store is slow (two calls of some 300 ms on bad days). A second
+ * successor that is asked too early takes the domain from the first, and what ran is lost.
+ */
+const TAKE_TIMEOUT_MS = 1_800
+/** Successors that are asked in turn; what is left of a stop's grace goes to the work under way. */
+const MAX_ASKED = 2
 /** A better placer must have been there this long before it gets the domain. */
 const SETTLED_MS = 2_000
 const POLL_MS = 500
@@ -143,7 +146,7 @@
 			const known = view.claimOf(failureDomain)
 			if (known && known.fence > fence) return {isTaken: false}
 			hosts.expectHandover(failureDomain)
-			const isTaken = await deps.claims().takeNow(failureDomain)
+			const isTaken = await deps.claims().takeNow(failureDomain, fence)
 			if (isTaken) hosts.setExecutors(executors)
 			return {isTaken}
 		},
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -43,8 +43,8 @@
 }
 
 export interface ClaimsLoop {
-	/** Takes a domain over now, from a placer that gives it up. */
-	takeNow(failureDomain: string): Promise<boolean>
+	/** Takes a domain over now, from the placer with this fence, which gives it up. */
+	takeNow(failureDomain: string, fence: number): Promise<boolean>
 	close(): void
 }
 
@@ -54,6 +54,7 @@
 	const learnedAt = new Map<string, {readonly fence: number; readonly at: number}>()
 	const triedAt = new Map<string, number>()
 	const reachableSince = new Map<string, number>()
+	const lookedForAt = new Map<string, number>()
 	let isClosed = false
 
 	/** How long the domain has been without a word from its placer, by what we know. */
@@ -81,14 +82,21 @@
 	 * After a cut has healed executors are in reach again before their placer is heard again; so a
 	 * foreign domain must have been in reach, and silent, for a while.
 	 */
-	async function isLongInReach(failureDomain: string): Promise<boolean> {
-		if (!(await deps.canReachExecutors(failureDomain))) {
-			reachableSince.delete(failureDomain)
-			return false
-		}
-		const since = reachableSince.get(failureDomain) ?? clock.now()
-		reachableSince.set(failureDomain, since)
-		return clock.now() - since >= REACHABLE_MS
+	function isLongInReach(failureDomain: string): boolean {
+		lookForExecutors(failureDomain)
+		const since = reachableSince.get(failureDomain)
+		return since !== undefined && clock.now() - since >= REACHABLE_MS
+	}
+
+	/** Asks some executors of the domain; what they answer is known at the next look. */
+	function lookForExecutors(failureDomain: string) {
+		const lookedAt = lookedForAt.get(failureDomain) ?? -Infinity
+		if (clock.now() - lookedAt < RETRY_MS) return
+		lookedForAt.set(failureDomain, clock.now())
+		void deps.canReachExecutors(failureDomain).then(canReach => {
+			if (!canReach) reachableSince.delete(failureDomain)
+			else if (!reachableSince.has(failureDomain)) reachableSince.set(failureDomain, clock.now())
+		})
 	}
 
 	function mustWaitMs(failureDomain: string, claim: Claim | undefined): number {
@@ -120,6 +128,9 @@
 		const claim = view.claimOf(failureDomain)
 		if (claim?.placer.session === self.session) return
 		const vacant = vacantMs(failureDomain, claim)
+		// Looked at from the first silence on, so that this wait and the others run at the same time.
+		const isOwn = failureDomain === self.failureDomain
+		const isForeignInReach = !isOwn && vacant > PLACER_SILENT_MS && isLongInReach(failureDomain)
 		if (!isOwnEarlierLife(claim) && vacant < mustWaitMs(failureDomain, claim)) return
 		if (clock.now() - (triedAt.get(failureDomain) ?? -Infinity) < RETRY_MS) return
 		triedAt.set(failureDomain, clock.now())
@@ -128,10 +139,9 @@
 			return
 		}
 		if (await isIsolated(claim?.placer)) return noteHeldBack(failureDomain, "nobody answers us")
-		const isOwn = failureDomain === self.failureDomain
-		if (!isOwn && !(await isLongInReach(failureDomain)))
+		if (!isOwn && !isForeignInReach)
 			return noteHeldBack(failureDomain, "its executors were not in reach for long enough")
-		await write(failureDomain, `no word for ${Math.round(vacant)} ms`)
+		await write(failureDomain, claim?.fence, `no word for ${Math.round(vacant)} ms`)
 	}
 
 	function noteHeldBack(failureDomain: string, cause: string) {
@@ -140,7 +150,12 @@
 		log.event("fleet", "claim_held_back", "fleet: does not take a failure domain over.", fields)
 	}
 
-	async function write(failureDomain: string, cause: string): Promise<boolean> {
+	/** Writes the next claim if the one in the store is still the one that was judged. */
+	async function write(
+		failureDomain: string,
+		judgedFence: number | undefined,
+		cause: string,
+	): Promise<boolean> {
 		const key = claimKey(failureDomain)
 		const item = await store.get(key)
 		if (item === undefined) return false
@@ -149,6 +164,7 @@
 		const known = view.claimOf(failureDomain)
 		if (stored?.placer.session === self.session) return true
 		if (stored && known && stored.fence < known.fence) return false
+		if (known?.fence !== judgedFence) return false
 		const claim: Claim = {failureDomain, fence: (known?.fence ?? 0) + 1, placer: self}
 		const put = await store.put(key, claim, {expect: item?.revision ?? 0})
 		metrics.count("claims", put.type)
@@ -174,7 +190,7 @@
 
 	void loop()
 	return {
-		takeNow: failureDomain => write(failureDomain, "its placer gives it up"),
+		takeNow: (failureDomain, fence) => write(failureDomain, fence, "its placer gives it up"),
 		close() {
 			isClosed = true
 		},
--- a/packages/jobs/src/internals.ts
+++ b/packages/jobs/src/internals.ts
@@ -1,6 +1,8 @@
 /**
  * Parts that the package's own tests reach; not for users of the package.
  */
+export * from "./coordinate/handover.js"
+export type * from "./coordinate/hosts.js"
 export * from "./coordinate/job-run.js"
 export * from "./coordinate/overflow.js"
 export * from "./fleet/claims.js"
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -178,13 +178,44 @@
 		expect([atSmall.fenceOf(), atLarge.fenceOf()]).to.eql([undefined, 1])
 	})
 
-	it("loses to a claim that was written in between", async () => {
+	it("loses to a claim that was written in between, and judges that one anew", async () => {
 		const world = createWorld({self: two, members: [two], claims: [heldByOne]})
 		const other: Claim = {failureDomain: "a", fence: 9, placer: member("a-3")}
 		world.fake.write(claimKey("a"), other)
-		await world.clock.advance(1_400)
-		expect(world.fenceOf()).to.be.oneOf([9, 10])
-		expect(world.fake.items.get(claimKey("a"))?.value).to.deep.include({fence: world.fenceOf()})
+		await world.clock.advance(1_900)
+		expect(world.fenceOf()).to.equal(9)
+		expect(world.fake.puts).to.equal(0)
+		await world.clock.advance(1_000)
+		expect(world.fenceOf()).to.equal(10)
+	})
+
+	it("does not take its earlier life's domain back from the successor that it does not know yet", async () => {
+		const earlier: Claim = {failureDomain: "a", fence: 1, placer: member("a-2", "a", "before")}
+		const successor: Claim = {failureDomain: "a", fence: 2, placer: one}
+		const world = createWorld({
+			self: two,
+			members: [one, two],
+			claims: [earlier],
+			answers: () => true,
+		})
+		world.fake.write(claimKey("a"), successor)
+		await world.clock.advance(3_000)
+		expect(world.fenceOf()).to.equal(2)
+		expect(world.fake.puts).to.equal(0)
+	})
+
+	it("looks whether a foreign domain is in reach while its registration still stands", async () => {
+		const heldByFar: Claim = {failureDomain: "b", fence: 2, placer: far}
+		const world = createWorld({
+			self: one,
+			members: [one, member("b-2", "b")],
+			claims: [heldByFar],
+			domains: ["b"],
+		})
+		await world.clock.advance(3_500)
+		world.view.takeChanges([], [nodeKey("b-2")])
+		await world.clock.advance(1_200)
+		expect(world.fenceOf("b")).to.equal(3)
 	})
 })
 
--- /dev/null
+++ b/packages/jobs/test/handover.test.ts
@@ -0,0 +1,87 @@
+/**
+ * Giving a failure domain to a successor.
+ */
+import {silentLog, type Claim, type Member} from "@cottonwood/jobs"
+import {createFleetView, createHandover, nodeKey, type Hosts} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+
+const member = (name: string, cpuShare = 0.675): Member => ({
+	name,
+	session: `${name}-s`,
+	failureDomain: "a",
+	address: `${name}:1`,
+	cpuShare,
+})
+
+function createWorld(members: readonly Member[], answerAfterMs: number, isTaken = true) {
+	const clock = createFakeClock()
+	const self = members[0] as Member
+	const view = createFleetView(clock, () => undefined)
+	view.takeListing(members.map(one => ({key: nodeKey(one.name), value: one, revision: 1})))
+	const claim: Claim = {failureDomain: "a", fence: 4, placer: self}
+	view.noteClaim(claim)
+	const asked: string[] = []
+	const given: string[] = []
+	const hosts = {
+		offerHandover: () => undefined,
+		withdrawHandover: () => undefined,
+		giveTo: (successor: Claim) => void given.push(`${successor.placer.name}/${successor.fence}`),
+	} as unknown as Hosts
+	const unused = () => {
+		throw new Error("not used")
+	}
+	const handover = createHandover({
+		clock,
+		log: silentLog,
+		view,
+		self,
+		hosts,
+		overflow: {handOver: unused, sendTo: unused},
+		claims: unused,
+		executorsOf: () => [],
+		placedDomains: () => (view.claimOf("a")?.placer === self ? ["a"] : []),
+		isLeaving: () => false,
+		peers: {
+			beat: unused,
+			runJob: unused,
+			runTask: unused,
+			close: () => undefined,
+			takeOver(address, _message, timeoutMs) {
+				asked.push(address)
+				const isInTime = answerAfterMs <= timeoutMs
+				const reply = clock
+					.sleep(Math.min(answerAfterMs, timeoutMs))
+					.then(() => (isInTime ? {isTaken} : undefined))
+				return {reply, wasUnsent: () => false, cancel: () => undefined}
+			},
+		},
+	})
+	return {clock, handover, asked, given}
+}
+
+describe("handover", () => {
+	it("waits for a successor whose store is slow rather than ask another one", async () => {
+		const world = createWorld([member("a-1"), member("a-2"), member("a-3")], 1_200)
+		void world.handover.giveAllAway()
+		await world.clock.advance(3_000)
+		expect(world.asked).to.eql(["a-2:1"])
+		expect(world.given).to.eql(["a-2/5"])
+	})
+
+	it("asks another one when the first declines", async () => {
+		const world = createWorld([member("a-1"), member("a-2"), member("a-3")], 10, false)
+		void world.handover.giveAllAway()
+		await world.clock.advance(1_000)
+		expect(world.asked).to.eql(["a-2:1", "a-3:1"])
+		expect(world.given).to.eql([])
+	})
+
+	it("gives the domain to a much larger instance once that has settled", async () => {
+		const world = createWorld([member("a-1", 0.3), member("a-2", 0.4), member("a-3", 1.3)], 10)
+		await world.clock.advance(1_500)
+		expect(world.asked).to.eql([])
+		await world.clock.advance(2_000)
+		expect(world.given).to.eql(["a-3/5"])
+	})
+})
