Count what is being stopped for as long as a stop may take, listed or not

A run that is being stopped need not be listed as running, and its end is listed only after the stop; a list in between made it count as gone, and its room was given away up to 50 ms too early. The same for runs that nobody here started. Change: absence proves an end only after the stop's answer and the time that a stop may take (a setting of the deployment, 50 ms); after orphans nothing starts for that long.

--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -24,7 +24,14 @@
 
 export interface HostsDeps extends Pick<
 	PlacerDeps,
-	"clock" | "orders" | "log" | "metrics" | "maxLeaseMs" | "handOver" | "onRoomChange"
+	| "clock"
+	| "orders"
+	| "log"
+	| "metrics"
+	| "maxLeaseMs"
+	| "stopGraceMs"
+	| "handOver"
+	| "onRoomChange"
 > {
 	readonly self: Member
 	/** The failure domain's executors by the last list. */
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -35,6 +35,8 @@
 	/** Where peers reach this instance: host and port. */
 	readonly peerAddress: string
 	readonly maxLeaseMs: number
+	/** What is being stopped may go on for this long. */
+	readonly stopGraceMs: number
 	/** The cores that this instance may use. */
 	readonly cpuShare: number
 }
@@ -93,6 +95,7 @@
 		metrics,
 		self,
 		maxLeaseMs: settings.maxLeaseMs,
+		stopGraceMs: settings.stopGraceMs,
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.tellRoom(hosts.rooms()),
 		executorsOf: domain => executors.recordsOf(domain),
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -65,7 +65,7 @@
 			return run
 		},
 		runs: () =>
-			[...link.runs.values()].map(run => ({run, isStarted: run.answeredAt !== undefined})),
+			[...link.runs.values()].map(run => ({run, isStarted: run.listedFrom !== undefined})),
 		cancel: run => stopRun(link, run, "cancelled"),
 		retire() {
 			link.isRetired = true
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -102,7 +102,7 @@
 
 function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
 	for (const run of [...link.runs.values()]) {
-		if (run.answeredAt === undefined || run.answeredAt > sentAt) continue
+		if (run.listedFrom === undefined || run.listedFrom > sentAt) continue
 		if (!listed.has(run.req.task)) settleRun(link, run, lostOrStopped(link, run, "not there"))
 	}
 }
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -22,6 +22,8 @@
 const START_TIMEOUT_MS = 90
 const START_TRIES = 3
 const STOP_TIMEOUT_MS = 150
+/** Timers here and there, and the way of the answer. */
+const STOP_MARGIN_MS = 20
 /** Between tries to stop a run on a silent executor: a fraction of the lease. */
 const STOP_RETRY_MS = 60
 /** No starts there for this long after it said that it is unhealthy. */
@@ -33,7 +35,7 @@
 		req,
 		startedAt: now,
 		state: "starting",
-		answeredAt: undefined,
+		listedFrom: undefined,
 		stopCause: undefined,
 		percent: -1,
 		progressAt: now,
@@ -63,7 +65,7 @@
 	const run = newRun(link, req, onEnd)
 	if (isStarted) {
 		run.state = "running"
-		run.answeredAt = link.deps.clock.now()
+		run.listedFrom = link.deps.clock.now()
 	}
 	return run
 }
@@ -83,12 +85,15 @@
 
 /** Stops a run that nobody here started. */
 export async function stopOrphan(link: LinkState, task: string, run: number) {
-	const {log, metrics, orders, fence} = link.deps
+	const {clock, log, metrics, orders, fence} = link.deps
+	link.stoppingUntil = clock.now() + STOP_TIMEOUT_MS + stopTakesMs(link)
 	const fields = {task, run, executor: link.record.id, fence, job: task.split(".")[0]}
 	log.alarm("executor", "orphan_stopped", "executor: runs what nobody here started.", fields)
 	metrics.count("orphan_runs", "stopped")
 	const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
-	isOwnReply(link, reply, "stop")
+	if (!isOwnReply(link, reply, "stop")) return
+	link.stoppingUntil = clock.now() + stopTakesMs(link)
+	clock.schedule(stopTakesMs(link), link.deps.onRoom)
 }
 
 async function sendStart(link: LinkState, run: Run) {
@@ -115,7 +120,7 @@
 	reply: Extract<StartReply, {type: "started" | "refused"}>,
 ) {
 	const now = link.deps.clock.now()
-	run.answeredAt = now
+	run.listedFrom = now
 	if (reply.clockMs !== undefined) link.executorClock.observe(reply.clockMs, now)
 	link.deps.metrics.count("task_starts", reply.type === "started" ? "started" : reply.cause)
 	if (reply.type === "started") {
@@ -138,7 +143,10 @@
 		freeCpu: freeCpu(link),
 		needCpu: need.cpu,
 	})
-	if (cause === "unhealthy") link.unhealthyUntil = link.deps.clock.now() + UNHEALTHY_PAUSE_MS
+	if (cause === "unhealthy") {
+		link.unhealthyUntil = link.deps.clock.now() + UNHEALTHY_PAUSE_MS
+		link.deps.clock.schedule(UNHEALTHY_PAUSE_MS, link.deps.onRoom)
+	}
 	const isNumberTaken = cause === "old"
 	const end: TaskEnd = isNumberTaken
 		? {type: "outnumbered", executor: link.record.id}
@@ -146,13 +154,16 @@
 	settleRun(link, run, end)
 }
 
+/** How long a run that is being stopped may hold its room without being listed. */
+const stopTakesMs = (link: LinkState) => link.deps.stopGraceMs + STOP_MARGIN_MS
+
 async function sendStop(link: LinkState, run: Run) {
 	const {orders, clock, fence} = link.deps
 	const {task, run: number} = run.req
 	while (!link.isClosed && isCurrent(link, run)) {
 		const reply = await orders.stop(link.record, {task, run: number, fence}, STOP_TIMEOUT_MS)
 		if (isOwnReply(link, reply, "stop")) {
-			run.answeredAt = clock.now()
+			run.listedFrom = clock.now() + stopTakesMs(link)
 			return
 		}
 		await clock.sleep(STOP_RETRY_MS)
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -22,6 +22,8 @@
 	readonly fence: number
 	/** The longest lease that an executor grants, in milliseconds. */
 	readonly maxLeaseMs: number
+	/** What is being stopped may go on for this long, in milliseconds, listed or not. */
+	readonly stopGraceMs: number
 	/** Runs that nobody here started are left alone until then: the placer before hands them over. */
 	readonly orphansWaitUntil: number
 	/** Called when room appeared or an executor became usable. */
@@ -52,6 +54,8 @@
 	isClosed: boolean
 	silentSince: number | undefined
 	unhealthyUntil: number
+	/** Until then a run that nobody here started may still be stopping, and holds its room unlisted. */
+	stoppingUntil: number
 }
 
 export function newLinkState(record: ExecutorRecord, deps: LinkDeps): LinkState {
@@ -71,11 +75,13 @@
 		isClosed: false,
 		silentSince: undefined,
 		unhealthyUntil: -Infinity,
+		stoppingUntil: -Infinity,
 	}
 }
 
 /** Whether new work may go there. */
 export function isUsable(link: LinkState): boolean {
+	const now = link.deps.clock.now()
 	return (
 		link.isFenceTaken &&
 		!link.isRetired &&
@@ -83,7 +89,8 @@
 		!link.record.isLeaving &&
 		link.silentSince === undefined &&
 		link.orphans.size === 0 &&
-		link.deps.clock.now() >= link.unhealthyUntil
+		now >= link.stoppingUntil &&
+		now >= link.unhealthyUntil
 	)
 }
 
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -41,6 +41,7 @@
 	readonly failureDomain: string
 	readonly fence: number
 	readonly maxLeaseMs: number
+	readonly stopGraceMs: number
 	/** Runs left by the placer before wait this long to be handed over. */
 	readonly orphansWaitMs: number
 	/** Hands a task to another domain's placer; false when none has room. */
@@ -340,7 +341,7 @@
 }
 
 function addLink(state: PlacerState, record: ExecutorRecord) {
-	const {clock, orders, log, metrics, fence, maxLeaseMs, onFenced} = state.deps
+	const {clock, orders, log, metrics, fence, maxLeaseMs, stopGraceMs, onFenced} = state.deps
 	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
 		clock,
@@ -349,6 +350,7 @@
 		metrics,
 		fence,
 		maxLeaseMs,
+		stopGraceMs,
 		orphansWaitUntil,
 		onRoom: () => walkSoon(state),
 		onFenced,
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -49,8 +49,11 @@
 	readonly req: TaskRequest
 	readonly startedAt: number
 	state: "starting" | "running" | "stopping"
-	/** When the executor last answered an order about this run; undefined before the first answer. */
-	answeredAt: number | undefined
+	/**
+	 * From then on a list that does not name it proves that it is gone: when the executor last answered
+	 * a start, or a stop and the time that a stop may take; undefined before the first answer.
+	 */
+	listedFrom: number | undefined
 	/** Why it is being stopped; undefined while nobody wants that. */
 	stopCause: "cancelled" | "stuck" | "uncertain" | undefined
 	percent: number
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -22,6 +22,7 @@
 		fence: 7,
 		maxLeaseMs: 1_000,
 		orphansWaitMs: 0,
+		stopGraceMs: 50,
 		handOver: () => false,
 		onFenced: () => void fencedTimes++,
 		onRoomChange: () => undefined,
@@ -159,6 +160,42 @@
 		expect(orders.starts).to.have.length(2)
 	})
 
+	it("counts what is being stopped until its end is listed, listed as running or not", async () => {
+		const {clock, orders, placer, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const stopped = submit("j.0.0.0")
+		submit("m.0.0.0")
+		await clock.advance(10)
+		orders.stopTakesMs = 50
+		stopped.cancel()
+		for (const task of ["x.0.0.0", "y.0.0.0", "z.0.0.0"]) submit(task)
+		await clock.advance(5)
+		orders.end("m.0.0.0", "done")
+		await clock.advance(10)
+		orders.end("x.0.0.0", "done")
+		await clock.advance(20)
+		// Two of 27 cores fit into 64, and one of them is still being stopped.
+		expect(orders.starts.map(({task}) => task[0])).to.eql(["j", "m", "x", "y"])
+		await clock.advance(400)
+		expect(orders.starts).to.have.length(5)
+	})
+
+	it("starts nothing beside an orphan that is being stopped, listed as running or not", async () => {
+		const {clock, orders, placer, submit} = createWorld()
+		orders.running.set("other.0.0.0", 3)
+		orders.running.set("quick.0.0.0", 3)
+		orders.stopTakesMs = 50
+		placer.setExecutors([record("e1")])
+		for (const at of [0, 1, 2]) submit(`j.0.0.${at}`)
+		await clock.advance(4)
+		orders.end("none", "done")
+		await clock.advance(40)
+		expect(orders.starts).to.have.length(0)
+		await clock.advance(600)
+		expect(orders.starts).to.have.length(2)
+	})
+
 	it("gives a foreign task back when no room appears", async () => {
 		const {clock, placer, ends, submit} = createWorld()
 		placer.setExecutors([])
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -35,6 +35,8 @@
 	readonly running = new Map<string, number>()
 	isSilent = false
 	isReplaced = false
+	/** What is being stopped is no longer listed as running, and ends so much later. */
+	stopTakesMs = 0
 	startReplies: (StartReply | "silent but done")[] = []
 	private ends: RunEnd[] = []
 	private serial = 0
@@ -51,6 +53,17 @@
 		this.wakers = []
 	}
 
+	private endStopped(task: string) {
+		const run = this.running.get(task) ?? 0
+		this.running.delete(task)
+		const list = () => {
+			this.running.set(task, run)
+			this.end(task, "stopped")
+		}
+		if (this.stopTakesMs > 0) this.clock.schedule(this.stopTakesMs, list)
+		else list()
+	}
+
 	async start(executor: ExecutorRecord, order: StartOrder, timeoutMs: number): Promise<StartReply> {
 		this.starts.push({...order, executor: executor.id})
 		const reply = this.startReplies.shift()
@@ -75,7 +88,7 @@
 			await this.clock.sleep(timeoutMs)
 			return SILENT
 		}
-		if (this.running.get(order.task) === order.run) this.end(order.task, "stopped")
+		if (this.running.get(order.task) === order.run) this.endStopped(order.task)
 		return {type: "stopping", clockMs: this.clock.now()}
 	}
 
