Count an executor that has only just fallen silent as one that will serve

Cause: beside busy processes two process tests got 503 (no_capacity): on a slow machine of ours every executor counts as silent for a moment, and jobs were refused at once. Change: for admission and for the choice of a placer an executor counts until it has been silent for 500 ms.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -66,7 +66,7 @@
 	function isHeard({failureDomain, placer}: Claim): boolean {
 		if (placer.session === self.session) {
 			const host = hosts.of(failureDomain)
-			return host !== undefined && host.placer.counts().usable > 0
+			return host !== undefined && host.placer.canServe()
 		}
 		return view.silentMs(placer.session) < PLACER_QUIET_MS && !view.isLeaving(placer.session)
 	}
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -4,7 +4,15 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import {adoptRun, holdLoop} from "./link-hold.js"
 import {inheritedRun, repeatStart, startRun, stopRun} from "./link-orders.js"
-import {closeLink, freeCpu, hasRoom, isUsable, newLinkState, type LinkDeps} from "./link-state.js"
+import {
+	closeLink,
+	freeCpu,
+	hasRoom,
+	isPromising,
+	isUsable,
+	newLinkState,
+	type LinkDeps,
+} from "./link-state.js"
 import type {Run, TaskEnd, TaskRequest} from "./run.js"
 
 export interface ExecutorLink {
@@ -13,6 +21,8 @@
 	update(record: ExecutorRecord): void
 	/** Whether new work may go there. */
 	isUsable(): boolean
+	/** Whether it is likely to take work within a moment, if not now. */
+	isPromising(): boolean
 	/** Thousandths of a core that are free. */
 	freeCpu(): number
 	hasRoom(req: TaskRequest): boolean
@@ -49,6 +59,7 @@
 			link.isRetired = link.isClosed
 		},
 		isUsable: () => isUsable(link),
+		isPromising: () => isPromising(link),
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
 		runCount: () => link.runs.size,
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -14,6 +14,9 @@
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {Run, TaskEnd, TaskRequest} from "./run.js"
 
+/** An answer that was lost, or a slow machine of ours, is over by then; a dead executor is not. */
+const PROMISING_MS = 500
+
 export interface LinkDeps {
 	readonly clock: Clock
 	readonly orders: ExecutorOrders
@@ -94,6 +97,13 @@
 	)
 }
 
+/** Whether it is likely to take work within a moment, if not now. */
+export function isPromising(link: LinkState): boolean {
+	const {silentSince, deps, record} = link
+	if (!link.isFenceTaken || link.isRetired || link.isClosed || record.isLeaving) return false
+	return silentSince === undefined || deps.clock.now() - silentSince < PROMISING_MS
+}
+
 export function freeCpu({record, used}: LinkState): number {
 	return record.capacity.cpu - used.cpu
 }
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -62,9 +62,11 @@
 	setExecutors(records: readonly ExecutorRecord[]): void
 	room(): Room
 	counts(): PlacerCounts
+	/** Whether any executor is, or will soon be, usable. */
+	canServe(): boolean
 	/**
 	 * How long a task with this latest useful start will wait at the pace of the estimates, in
-	 * milliseconds; Infinity without a usable executor.
+	 * milliseconds; Infinity without an executor that is or will soon be usable.
 	 */
 	expectedWaitMs(startBy: number): number
 	/** Tries the queue again soon: room may have appeared elsewhere. */
@@ -130,6 +132,7 @@
 		setExecutors: records => setExecutors(state, records),
 		room: () => roomOf(state),
 		counts: () => countsOf(state),
+		canServe: () => [...state.links.values()].some(link => link.isPromising()),
 		expectedWaitMs: startBy => expectedWaitMs(state, startBy),
 		walk() {
 			if (state.queue.size() > 0) walkSoon(state)
@@ -393,7 +396,8 @@
 }
 
 function expectedWaitMs(state: PlacerState, startBy: number): number {
-	const cpu = usableLinks(state).reduce((sum, link) => sum + link.record.capacity.cpu, 0)
+	const promising = [...state.links.values()].filter(link => link.isPromising())
+	const cpu = promising.reduce((sum, link) => sum + link.record.capacity.cpu, 0)
 	if (cpu === 0) return Infinity
 	const work = state.queue.workBefore(startBy, state.deps.clock.now())
 	return work / ((cpu / 1_000) * PACKED_SHARE)
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -196,6 +196,17 @@
 		expect(orders.starts).to.have.length(2)
 	})
 
+	it("expects a silent executor back for a moment, and then no more", async () => {
+		const {clock, orders, placer} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(500)
+		orders.isSilent = true
+		await clock.advance(700)
+		expect(placer.expectedWaitMs(Infinity)).to.equal(0)
+		await clock.advance(2_000)
+		expect(placer.expectedWaitMs(Infinity)).to.equal(Infinity)
+	})
+
 	it("gives a foreign task back when no room appears", async () => {
 		const {clock, placer, ends, submit} = createWorld()
 		placer.setExecutors([])
