Settle starts without an answer by a stop, also when a later answer or the lease's end came first

Two ways were found by reading in which a start may be carried out unknown to its placer, and fill an executor over its room until the next list: a repeated start that was refused (unhealthy, room) while the first is still to come, and a start to an executor that fell silent until its lease had ended. Change: both are stopped, the second when the executor answers again.

--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -6,7 +6,7 @@
  * silent its runs count as running until its lease has certainly ended.
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
-import {stopOrphan, stopRun} from "./link-orders.js"
+import {stopOrphan, stopRun, stopUnansweredStarts} from "./link-orders.js"
 import {
 	addRun,
 	closeLink,
@@ -73,6 +73,7 @@
 	const now = link.deps.clock.now()
 	link.executorClock.observe(reply.clockMs, now)
 	noteAnswering(link)
+	stopUnansweredStarts(link)
 	for (const end of reply.ends) noteEnd(link, end)
 	const listed = new Set<string>()
 	const unknown = new Set<string>()
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -36,6 +36,7 @@
 		startedAt: now,
 		state: "starting",
 		listedFrom: undefined,
+		hasSilentStart: false,
 		stopCause: undefined,
 		percent: -1,
 		progressAt: now,
@@ -83,6 +84,15 @@
 	void sendStop(link, run)
 }
 
+/**
+ * Starts that were never answered may be carried out when an executor is back, though their runs were
+ * settled by the end of its lease; a stop makes it refuse them.
+ */
+export function stopUnansweredStarts(link: LinkState) {
+	for (const {task, run} of link.unanswered) void stopOrphan(link, task, run)
+	link.unanswered.length = 0
+}
+
 /** Stops a run that nobody here started. */
 export async function stopOrphan(link: LinkState, task: string, run: number) {
 	const {clock, log, metrics, orders, fence} = link.deps
@@ -107,8 +117,9 @@
 		const reply = await orders.start(link.record, order, START_TIMEOUT_MS)
 		metrics.observe("start_order_ms", clock.now() - sentAt)
 		if (!isCurrent(link, run)) return
-		if (isOwnReply(link, reply, "start")) return noteStartReply(link, run, reply)
+		if (isOwnReply(link, reply, "start")) return noteStartReply(link, run, reply, tries > 0)
 		if (link.isClosed) return
+		run.hasSilentStart = true
 	}
 	noteSilence(link, "starts without an answer")
 	stopRun(link, run, "uncertain")
@@ -118,18 +129,23 @@
 	link: LinkState,
 	run: Run,
 	reply: Extract<StartReply, {type: "started" | "refused"}>,
+	wasRepeated: boolean,
 ) {
 	const now = link.deps.clock.now()
-	run.listedFrom = now
 	if (reply.clockMs !== undefined) link.executorClock.observe(reply.clockMs, now)
 	link.deps.metrics.count("task_starts", reply.type === "started" ? "started" : reply.cause)
 	if (reply.type === "started") {
+		run.listedFrom = now
+		run.hasSilentStart = false
 		if (run.state === "starting") run.state = "running"
 		run.progressAt = now
 		run.seenAt = now
 		return
 	}
 	noteRefusedStart(link, run, reply.cause)
+	// The start before had no answer and may still be carried out; a stop that is answered prevents it.
+	if (wasRepeated && reply.cause !== "old") return stopRun(link, run, "uncertain")
+	settleRefused(link, run, reply.cause)
 }
 
 function noteRefusedStart(link: LinkState, run: Run, cause: string) {
@@ -147,6 +163,9 @@
 		link.unhealthyUntil = link.deps.clock.now() + UNHEALTHY_PAUSE_MS
 		link.deps.clock.schedule(UNHEALTHY_PAUSE_MS, link.deps.onRoom)
 	}
+}
+
+function settleRefused(link: LinkState, run: Run, cause: string) {
 	const isNumberTaken = cause === "old"
 	const end: TaskEnd = isNumberTaken
 		? {type: "outnumbered", executor: link.record.id}
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -45,6 +45,8 @@
 	orphans: ReadonlySet<string>
 	/** Until then such runs may still be handed over by the placer before, and are not stopped. */
 	readonly orphansWaitUntil: number
+	/** Runs that were settled though a start of theirs was never answered. */
+	readonly unanswered: {readonly task: string; readonly run: number}[]
 	/** Such runs that were told to stop. */
 	readonly stoppedOrphans: Set<string>
 	/** Ends of such runs, until they are asked for. */
@@ -69,6 +71,7 @@
 		runs: new Map(),
 		orphans: new Set(),
 		orphansWaitUntil: deps.orphansWaitUntil,
+		unanswered: [],
 		stoppedOrphans: new Set(),
 		strayEnds: new Map(),
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
@@ -151,7 +154,11 @@
 }
 
 export function settleAllLost(link: LinkState, cause: string) {
-	for (const run of [...link.runs.values()]) settleRun(link, run, lostOrStopped(link, run, cause))
+	for (const run of [...link.runs.values()]) {
+		const {task, run: number} = run.req
+		if (run.hasSilentStart) link.unanswered.push({task, run: number})
+		settleRun(link, run, lostOrStopped(link, run, cause))
+	}
 }
 
 /** The end of the lease to ask for, on the executor's clock; undefined before its first answer. */
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -54,6 +54,8 @@
 	 * a start, or a stop and the time that a stop may take; undefined before the first answer.
 	 */
 	listedFrom: number | undefined
+	/** A start order for it has stayed without an answer, and none was answered since. */
+	hasSilentStart: boolean
 	/** Why it is being stopped; undefined while nobody wants that. */
 	stopCause: "cancelled" | "stuck" | "uncertain" | undefined
 	percent: number
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -196,6 +196,33 @@
 		expect(orders.starts).to.have.length(2)
 	})
 
+	it("stops a run whose repeated start was refused: the first may still be carried out", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const unhealthy = {type: "refused", cause: "unhealthy", clockMs: clock.now()} as const
+		orders.startReplies = [{type: "silent", cause: "test"}, unhealthy]
+		submit("j.0.0.0")
+		await clock.advance(900)
+		expect(orders.stops.map(({task}) => task)).to.eql(["j.0.0.0"])
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+	})
+
+	it("stops what was never answered once a silent executor is back", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.isSilent = true
+		submit("j.0.0.0")
+		await clock.advance(3_000)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+		const before = orders.stops.length
+		orders.isSilent = false
+		await clock.advance(300)
+		expect(orders.stops.length).to.be.greaterThan(before)
+		expect(orders.stops.at(-1)).to.deep.include({task: "j.0.0.0", run: 1})
+	})
+
 	it("expects a silent executor back for a moment, and then no more", async () => {
 		const {clock, orders, placer} = createWorld()
 		placer.setExecutors([record("e1")])
