Never start an adopted run: under the new fence it runs already, or never will

Change: an adopted run without an answered start is taken over only if the list under the new fence names it, else it goes back and is queued anew. Judgement of executors and room have modules of their own; adopted runs can be handed on again. Ruled out: stops that hold room unlisted (no stop was near).

--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -3,7 +3,7 @@
  */
 import type {ExecutorRecord} from "../types/executor.js"
 import {adoptRun, holdLoop} from "./link-hold.js"
-import {inheritedRun, repeatStart, startRun, stopRun} from "./link-orders.js"
+import {inheritedRun, startRun, stopRun} from "./link-orders.js"
 import {
 	closeLink,
 	freeCpu,
@@ -70,9 +70,8 @@
 		},
 		start: (req, onEnd) => startRun(link, req, onEnd),
 		adopt(req, isStarted, onEnd) {
-			const run = inheritedRun(link, req, isStarted, onEnd)
-			adoptRun(link, run)
-			repeatStart(link, run)
+			const run = inheritedRun(link, req, onEnd)
+			adoptRun(link, run, isStarted)
 			return run
 		},
 		runs: () =>
--- /dev/null
+++ b/packages/jobs/src/place/judgement.ts
@@ -0,0 +1,91 @@
+/**
+ * What a placer thinks of its executors, from how runs ended there: who is set aside, who is fast.
+ */
+import {createHealth, type Clock, type Health} from "@cottonwood/core"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import type {Run, TaskEnd} from "./run.js"
+import {createSpeeds, type Speeds} from "./selection.js"
+
+/** At most this share of the executors is set aside. */
+const MAX_ASIDE_SHARE = 0.4
+/** An executor that was set aside gets a probe after this. */
+const PROBE_AFTER_MS = 1_500
+/** A stuck run counts as so many failed ones: one is enough to judge by. */
+const STUCK_WEIGHT = 3
+/** Two waits of a busy executor's hold: an end that was not told within it was told late. */
+const LATE_NEWS_MS = 320
+
+export interface JudgementDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly failureDomain: string
+}
+
+export interface Judgement {
+	readonly health: Health
+	readonly speeds: Speeds
+	/** Notes how a run ended. */
+	observe(executor: string, run: Run, end: TaskEnd): void
+	forget(executor: string): void
+}
+
+export function createJudgement(deps: JudgementDeps): Judgement {
+	const {clock, log, metrics, failureDomain} = deps
+	const speeds = createSpeeds()
+	const health = createHealth({
+		now: () => clock.now(),
+		maxAsideShare: () => MAX_ASIDE_SHARE,
+		probeAfterMs: () => PROBE_AFTER_MS,
+		onChange(executor, outcome, cause) {
+			metrics.count("executors_aside", outcome)
+			const fields = {executor, outcome, cause, failureDomain}
+			log.alarm("placer", "executor_aside", "placer: judged an executor.", fields)
+		},
+	})
+
+	function noteEnd(executor: string, run: Run, end: TaskEnd, tookMs: number) {
+		const {job, task, run: number, estimateMs} = run.req
+		log.event("placer", "run_ended", "placer: a run ended.", {
+			job,
+			task,
+			run: number,
+			executor,
+			estimateMs,
+			tookMs: Math.round(tookMs),
+			outcome: end.type,
+			cause: "cause" in end ? end.cause : undefined,
+		})
+	}
+
+	/** A stuck run is the executor's doing, while a failed one may be the task's. */
+	function observeStuck(target: string, slowness: number) {
+		for (let times = 0; times < STUCK_WEIGHT; times++)
+			health.observe({target, failed: true, slowness})
+	}
+
+	return {
+		health,
+		speeds,
+		observe(executor, run, end) {
+			const now = clock.now()
+			const tookMs = now - run.startedAt
+			noteEnd(executor, run, end, tookMs)
+			// News of the end may be late; then only the time for which it was seen to run is certain.
+			const isLateNews = now - run.seenAt > LATE_NEWS_MS
+			const ranMs = isLateNews ? run.seenAt - run.startedAt : tookMs
+			const slowness = ranMs / Math.max(1, run.req.estimateMs)
+			if (run.stopCause === "stuck") return observeStuck(executor, slowness)
+			if (end.type !== "done" && end.type !== "failed") return health.endProbe(executor)
+			health.observe({target: executor, failed: end.type === "failed", slowness})
+			if (end.type === "failed") return
+			metrics.observe("run_ms", tookMs)
+			if (!isLateNews) speeds.observe(executor, slowness)
+		},
+		forget(executor) {
+			health.forget(executor)
+			speeds.forget(executor)
+		},
+	}
+}
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -125,13 +125,19 @@
 		link.strayEnds.set(runName(end.task, end.run), end)
 }
 
-/** Takes over a run that the placer before had there. */
-export function adoptRun(link: LinkState, run: Run) {
+/**
+ * Takes over a run that the placer before had there. A run whose start was not answered there, and that
+ * the list under our fence does not name, was refused for its fence; its room is not taken.
+ */
+export function adoptRun(link: LinkState, run: Run, wasStarted: boolean) {
 	addRun(link, run)
 	const name = runName(run.req.task, run.req.run)
 	const end = link.strayEnds.get(name)
 	link.strayEnds.delete(name)
 	if (end) return settleRun(link, run, endOf(link, run, end))
+	const isThere = link.orphans.has(name)
+	if (!isThere && !wasStarted && link.isFenceTaken)
+		return settleRun(link, run, {type: "returned", cause: "its start never arrived"})
 	link.orphans = new Set([...link.orphans].filter(orphan => orphan !== name))
 	if (link.orphans.size === 0) link.deps.onRoom()
 }
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -54,28 +54,20 @@
 }
 
 /**
- * A run that the placer before had on this executor. If its start was not answered there, the same
- * start is sent again, which changes nothing if it was done.
+ * A run that the placer before had on this executor. It is not started here: under the new fence it runs
+ * already, or never will.
  */
 export function inheritedRun(
 	link: LinkState,
 	req: TaskRequest,
-	isStarted: boolean,
 	onEnd: (end: TaskEnd) => void,
 ): Run {
 	const run = newRun(link, req, onEnd)
-	if (isStarted) {
-		run.state = "running"
-		run.listedFrom = link.deps.clock.now()
-	}
+	run.state = "running"
+	run.listedFrom = link.deps.clock.now()
 	return run
 }
 
-/** Sends an inherited run's start again once the run counts here. */
-export function repeatStart(link: LinkState, run: Run) {
-	if (run.state === "starting" && isCurrent(link, run)) void sendStart(link, run)
-}
-
 /** Ends a run; its `onEnd` follows when it has ended. */
 export function stopRun(link: LinkState, run: Run, cause: NonNullable<Run["stopCause"]>) {
 	if (run.state === "stopping") return
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -4,34 +4,24 @@
  * Tasks wait in one queue. Whenever room may have appeared the queue is walked in order; a task that
  * fits nowhere here may go to another domain's placer that has room, and blocks nobody behind it.
  */
-import {createHealth, type Clock, type Health} from "@cottonwood/core"
+import type {Clock} from "@cottonwood/core"
 import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
+import {createJudgement, type Judgement} from "./judgement.js"
 import type {Run, TaskEnd, TaskRequest} from "./run.js"
-import {chooseExecutor, createSpeeds, type Speeds} from "./selection.js"
+import {promisingLinks, roomFor, usableLinks, waitBeforeMs} from "./room.js"
+import {chooseExecutor} from "./selection.js"
 import {createTaskQueue, type Group, type TaskQueue, type Waiting} from "./task-queue.js"
 
 /** Groups that are tried in one walk; what stands further behind finds no room either as a rule. */
 const MAX_GROUPS_PER_WALK = 24
 /** A task from another placer that found no room is given back after this. */
 const FOREIGN_WAIT_MS = 40
-/** Whole tasks fill about this share of executors of two or three times their size; measured on the sheets. */
-const PACKED_SHARE = 0.8
 /** Deadlines are looked at this often. */
 const SWEEP_MS = 25
-/** The freest executors that are told to other placers. */
-const ROOM_ENTRIES = 6
-/** At most this share of the executors is set aside. */
-const MAX_ASIDE_SHARE = 0.4
-/** A stuck run counts as so many failed ones: one is enough to judge by. */
-const STUCK_WEIGHT = 3
-/** Two waits of a busy executor's hold: an end that was not told within it was told late. */
-const LATE_NEWS_MS = 320
-/** An executor that was set aside gets a probe after this. */
-const PROBE_AFTER_MS = 1_500
 
 export interface PlacerDeps {
 	readonly clock: Clock
@@ -102,8 +92,7 @@
 	readonly createdAt: number
 	readonly queue: TaskQueue
 	readonly links: Map<string, ExecutorLink>
-	readonly speeds: Speeds
-	readonly health: Health
+	readonly judgement: Judgement
 	/** What runs, by run; kept to be able to hand it over. */
 	readonly started: Map<Run, Waiting>
 	/** Takes everything once the placer has given all to a successor. */
@@ -119,8 +108,7 @@
 		createdAt: deps.clock.now(),
 		queue: createTaskQueue(),
 		links: new Map(),
-		speeds: createSpeeds(),
-		health: createPlacerHealth(deps),
+		judgement: createJudgement(deps),
 		started: new Map(),
 		successor: undefined,
 		isWalkDue: false,
@@ -130,10 +118,10 @@
 	return {
 		submit: (req, onEnd, onStart) => submit(state, req, onEnd, onStart),
 		setExecutors: records => setExecutors(state, records),
-		room: () => roomOf(state),
+		room: () => roomFor(state.links, state.queue, state.judgement.health),
 		counts: () => countsOf(state),
-		canServe: () => [...state.links.values()].some(link => link.isPromising()),
-		expectedWaitMs: startBy => expectedWaitMs(state, startBy),
+		canServe: () => promisingLinks(state.links).length > 0,
+		expectedWaitMs: startBy => waitBeforeMs(state.links, state.queue, startBy, deps.clock.now()),
 		walk() {
 			if (state.queue.size() > 0) walkSoon(state)
 		},
@@ -159,8 +147,26 @@
 		onEnd({type: "lost", executor, cause: "its executor is not listed here"})
 		return {cancel: () => undefined}
 	}
-	const run = link.adopt(req, isStarted, onEnd)
-	return {cancel: () => link.cancel(run)}
+	let stop = () => undefined as void
+	const item: Waiting = {
+		req,
+		since: state.deps.clock.now(),
+		onEnd,
+		onStart: stopRun => void (stop = stopRun),
+	}
+	// eslint-disable-next-line prefer-const -- read by the callback before it is set
+	let adopted: Run | undefined
+	let hasEnded = false
+	const run = link.adopt(req, isStarted, end => {
+		// Its end may be known already; then it is told before the run is returned.
+		hasEnded = true
+		if (adopted) state.started.delete(adopted)
+		onEnd(end)
+	})
+	adopted = run
+	if (!hasEnded) state.started.set(run, item)
+	stop = () => link.cancel(run)
+	return {cancel: () => stop()}
 }
 
 function giveAll(state: PlacerState, send: (item: Waiting, from?: RunningAt) => void) {
@@ -177,19 +183,6 @@
 	}
 }
 
-function createPlacerHealth({clock, metrics, log, failureDomain}: PlacerDeps): Health {
-	return createHealth({
-		now: () => clock.now(),
-		maxAsideShare: () => MAX_ASIDE_SHARE,
-		probeAfterMs: () => PROBE_AFTER_MS,
-		onChange(executor, outcome, cause) {
-			metrics.count("executors_aside", outcome)
-			const fields = {executor, outcome, cause, failureDomain}
-			log.alarm("placer", "executor_aside", "placer: judged an executor.", fields)
-		},
-	})
-}
-
 function submit(
 	state: PlacerState,
 	req: TaskRequest,
@@ -259,11 +252,11 @@
 }
 
 function placeGroup(state: PlacerState, group: Group) {
-	const {queue, links, health, speeds, deps} = state
+	const {queue, links, judgement, deps} = state
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
-		const link = chooseExecutor(links, next.req, health, speeds)
+		const link = chooseExecutor(links, next.req, judgement.health, judgement.speeds)
 		if (link) {
 			queue.take(group)
 			startOn(state, link, next)
@@ -291,7 +284,7 @@
 		waitedMs: Math.round(waitedMs),
 		waitingTasks: state.queue.size(),
 	})
-	state.health.beginProbe(executor)
+	state.judgement.health.beginProbe(executor)
 	const run = link.start(item.req, end => {
 		state.started.delete(run)
 		item.onEnd(end)
@@ -300,38 +293,6 @@
 	item.onStart(() => link.cancel(run))
 }
 
-function observeEnd(state: PlacerState, executor: string, run: Run, end: TaskEnd) {
-	const {clock, log, metrics} = state.deps
-	const tookMs = clock.now() - run.startedAt
-	const {job, task, run: number, estimateMs} = run.req
-	log.event("placer", "run_ended", "placer: a run ended.", {
-		job,
-		task,
-		run: number,
-		executor,
-		estimateMs,
-		tookMs: Math.round(tookMs),
-		outcome: end.type,
-		cause: "cause" in end ? end.cause : undefined,
-	})
-	// News of the end may be late; then only the time for which it was seen to run is certain.
-	const isLateNews = clock.now() - run.seenAt > LATE_NEWS_MS
-	const ranMs = isLateNews ? run.seenAt - run.startedAt : tookMs
-	const slowness = ranMs / Math.max(1, estimateMs)
-	if (run.stopCause === "stuck") return observeStuck(state, executor, slowness)
-	if (end.type !== "done" && end.type !== "failed") return state.health.endProbe(executor)
-	state.health.observe({target: executor, failed: end.type === "failed", slowness})
-	if (end.type === "failed") return
-	metrics.observe("run_ms", tookMs)
-	if (!isLateNews) state.speeds.observe(executor, slowness)
-}
-
-/** A stuck run is the executor's doing, while a failed one may be the task's. */
-function observeStuck({health}: PlacerState, target: string, slowness: number) {
-	for (let times = 0; times < STUCK_WEIGHT; times++)
-		health.observe({target, failed: true, slowness})
-}
-
 function setExecutors(state: PlacerState, records: readonly ExecutorRecord[]) {
 	const listed = new Set(records.map(record => record.id))
 	for (const record of records) {
@@ -357,7 +318,7 @@
 		orphansWaitUntil,
 		onRoom: () => walkSoon(state),
 		onFenced,
-		onRunEnd: (executor, run, end) => observeEnd(state, executor, run, end),
+		onRunEnd: state.judgement.observe,
 	})
 	state.links.set(record.id, link)
 	const fields = {executor: record.id, address: record.address, freeCpu: record.capacity.cpu}
@@ -369,36 +330,13 @@
 	if (link.runCount() > 0) return
 	link.close()
 	state.links.delete(id)
-	state.health.forget(id)
-	state.speeds.forget(id)
+	state.judgement.forget(id)
 	const fields = {executor: id, failureDomain: state.deps.failureDomain}
 	state.deps.log.event("placer", "executor_dropped", "placer: the list has it no more.", fields)
 }
 
-const usableLinks = ({links}: PlacerState) => [...links.values()].filter(link => link.isUsable())
-
-function roomOf(state: PlacerState): Room {
-	const {queue, health} = state
-	const open = usableLinks(state).filter(link => health.isUsable(link.record.id))
-	const free = open.map(link => link.freeCpu()).sort((a, b) => b - a)
-	return {
-		freeCpu: queue.size() > 0 ? [] : free.slice(0, ROOM_ENTRIES),
-		totalCpu: open.reduce((sum, link) => sum + link.record.capacity.cpu, 0),
-		waitingWork: Math.round(queue.work()),
-		labels: [...new Set(open.flatMap(link => link.record.labels))],
-	}
-}
-
-function countsOf(state: PlacerState): PlacerCounts {
+function countsOf({queue, links}: PlacerState): PlacerCounts {
 	let running = 0
-	for (const link of state.links.values()) running += link.runCount()
-	return {waiting: state.queue.size(), running, usable: usableLinks(state).length}
-}
-
-function expectedWaitMs(state: PlacerState, startBy: number): number {
-	const promising = [...state.links.values()].filter(link => link.isPromising())
-	const cpu = promising.reduce((sum, link) => sum + link.record.capacity.cpu, 0)
-	if (cpu === 0) return Infinity
-	const work = state.queue.workBefore(startBy, state.deps.clock.now())
-	return work / ((cpu / 1_000) * PACKED_SHARE)
+	for (const link of links.values()) running += link.runCount()
+	return {waiting: queue.size(), running, usable: usableLinks(links).length}
 }
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -223,6 +223,69 @@
 		expect(orders.stops.at(-1)).to.deep.include({task: "j.0.0.0", run: 1})
 	})
 
+	it("adopts the runs of the placer before, and gives them on in its turn", async () => {
+		const {clock, orders, placer, ends} = createWorld({orphansWaitMs: 800})
+		orders.running.set("j.0.0.0", 1)
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const from = {executor: "e1", isStarted: true}
+		placer.adopt(taskRequest("j.0.0.0"), from, end => void ends.push({...end, task: "j.0.0.0"}))
+		expect(orders.stops).to.eql([])
+		const given: unknown[] = []
+		placer.giveAll((item, at) => void given.push([item.req.task, at?.executor]))
+		expect(given).to.eql([["j.0.0.0", "e1"]])
+	})
+
+	it("knows the end of an adopted run that came before it was handed over", async () => {
+		const {clock, orders, placer, ends} = createWorld({orphansWaitMs: 800})
+		orders.running.set("j.0.0.0", 1)
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.end("j.0.0.0", "done")
+		await clock.advance(10)
+		const from = {executor: "e1", isStarted: true}
+		placer.adopt(taskRequest("j.0.0.0"), from, end => void ends.push({...end, task: "j.0.0.0"}))
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("never starts an adopted run itself: under the new fence it runs already, or never will", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld({orphansWaitMs: 800})
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		submit("x.0.0.0")
+		submit("y.0.0.0")
+		await clock.advance(10)
+		const from = {executor: "e1", isStarted: false}
+		placer.adopt(taskRequest("j.0.0.0"), from, end => void ends.push({...end, task: "j.0.0.0"}))
+		await clock.advance(300)
+		expect(orders.starts.map(({task}) => task[0])).to.eql(["x", "y"])
+		expect(ends.map(({task, type}) => `${task[0]} ${type}`)).to.eql(["j returned"])
+	})
+
+	it("adopts an unanswered run that turns out to be there", async () => {
+		const {clock, orders, placer, ends} = createWorld({orphansWaitMs: 800})
+		orders.running.set("j.0.0.0", 1)
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const from = {executor: "e1", isStarted: false}
+		placer.adopt(taskRequest("j.0.0.0"), from, end => void ends.push({...end, task: "j.0.0.0"}))
+		await clock.advance(300)
+		orders.end("j.0.0.0", "done")
+		await clock.advance(50)
+		expect(orders.starts).to.eql([])
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("stops runs of the placer before that nobody hands over", async () => {
+		const {clock, orders, placer} = createWorld({orphansWaitMs: 300})
+		orders.running.set("j.0.0.0", 1)
+		placer.setExecutors([record("e1")])
+		await clock.advance(200)
+		expect(orders.stops).to.eql([])
+		await clock.advance(1_000)
+		expect(orders.stops.map(({task}) => task)).to.eql(["j.0.0.0"])
+	})
+
 	it("expects a silent executor back for a moment, and then no more", async () => {
 		const {clock, orders, placer} = createWorld()
 		placer.setExecutors([record("e1")])
