Drop what nothing calls, and state that was kept twice

Behaviour is the same, no test was touched. Checked: format, lint, build and bundle; 76 tests of jobs and platform, and the process tests on the stand-in platform.

--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -39,8 +39,6 @@
 	noteUnreachable(session: string): void
 	isLeaving(session: string): boolean
 	roomOf(failureDomain: string): ToldRoom | undefined
-	/** Sessions heard from within so many milliseconds. */
-	heardWithin(ms: number): number
 }
 
 interface Heard {
@@ -104,10 +102,5 @@
 		},
 		isLeaving: session => heard.get(session)?.isLeaving ?? false,
 		roomOf: failureDomain => rooms.get(failureDomain),
-		heardWithin(ms) {
-			let count = 0
-			for (const {at} of heard.values()) if (clock.now() - at <= ms) count++
-			return count
-		},
 	}
 }
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -93,7 +93,7 @@
 
 function noteOrphan(link: LinkState, row: RunningRow): string {
 	const name = runName(row.task, row.run)
-	const isWaitedFor = link.deps.clock.now() < link.orphansWaitUntil
+	const isWaitedFor = link.deps.clock.now() < link.deps.orphansWaitUntil
 	if (!isWaitedFor && !link.stoppedOrphans.has(name)) {
 		link.stoppedOrphans.add(name)
 		void stopOrphan(link, row.task, row.run)
@@ -121,7 +121,7 @@
 	link.seenSerial = end.serial
 	const run = link.runs.get(end.task)
 	if (run?.req.run === end.run) settleRun(link, run, endOf(link, run, end))
-	else if (link.deps.clock.now() < link.orphansWaitUntil)
+	else if (link.deps.clock.now() < link.deps.orphansWaitUntil)
 		link.strayEnds.set(runName(end.task, end.run), end)
 }
 
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -43,14 +43,12 @@
 	readonly runs: Map<string, Run>
 	/** Runs there that nobody here started; while there are any, the free room is unknown. */
 	orphans: ReadonlySet<string>
-	/** Until then such runs may still be handed over by the placer before, and are not stopped. */
-	readonly orphansWaitUntil: number
-	/** Runs that were settled though a start of theirs was never answered. */
-	readonly unanswered: {readonly task: string; readonly run: number}[]
-	/** Such runs that were told to stop. */
+	/** Orphans that were told to stop. */
 	readonly stoppedOrphans: Set<string>
-	/** Ends of such runs, until they are asked for. */
+	/** Ends of runs that nobody here started, until the placer before hands them over. */
 	readonly strayEnds: Map<string, RunEnd>
+	/** Runs that were settled though a start of theirs was never answered. */
+	readonly unanswered: {readonly task: string; readonly run: number}[]
 	readonly used: {cpu: number; memoryMb: number; accelerators: number}
 	/** Ends up to this serial are settled here. */
 	seenSerial: number
@@ -70,7 +68,6 @@
 		executorClock: createExecutorClock(),
 		runs: new Map(),
 		orphans: new Set(),
-		orphansWaitUntil: deps.orphansWaitUntil,
 		unanswered: [],
 		stoppedOrphans: new Set(),
 		strayEnds: new Map(),
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -48,5 +48,5 @@
 	/** It was given up, and some task may have run. */
 	| {readonly type: "given up"; readonly kind: GiveUpKind; readonly cause: string}
 
-export type RefusalKind = "overloaded" | "no_capacity" | "draining" | "no_configuration"
+export type RefusalKind = "overloaded" | "no_capacity" | "no_configuration"
 export type GiveUpKind = "deadline_exceeded" | "placer_lost" | "cancelled"
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -52,7 +52,6 @@
 	| "claims_held"
 	| "config_version"
 	| "store_silent_ms"
-	| "placer_silent_ms"
 
 const PREFIX = "cottonwood_"
 /** Around the objectives of sub-second tasks. */
--- a/packages/wire/src/datagrams.ts
+++ b/packages/wire/src/datagrams.ts
@@ -6,9 +6,6 @@
  */
 import {createSocket} from "node:dgram"
 
-/** Stays under the usual packet size of a network with room for headers; larger ones are still sent. */
-export const USUAL_DATAGRAM_BYTES = 1_400
-
 export interface Datagrams {
 	/** Sends and forgets. */
 	send(address: string, message: unknown): void
