Soak the program on the users' platform: links, signals, store and executors fail, seeded

Change: 'npm run soak' plays callers of best-effort and kept jobs against real processes, with links to the store and to executors that are cut, one-way, slow or reset, signals, a store and executors that misbehave, all drawn from a printed seed and overlapping; judged by what executors and callers saw.

--- a/packages/standins/src/fleet/link.ts
+++ b/packages/standins/src/fleet/link.ts
@@ -1,12 +1,19 @@
 /**
- * A TCP link that can be cut: while cut, open connections go silent and new ones get no answer,
- * as behind a lost switch.
+ * A TCP link that can fail: while cut, open connections go silent and new ones get no answer, as behind a
+ * lost switch; while cut one way, what is sent arrives and no answer comes back; it can be slow, and its
+ * connections can be reset.
  */
 import {connect, createServer, type Socket} from "node:net"
 
 export interface Link {
 	readonly port: number
 	cut(): void
+	/** Loses answers: only what goes to the target still passes. */
+	cutAnswers(): void
+	/** Answers take so much longer, in milliseconds. */
+	delay(ms: number): void
+	/** Resets all open connections. */
+	reset(): void
 	mend(): void
 	close(): void
 }
@@ -14,6 +21,8 @@
 /** Opens a link from a free port to a port that is looked up at each connection. */
 export function openLink(targetPort: () => number): Promise<Link> {
 	let isCut = false
+	let losesAnswers = false
+	let delayMs = 0
 	const sockets = new Set<Socket>()
 
 	function track(socket: Socket) {
@@ -28,7 +37,12 @@
 		const far = connect(targetPort(), "127.0.0.1")
 		track(far)
 		near.pipe(far)
-		far.pipe(near)
+		far.on("data", (chunk: Buffer) => {
+			if (losesAnswers) return
+			if (delayMs === 0) near.write(chunk)
+			else setTimeout(() => near.writable && near.write(chunk), delayMs)
+		})
+		far.on("end", () => near.end())
 		near.on("close", () => far.destroy())
 		far.on("close", () => near.destroy())
 	})
@@ -44,8 +58,19 @@
 						socket.pause()
 					}
 				},
+				cutAnswers() {
+					losesAnswers = true
+				},
+				delay(ms) {
+					delayMs = ms
+				},
+				reset() {
+					for (const socket of sockets) socket.resetAndDestroy()
+				},
 				mend() {
 					isCut = false
+					losesAnswers = false
+					delayMs = 0
 					// What was silent stays broken: both ends must connect anew.
 					for (const socket of sockets) socket.destroy()
 				},
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -58,6 +58,7 @@
 	failureDomain: string,
 	platform: LeasedPlatform,
 	ports: readonly number[],
+	storeAddress: string,
 ): object {
 	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
 	return {
@@ -68,7 +69,7 @@
 		listen: {front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}`},
 		"port-range": [ports[2], ports[2]],
 		orders: "rpc",
-		platform: {address: platform.storeAddress},
+		platform: {address: storeAddress},
 		bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
 	}
 }
@@ -164,19 +165,25 @@
 	}
 }
 
+export interface EdgesOptions {
+	/** Where an instance reaches the store, when not at the platform's own address. */
+	readonly storeAddressOf?: (name: string) => string
+}
+
 export async function startEdges(
 	platform: LeasedPlatform,
 	names: readonly (readonly [name: string, failureDomain: string])[],
-	nodeArgs: readonly string[] = [],
+	options: EdgesOptions = {},
 ): Promise<EdgeFleet> {
 	const folder = mkdtempSync(join(tmpdir(), "cottonwood-edges-"))
 	const edges: Edge[] = []
 
 	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
 		const file = join(folder, `${name}.json`)
-		writeFileSync(file, JSON.stringify(settingsOf(name, failureDomain, platform, ports)))
+		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
+		writeFileSync(file, JSON.stringify(settingsOf(name, failureDomain, platform, ports, store)))
 		const env = {...process.env, COTTONWOOD_CONFIG: file}
-		const child = spawn(process.execPath, [...nodeArgs, PROGRAM, "edge"], {
+		const child = spawn(process.execPath, [PROGRAM, "edge"], {
 			env,
 			stdio: ["ignore", "pipe", "inherit"],
 		})
--- a/packages/standins/src/leased/platform.ts
+++ b/packages/standins/src/leased/platform.ts
@@ -12,6 +12,8 @@
 	readonly executorsPerDomain: number
 	/** Thousandths of a core of each executor. */
 	readonly capacityCpu?: number
+	/** Puts something between the instances and an address; returns the address that they are told. */
+	readonly through?: (address: string, name: string) => Promise<string>
 }
 
 export interface HostedExecutor {
@@ -29,6 +31,8 @@
 	readonly violations: readonly string[]
 	/** Runs begun so far, by task. */
 	startsOf(task: string): number
+	/** Runs that ended as done so far, by task. */
+	donesOf(task: string): number
 	putConfig(version: number, changes?: object): void
 	/** The executor's process dies; another life begins at the same address. */
 	restart(hosted: HostedExecutor): void
@@ -59,6 +63,7 @@
 	const violations: string[] = []
 	const running = new Map<string, Set<string>>()
 	const starts = new Map<string, number>()
+	const dones = new Map<string, number>()
 	const events: ExecutorEvents = {
 		onStart(executor, task, run) {
 			const now = running.get(task) ?? new Set()
@@ -67,14 +72,18 @@
 			running.set(task, now)
 			starts.set(task, (starts.get(task) ?? 0) + 1)
 		},
-		onEnd: (executor, task, run) => void running.get(task)?.delete(`${executor}/${run}`),
+		onEnd(executor, task, run, how) {
+			running.get(task)?.delete(`${executor}/${run}`)
+			if (how === "done") dones.set(task, (dones.get(task) ?? 0) + 1)
+		},
 		onBroken: rule => void violations.push(rule),
 	}
-	return {violations, starts, events}
+	return {violations, starts, dones, events}
 }
 
 export async function startLeasedPlatform(options: LeasedPlatformOptions): Promise<LeasedPlatform> {
 	const capacityCpu = options.capacityCpu ?? 64_000
+	const through = options.through ?? (address => Promise.resolve(address))
 	const store = new WireStore()
 	const judge = createJudge()
 	const executors: HostedExecutor[] = []
@@ -106,7 +115,8 @@
 			const server = createServer((req, res) => {
 				void readBody(req).then(body => hosted.executor.handle(req, body, res))
 			})
-			const address = await listen(server)
+			const name = `${failureDomain}-${at}`
+			const address = await through(await listen(server), name)
 			const hosted: HostedExecutor = {executor: newExecutor(), failureDomain, address, server}
 			executors.push(hosted)
 			beat(hosted)
@@ -121,6 +131,7 @@
 		executors,
 		violations: judge.violations,
 		startsOf: task => judge.starts.get(task) ?? 0,
+		donesOf: task => judge.dones.get(task) ?? 0,
 		putConfig(version, changes = {}) {
 			const route = {
 				name: QUEUE,
--- /dev/null
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -0,0 +1,164 @@
+/**
+ * Faults of the users' platform, brought about from outside the program: links that are cut, slow or reset,
+ * signals, a store and executors that misbehave. Each begins, lasts, and is mended; they overlap.
+ */
+import type {Edge, EdgeFleet} from "../leased/edges.js"
+import type {HostedExecutor, LeasedPlatform} from "../leased/platform.js"
+import type {Link} from "../fleet/link.js"
+
+export const LEASED_FAULTS = Object.freeze([
+	"kill instance",
+	"kill all instances",
+	"stop instance",
+	"freeze instance",
+	"store down",
+	"store busy",
+	"store slow",
+	"store loses answers",
+	"store forgets history",
+	"cut from store",
+	"reset connections to store",
+	"cut executor",
+	"lose executor answers",
+	"slow executor link",
+	"reset executor",
+	"crash executor",
+	"executor fails all",
+	"executor hangs",
+	"executor carries out late",
+	"new configuration",
+] as const)
+export type LeasedFault = (typeof LEASED_FAULTS)[number]
+
+export interface LeasedWorld {
+	readonly platform: LeasedPlatform
+	readonly fleet: EdgeFleet
+	/** Links to executors by failure domain and number, and of instances to the store by name. */
+	readonly executorLinks: ReadonlyMap<string, Link>
+	readonly storeLinks: ReadonlyMap<string, Link>
+	readonly random: () => number
+	/** What lasts, lasts so long, in milliseconds. */
+	readonly lastsMs: number
+	/** The number of the newest configuration. */
+	configVersion: number
+}
+
+const SLOW_STORE_MS = 250
+const SLOW_LINK_MS = 120
+const LATE_MS = 2_500
+const LATE_STARTS = 3
+const LOST_WRITES = 4
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+
+function pick<T>(items: readonly T[], random: () => number): T {
+	return items[Math.floor(random() * items.length)] as T
+}
+
+/** The living instances: one for each name, the newest life of it. */
+function livingEdges({edges}: EdgeFleet): readonly Edge[] {
+	const newest = new Map(edges.map(edge => [edge.name, edge]))
+	return [...newest.values()].filter(({child}) => child.exitCode === null && !child.signalCode)
+}
+
+async function replace({fleet}: LeasedWorld, edge: Edge, signal: "SIGKILL" | "SIGTERM") {
+	edge.child.kill(signal)
+	await edge.exited
+	await fleet.restart(edge)
+}
+
+async function whileLasting({lastsMs}: LeasedWorld, begin: () => void, end: () => void) {
+	begin()
+	await sleep(lastsMs)
+	end()
+}
+
+async function failStore(world: LeasedWorld, name: LeasedFault) {
+	const {faults} = world.platform.store
+	switch (name) {
+		case "store down":
+		case "store busy": {
+			const how = name === "store down" ? "silent" : "busy"
+			const begin = () => void (faults.down = how)
+			return whileLasting(world, begin, () => void (faults.down = undefined))
+		}
+		case "store slow": {
+			const begin = () => void (faults.slowMs = SLOW_STORE_MS)
+			return whileLasting(world, begin, () => void (faults.slowMs = undefined))
+		}
+		case "store loses answers":
+			return void (faults.loseAnswers = LOST_WRITES)
+		default:
+			return world.platform.store.forgetHistory()
+	}
+}
+
+async function failExecutor(world: LeasedWorld, name: LeasedFault, hosted: HostedExecutor) {
+	const {faults} = hosted.executor
+	switch (name) {
+		case "crash executor":
+			return world.platform.restart(hosted)
+		case "executor carries out late":
+			return void (faults.lateStarts = {count: LATE_STARTS, delayMs: LATE_MS})
+		case "executor fails all": {
+			const begin = () => void (faults.failAll = true)
+			return whileLasting(world, begin, () => void (faults.failAll = false))
+		}
+		default: {
+			const begin = () => void (faults.hang = true)
+			return whileLasting(world, begin, () => void (faults.hang = false))
+		}
+	}
+}
+
+async function failLink(world: LeasedWorld, name: LeasedFault, link: Link) {
+	if (name.startsWith("reset")) return link.reset()
+	const begin = () => {
+		if (name === "lose executor answers") link.cutAnswers()
+		else if (name === "slow executor link") link.delay(SLOW_LINK_MS)
+		else link.cut()
+	}
+	return whileLasting(world, begin, () => link.mend())
+}
+
+/** Brings about one fault and mends it; says which it was and where. */
+export async function runLeasedFault(
+	world: LeasedWorld,
+	name: LeasedFault,
+	onFault: (text: string) => void,
+): Promise<void> {
+	const {platform, fleet, random, executorLinks, storeLinks} = world
+	const living = livingEdges(fleet)
+	const edge = pick(living, random)
+	const hosted = pick(platform.executors, random)
+	const executorLink = pick([...executorLinks.values()], random)
+	onFault(`${name} (${edge?.name ?? "none living"}, ${hosted.executor.id})`)
+	if (name.startsWith("store")) return failStore(world, name)
+	switch (name) {
+		case "kill all instances":
+			return void (await Promise.all(living.map(one => replace(world, one, "SIGKILL"))))
+		case "kill instance":
+		case "stop instance":
+			if (!edge) return
+			return replace(world, edge, name === "kill instance" ? "SIGKILL" : "SIGTERM")
+		case "freeze instance":
+			if (!edge) return
+			return whileLasting(
+				world,
+				() => void edge.child.kill("SIGSTOP"),
+				() => void edge.child.kill("SIGCONT"),
+			)
+		case "new configuration":
+			return platform.putConfig((world.configVersion += 1 + Math.floor(random() * 3)))
+		case "cut from store":
+		case "reset connections to store":
+			return failLink(world, name, pick([...storeLinks.values()], random))
+		case "cut executor":
+		case "lose executor answers":
+		case "slow executor link":
+		case "reset executor":
+			return failLink(world, name, executorLink)
+		default:
+			return failExecutor(world, name, hosted)
+	}
+}
--- /dev/null
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -0,0 +1,149 @@
+/**
+ * A soak of the program on the stand-in of the users' platform: callers come and come back while faults
+ * begin, overlap and are mended; then the promises are judged by what executors and callers saw.
+ */
+import {openLink, type Link} from "../fleet/link.js"
+import {startEdges, type EdgeFleet} from "../leased/edges.js"
+import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
+import {seededRandom} from "../utils/random.js"
+import {runLeasedCallers, untilEnded, type CalledJob} from "./leased-callers.js"
+import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
+
+export interface LeasedSoakPlan {
+	readonly seed: number
+	readonly faults: readonly LeasedFault[]
+	/** How many faults are brought about in all. */
+	readonly count: number
+	readonly faultMs: number
+	readonly failureDomains: readonly string[]
+	readonly instancesPerDomain: number
+	readonly executorsPerDomain: number
+	readonly callers: number
+	readonly onFault: (text: string) => void
+}
+
+export const LEASED_SOAK_DEFAULTS: LeasedSoakPlan = Object.freeze({
+	seed: 1,
+	faults: LEASED_FAULTS,
+	count: 12,
+	faultMs: 1_500,
+	failureDomains: ["a", "b"],
+	instancesPerDomain: 2,
+	executorsPerDomain: 3,
+	callers: 6,
+	onFault: () => undefined,
+})
+
+export interface LeasedVerdict {
+	readonly jobs: number
+	readonly kept: number
+	readonly completed: number
+	readonly refused: number
+	readonly open: number
+	readonly violations: readonly string[]
+}
+
+/** Between two faults at most; shorter than a fault, so that they overlap. */
+const PAUSE_MS = 1_200
+/** Accepted jobs end within this once all is mended. */
+const FINISH_MS = 20_000
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+const portOf = (address: string) => Number(address.split(":")[1])
+
+async function startWorld(plan: LeasedSoakPlan, random: () => number): Promise<LeasedWorld> {
+	const executorLinks = new Map<string, Link>()
+	const storeLinks = new Map<string, Link>()
+	const platform = await startLeasedPlatform({
+		failureDomains: plan.failureDomains,
+		executorsPerDomain: plan.executorsPerDomain,
+		async through(address, name) {
+			const link = await openLink(() => portOf(address))
+			executorLinks.set(name, link)
+			return `127.0.0.1:${link.port}`
+		},
+	})
+	platform.putConfig(1)
+	const names = plan.failureDomains.flatMap(domain =>
+		Array.from({length: plan.instancesPerDomain}, (_, at) => [`${domain}-${at}`, domain] as const),
+	)
+	for (const [name] of names)
+		storeLinks.set(name, await openLink(() => portOf(platform.storeAddress)))
+	const storeAddressOf = (name: string) => `127.0.0.1:${storeLinks.get(name)?.port}`
+	const fleet = await startEdges(platform, names, {storeAddressOf})
+	const {faultMs: lastsMs} = plan
+	return {platform, fleet, executorLinks, storeLinks, random, lastsMs, configVersion: 1}
+}
+
+async function runFaults(world: LeasedWorld, {faults, count, onFault}: LeasedSoakPlan) {
+	const underWay: Promise<void>[] = []
+	for (let at = 0; at < count; at++) {
+		const name = faults[Math.floor(world.random() * faults.length)] as LeasedFault
+		underWay.push(runLeasedFault(world, name, onFault))
+		await sleep(world.random() * PAUSE_MS)
+	}
+	await Promise.all(underWay)
+}
+
+const taskNames = ({id, tasks}: CalledJob) =>
+	Array.from({length: tasks}, (_, at) => `${id}.0.0.${at}`)
+
+/** What the platform's pages promise, for one job. */
+function violationsOf(job: CalledJob, platform: LeasedPlatform): readonly string[] {
+	const {id, isKept, statuses, state} = job
+	const found: string[] = []
+	const starts = taskNames(job).map(platform.startsOf)
+	const dones = taskNames(job).map(platform.donesOf)
+	const isRefusedAlways = statuses.length > 0 && statuses.every(status => status === 503)
+	if (isRefusedAlways && starts.some(count => count > 0))
+		found.push(`REFUSED: ${id} was refused each time, and started`)
+	if (state === "completed" && dones.some(count => count === 0))
+		found.push(`MIXED: ${id} is shown as completed, and a task never ended so`)
+	if (!isKept) return found
+	const isAccepted = statuses.includes(200)
+	if (isAccepted && state === "unknown") found.push(`LOST: ${id} is unknown`)
+	if (isAccepted && !job.isCancelAsked && state !== "completed" && state !== "failed")
+		found.push(`LOST: ${id} is ${state} at the end`)
+	return found
+}
+
+function judge(jobs: readonly CalledJob[], platform: LeasedPlatform): LeasedVerdict {
+	const count = (isWanted: (job: CalledJob) => boolean) => jobs.filter(isWanted).length
+	return {
+		jobs: jobs.length,
+		kept: count(({isKept}) => isKept),
+		completed: count(({state}) => state === "completed"),
+		refused: count(({statuses}) => statuses.at(-1) === 503),
+		open: count(({statuses}) => ![200, 503].includes(statuses.at(-1) ?? 0)),
+		violations: [...platform.violations, ...jobs.flatMap(job => violationsOf(job, platform))],
+	}
+}
+
+async function closeWorld({platform, fleet, executorLinks, storeLinks}: LeasedWorld) {
+	await (fleet as EdgeFleet).close()
+	for (const link of [...executorLinks.values(), ...storeLinks.values()]) link.close()
+	await platform.close()
+}
+
+/** Runs one soak and returns its verdict; everything that it started is ended in any case. */
+export async function runLeasedSoak(changes: Partial<LeasedSoakPlan> = {}): Promise<LeasedVerdict> {
+	const plan = {...LEASED_SOAK_DEFAULTS, ...changes}
+	const random = seededRandom(plan.seed)
+	const world = await startWorld(plan, random)
+	try {
+		let isNeeded = true
+		const faults = runFaults(world, plan).finally(() => (isNeeded = false))
+		const jobs = await runLeasedCallers(world.fleet, {
+			random: seededRandom(plan.seed + 1_000_003),
+			isNeeded: () => isNeeded,
+			callers: plan.callers,
+			shareKept: 0.4,
+			shareCancelled: 0.1,
+		})
+		await faults
+		await untilEnded(world.fleet, jobs, FINISH_MS)
+		return judge(jobs, world.platform)
+	} finally {
+		await closeWorld(world)
+	}
+}
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -3,18 +3,26 @@
  */
 import meow from "meow"
 import {ALL_FAULTS, type FaultName} from "./faults.js"
+import {LEASED_FAULTS, type LeasedFault} from "./leased-faults.js"
+import {runLeasedSoak} from "./leased-soak.js"
 import {runSoak} from "./soak.js"
 
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--seed N] [--runs N] [--rounds N] [--fault NAME ...]
+	  $ npm run soak -- [--on platform|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--fault NAME ...]
+
+	--on platform  the program on the stand-in of the users' platform (the default);
+	               --faults N of them are drawn in each run
+	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
 `,
 	{
 		importMeta: import.meta,
 		flags: {
+			on: {type: "string", choices: ["platform", "product"], default: "platform"},
+			faults: {type: "number", default: 12},
 			seed: {type: "number", default: 1},
 			runs: {type: "number", default: 1},
 			rounds: {type: "number", default: 1},
@@ -23,15 +31,22 @@
 	},
 )
 
-const faults = cli.flags.fault.length > 0 ? (cli.flags.fault as FaultName[]) : ALL_FAULTS
-for (let run = 0; run < cli.flags.runs; run++) {
-	const seed = cli.flags.seed + run
-	const verdict = await runSoak({
-		seed,
-		faults,
-		rounds: cli.flags.rounds,
-		onFault: text => process.stderr.write(`seed ${seed}: ${text}\n`),
-	})
+const {flags} = cli
+
+function soakProduct(seed: number, onFault: (text: string) => void) {
+	const faults = flags.fault.length > 0 ? (flags.fault as FaultName[]) : ALL_FAULTS
+	return runSoak({seed, faults, rounds: flags.rounds, onFault})
+}
+
+function soakPlatform(seed: number, onFault: (text: string) => void) {
+	const faults = flags.fault.length > 0 ? (flags.fault as LeasedFault[]) : LEASED_FAULTS
+	return runLeasedSoak({seed, faults, count: flags.faults, onFault})
+}
+
+const soak = flags.on === "product" ? soakProduct : soakPlatform
+for (let run = 0; run < flags.runs; run++) {
+	const seed = flags.seed + run
+	const verdict = await soak(seed, text => process.stderr.write(`seed ${seed}: ${text}\n`))
 	process.stdout.write(`${JSON.stringify({seed, ...verdict})}\n`)
 	if (verdict.violations.length > 0) process.exitCode = 1
 }
