Specify how a kept job outlasts its placer, each guard seen to fail

Change: a specification of one kept job: record before acceptance, note before forgetting, writes under the claim, reading after the claim, holding before starting. Conclusion: the order of steps that keeper and ledger follow is the one that the walk holds for.

--- /dev/null
+++ b/packages/spec/src/keeper-protocol.ts
@@ -0,0 +1,178 @@
+/**
+ * How a kept job outlasts its placer: one job of one task, the placer that accepts it, a successor, and an
+ * executor that lists ends until it may forget them. Writes to the store may arrive late.
+ */
+import type {Specification} from "./explore.js"
+
+export interface KeeperState {
+	/** What the store holds of the job. */
+	readonly record: "absent" | "open" | "done"
+	/** Whose claim the store holds. */
+	readonly claim: "first" | "successor"
+	/** Writes of the first placer, on their way. */
+	readonly isCreateFlying: boolean
+	readonly isNoteFlying: boolean
+	readonly wasCreateSent: boolean
+	readonly isAccepted: boolean
+	readonly isFirstDead: boolean
+	/** The run on the executor. */
+	readonly run: "unsent" | "running" | "listed as done" | "forgotten"
+	readonly hasSuccessorFenced: boolean
+	/** What the successor read in the store; undefined before. */
+	readonly wasRead: "absent" | "open" | "done" | undefined
+	/** The successor knows the run, or its end, from the executor. */
+	readonly isKnown: boolean
+	/** The task runs a second time, started by the successor. */
+	readonly secondRuns: boolean
+	readonly wasEndedBefore: boolean
+}
+
+export interface KeeperGuards {
+	/** A submitter is told that its job is kept only once the record stands. */
+	readonly recordFirst: boolean
+	/** An executor may forget an end only once the store has it. */
+	readonly noteFirst: boolean
+	/** All writes hold only under the writer's claim. */
+	readonly underClaim: boolean
+	/** The successor reads the store only once it has the claim. */
+	readonly readAfterClaim: boolean
+	/** The successor starts nothing before it knows what the executor runs and lists. */
+	readonly holdFirst: boolean
+}
+
+export const ALL_KEEPER_GUARDS: KeeperGuards = Object.freeze({
+	recordFirst: true,
+	noteFirst: true,
+	underClaim: true,
+	readAfterClaim: true,
+	holdFirst: true,
+})
+
+export type KeeperEvent = {
+	readonly type:
+		| "send create"
+		| "create arrives"
+		| "tell accepted"
+		| "start"
+		| "run ends"
+		| "send note"
+		| "note arrives"
+		| "forget"
+		| "first dies"
+		| "successor claims"
+		| "successor reads"
+		| "successor holds"
+		| "successor starts"
+}
+
+const INITIAL: KeeperState = Object.freeze({
+	record: "absent",
+	claim: "first",
+	isCreateFlying: false,
+	isNoteFlying: false,
+	wasCreateSent: false,
+	isAccepted: false,
+	isFirstDead: false,
+	run: "unsent",
+	hasSuccessorFenced: false,
+	wasRead: undefined,
+	isKnown: false,
+	secondRuns: false,
+	wasEndedBefore: false,
+})
+
+const mayWrite = ({claim}: KeeperState, {underClaim}: KeeperGuards) =>
+	claim === "first" || !underClaim
+
+function next(state: KeeperState, {type}: KeeperEvent, guards: KeeperGuards): KeeperState {
+	switch (type) {
+		case "send create":
+			return {...state, isCreateFlying: true, wasCreateSent: true}
+		case "create arrives": {
+			const isWritten = mayWrite(state, guards) && state.record === "absent"
+			return {...state, isCreateFlying: false, record: isWritten ? "open" : state.record}
+		}
+		case "tell accepted":
+			return {...state, isAccepted: true}
+		case "start":
+			return {...state, run: "running"}
+		case "run ends":
+			return {...state, run: "listed as done"}
+		case "send note":
+			return {...state, isNoteFlying: true}
+		case "note arrives": {
+			const isWritten = mayWrite(state, guards) && state.record === "open"
+			return {...state, isNoteFlying: false, record: isWritten ? "done" : state.record}
+		}
+		case "forget":
+			return {...state, run: "forgotten"}
+		case "first dies":
+			return {...state, isFirstDead: true}
+		case "successor claims":
+			return {...state, claim: "successor"}
+		case "successor reads":
+			return {...state, wasRead: state.record}
+		case "successor holds": {
+			const isKnown = state.run === "running" || state.run === "listed as done"
+			return {...state, hasSuccessorFenced: true, isKnown}
+		}
+		case "successor starts": {
+			const wasEndedBefore = state.record === "done" || state.run === "forgotten"
+			return {...state, secondRuns: true, wasEndedBefore}
+		}
+	}
+}
+
+function enabled(state: KeeperState, guards: KeeperGuards): readonly KeeperEvent[] {
+	const isFirst = !state.isFirstDead
+	const mayOrder = isFirst && !state.hasSuccessorFenced
+	const isRecorded = state.record !== "absent"
+	const mayRead = state.claim === "successor" || !guards.readAfterClaim
+	const mayStartAgain =
+		state.claim === "successor" &&
+		state.wasRead === "open" &&
+		!state.secondRuns &&
+		(guards.holdFirst ? state.hasSuccessorFenced && !state.isKnown : !state.isKnown)
+	const rules: readonly (readonly [KeeperEvent["type"], boolean])[] = [
+		["send create", isFirst && !state.wasCreateSent],
+		["create arrives", state.isCreateFlying],
+		[
+			"tell accepted",
+			isFirst && state.wasCreateSent && !state.isAccepted && (isRecorded || !guards.recordFirst),
+		],
+		["start", mayOrder && isRecorded && state.run === "unsent"],
+		["run ends", state.run === "running"],
+		["send note", isFirst && state.run === "listed as done" && !state.isNoteFlying],
+		[
+			"forget",
+			mayOrder && state.run === "listed as done" && (state.record === "done" || !guards.noteFirst),
+		],
+		["note arrives", state.isNoteFlying],
+		["first dies", isFirst],
+		["successor claims", state.claim === "first"],
+		["successor reads", mayRead && state.wasRead === undefined],
+		["successor holds", state.claim === "successor" && !state.hasSuccessorFenced],
+		["successor starts", mayStartAgain],
+	]
+	return rules.filter(([, isEnabled]) => isEnabled).map(([type]) => ({type}))
+}
+
+function violation(state: KeeperState): string | undefined {
+	if (state.secondRuns && state.run === "running") return "a task ran twice at once"
+	if (state.wasEndedBefore) return "a task ran again after its end was noted"
+	if (!state.isAccepted || !state.isFirstDead || state.isCreateFlying) return undefined
+	if (state.record === "absent") return "an accepted job was lost"
+	const isOverlooked = state.record === "open" && state.wasRead === "absent"
+	return isOverlooked ? "an accepted job belongs to nobody" : undefined
+}
+
+export function keeperProtocol(
+	guards: KeeperGuards = ALL_KEEPER_GUARDS,
+): Specification<KeeperState, KeeperEvent> {
+	return {
+		initial: INITIAL,
+		next: (state, event) => next(state, event, guards),
+		enabled: state => enabled(state, guards),
+		violation,
+	}
+}
--- a/packages/spec/test/protocols.test.ts
+++ b/packages/spec/test/protocols.test.ts
@@ -2,11 +2,13 @@
 	ALL_CONFIG_GUARDS,
 	ALL_GUARDS,
 	ALL_HANDOVER_GUARDS,
+	ALL_KEEPER_GUARDS,
 	ALL_PLACER_GUARDS,
 	configProtocol,
 	exchangeProtocol,
 	explore,
 	handoverProtocol,
+	keeperProtocol,
 	ownerProtocol,
 	placerProtocol,
 	type Specification,
@@ -95,3 +97,14 @@
 	for (const guard of ["fence", "deadline", "settle", "stopOrphans"] as const)
 		breaks(`without ${guard}`, placerProtocol({...ALL_PLACER_GUARDS, [guard]: false}), twice)
 })
+
+describe("specification of keeping jobs", () => {
+	const without = (guard: keyof typeof ALL_KEEPER_GUARDS) =>
+		keeperProtocol({...ALL_KEEPER_GUARDS, [guard]: false})
+	holds("with all guards", keeperProtocol())
+	breaks("without recordFirst", without("recordFirst"), "an accepted job was lost")
+	breaks("without noteFirst", without("noteFirst"), "a task ran again after its end was noted")
+	breaks("without underClaim", without("underClaim"), "an accepted job belongs to nobody")
+	breaks("without readAfterClaim", without("readAfterClaim"), "an accepted job belongs to nobody")
+	breaks("without holdFirst", without("holdFirst"), "a task ran twice at once")
+})
