--- a/packages/spec/src/keeper-protocol.ts
+++ b/packages/spec/src/keeper-protocol.ts
@@ -123,16 +123,18 @@
 	}
 }
 
+/** The successor starts what it read as open and did not find on the executor. */
+function mayStartAgain(state: KeeperState, {holdFirst}: KeeperGuards): boolean {
+	const hasRead = state.claim === "successor" && state.wasRead === "open"
+	const hasLooked = state.hasSuccessorFenced || !holdFirst
+	return hasRead && hasLooked && !state.isKnown && !state.secondRuns
+}
+
 function enabled(state: KeeperState, guards: KeeperGuards): readonly KeeperEvent[] {
 	const isFirst = !state.isFirstDead
 	const mayOrder = isFirst && !state.hasSuccessorFenced
 	const isRecorded = state.record !== "absent"
 	const mayRead = state.claim === "successor" || !guards.readAfterClaim
-	const mayStartAgain =
-		state.claim === "successor" &&
-		state.wasRead === "open" &&
-		!state.secondRuns &&
-		(guards.holdFirst ? state.hasSuccessorFenced && !state.isKnown : !state.isKnown)
 	const rules: readonly (readonly [KeeperEvent["type"], boolean])[] = [
 		["send create", isFirst && !state.wasCreateSent],
 		["create arrives", state.isCreateFlying],
@@ -152,7 +154,7 @@
 		["successor claims", state.claim === "first"],
 		["successor reads", mayRead && state.wasRead === undefined],
 		["successor holds", state.claim === "successor" && !state.hasSuccessorFenced],
-		["successor starts", mayStartAgain],
+		["successor starts", mayStartAgain(state, guards)],
 	]
 	return rules.filter(([, isEnabled]) => isEnabled).map(([type]) => ({type}))
 }
