Serve queues with advice: a step runs only on executors that it has a ticket for

Cause: queues whose policy names the allowed executors were refused whole. Such tasks stay in their failure domain. Ruled out: asking for each task (the service takes one call at a time for an instance), asking for all executors (its time grows with each).

--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -29,6 +29,7 @@
 	PlacerDeps,
 	| "clock"
 	| "orders"
+	| "advisor"
 	| "log"
 	| "metrics"
 	| "maxLeaseMs"
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -121,6 +121,7 @@
 			maxPerExecutor: step.maxPerExecutor,
 			avoid: [...task.avoid],
 			isForeign: false,
+			advice: queue.advice,
 		}
 	}
 
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -24,6 +24,7 @@
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import {createExecutorList} from "./place/executor-list.js"
+import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
 import type {Beat, Member} from "./types/fleet.js"
@@ -57,6 +58,7 @@
 export interface InstanceDeps {
 	readonly store: TransactionalStore
 	readonly orders: ExecutorOrders
+	readonly advisor: Advisor
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly configPrefix: string
@@ -105,6 +107,7 @@
 	const hosts: Hosts = createHosts({
 		clock,
 		orders: deps.orders,
+		advisor: deps.advisor,
 		log,
 		metrics,
 		self,
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -121,6 +121,7 @@
 			avoid: [...task.avoid],
 			isForeign: false,
 			isKept: true,
+			advice: queue.advice,
 			isLasting: step.isLasting,
 			isFilling: step.isFilling,
 			isServing: step.isServing,
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -17,6 +17,7 @@
 	type LinkState,
 } from "./link-state.js"
 import type {OnTaskEnd, Run, TaskEnd, TaskRequest} from "./run.js"
+import {stepNameOf} from "./task-queue.js"
 
 /** A start's answer is missed after this: slower instances need tens of milliseconds. */
 const START_TIMEOUT_MS = 90
@@ -97,11 +98,12 @@
 async function sendStart(link: LinkState, run: Run) {
 	const {clock, orders, metrics, fence} = link.deps
 	const {task, run: number, spec} = run.req
+	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
 	for (let tries = 0; tries < START_TRIES && isCurrent(link, run); tries++) {
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
 		const sentAt = clock.now()
-		const order = {task, run: number, spec, fence, leaseUntilMs}
+		const order = {task, run: number, spec, fence, leaseUntilMs, ticket}
 		const reply = await orders.start(link.record, order, START_TIMEOUT_MS)
 		metrics.observe("start_order_ms", clock.now() - sentAt)
 		if (!isCurrent(link, run)) return
@@ -147,6 +149,7 @@
 		freeCpu: freeCpu(link),
 		needCpu: need.cpu,
 	})
+	if (cause === "ticket") link.deps.tickets.refuse(stepNameOf(task), link.record.id)
 	if (cause === "unhealthy") {
 		link.unhealthyUntil = link.deps.clock.now() + UNHEALTHY_PAUSE_MS
 		link.deps.clock.schedule(UNHEALTHY_PAUSE_MS, link.deps.onRoom)
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -13,6 +13,7 @@
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
+import type {Tickets} from "./tickets.js"
 
 /** An answer that was lost, or a slow machine of ours, is over by then; a dead executor is not. */
 const PROMISING_MS = 500
@@ -45,6 +46,7 @@
 	readonly onFenced: () => void
 	readonly onRunEnd: (executor: string, run: Run, end: TaskEnd) => void
 	readonly kept: KeptRuns
+	readonly tickets: Tickets
 }
 
 export interface LinkState {
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -5,6 +5,7 @@
  * fits nowhere here may go to another domain's placer that has room, and blocks nobody behind it.
  */
 import type {Clock} from "@cottonwood/core"
+import type {Advisor} from "../types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
 import type {EventLog} from "../utils/log.js"
@@ -16,7 +17,14 @@
 import {promisingLinks, roomFor, usableLinks, waitBeforeMs} from "./room.js"
 import {chooseGang, wouldFitEmpty} from "./gang.js"
 import {chooseExecutor} from "./selection.js"
-import {createTaskQueue, type Group, type TaskQueue, type Waiting} from "./task-queue.js"
+import {
+	createTaskQueue,
+	stepNameOf,
+	type Group,
+	type TaskQueue,
+	type Waiting,
+} from "./task-queue.js"
+import {createTickets, type Tickets} from "./tickets.js"
 
 /** Groups that are tried in one walk; what stands further behind finds no room either as a rule. */
 const MAX_GROUPS_PER_WALK = 24
@@ -35,6 +43,7 @@
 export interface PlacerDeps {
 	readonly clock: Clock
 	readonly orders: ExecutorOrders
+	readonly advisor: Advisor
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly failureDomain: string
@@ -101,12 +110,15 @@
 	readonly usable: number
 }
 
+type Links = ReadonlyMap<string, ExecutorLink>
+
 interface PlacerState {
 	readonly deps: PlacerDeps
 	readonly createdAt: number
 	readonly queue: TaskQueue
 	readonly links: Map<string, ExecutorLink>
 	readonly judgement: Judgement
+	readonly tickets: Tickets
 	/** What runs, by run; kept to be able to hand it over. */
 	readonly started: Map<Run, Waiting>
 	/** Takes everything once the placer has given all to a successor. */
@@ -123,6 +135,7 @@
 		queue: createTaskQueue(),
 		links: new Map(),
 		judgement: createJudgement(deps),
+		tickets: createTickets({...deps, onTickets: () => walkSoon(state)}),
 		started: new Map(),
 		successor: undefined,
 		isWalkDue: false,
@@ -272,10 +285,30 @@
 	state.deps.onRoomChange()
 }
 
+/** The executors that may run a group's step; where advice is needed and missing, it is asked for. */
+function allowedLinks({links, tickets}: PlacerState, {waiting}: Group): Links {
+	const req = waiting[0]?.req
+	if (!req?.advice) return links
+	const step = stepNameOf(req.task)
+	const allowed = new Map([...links].filter(([id]) => tickets.ticketOf(step, id) !== undefined))
+	const hasEnough = [...allowed.values()].some(link => link.isUsable() && link.hasRoom(req))
+	if (!hasEnough) tickets.want(step, askedFirst(links, req), req.advice)
+	return allowed
+}
+
+/** The freest first: an executor that is full when its ticket comes is of no use. */
+function askedFirst(links: Links, {service}: TaskRequest): readonly string[] {
+	return [...links.values()]
+		.filter(link => link.record.service === service && link.isUsable())
+		.sort((a, b) => b.freeCpu() - a.freeCpu())
+		.map(link => link.record.id)
+}
+
 /** Starts what it can of a group; `hold back` asks to leave the room to it that others would take. */
 function placeGroup(state: PlacerState, group: Group): "hold back" | undefined {
-	const {queue, links, judgement, deps} = state
-	if (group.waiting[0]?.req.gang) return placeGang(state, group)
+	const {queue, judgement, deps} = state
+	const links = allowedLinks(state, group)
+	if (group.waiting[0]?.req.gang) return placeGang(state, group, links)
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
@@ -284,15 +317,16 @@
 			queue.take(group)
 			startOn(state, link, next)
 		} else {
-			if (next.req.isForeign || next.req.isKept || !deps.handOver(next)) return
+			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
+			if (staysHere || !deps.handOver(next)) return
 			queue.take(group)
 		}
 	}
 }
 
 /** Starts a gang once there is room for all its members, and none of it before. */
-function placeGang(state: PlacerState, group: Group): "hold back" | undefined {
-	const {queue, links, judgement, deps} = state
+function placeGang(state: PlacerState, group: Group, links: Links): "hold back" | undefined {
+	const {queue, judgement, deps} = state
 	const [first] = group.waiting
 	const gang = first?.req.gang
 	if (!first || !gang || group.waiting.length < gang.size) return undefined
@@ -359,6 +393,7 @@
 		stopGraceMs,
 		orphansWaitUntil,
 		kept: state.deps.kept,
+		tickets: state.tickets,
 		onRoom: () => walkSoon(state),
 		onFenced,
 		onRunEnd: state.judgement.observe,
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -1,6 +1,7 @@
 /**
  * One run of a task: what a placer was asked for, and how it ended.
  */
+import type {AdviceTiming} from "../types/fleet-config.js"
 import type {TaskNeed} from "../types/job.js"
 
 /** Asks a placer to run a task once to an end. */
@@ -38,6 +39,8 @@
 	readonly isFilling?: boolean
 	/** It is harmed by filling tasks beside it. */
 	readonly isServing?: boolean
+	/** Its step may run only on executors that the service with advice gave a ticket for. */
+	readonly advice?: AdviceTiming
 	/** It works only together with others of its step, all of which must start at once. */
 	readonly gang?: {readonly size: number; readonly wantsOneRack: boolean}
 }
--- a/packages/jobs/src/place/tickets.ts
+++ b/packages/jobs/src/place/tickets.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock} from "@cottonwood/core"
 import type {Advisor} from "../types/advisor.js"
+import type {AdviceTiming} from "../types/fleet-config.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
@@ -27,13 +28,6 @@
 	readonly onTickets: () => void
 }
 
-/** How long the service takes, by the queue's configuration. */
-export interface AdviceTiming {
-	readonly decideMs: number
-	/** For each executor in a call. */
-	readonly perExecutorMs: number
-}
-
 export interface Tickets {
 	/** The ticket of an executor for a step that holds now. */
 	ticketOf(step: string, executor: string): string | undefined
--- a/packages/jobs/src/types/executor.ts
+++ b/packages/jobs/src/types/executor.ts
@@ -26,6 +26,8 @@
 	readonly fence: number
 	/** On the executor's clock: the order is refused after it, and the lease lasts at least so long. */
 	readonly leaseUntilMs: number
+	/** Of the service with advice, where the task's queue asks for one. */
+	readonly ticket?: string
 }
 
 export type Reply<T> =
@@ -42,8 +44,8 @@
 	| {readonly type: "refused"; readonly cause: StartRefusal; readonly clockMs: number | undefined}
 >
 
-/** `old`: a run not below this one has been there. `late`: the lease time was over. */
-export type StartRefusal = "old" | "late" | "room" | "unhealthy" | "other"
+/** `old`: a run not below this one has been there. `late`: the lease time was over. `ticket`: none that holds. */
+export type StartRefusal = "old" | "late" | "room" | "ticket" | "unhealthy" | "other"
 
 export type StopReply = Reply<{readonly type: "stopping"; readonly clockMs: number}>
 
--- a/packages/jobs/src/types/fleet-config.ts
+++ b/packages/jobs/src/types/fleet-config.ts
@@ -2,6 +2,13 @@
  * The configuration of the job fleet: queues, the services that run their tasks, and limits on input.
  */
 
+/** How long the service with advice takes over a call, in milliseconds. */
+export interface AdviceTiming {
+	readonly decideMs: number
+	/** For each executor that the call names. */
+	readonly perExecutorMs: number
+}
+
 export interface Queue {
 	readonly name: string
 	readonly host: string
@@ -16,8 +23,8 @@
 	/** The objective of a job is this many times its longest chain of work, plus `slackMs`. */
 	readonly stretch: number
 	readonly slackMs: number
-	/** The service that names the executors allowed for a step must be asked. Not built yet. */
-	readonly needsAdvice: boolean
+	/** The service that names the executors allowed for a step must be asked, and takes so long. */
+	readonly advice?: AdviceTiming
 }
 
 export interface Service {
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -20,7 +20,7 @@
 import {FakeFleet, record} from "./support/fake-executors.js"
 import {createFakeStore} from "./support/fake-store.js"
 import {step} from "./support/records.js"
-import {QUEUE} from "./support/requests.js"
+import {NO_ADVISOR, QUEUE} from "./support/requests.js"
 
 const ID = "00000000000000aa"
 const job = (extra: Partial<KeptJobRequest> = {}): KeptJobRequest => ({
@@ -68,6 +68,7 @@
 			orphansWaitMs: 0,
 			stopGraceMs: 50,
 			kept: keeper,
+			advisor: NO_ADVISOR,
 			handOver: () => false,
 			onFenced: () => undefined,
 			onRoomChange: () => undefined,
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -6,7 +6,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeExecutors, record} from "./support/fake-executors.js"
-import {NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
 
 function createWorld(extra: Partial<PlacerDeps> = {}) {
 	const clock = createFakeClock()
@@ -25,6 +25,7 @@
 		stopGraceMs: 50,
 		handOver: () => false,
 		kept: NO_KEPT_RUNS,
+		advisor: NO_ADVISOR,
 		onFenced: () => void fencedTimes++,
 		onRoomChange: () => undefined,
 		...extra,
--- a/packages/jobs/test/selection.test.ts
+++ b/packages/jobs/test/selection.test.ts
@@ -6,7 +6,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeExecutors, record} from "./support/fake-executors.js"
-import {NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
 
 async function createWorld(records: readonly ExecutorRecord[]) {
 	const clock = createFakeClock()
@@ -23,6 +23,7 @@
 		stopGraceMs: 50,
 		handOver: () => false,
 		kept: NO_KEPT_RUNS,
+		advisor: NO_ADVISOR,
 		onFenced: () => undefined,
 		onRoomChange: () => undefined,
 	})
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -1,5 +1,5 @@
 /** Task requests and queues for tests. */
-import type {Queue} from "@cottonwood/jobs"
+import type {Advisor, Queue} from "@cottonwood/jobs"
 import type {KeptRuns, TaskRequest} from "@cottonwood/jobs/internals"
 
 export function taskRequest(task: string, extra: Partial<TaskRequest> = {}): TaskRequest {
@@ -31,7 +31,11 @@
 	maxAttempts: 2,
 	stretch: 1.6,
 	slackMs: 60,
-	needsAdvice: false,
+}
+
+/** A service that is never asked. */
+export const NO_ADVISOR: Advisor = {
+	ask: () => Promise.reject(new Error("no advice was needed")),
 }
 
 /** A placer whose domain has no kept jobs. */
