Run a moved job at one home only

Cause, two: a job that moves was forgotten before the write of its new home, so a reading made between both took it in again; and a placer that gave a job away knew the record's writer as itself, so a submission that came again was taken for a creation of its own with a lost answer. Change: a job leaves its placer when the write is done; each entry names itself in what it writes. Tests: 'does not take a moved job back from a reading that was made while it moved', 'does not take a record that it gave away for a creation of its own'; both failed first.

--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -46,7 +46,6 @@
 	const target = deps.domainWithRoom(job.largestNeedCpu())
 	if (!target || deps.isClosed() || job.idleMs() === 0) return
 	job.stop()
-	jobs.remove(record.id)
 	const moved: JobRecord = {
 		...record,
 		home: target.failureDomain,
@@ -54,6 +53,8 @@
 		runBase: runBaseUnder(record, claim) + RUNS_PER_FENCE,
 	}
 	const written = await ledger.release(moved)
+	// Only now: a reading that is made before the write names this home still.
+	jobs.remove(record.id)
 	const fields = {job: record.id, failureDomain: target.failureDomain, outcome: written}
 	log.event("job", "job_moved", "job: nothing of it could run; another domain has room.", fields)
 	metrics.count("jobs_moved", written === "written" ? "moved" : "not_moved")
--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -78,6 +78,8 @@
 
 interface Entry {
 	readonly id: string
+	/** Names this entry in what it writes: the same job may come here again after it has left. */
+	readonly tag: string
 	record: JobRecord
 	end: EndRecord | undefined
 	isReleased: boolean
@@ -96,6 +98,7 @@
 export function createLedger(deps: LedgerDeps): Ledger {
 	const {clock, store, log, metrics, guard} = deps
 	const entries = new Map<string, Entry>()
+	let serial = 0
 	let underWay = 0
 	let nextAt = -Infinity
 	let pauseMs = 0
@@ -105,6 +108,7 @@
 	function entryOf(record: JobRecord, revision: number): Entry {
 		const entry: Entry = {
 			id: record.id,
+			tag: `${deps.writer}#${++serial}`,
 			record,
 			end: undefined,
 			isReleased: false,
@@ -200,7 +204,7 @@
 	function noteOther(entry: Entry, open: StoreItem) {
 		const stored = open.value as JobRecord
 		const [writer, version] = stored.writer.split("/")
-		if (writer === deps.writer) {
+		if (writer === entry.tag) {
 			entry.revision = open.revision
 			entry.written = Math.max(entry.written, Number(version))
 			return settle(entry, entry.written, "written")
@@ -268,7 +272,7 @@
 	return revision === 0 && end ? version - 1 : version
 }
 
-function transactionOf(batch: readonly Entry[], {guard, writer}: LedgerDeps): Transaction {
+function transactionOf(batch: readonly Entry[], {guard}: LedgerDeps): Transaction {
 	const expect = [{key: guard.key, revision: guard.revision}]
 	const puts: {key: string; value: unknown}[] = []
 	const removes: string[] = []
@@ -280,7 +284,7 @@
 			puts.push({key: endKey(id), value: end})
 			removes.push(openKey(id))
 		} else {
-			const value = {...record, writer: `${writer}/${versionSent(entry)}`}
+			const value = {...record, writer: `${entry.tag}/${versionSent(entry)}`}
 			puts.push({key: openKey(id), value})
 		}
 	}
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -384,6 +384,33 @@
 		expect(keeper.stateOf(ID)).to.equal(undefined)
 	})
 
+	it("does not take a moved job back from a reading that was made while it moved", async () => {
+		const world = createWorld()
+		const far = {name: "f", session: "f", failureDomain: "b", address: "f:1", cpuShare: 1}
+		const {keeper} = world.beginPlacing({
+			domainWithRoom: () => ({failureDomain: "b", fence: 9, placer: far}),
+		})
+		await world.clock.advance(200)
+		await accept(world, keeper, job({id: "00000000000000bb", steps: [step({count: 6})]}))
+		// The write of the move takes long; a reading of all records is answered meanwhile, and arrives later.
+		const {transact, list} = world.store
+		world.store.transact = async transaction => {
+			await world.clock.sleep(4_000)
+			return transact(transaction)
+		}
+		world.store.list = async prefix => {
+			const listing = await list(prefix)
+			await world.clock.sleep(1_500)
+			return listing
+		}
+		const accepted = keeper.accept(job())
+		await world.clock.advance(15_000)
+		expect((await accepted).type).to.equal("unknown")
+		expect(world.open()?.home).to.equal("b")
+		expect(world.startsOf(task(0))).to.have.length(0)
+		expect(keeper.stateOf(ID)).to.equal(undefined)
+	})
+
 	it("never puts filling tasks beside serving ones", async () => {
 		const world = createWorld()
 		const {keeper} = world.beginPlacing()
--- a/packages/jobs/test/ledger.test.ts
+++ b/packages/jobs/test/ledger.test.ts
@@ -133,6 +133,16 @@
 		expect(await ledger.update(jobRecord("a"))).to.equal("ended elsewhere")
 	})
 
+	it("does not take a record that it gave away for a creation of its own", async () => {
+		const {clock, ledger, stored} = createWorld()
+		await Promise.all([ledger.create(jobRecord("a")), clock.advance(50)])
+		await Promise.all([ledger.release(jobRecord("a", {home: "b"})), clock.advance(50)])
+		const again = ledger.create(jobRecord("a"))
+		await clock.advance(100)
+		expect(await again).to.equal("exists")
+		expect(stored("a")?.home).to.equal("b")
+	})
+
 	it("keeps within its share of the store's rate while writes fail", async () => {
 		const {clock, fake, ledger} = createWorld()
 		fake.isAway = true
