Make the test of a moved job find its fault, and give profiles their arguments back

Change: room appears while the job moves. With the placer's file as it was, the test now fails (one start); with the mended one it passes.

--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -404,7 +404,10 @@
 			return listing
 		}
 		const accepted = keeper.accept(job())
-		await world.clock.advance(15_000)
+		await world.clock.advance(8_000)
+		// Now there is room here.
+		for (let at = 0; at < 6; at++) world.orders.end(task(at, "00000000000000bb"), "done")
+		await world.clock.advance(7_000)
 		expect((await accepted).type).to.equal("unknown")
 		expect(world.open()?.home).to.equal("b")
 		expect(world.startsOf(task(0))).to.have.length(0)
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -168,6 +168,8 @@
 export interface EdgesOptions {
 	/** Where an instance reaches the store, when not at the platform's own address. */
 	readonly storeAddressOf?: (name: string) => string
+	/** Arguments of the runtime, for a profile. */
+	readonly nodeArgs?: readonly string[]
 }
 
 export async function startEdges(
@@ -183,7 +185,7 @@
 		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
 		writeFileSync(file, JSON.stringify(settingsOf(name, failureDomain, platform, ports, store)))
 		const env = {...process.env, COTTONWOOD_CONFIG: file}
-		const child = spawn(process.execPath, [PROGRAM, "edge"], {
+		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), PROGRAM, "edge"], {
 			env,
 			stdio: ["ignore", "pipe", "inherit"],
 		})
