--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -38,8 +38,8 @@
 export interface Beats {
 	/** Takes a beat that arrived. */
 	take(message: BeatMessage): void
-	/** Tells other placers that the room here changed. */
-	tellRoom(rooms: Readonly<Record<string, Room>>): void
+	/** The room here may have changed: other placers are told soon if it has. */
+	noteRoomChange(): void
 	/** Asks a member for a sign of life. */
 	ping(member: Member): Promise<boolean>
 	close(): void
@@ -60,8 +60,7 @@
 	let lastRoomAt = -Infinity
 	let lastHadRoom = false
 	let lastTold = ""
-	let cancelRoomBeat: (() => void) | undefined
-	let roomBeatAt = Infinity
+	let isLookDue = false
 
 	function tell(member: Member, wantsAnswer: boolean) {
 		deps.send(member.address, {...own(), wantsAnswer})
@@ -87,14 +86,25 @@
 		clock.schedule(BEAT_MS, beatAll)
 	}
 
-	function sendRoom() {
-		cancelRoomBeat = undefined
-		roomBeatAt = Infinity
-		if (isClosed) return
-		lastRoomAt = clock.now()
+	/** Room is worked out when it may be told, not at each of the many changes in between. */
+	function lookSoon(ms: number) {
+		isLookDue = true
+		clock.schedule(ms, () => {
+			isLookDue = false
+			if (!isClosed) lookAtRoom()
+		})
+	}
+
+	function lookAtRoom() {
 		const {rooms} = own()
+		const digest = digestOf(rooms)
+		if (digest === lastTold) return
+		const sinceLast = clock.now() - lastRoomAt
+		const isUrgent = hasRoom(rooms) !== lastHadRoom
+		if (!isUrgent && sinceLast < ROOM_MS) return lookSoon(URGENT_ROOM_MS)
+		lastRoomAt = clock.now()
 		lastHadRoom = hasRoom(rooms)
-		lastTold = digestOf(rooms)
+		lastTold = digest
 		for (const placer of otherPlacers()) tell(placer, false)
 	}
 
@@ -104,14 +114,9 @@
 			deps.onBeat(message)
 			if (message.wantsAnswer) tell(message.from, false)
 		},
-		tellRoom(rooms) {
-			if (digestOf(rooms) === lastTold) return
-			const spacing = hasRoom(rooms) === lastHadRoom ? ROOM_MS : URGENT_ROOM_MS
-			const at = Math.max(clock.now(), lastRoomAt + spacing)
-			if (at >= roomBeatAt) return
-			cancelRoomBeat?.()
-			roomBeatAt = at
-			cancelRoomBeat = clock.schedule(at - clock.now(), sendRoom)
+		noteRoomChange() {
+			if (isLookDue) return
+			lookSoon(Math.max(0, lastRoomAt + URGENT_ROOM_MS - clock.now()))
 		},
 		async ping(member) {
 			const answer = await peers.beat(member.address, own(), PING_TIMEOUT_MS)
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -114,7 +114,7 @@
 		maxLeaseMs: settings.maxLeaseMs,
 		stopGraceMs: settings.stopGraceMs,
 		handOver: item => overflow.handOver(item),
-		onRoomChange: () => beats.tellRoom(hosts.rooms()),
+		onRoomChange: () => beats.noteRoomChange(),
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: domain => executors.recordsOf(domain),
 	})
