Look at another domain's executors only when its placer does not answer, from one instance a domain

Cause: placers of other domains are heard by placers alone, so to every other instance they seemed silent, and each such instance read the whole list of executors twice a second for each of them: 24 of 29.5 listings a second with 8 instances in 4 domains; with 28 such instances and 350 executors it would be 168 a second. Change: a placer that seems silent is asked for a sign of life first; and only the first instance of each domain watches the others. Tests: 'leaves the executors of a placer alone that it never hears and that answers' failed first (18 looks); 'leaves it to the first instance of each domain to watch the others'.

--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -42,6 +42,12 @@
 	readonly canReachExecutors: (failureDomain: string) => Promise<boolean>
 }
 
+interface Asked {
+	readonly session: string
+	readonly at: number
+	readonly isSilent: boolean
+}
+
 export interface ClaimsLoop {
 	/** Takes a domain over now, from the placer with this fence, which gives it up. */
 	takeNow(failureDomain: string, fence: number): Promise<boolean>
@@ -55,6 +61,8 @@
 	const triedAt = new Map<string, number>()
 	const reachableSince = new Map<string, number>()
 	const lookedForAt = new Map<string, number>()
+	/** Placers of other domains that were asked for a sign of life, by domain. */
+	const asked = new Map<string, Asked>()
 	let isClosed = false
 
 	/** How long the domain has been without a word from its placer, by what we know. */
@@ -78,6 +86,26 @@
 		return member.name < self.name
 	}
 
+	/**
+	 * Placers of other domains are not heard by everybody, so one that seems silent is asked before anything
+	 * else is done about it; what it answers is known at the next look.
+	 */
+	function isSilentWhenAsked({failureDomain, placer}: Claim): boolean {
+		const known = asked.get(failureDomain)
+		if (!known || clock.now() - known.at >= RETRY_MS) askForSign(failureDomain, placer)
+		return known !== undefined && known.session === placer.session && known.isSilent
+	}
+
+	function askForSign(failureDomain: string, placer: Member) {
+		const {session} = placer
+		const isSilent = asked.get(failureDomain)?.isSilent ?? false
+		asked.set(failureDomain, {session, at: clock.now(), isSilent})
+		void deps.ping(placer).then(isAnswered => {
+			asked.set(failureDomain, {session, at: clock.now(), isSilent: !isAnswered})
+			if (isAnswered) reachableSince.delete(failureDomain)
+		})
+	}
+
 	/**
 	 * After a cut has healed executors are in reach again before their placer is heard again; so a
 	 * foreign domain must have been in reach, and silent, for a while.
@@ -127,11 +155,15 @@
 	async function consider(failureDomain: string) {
 		const claim = view.claimOf(failureDomain)
 		if (claim?.placer.session === self.session) return
+		const isOwn = failureDomain === self.failureDomain
+		// One instance of each failure domain watches the others: any cut leaves one on each side.
+		if (!isOwn && rankOf(view.membersOf(self.failureDomain)) > 0) return
+		const waitMs = mustWaitMs(failureDomain, claim)
 		const vacant = vacantMs(failureDomain, claim)
 		// Looked at from the first silence on, so that this wait and the others run at the same time.
-		const isOwn = failureDomain === self.failureDomain
-		const isForeignInReach = !isOwn && vacant > PLACER_SILENT_MS && isLongInReach(failureDomain)
-		if (!isOwnEarlierLife(claim) && vacant < mustWaitMs(failureDomain, claim)) return
+		const isForeignInReach =
+			!isOwn && isForeignVacant(claim, vacant) && isLongInReach(failureDomain)
+		if (!isOwnEarlierLife(claim) && vacant < waitMs) return
 		if (clock.now() - (triedAt.get(failureDomain) ?? -Infinity) < RETRY_MS) return
 		triedAt.set(failureDomain, clock.now())
 		if (claim && !isOwnEarlierLife(claim) && (await deps.ping(claim.placer))) {
@@ -144,6 +176,10 @@
 		await write(failureDomain, claim?.fence, `no word for ${Math.round(vacant)} ms`)
 	}
 
+	function isForeignVacant(claim: Claim | undefined, vacant: number): boolean {
+		return vacant > PLACER_SILENT_MS && (!claim || isSilentWhenAsked(claim))
+	}
+
 	function noteHeldBack(failureDomain: string, cause: string) {
 		metrics.count("claims", "held_back")
 		const fields = {failureDomain, cause}
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -176,6 +176,55 @@
 	})
 })
 
+describe("claims of other domains", () => {
+	const [here, there, third] = [member("a-1"), member("b-1", "b"), member("b-2", "b")] as const
+	const heldThere: Claim = {failureDomain: "b", fence: 2, placer: there}
+	const heldHere: Claim = {failureDomain: "a", fence: 1, placer: here}
+
+	function createAway(members: readonly Member[], isAnswering: boolean) {
+		let looks = 0
+		const world = createWorld({
+			self: here,
+			members,
+			claims: [heldHere, heldThere],
+			answers: ({name}) => isAnswering || name !== there.name,
+			domains: ["a", "b"],
+			canReachExecutors: () => {
+				looks++
+				return true
+			},
+		})
+		return {...world, looks: () => looks}
+	}
+
+	it("leaves the executors of a placer alone that it never hears and that answers", async () => {
+		const world = createAway([here, there], true)
+		await world.clock.advance(10_000)
+		expect(world.looks()).to.equal(0)
+		expect(world.fenceOf("b")).to.equal(2)
+	})
+
+	it("leaves a domain to its own instances", async () => {
+		const world = createAway([here, there, third], false)
+		await world.clock.advance(10_000)
+		expect(world.fenceOf("b")).to.equal(2)
+	})
+
+	it("leaves it to the first instance of each domain to watch the others", async () => {
+		const larger = {...member("a-2"), cpuShare: 1.35}
+		const world = createAway([here, there, larger], false)
+		await world.clock.advance(10_000)
+		expect(world.looks()).to.equal(0)
+		expect(world.fenceOf("b")).to.equal(2)
+	})
+
+	it("takes over from a placer that does not answer when the domain has nobody else", async () => {
+		const world = createAway([here, there], false)
+		await world.clock.advance(5_500)
+		expect(world.fenceOf("b")).to.equal(3)
+	})
+})
+
 describe("fleet view", () => {
 	it("keeps the claim with the highest fence, whoever told it", () => {
 		const view = createFleetView(createFakeClock(), () => undefined)
