Wait for the list when a repeated start is refused as old: the first one was done

Cause: on a slow instance the answer to a start is missed; the short run has ended by the time that the start comes again, and the executor refuses it as old. That was taken for a number that is used up, and the task was run a second time under a higher one: TWICE for a kept job, work thrown away for another. Change: after such a refusal the executor's next list says what became of the run. Ruled out: a longer wait for answers (a lost answer would hold every task so long). Tests: 'takes a repeated start that is refused as old for one that was done …', 'starts again what a refusal as old says was there …'; both failed first.

--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -125,19 +125,25 @@
 	if (reply.clockMs !== undefined) link.executorClock.observe(reply.clockMs, now)
 	link.deps.metrics.count("task_starts", reply.type === "started" ? "started" : reply.cause)
 	if (reply.type === "started") {
-		run.listedFrom = now
-		run.hasSilentStart = false
-		if (run.state === "starting") run.state = "running"
 		run.progressAt = now
 		run.seenAt = now
-		return
+		return noteThere(run, now)
 	}
 	noteRefusedStart(link, run, reply.cause)
+	// The start before was done: its run is there, or has ended and will be listed so.
+	if (wasRepeated && reply.cause === "old") return noteThere(run, now)
 	// The start before had no answer and may still be carried out; a stop that is answered prevents it.
-	if (wasRepeated && reply.cause !== "old") return stopRun(link, run, "uncertain")
+	if (wasRepeated) return stopRun(link, run, "uncertain")
 	settleRefused(link, run, reply.cause)
 }
 
+/** The executor has had the run; from now on its lists say what becomes of it. */
+function noteThere(run: Run, now: number) {
+	run.listedFrom = now
+	run.hasSilentStart = false
+	if (run.state === "starting") run.state = "running"
+}
+
 function noteRefusedStart(link: LinkState, run: Run, cause: string) {
 	const {job, task, run: number, need} = run.req
 	link.deps.log.alarm("placer", "start_refused", "placer: an executor refused a start.", {
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -125,6 +125,35 @@
 		expect(ends.map(({type}) => type)).to.eql(["outnumbered"])
 	})
 
+	it("takes a repeated start that is refused as old for one that was done: its end will be listed", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		// The first start is done and not answered; the run is over when the second arrives.
+		orders.startReplies = ["silent but done", {type: "refused", cause: "old", clockMs: clock.now()}]
+		orders.isListingLate = true
+		submit("j.0.0.0")
+		await clock.advance(20)
+		orders.end("j.0.0.0", "done")
+		await clock.advance(100)
+		orders.isListingLate = false
+		await clock.advance(1_000)
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("starts again what a refusal as old says was there, when neither a run nor an end is listed", async () => {
+		const {clock, orders, placer, ends, submit} = createWorld()
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		orders.startReplies = [
+			{type: "silent", cause: "test"},
+			{type: "refused", cause: "old", clockMs: clock.now()},
+		]
+		submit("j.0.0.0")
+		await clock.advance(800)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+	})
+
 	it("starts nothing on a leaving executor", async () => {
 		const {clock, orders, placer, submit} = createWorld()
 		placer.setExecutors([record("e1")])
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -39,6 +39,8 @@
 	/** What is being stopped is no longer listed as running, and ends so much later. */
 	stopTakesMs = 0
 	startReplies: (StartReply | "silent but done")[] = []
+	/** Holds are answered without the ends, as from before them. */
+	isListingLate = false
 	/** The highest serial that a hold let the executors forget. */
 	forgottenUpTo = 0
 	private ends: RunEnd[] = []
@@ -112,6 +114,10 @@
 		// A hold without a wait is answered after a moment, so that no loop runs at one instant.
 		else await this.clock.sleep(1)
 		const running = [...this.running].map(([task, run]) => ({task, run, percent: 50}))
+		if (this.isListingLate) {
+			await this.clock.sleep(timeoutMs)
+			return SILENT
+		}
 		return {type: "held", clockMs: this.clock.now(), running, ends: [...this.ends]}
 	}
 
