--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -1,7 +1,8 @@
 /**
  * The placers that this instance hosts: one for each failure domain whose claim it holds.
  */
-import type {Placer, PlacerCounts, PlacerDeps} from "../place/placer.js"
+import type {Placer, PlacerCounts} from "../place/placer.js"
+import type {PlacerDeps} from "../place/placer-state.js"
 import {createPlacer} from "../place/placer.js"
 import type {TaskRequest} from "../place/run.js"
 import type {ExecutorRecord} from "../types/executor.js"
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -6,7 +6,7 @@
  * its connection dies, the work behind it is stopped.
  */
 import {connectJson, listenJson, type JsonClient, type JsonServer} from "@cottonwood/wire/json"
-import type {RunningAt} from "../place/placer.js"
+import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Beat} from "../types/fleet.js"
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -8,7 +8,8 @@
  */
 import type {Clock} from "@cottonwood/core"
 import {longestChainMs} from "../coordinate/job-run.js"
-import type {RunningAt, TaskHandle} from "../place/placer.js"
+import type {TaskHandle} from "../place/placer.js"
+import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskEnded, TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
--- /dev/null
+++ b/packages/jobs/src/place/placer-state.ts
@@ -0,0 +1,57 @@
+/**
+ * What a placer holds: its queue, its executors, what it thinks of them, and what runs.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {Advisor} from "../types/advisor.js"
+import type {ExecutorOrders} from "../types/executor.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import type {ExecutorLink} from "./executor-link.js"
+import type {Judgement} from "./judgement.js"
+import type {KeptRuns} from "./link-state.js"
+import type {Run} from "./run.js"
+import type {TaskQueue, Waiting} from "./task-queue.js"
+import type {Tickets} from "./tickets.js"
+
+export interface PlacerDeps {
+	readonly clock: Clock
+	readonly orders: ExecutorOrders
+	readonly advisor: Advisor
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly failureDomain: string
+	readonly fence: number
+	readonly maxLeaseMs: number
+	readonly stopGraceMs: number
+	/** Runs left by the placer before wait this long to be handed over. */
+	readonly orphansWaitMs: number
+	readonly kept: KeptRuns
+	/** Hands a task to another domain's placer; false when none has room. */
+	readonly handOver: (item: Waiting) => boolean
+	readonly onFenced: () => void
+	/** Called when the room told to others may have changed. */
+	readonly onRoomChange: () => void
+}
+
+export interface RunningAt {
+	readonly executor: string
+	readonly isStarted: boolean
+}
+
+export type Links = ReadonlyMap<string, ExecutorLink>
+
+export interface PlacerState {
+	readonly deps: PlacerDeps
+	readonly createdAt: number
+	readonly queue: TaskQueue
+	readonly links: Map<string, ExecutorLink>
+	readonly judgement: Judgement
+	readonly tickets: Tickets
+	/** What runs, by run; kept to be able to hand it over. */
+	readonly started: Map<Run, Waiting>
+	/** Takes everything once the placer has given all to a successor. */
+	successor: ((item: Waiting, from?: RunningAt) => void) | undefined
+	isWalkDue: boolean
+	isSweepDue: boolean
+	isClosed: boolean
+}
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -4,30 +4,17 @@
  * Tasks wait in one queue. Whenever room may have appeared the queue is walked in order; a task that
  * fits nowhere here may go to another domain's placer that has room, and blocks nobody behind it.
  */
-import type {Clock} from "@cottonwood/core"
-import type {Advisor} from "../types/advisor.js"
-import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
+import type {ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
-import type {EventLog} from "../utils/log.js"
-import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
-import {createJudgement, type Judgement} from "./judgement.js"
-import type {KeptRuns} from "./link-state.js"
-import type {OnTaskEnd, Run, TaskRequest} from "./run.js"
+import {createJudgement} from "./judgement.js"
+import type {PlacerDeps, PlacerState, RunningAt} from "./placer-state.js"
 import {promisingLinks, roomFor, usableLinks, waitBeforeMs} from "./room.js"
-import {chooseGang, wouldFitEmpty} from "./gang.js"
-import {chooseExecutor} from "./selection.js"
-import {
-	createTaskQueue,
-	stepNameOf,
-	type Group,
-	type TaskQueue,
-	type Waiting,
-} from "./task-queue.js"
-import {createTickets, type Tickets} from "./tickets.js"
+import type {OnTaskEnd, Run, TaskRequest} from "./run.js"
+import {createTaskQueue, type Waiting} from "./task-queue.js"
+import {createTickets} from "./tickets.js"
+import {walkSoon} from "./walk.js"
 
-/** Groups that are tried in one walk; what stands further behind finds no room either as a rule. */
-const MAX_GROUPS_PER_WALK = 24
 /** A task from another placer that found no room is given back after this. */
 const FOREIGN_WAIT_MS = 40
 /**
@@ -35,31 +22,9 @@
  * the new fence at another executor within a hold (400 ms), then the lease ends (1,020 ms); and a margin.
  */
 const SETTLED_MS = 2_000
-/** A gang that has waited so long for room for all its members gets what becomes free. */
-const GANG_PATIENCE_MS = 400
 /** Deadlines are looked at this often. */
 const SWEEP_MS = 25
 
-export interface PlacerDeps {
-	readonly clock: Clock
-	readonly orders: ExecutorOrders
-	readonly advisor: Advisor
-	readonly log: EventLog
-	readonly metrics: JobMetrics
-	readonly failureDomain: string
-	readonly fence: number
-	readonly maxLeaseMs: number
-	readonly stopGraceMs: number
-	/** Runs left by the placer before wait this long to be handed over. */
-	readonly orphansWaitMs: number
-	readonly kept: KeptRuns
-	/** Hands a task to another domain's placer; false when none has room. */
-	readonly handOver: (item: Waiting) => boolean
-	readonly onFenced: () => void
-	/** Called when the room told to others may have changed. */
-	readonly onRoomChange: () => void
-}
-
 export interface TaskHandle {
 	/** Ends the task wherever it is; its end follows. */
 	cancel(): void
@@ -99,35 +64,12 @@
 	close(): void
 }
 
-export interface RunningAt {
-	readonly executor: string
-	readonly isStarted: boolean
-}
-
 export interface PlacerCounts {
 	readonly waiting: number
 	readonly running: number
 	readonly usable: number
 }
 
-type Links = ReadonlyMap<string, ExecutorLink>
-
-interface PlacerState {
-	readonly deps: PlacerDeps
-	readonly createdAt: number
-	readonly queue: TaskQueue
-	readonly links: Map<string, ExecutorLink>
-	readonly judgement: Judgement
-	readonly tickets: Tickets
-	/** What runs, by run; kept to be able to hand it over. */
-	readonly started: Map<Run, Waiting>
-	/** Takes everything once the placer has given all to a successor. */
-	successor: ((item: Waiting, from?: RunningAt) => void) | undefined
-	isWalkDue: boolean
-	isSweepDue: boolean
-	isClosed: boolean
-}
-
 export function createPlacer(deps: PlacerDeps): Placer {
 	const state: PlacerState = {
 		deps,
@@ -269,106 +211,6 @@
 	})
 }
 
-/** Several ends in one turn of the loop need one walk. */
-function walkSoon(state: PlacerState) {
-	if (state.isWalkDue) return
-	state.isWalkDue = true
-	setImmediate(() => walk(state))
-}
-
-function walk(state: PlacerState) {
-	state.isWalkDue = false
-	if (state.isClosed) return
-	const groups = state.queue.inOrder(state.deps.clock.now())
-	for (const group of groups.slice(0, MAX_GROUPS_PER_WALK))
-		if (placeGroup(state, group) === "hold back") break
-	state.deps.onRoomChange()
-}
-
-/** The executors that may run a group's step; where advice is needed and missing, it is asked for. */
-function allowedLinks({links, tickets}: PlacerState, {waiting}: Group): Links {
-	const req = waiting[0]?.req
-	if (!req?.advice) return links
-	const step = stepNameOf(req.task)
-	const allowed = new Map([...links].filter(([id]) => tickets.ticketOf(step, id) !== undefined))
-	const hasEnough = [...allowed.values()].some(link => link.isUsable() && link.hasRoom(req))
-	if (!hasEnough) tickets.want(step, askedFirst(links, req), req.advice)
-	return allowed
-}
-
-/** The freest first: an executor that is full when its ticket comes is of no use. */
-function askedFirst(links: Links, {service}: TaskRequest): readonly string[] {
-	return [...links.values()]
-		.filter(link => link.record.service === service && link.isUsable())
-		.sort((a, b) => b.freeCpu() - a.freeCpu())
-		.map(link => link.record.id)
-}
-
-/** Starts what it can of a group; `hold back` asks to leave the room to it that others would take. */
-function placeGroup(state: PlacerState, group: Group): "hold back" | undefined {
-	const {queue, judgement, deps} = state
-	const links = allowedLinks(state, group)
-	if (group.waiting[0]?.req.gang) return placeGang(state, group, links)
-	for (;;) {
-		const next = group.waiting[0]
-		if (!next) return
-		const link = chooseExecutor(links, next.req, judgement.health, judgement.speeds)
-		if (link) {
-			queue.take(group)
-			startOn(state, link, next)
-		} else {
-			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
-			if (staysHere || !deps.handOver(next)) return
-			queue.take(group)
-		}
-	}
-}
-
-/** Starts a gang once there is room for all its members, and none of it before. */
-function placeGang(state: PlacerState, group: Group, links: Links): "hold back" | undefined {
-	const {queue, judgement, deps} = state
-	const [first] = group.waiting
-	const gang = first?.req.gang
-	if (!first || !gang || group.waiting.length < gang.size) return undefined
-	const members = group.waiting.slice(0, gang.size)
-	const places = chooseGang(links, members, judgement)
-	if (!places) {
-		const isPatient = deps.clock.now() - first.since < GANG_PATIENCE_MS
-		return isPatient || !wouldFitEmpty(links, first.req, gang.size) ? undefined : "hold back"
-	}
-	for (const link of places) {
-		const item = queue.take(group)
-		if (item) startOn(state, link, item)
-	}
-	return undefined
-}
-
-function startOn(state: PlacerState, link: ExecutorLink, item: Waiting) {
-	const {clock, metrics, log, fence} = state.deps
-	const {job, task, run: number, need} = item.req
-	const waitedMs = clock.now() - item.since
-	const executor = link.record.id
-	metrics.observe("queue_wait_ms", waitedMs)
-	log.event("placer", "task_started", "placer: starts a task.", {
-		job,
-		task,
-		run: number,
-		executor,
-		fence,
-		freeCpu: link.freeCpu(),
-		needCpu: need.cpu,
-		waitedMs: Math.round(waitedMs),
-		waitingTasks: state.queue.size(),
-	})
-	state.judgement.health.beginProbe(executor)
-	const run = link.start(item.req, end => {
-		state.started.delete(run)
-		return item.onEnd(end)
-	})
-	state.started.set(run, item)
-	item.onStart(() => link.cancel(run))
-}
-
 function setExecutors(state: PlacerState, records: readonly ExecutorRecord[]) {
 	const listed = new Set(records.map(record => record.id))
 	for (const record of records) {
--- /dev/null
+++ b/packages/jobs/src/place/walk.ts
@@ -0,0 +1,114 @@
+/**
+ * Walks a placer's queue in order and starts what finds room, here or at another domain's placer.
+ */
+import type {ExecutorLink} from "./executor-link.js"
+import {chooseGang, wouldFitEmpty} from "./gang.js"
+import type {Links, PlacerState} from "./placer-state.js"
+import type {TaskRequest} from "./run.js"
+import {chooseExecutor} from "./selection.js"
+import {stepNameOf, type Group, type Waiting} from "./task-queue.js"
+
+/** Groups that are tried in one walk; what stands further behind finds no room either as a rule. */
+const MAX_GROUPS_PER_WALK = 24
+/** A gang that has waited so long for room for all its members gets what becomes free. */
+const GANG_PATIENCE_MS = 400
+
+/** Several ends in one turn of the loop need one walk. */
+export function walkSoon(state: PlacerState) {
+	if (state.isWalkDue) return
+	state.isWalkDue = true
+	setImmediate(() => walk(state))
+}
+
+function walk(state: PlacerState) {
+	state.isWalkDue = false
+	if (state.isClosed) return
+	const groups = state.queue.inOrder(state.deps.clock.now())
+	for (const group of groups.slice(0, MAX_GROUPS_PER_WALK))
+		if (placeGroup(state, group) === "hold back") break
+	state.deps.onRoomChange()
+}
+
+/** The executors that may run a group's step; where advice is needed and missing, it is asked for. */
+function allowedLinks({links, tickets}: PlacerState, {waiting}: Group): Links {
+	const req = waiting[0]?.req
+	if (!req?.advice) return links
+	const step = stepNameOf(req.task)
+	const allowed = new Map([...links].filter(([id]) => tickets.ticketOf(step, id) !== undefined))
+	const hasEnough = [...allowed.values()].some(link => link.isUsable() && link.hasRoom(req))
+	if (!hasEnough) tickets.want(step, askedFirst(links, req), req.advice)
+	return allowed
+}
+
+/** The freest first: an executor that is full when its ticket comes is of no use. */
+function askedFirst(links: Links, {service}: TaskRequest): readonly string[] {
+	return [...links.values()]
+		.filter(link => link.record.service === service && link.isUsable())
+		.sort((a, b) => b.freeCpu() - a.freeCpu())
+		.map(link => link.record.id)
+}
+
+/** Starts what it can of a group; `hold back` asks to leave the room to it that others would take. */
+function placeGroup(state: PlacerState, group: Group): "hold back" | undefined {
+	const {queue, judgement, deps} = state
+	const links = allowedLinks(state, group)
+	if (group.waiting[0]?.req.gang) return placeGang(state, group, links)
+	for (;;) {
+		const next = group.waiting[0]
+		if (!next) return
+		const link = chooseExecutor(links, next.req, judgement.health, judgement.speeds)
+		if (link) {
+			queue.take(group)
+			startOn(state, link, next)
+		} else {
+			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
+			if (staysHere || !deps.handOver(next)) return
+			queue.take(group)
+		}
+	}
+}
+
+/** Starts a gang once there is room for all its members, and none of it before. */
+function placeGang(state: PlacerState, group: Group, links: Links): "hold back" | undefined {
+	const {queue, judgement, deps} = state
+	const [first] = group.waiting
+	const gang = first?.req.gang
+	if (!first || !gang || group.waiting.length < gang.size) return undefined
+	const members = group.waiting.slice(0, gang.size)
+	const places = chooseGang(links, members, judgement)
+	if (!places) {
+		const isPatient = deps.clock.now() - first.since < GANG_PATIENCE_MS
+		return isPatient || !wouldFitEmpty(links, first.req, gang.size) ? undefined : "hold back"
+	}
+	for (const link of places) {
+		const item = queue.take(group)
+		if (item) startOn(state, link, item)
+	}
+	return undefined
+}
+
+function startOn(state: PlacerState, link: ExecutorLink, item: Waiting) {
+	const {clock, metrics, log, fence} = state.deps
+	const {job, task, run: number, need} = item.req
+	const waitedMs = clock.now() - item.since
+	const executor = link.record.id
+	metrics.observe("queue_wait_ms", waitedMs)
+	log.event("placer", "task_started", "placer: starts a task.", {
+		job,
+		task,
+		run: number,
+		executor,
+		fence,
+		freeCpu: link.freeCpu(),
+		needCpu: need.cpu,
+		waitedMs: Math.round(waitedMs),
+		waitingTasks: state.queue.size(),
+	})
+	state.judgement.health.beginProbe(executor)
+	const run = link.start(item.req, end => {
+		state.started.delete(run)
+		return item.onEnd(end)
+	})
+	state.started.set(run, item)
+	item.onStart(() => link.cancel(run))
+}
--- a/packages/standins/test/kept.test.ts
+++ b/packages/standins/test/kept.test.ts
@@ -1,9 +1,10 @@
 /**
  * Kept jobs through the program as separate processes, against the stand-in of the users' platform.
  */
-import {askJob, handIn, startEdges, startLeasedPlatform, untilPlaced} from "@cottonwood/standins"
+import {askJob, handIn} from "@cottonwood/standins"
 import type {Edge, EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
 import {expect} from "chai"
+import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 const KEPT = {"best-effort": false}
@@ -12,28 +13,19 @@
 const newId = () => (++serial + 0xdef000).toString(16).padStart(16, "0")
 
 describe("kept jobs on the users' platform", () => {
+	let world: LeasedTestWorld
 	let platform: LeasedPlatform
 	let fleet: EdgeFleet
 
 	beforeEach(async () => {
-		platform = await startLeasedPlatform({failureDomains: ["a", "b"], executorsPerDomain: 3})
-		platform.putConfig(1)
-		fleet = await startEdges(platform, [
-			["a-1", "a"],
-			["a-2", "a"],
-			["b-1", "b"],
-		])
-		await untilPlaced(fleet, platform.executors.length)
+		world = await startLeasedWorld()
+		;({platform, fleet} = world)
 	})
 
-	afterEach(async () => {
-		await fleet.close()
-		await platform.close()
-	})
+	afterEach(() => world.close())
 
-	const edgeOf = (name: string) => fleet.edges.findLast(edge => edge.name === name) as Edge
-	const placerOf = (domain: string) =>
-		(platform.store.read(`fleet/claim/${domain}`) as {placer: {name: string}}).placer.name
+	const edgeOf = (name: string) => world.edgeOf(name)
+	const placerOf = (domain: string) => world.placerOf(domain)
 
 	/** Hands a kept job in until it is accepted, as a caller does. */
 	async function accept(edge: Edge, id: string, options: Parameters<typeof handIn>[2] = {}) {
--- /dev/null
+++ b/packages/standins/test/leased-soak.test.ts
@@ -0,0 +1,21 @@
+/**
+ * A short soak of the program on the stand-in of the users' platform; longer ones are run by hand.
+ */
+import {runLeasedSoak} from "@cottonwood/standins"
+import {expect} from "chai"
+
+describe("soak on the users' platform", () => {
+	it("breaks no promise under a few faults of a fixed seed", async () => {
+		const faults: string[] = []
+		const verdict = await runLeasedSoak({
+			seed: 205,
+			count: 6,
+			faultMs: 1_000,
+			onFault: text => void faults.push(text),
+		})
+		console.log(`        ${faults.join("; ")}`)
+		console.log(`        ${JSON.stringify(verdict)}`)
+		expect(verdict.violations).to.eql([])
+		expect(verdict.completed).to.be.greaterThan(0)
+	}).timeout(120_000)
+})
--- a/packages/standins/test/leased.test.ts
+++ b/packages/standins/test/leased.test.ts
@@ -1,9 +1,10 @@
 /**
  * The program on the users' platform, as separate processes against a stand-in of it.
  */
-import {handIn, isReady, startEdges, startLeasedPlatform, untilPlaced} from "@cottonwood/standins"
+import {handIn, isReady} from "@cottonwood/standins"
 import type {EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
 import {expect} from "chai"
+import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 
@@ -11,29 +12,20 @@
 const newId = () => (++serial + 0xabc000).toString(16).padStart(16, "0")
 
 describe("jobs on the users' platform", () => {
+	let world: LeasedTestWorld
 	let platform: LeasedPlatform
 	let fleet: EdgeFleet
 
 	beforeEach(async () => {
-		platform = await startLeasedPlatform({failureDomains: ["a", "b"], executorsPerDomain: 3})
-		platform.putConfig(1)
-		fleet = await startEdges(platform, [
-			["a-1", "a"],
-			["a-2", "a"],
-			["b-1", "b"],
-		])
-		await untilPlaced(fleet, platform.executors.length)
+		world = await startLeasedWorld()
+		;({platform, fleet} = world)
 	})
 
-	afterEach(async () => {
-		await fleet.close()
-		await platform.close()
-	})
+	afterEach(() => world.close())
 
-	const edgeOf = (name: string) => fleet.edges.find(edge => edge.name === name)!
+	const edgeOf = (name: string) => world.edgeOf(name)
 	const anyEdge = (at: number) => fleet.edges[at % fleet.edges.length]!
-	const placerOf = (domain: string) =>
-		(platform.store.read(`fleet/claim/${domain}`) as {placer: {name: string}}).placer.name
+	const placerOf = (domain: string) => world.placerOf(domain)
 	/** Hands a job in as a caller does: after a true refusal it comes back, for some seconds. */
 	async function complete(...[edge, id, options]: Parameters<typeof handIn>) {
 		const until = performance.now() + 20_000
