Let executors forget no end that a replaced placer could not note

Cause: on a planned stop the successor has the claim before the placer before it stops ordering. A note of that placer is refused then, and its waiters were told so as if it stood: the executor was allowed to forget an end that nobody had, and the successor ran the task again. Change: a note that was refused for the claim never counts as made; the executor goes on listing the end. Test: 'lets executors forget nothing that it could not note since the claim is another's' failed first.

--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -11,6 +11,7 @@
 import type {JobMetrics} from "../utils/metrics.js"
 import type {WallClock} from "../utils/wall-clock.js"
 import {shortName, startKeptRun, type KeptRun} from "./kept-run.js"
+import type {Written} from "./ledger.js"
 
 /** A scheduled time is looked at again at least this often: the time of day may have been corrected. */
 const DUE_CHECK_MS = 1_000
@@ -26,7 +27,7 @@
 	readonly runBase: number
 	readonly placer: () => Placer
 	/** Writes the record; resolves when the store has it. */
-	readonly save: (record: JobRecord) => Promise<unknown>
+	readonly save: (record: JobRecord) => Promise<Written>
 	readonly onEnd: (state: EndedState, cause: string) => void
 }
 
@@ -58,9 +59,17 @@
 	let idleSince: number | undefined
 	let isOver = false
 
+	/**
+	 * Resolves when the change is noted. If the claim is another's by now it never is, and the executor must go
+	 * on listing what ended: the next placer learns it from there.
+	 */
 	function save(change: Partial<JobRecord>): Promise<void> {
 		record = {...record, ...change}
-		return deps.save(record).then(() => undefined)
+		return new Promise(resolve => {
+			void deps.save(record).then(written => {
+				if (written !== "deposed") resolve()
+			})
+		})
 	}
 
 	function runOf(time: number): KeptRun | undefined {
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -288,6 +288,19 @@
 		expect(world.open("00000000000000bb")).to.equal(undefined)
 	})
 
+	it("lets executors forget nothing that it could not note since the claim is another's", async () => {
+		const world = createWorld()
+		const {keeper, deposed} = world.beginPlacing()
+		await world.clock.advance(200)
+		await accept(world, keeper)
+		// The successor has the claim, and has not reached the executors yet.
+		world.fake.write(claimKey("a"), {failureDomain: "a", fence: 2, placer: {session: "other"}})
+		world.orders.end(task(0), "done")
+		await world.clock.advance(800)
+		expect(deposed()).to.equal(1)
+		expect(world.orders.forgotten).to.equal(0)
+	})
+
 	it("cancels: the end stands in the store, and what runs is stopped", async () => {
 		const world = createWorld()
 		const {keeper} = world.beginPlacing()
