Run a job at once under a newer configuration than its placer has

Cause: a placer that has lost the store does not learn of a new configuration; each job that another instance had accepted under it waited 400 ms there, then was run all the same. Change: a job carries its queue as accepted; the placer goes by the newer of both configurations, without a wait. Ruled out: executors (runs 1.1 times their estimates), room (waits of 0 to 1 ms), load (one domain untouched); handing the whole configuration from peer to peer (a job's own queue is all that its run needs).

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -19,9 +19,6 @@
 const ELSEWHERE_MS = 25
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
-/** A job accepted under a newer configuration waits so long for it at the placer. */
-const CONFIG_WAIT_MS = 400
-const CONFIG_POLL_MS = 20
 
 export interface DispatcherDeps {
 	readonly clock: Clock
@@ -97,11 +94,12 @@
 
 	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
 
-	function messageOf(job: Job, claim: Claim): JobMessage {
+	function messageOf(job: Job, queue: Queue, claim: Claim): JobMessage {
 		const {receivedAt, deadlineAt, ...rest} = job
 		const now = clock.now()
 		return {
 			job: rest,
+			queue,
 			ageMs: now - receivedAt,
 			leftMs: deadlineAt - now,
 			configVersion: deps.config()?.version ?? 0,
@@ -113,9 +111,10 @@
 	async function runThere(
 		claim: Claim,
 		job: Job,
+		queue: Queue,
 		onCancel: OnCancel,
 	): Promise<JobReply | {readonly type: "unsent"}> {
-		const message = messageOf(job, claim)
+		const message = messageOf(job, queue, claim)
 		const call = peers.runJob(claim.placer.address, message, message.leftMs + ANSWER_SLACK_MS)
 		let isCancelled = false
 		onCancel(() => {
@@ -143,7 +142,7 @@
 			const host = hosts.of(claim.failureDomain)
 			const end = host
 				? await hosts.run(host, job, queue, onCancel)
-				: await runThere(claim, job, onCancel)
+				: await runThere(claim, job, queue, onCancel)
 			noteTry(job, claim, end.type)
 			if (end.type === "unsent" || end.type === "not placer") continue
 			if (end.type !== "refused") return end
@@ -166,13 +165,17 @@
 		})
 	}
 
-	async function queueFor(name: string, version: number): Promise<Queue | undefined> {
-		const until = clock.now() + CONFIG_WAIT_MS
-		while ((deps.config()?.version ?? 0) < version && clock.now() < until) {
-			deps.refreshConfig()
-			await clock.sleep(CONFIG_POLL_MS)
-		}
-		return deps.config()?.queues.find(queue => queue.name === name)
+	/**
+	 * A job goes by the newer of both configurations. A placer that is cut off from the store may have an older
+	 * one for long; waiting for it would hold every job that comes from elsewhere.
+	 */
+	function queueFor({job, queue, configVersion}: JobMessage): Queue | undefined {
+		const own = deps.config()
+		if (own && own.version >= configVersion) return own.queues.find(({name}) => name === job.queue)
+		deps.refreshConfig()
+		const fields = {job: job.id, queue: queue.name, configVersion}
+		log.event("config", "queue_from_peer", "config: a job came under a newer version.", fields)
+		return queue
 	}
 
 	return {
@@ -186,7 +189,7 @@
 				receivedAt: now - message.ageMs,
 				deadlineAt: now + message.leftMs,
 			}
-			const queue = await queueFor(job.queue, message.configVersion)
+			const queue = queueFor(message)
 			if (!queue) return {type: "refused", kind: "no_configuration", cause: "unknown queue here"}
 			return counted(hosts.run(host, job, queue, onCancel))
 		},
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -12,6 +12,7 @@
 import type {Beat} from "../types/fleet.js"
 import type {AcceptReply, CancelReply} from "../keep/keeper.js"
 import type {Job, JobEnd} from "../types/job.js"
+import type {Queue} from "../types/fleet-config.js"
 import type {JobState, KeptJobRequest} from "../types/kept-job.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
@@ -22,6 +23,8 @@
 /** A job on its way: times are relative, since steady clocks differ between instances. */
 export interface JobMessage {
 	readonly job: Omit<Job, "receivedAt" | "deadlineAt">
+	/** Its queue as the sender's configuration has it: the placer's may be older, and stay so for a while. */
+	readonly queue: Queue
 	readonly ageMs: number
 	readonly leftMs: number
 	/** The configuration under which it was accepted. */
--- a/packages/jobs/src/internals.ts
+++ b/packages/jobs/src/internals.ts
@@ -1,6 +1,7 @@
 /**
  * Parts that the package's own tests reach; not for users of the package.
  */
+export * from "./coordinate/dispatcher.js"
 export * from "./coordinate/handover.js"
 export type * from "./coordinate/hosts.js"
 export * from "./coordinate/job-run.js"
