Take ends of kept jobs at once on a planned handover

Cause: a successor waits 800 ms for runs that the placer before may hand over, and left all ends that nobody watched alone so long; a kept job's end among them was not known when its tasks were started. Change: ends of tasks that a kept job has go to it as soon as the records are read; only others wait. Test: 'learns of such ends at once on a planned handover …' failed first.

--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -247,6 +247,7 @@
 		},
 		jobCount: () => jobs.count(),
 		isRestoring: () => !isRestored && !isClosed,
+		knows: task => jobs.has(jobIdOf(task)),
 		adopt: (executor, task, run) => jobs.get(jobIdOf(task))?.adopt(task, run, executor) ?? false,
 		noteStrayEnd: (task: string, end: TaskEnd): TaskEnded =>
 			jobs.get(jobIdOf(task))?.noteStrayEnd(task, end),
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -154,17 +154,20 @@
 	void noted.then(() => unnoted.delete(serial))
 }
 
-/** Ends of runs that nobody watched go to the kept jobs, once those are known; the rest is nobody's. */
+/** Ends of runs that nobody watched go to the kept jobs, as soon as those are known. */
 function claimStrayEnds(link: LinkState) {
-	if (link.strayEnds.size === 0 || isWaitedFor(link)) return
-	for (const end of link.strayEnds.values()) {
+	const {kept, clock, orphansWaitUntil} = link.deps
+	if (kept.isRestoring()) return
+	for (const [name, end] of link.strayEnds) {
+		// The placer before may still hand over the run that ended.
+		if (!kept.knows(end.task) && clock.now() < orphansWaitUntil) continue
+		link.strayEnds.delete(name)
 		const stray: TaskEnd =
 			end.how === "done" || end.how === "failed"
 				? {type: end.how, executor: link.record.id, cause: "ended unwatched"}
 				: {type: "lost", executor: link.record.id, cause: end.how}
-		forgetWhenNoted(link, end.serial, link.deps.kept.noteStrayEnd(end.task, stray))
+		forgetWhenNoted(link, end.serial, kept.noteStrayEnd(end.task, stray))
 	}
-	link.strayEnds.clear()
 }
 
 /**
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -22,6 +22,8 @@
 export interface KeptRuns {
 	/** What runs and what ended may still turn out to be a kept job's: the store has not been read. */
 	isRestoring(): boolean
+	/** Whether a kept job has the task. */
+	knows(task: string): boolean
 	/** Takes over a run that an executor lists; false when no kept job wants it. */
 	adopt(executor: string, task: string, run: number): boolean
 	/** Takes an end of a run that nobody watched. */
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -39,7 +39,7 @@
 	let session = 0
 
 	/** Begins to place under the next fence; the placer before learns nothing of it by itself. */
-	function beginPlacing(extra: Partial<KeeperDeps> = {}) {
+	function beginPlacing(extra: Partial<KeeperDeps> = {}, orphansWaitMs = 0) {
 		session++
 		const placer = {name: `n${session}`, session: `s${session}`, failureDomain: "a"}
 		const member = {...placer, address: "n:1", cpuShare: 1}
@@ -65,7 +65,7 @@
 			failureDomain: "a",
 			fence: claim.fence,
 			maxLeaseMs: 1_000,
-			orphansWaitMs: 0,
+			orphansWaitMs,
 			stopGraceMs: 50,
 			kept: keeper,
 			advisor: NO_ADVISOR,
@@ -254,6 +254,20 @@
 		expect(world.end()?.state).to.equal("completed")
 	})
 
+	it("learns of such ends at once on a planned handover, while it waits for other runs", async () => {
+		const world = createWorld()
+		const first = world.beginPlacing()
+		await world.clock.advance(200)
+		await accept(world, first.keeper)
+		first.close()
+		world.orders.end(task(0), "done")
+		world.orders.end(task(1), "done")
+		world.beginPlacing({}, 800)
+		await world.clock.advance(400)
+		expect(world.end()?.state).to.equal("completed")
+		for (const at of [0, 1]) expect(world.startsOf(task(at))).to.have.length(1)
+	})
+
 	it("starts a restored job's tasks only once what the placer before started has certainly ended", async () => {
 		const world = createWorld()
 		const first = world.beginPlacing()
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -41,6 +41,7 @@
 /** A placer whose domain has no kept jobs. */
 export const NO_KEPT_RUNS: KeptRuns = {
 	isRestoring: () => false,
+	knows: () => false,
 	adopt: () => false,
 	noteStrayEnd: () => undefined,
 }
