Refuse a kept job truthfully when the store says each time that it wrote nothing

The store counts as away after 600 ms without a served call; on a loaded machine the first refused call comes late, so a job was taken on, its write refused by the store for 900 ms, and its fate told as open though it was certain. Change: a creation that was refused each time, and is not under way, is withdrawn when its time is over; its submitters get 503, and nothing runs. With any write of it unanswered, its fate is open as before. Ruled out: a longer wait in the test (the answer was wrong for the caller too). Tests: 'refuses a job when the store says that it wrote nothing, and never runs it' failed first; the test of an open fate now loses answers instead of refusing writes, which is the case that it is about.

--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -34,13 +34,21 @@
 const RESTORE_RETRY_MS = 150
 /** Whether the executors have settled is looked at this often. */
 const SETTLE_POLL_MS = 25
-/** An acceptance or a cancelling whose write stays without an answer for so long is told as unknown. */
+/**
+ * An acceptance or a cancelling whose write is not done after so long is given up: refused if the store said
+ * each time that it did nothing, told as unknown else.
+ */
 const WRITE_WAIT_MS = 900
 /** The store is taken as away after so long without an answer; new jobs are then refused at once. */
 const STORE_AWAY_MS = 600
 /** All records are read again this often: a job whose arrival here was never told is found. */
 const REVIEW_MS = 2_500
 
+const NOT_WRITTEN: AcceptReply = Object.freeze({
+	type: "refused",
+	cause: "the store takes no writes",
+})
+
 export interface KeeperDeps {
 	readonly clock: Clock
 	readonly wall: WallClock
@@ -194,16 +202,19 @@
 			writer: "",
 		}
 		const writing = ledger.create(record).then(written => noteCreated(record, written))
-		const waited = clock.sleep(WRITE_WAIT_MS).then(() => ({
-			type: "unknown" as const,
-			cause: "the store has not answered the write of its record",
-		}))
+		const waited = clock.sleep(WRITE_WAIT_MS).then(() => giveUpCreating(record.id))
 		return Promise.race([writing, waited])
 	}
 
+	function giveUpCreating(id: string): AcceptReply {
+		if (ledger?.withdraw(id)) return NOT_WRITTEN
+		return {type: "unknown", cause: "the store has not answered the write of its record"}
+	}
+
 	/** A record that is written after its submitter was told that its fate is open runs all the same. */
 	function noteCreated(record: JobRecord, written: string): AcceptReply {
 		if (written === "exists") return {type: "accepted"}
+		if (written === "withdrawn") return NOT_WRITTEN
 		if (written !== "written") return {type: "unknown", cause: `its record: ${written}`}
 		metrics.count("jobs_accepted")
 		const job = jobs.get(record.id) ?? addJob(record)
--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -37,7 +37,7 @@
 }
 
 /** How a write ended for those who wait for it. */
-export type Written = "written" | "exists" | "ended elsewhere" | "deposed"
+export type Written = "written" | "exists" | "withdrawn" | "ended elsewhere" | "deposed"
 
 export interface LedgerDeps {
 	readonly clock: Clock
@@ -60,6 +60,8 @@
 export interface Ledger {
 	/** Writes a new job's record; `exists` when there is one already. */
 	create(record: JobRecord): Promise<Written>
+	/** Gives a creation up if it has certainly not been done, and never will be; says whether that is so. */
+	withdraw(id: string): boolean
 	/** Takes a record that stands in the store. */
 	adopt(record: JobRecord, revision: number): void
 	/** Writes what has changed. */
@@ -89,6 +91,8 @@
 	version: number
 	written: number
 	isUnderWay: boolean
+	/** A write of it had no answer: it may have been done, or may be done yet. */
+	isFateOpen: boolean
 	/** Its end was sent: its record may be gone by our own doing. */
 	isEndSent: boolean
 	readonly waiters: Waiter[]
@@ -116,6 +120,7 @@
 			version: 0,
 			written: 0,
 			isUnderWay: false,
+			isFateOpen: false,
 			isEndSent: false,
 			waiters: [],
 		}
@@ -159,7 +164,10 @@
 		}
 		const result = await store.transact(transactionOf(batch, deps))
 		underWay--
-		for (const entry of batch) entry.isUnderWay = false
+		for (const entry of batch) {
+			entry.isUnderWay = false
+			entry.isFateOpen ||= result.type === "unknown"
+		}
 		metrics.count("ledger_writes", result.type)
 		if (isClosed) return
 		if (result.type === "done") {
@@ -247,6 +255,12 @@
 			// Handed in again while it is being written: both learn the same.
 			return new Promise(resolve => known.waiters.push({version: known.version, resolve}))
 		},
+		withdraw(id) {
+			const entry = entries.get(id)
+			if (!entry || entry.revision > 0 || entry.isUnderWay || entry.isFateOpen) return false
+			drop(entry, "withdrawn")
+			return true
+		},
 		adopt: (record, revision) => void entryOf(record, revision),
 		update(record) {
 			const entry = entries.get(record.id)
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -115,15 +115,29 @@
 		const world = createWorld()
 		const {keeper} = world.beginPlacing()
 		await world.clock.advance(200)
-		world.fake.isAway = true
+		world.fake.faults = Array.from({length: 40}, () => "lost" as const)
 		const reply = keeper.accept(job())
 		await world.clock.advance(2_000)
 		expect((await reply).type).to.equal("unknown")
-		world.fake.isAway = false
+		world.fake.faults = []
 		await world.clock.advance(1_000)
 		expect(world.orders.starts).to.have.length(2)
 	})
 
+	it("refuses a job when the store says that it wrote nothing, and never runs it", async () => {
+		const world = createWorld()
+		const {keeper} = world.beginPlacing()
+		await world.clock.advance(200)
+		world.fake.isAway = true
+		const replies = [keeper.accept(job()), keeper.accept(job())]
+		await world.clock.advance(1_200)
+		expect((await Promise.all(replies)).map(({type}) => type)).to.eql(["refused", "refused"])
+		world.fake.isAway = false
+		await world.clock.advance(3_000)
+		expect(world.orders.starts).to.have.length(0)
+		expect(world.open()).to.equal(undefined)
+	})
+
 	it("takes the same id again as the same job", async () => {
 		const world = createWorld()
 		const {keeper} = world.beginPlacing()
