Presume a running task to run on when its successor places no more

Cause: a run that a leaving placer gave to its successor was taken as returned, and tried again at once, when the successor answered that it is no placer any more; the run itself goes on until its lease ends. Change: such a task is lost after the same 2 s as one whose placer is silent. Fresh tasks come back at once as before. Test: 'does not take a running task back from a successor that places no more …' failed first.

--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -104,17 +104,19 @@
 			outcome,
 			tookMs: Math.round(clock.now() - now),
 		})
-		item.onEnd(await endOf(reply, claim))
+		item.onEnd(await endOf(reply, claim, runsAt !== undefined))
 	}
 
 	async function endOf(
 		reply: TaskEnd | {readonly type: "not placer"} | undefined,
 		{placer}: Claim,
+		wasRunning: boolean,
 	): Promise<TaskEnd> {
-		if (reply?.type === "not placer") return {type: "returned", cause: "not placer"}
-		if (reply) return reply
+		if (reply && reply.type !== "not placer") return reply
+		// What was running when it was given away may run on until its lease ends.
+		if (reply && !wasRunning) return {type: "returned", cause: "not placer"}
 		await clock.sleep(PRESUMED_ENDED_MS)
-		return {type: "lost", executor: placer.name, cause: "its placer is silent"}
+		return {type: "lost", executor: placer.name, cause: reply?.type ?? "its placer is silent"}
 	}
 
 	return {
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -75,7 +75,12 @@
 		}
 		return overflow.handOver(item)
 	}
-	return {clock, calls, tellRoom, hand, ends, stop: () => stop?.()}
+	function giveRunning(task: string) {
+		const onEnd = (end: TaskEnd) => void ends.push(end)
+		const item = {req: taskRequest(task), since: clock.now(), onEnd, onStart: () => undefined}
+		overflow.sendTo(claim, item, {executor: "e9", isStarted: true})
+	}
+	return {clock, calls, tellRoom, hand, giveRunning, ends, stop: () => stop?.()}
 }
 
 describe("overflow", () => {
@@ -112,6 +117,16 @@
 		expect(ends).to.eql([{type: "done", executor: "e9"}])
 	})
 
+	it("does not take a running task back from a successor that places no more: it may still run", async () => {
+		const {giveRunning, calls, ends, clock} = createWorld()
+		giveRunning("j.0.0.0")
+		calls[0]?.answer({type: "not placer"})
+		await clock.advance(1_900)
+		expect(ends).to.eql([])
+		await clock.advance(200)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+	})
+
 	it("takes a task as lost only when its silent placer and executor have certainly given it up", async () => {
 		const {tellRoom, hand, calls, ends, clock} = createWorld()
 		tellRoom([54_000])
