Say once how far run numbers jump and when a task is tried again

Cause: kept-run.ts repeated two constants of job-run.ts that mean the same. Change: one copy, exported. Behaviour is as it was.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -11,9 +11,9 @@
 import type {JobMetrics} from "../utils/metrics.js"
 
 /** A run number that an executor has seen already is followed by one this much higher. */
-const RUN_NUMBER_STEP = 16
+export const RUN_NUMBER_STEP = 16
 /** Tasks that were given back or lost are tried again after this, so that a full fleet is not asked in a loop. */
-const RETRY_MS = 15
+export const RETRY_MS = 15
 /** An answer after so many objectives is of no use to its submitter; from the users' pages. */
 const USELESS_OBJECTIVES = 3
 /** A job of which nothing has started is refused after so many objectives, or this share of its time. */
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -7,7 +7,7 @@
  * executor.
  */
 import type {Clock} from "@cottonwood/core"
-import {longestChainMs} from "../coordinate/job-run.js"
+import {longestChainMs, RETRY_MS, RUN_NUMBER_STEP} from "../coordinate/job-run.js"
 import type {TaskHandle} from "../place/placer.js"
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskEnded, TaskRequest} from "../place/run.js"
@@ -17,10 +17,6 @@
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
-/** A run number that an executor has seen already is followed by one this much higher. */
-const RUN_NUMBER_STEP = 16
-/** Tasks that were given back or lost are tried again after this, so that a full fleet is not asked in a loop. */
-const RETRY_MS = 15
 /** After each end of a lasting task, doubled up to the longest: a task that fails at once must not spin. */
 const LASTING_RETRY_MS = 50
 const LONGEST_LASTING_RETRY_MS = 1_600
