Say with a line what is known of each run that a successor takes over

Cause: between a run that is handed to another placer and the news that it is lost there was no line, so the hypotheses of the incident could not be told apart: adopted at an executor that has not answered, adopted at one that is not listed, or not adopted at all. Change: `run_adopted` with the outcome and the age of the executor's last answer; lines of runs that are given up as lost, and of tasks that are tried again for it, are never sampled. No decision is changed.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -142,7 +142,8 @@
 	function retry(task: TaskState, reason: string, cause: string) {
 		metrics.count("task_retries", reason)
 		const fields = {job: job.id, task: task.name, run: task.run, outcome: reason, cause}
-		log.event("job", "task_retry", "job: a task is tried again.", fields)
+		const write = reason === "lost" ? log.alarm : log.event
+		write("job", "task_retry", "job: a task is tried again.", fields)
 		clock.schedule(RETRY_MS, () => submitTask(task))
 	}
 
--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -13,6 +13,8 @@
 export interface ExecutorClock {
 	/** Notes a reading that has just arrived. */
 	observe(clockMs: number, now: number): void
+	/** How old the last reading is, in milliseconds; undefined before the first one. */
+	readingAgeMs(now: number): number | undefined
 	/** The likely reading now; undefined before the first one. */
 	estimate(now: number): number | undefined
 	/** Notes that an order asks for a lease until then. */
@@ -28,6 +30,7 @@
 		observe(clockMs, now) {
 			reading = {clockMs, at: now}
 		},
+		readingAgeMs: now => reading && now - reading.at,
 		estimate: now => reading && reading.clockMs + (now - reading.at),
 		extend(untilMs) {
 			leaseUntilMs = Math.max(leaseUntilMs, untilMs)
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -47,7 +47,9 @@
 
 	function noteEnd(executor: string, run: Run, end: TaskEnd, tookMs: number) {
 		const {job, task, run: number, estimateMs} = run.req
-		log.event("placer", "run_ended", "placer: a run ended.", {
+		// What was given up without a proof of its end may run on; such lines are never sampled.
+		const write = end.type === "lost" ? log.alarm : log.event
+		write("placer", "run_ended", "placer: a run ended.", {
 			job,
 			task,
 			run: number,
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -179,14 +179,36 @@
 	const name = runName(run.req.task, run.req.run)
 	const end = link.strayEnds.get(name)
 	link.strayEnds.delete(name)
-	if (end) return forgetWhenNoted(link, end.serial, settleRun(link, run, endOf(link, run, end)))
+	if (end) {
+		noteAdopted(link, run, `ended: ${end.how}`)
+		return forgetWhenNoted(link, end.serial, settleRun(link, run, endOf(link, run, end)))
+	}
 	const isThere = link.orphans.has(name)
-	if (!isThere && !wasStarted && link.isFenceTaken)
+	if (!isThere && !wasStarted && link.isFenceTaken) {
+		noteAdopted(link, run, "never there")
 		return void settleRun(link, run, {type: "returned", cause: "its start never arrived"})
+	}
+	noteAdopted(link, run, isThere ? "listed" : "not listed yet")
 	link.orphans = new Set([...link.orphans].filter(orphan => orphan !== name))
 	if (link.orphans.size === 0) link.deps.onRoom()
 }
 
+/** What is known of an adopted run, and how old that is, decides whether it is later told as lost. */
+function noteAdopted(link: LinkState, run: Run, outcome: string) {
+	const {clock, log, fence} = link.deps
+	const {job, task, run: number} = run.req
+	const readingAgeMs = link.executorClock.readingAgeMs(clock.now())
+	log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", {
+		job,
+		task,
+		run: number,
+		executor: link.record.id,
+		fence,
+		outcome,
+		inputAgeMs: readingAgeMs === undefined ? undefined : Math.round(readingAgeMs),
+	})
+}
+
 function endOf(link: LinkState, run: Run, {how}: RunEnd): TaskEnd {
 	const executor = link.record.id
 	if (how === "done") return {type: "done", executor}
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -117,6 +117,15 @@
 ): TaskHandle {
 	const link = state.links.get(executor)
 	if (!link) {
+		const {job, task, run} = req
+		state.deps.log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", {
+			job,
+			task,
+			run,
+			executor,
+			fence: state.deps.fence,
+			outcome: "executor not listed",
+		})
 		onEnd({type: "lost", executor, cause: "its executor is not listed here"})
 		return {cancel: () => undefined}
 	}
