--- /dev/null
+++ b/packages/jobs/test/succession.test.ts
@@ -0,0 +1,132 @@
+/**
+ * Runs that go from one placer of a failure domain to the next: none is told as ended while it runs.
+ *
+ * Symptom: a task ran twice at the same time, 0.8 s long. Run 1 was started in one domain under a placer of
+ * another domain; run 2 of the same job began elsewhere 1.5 s later; run 1 was stopped 0.8 s after that.
+ * Sequence: the domain's only instance died and came back, the foreign placer handed the domain back to it, and the
+ * executor left the successor's first order unanswered, as it left many in that minute.
+ * Cause: a successor that knows nothing of a run took that as proof of its end. Without a reading of the executor's
+ * clock and without a lease of its own, "all leases that were asked for are over" held at once.
+ * Settled by: the figures of the record (`run 2`, so the job was told `lost`; run 1 ended `stopped` 0.8 s after
+ * the news, the time that a successor leaves unknown runs alone), and by the first case below: `run_ended` with
+ * `outcome=lost`, `cause=its lease ended while silent` 110 ms after `run_adopted` with no `inputAgeMs`.
+ */
+import {createJobMetrics, silentLog, type EventLog, type LogFields} from "@cottonwood/jobs"
+import {createPlacer, type PlacerDeps, type TaskEnd} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {LeasedExecutor} from "./support/leased-executor.js"
+import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+
+const TASK = "j.0.0.0"
+const LEASE_MS = 1_000
+const STOP_GRACE_MS = 50
+const HANDOVER_WAIT_MS = 800
+
+interface Line extends LogFields {
+	readonly kind: string
+}
+
+function createWorld() {
+	const clock = createFakeClock()
+	const executor = new LeasedExecutor(clock)
+	const lines: Line[] = []
+	const log: EventLog = {
+		event: () => undefined,
+		alarm: (_part, kind, _message, fields) => void lines.push({kind, ...fields}),
+	}
+	const ends: (TaskEnd & {readonly isRunning: boolean})[] = []
+	const onEnd = (end: TaskEnd) => void ends.push({...end, isRunning: executor.running.has(TASK)})
+
+	function place(fence: number, extra: Partial<PlacerDeps> = {}) {
+		return createPlacer({
+			clock,
+			orders: executor,
+			log: silentLog,
+			metrics: createJobMetrics(),
+			failureDomain: "a",
+			fence,
+			maxLeaseMs: LEASE_MS,
+			orphansWaitMs: 0,
+			stopGraceMs: STOP_GRACE_MS,
+			handOver: () => false,
+			kept: NO_KEPT_RUNS,
+			advisor: NO_ADVISOR,
+			onFenced: () => undefined,
+			onRoomChange: () => undefined,
+			...extra,
+		})
+	}
+
+	/** A placer with a run of the task under way. */
+	async function placeFirst() {
+		const first = place(7)
+		first.setExecutors([record("e1")])
+		await clock.advance(10)
+		first.submit(taskRequest(TASK, {estimateMs: 5_000}), onEnd, () => undefined)
+		await clock.advance(10)
+		expect([...executor.running.keys()]).to.eql([TASK])
+		return first
+	}
+
+	/** Its successor, which gets the run; `listed` is what it knows of executors by itself. */
+	async function handOver(listed: readonly string[]) {
+		const first = await placeFirst()
+		const successor = place(8, {orphansWaitMs: HANDOVER_WAIT_MS, log})
+		successor.setExecutors(listed.map(id => record(id)))
+		await clock.advance(5)
+		first.giveAll(({req}, from) => {
+			if (from) successor.adopt(req, from, onEnd)
+		})
+		return successor
+	}
+
+	return {clock, executor, ends, lines, place, placeFirst, handOver}
+}
+
+describe("succession of placers", () => {
+	it("keeps a run whose executor leaves the successor's first orders unanswered", async () => {
+		const {clock, executor, ends, handOver} = createWorld()
+		const answersAt = clock.now() + 320
+		executor.isLost = ({fence}) => fence === 8 && clock.now() < answersAt
+		await handOver(["e1"])
+		await clock.advance(1_500)
+		expect(ends).to.eql([])
+		executor.end(TASK, "done")
+		await clock.advance(200)
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("takes over a run on an executor that the successor does not list", async () => {
+		const {clock, executor, ends, handOver} = createWorld()
+		await handOver([])
+		await clock.advance(1_500)
+		expect(ends).to.eql([])
+		executor.end(TASK, "done")
+		await clock.advance(200)
+		expect(ends.map(({type}) => type)).to.eql(["done"])
+	})
+
+	it("ends a run that nobody hands over although its first stop is lost", async () => {
+		const {clock, executor, placeFirst, place} = createWorld()
+		const first = await placeFirst()
+		first.close()
+		let lost = 0
+		executor.isLost = ({type}) => type === "stop" && lost++ === 0
+		place(8).setExecutors([record("e1")])
+		await clock.advance(600)
+		expect(executor.stops.length).to.be.greaterThan(1)
+		expect([...executor.running.keys()]).to.eql([])
+	})
+
+	it("says what was known of a run that it took over", async () => {
+		const {clock, executor, lines, handOver} = createWorld()
+		executor.isLost = ({fence}) => fence === 8
+		await handOver(["e1"])
+		await clock.advance(10)
+		const adopted = lines.find(({kind}) => kind === "run_adopted")
+		expect(adopted).to.include({task: TASK, run: 1, executor: "e1", fence: 8})
+		expect(adopted).to.include({outcome: "not listed yet", inputAgeMs: undefined})
+	})
+})
