Take a run of the placer before as ended only when the last lease that anybody asked for is over

Cause: a successor took its own ignorance for the end of a run. Its link had no reading of the executor's clock and had asked for no lease, so "every lease that I asked for is over" held at the first order without an answer, and a run just adopted was told as lost while the lease of the placer before went on. The class: what is not known here counted as ended. Two more of it: a run at an executor that the successor does not list was told as lost at once; a run that nobody hands over was stopped by one order, never repeated, while its lease was renewed. Change: the longest lease that the placer before may have asked for is presumed, from the moment a run is adopted; a run is handed over with its executor's record, which is then watched though unlisted; stops of unwanted runs are repeated until they are answered; the lease of an executor where all is to end is not renewed; an executor that the list has dropped is kept while anything wanted may be there. Ruled out: waiting for the executor's first answer before the domain is handed over (it would stop placing for as long as one executor is silent); asking the placer before what it leased (it may be gone by then).

--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -2,7 +2,8 @@
  * What is known of an executor's steady clock, and until when its lease can last.
  *
  * All lease times are on the executor's clock, which may run slow. Sending uses the likely reading;
- * judging that a lease has ended uses the lowest reading possible.
+ * judging that a lease has ended uses the lowest reading possible. A lease that another placer asked for is
+ * not known here, so the longest one is presumed.
  */
 
 /** The slowest that an executor's clock may run; from the platform's contract (2%). */
@@ -19,13 +20,17 @@
 	estimate(now: number): number | undefined
 	/** Notes that an order asks for a lease until then. */
 	extend(leaseUntilMs: number): void
-	/** Whether everything under the leases asked for has certainly ended. */
+	/** Notes that another placer may have asked for a lease of this length until now, both in milliseconds. */
+	presume(leaseMs: number, now: number): void
+	/** Whether everything under the leases asked for, here or by another placer, has certainly ended. */
 	hasLapsed(now: number): boolean
 }
 
 export function createExecutorClock(): ExecutorClock {
 	let reading: {readonly clockMs: number; readonly at: number} | undefined
 	let leaseUntilMs = -Infinity
+	/** On our clock, since an executor that has not answered has told no reading of its own. */
+	let presumedUntil = -Infinity
 	return {
 		observe(clockMs, now) {
 			reading = {clockMs, at: now}
@@ -35,7 +40,11 @@
 		extend(untilMs) {
 			leaseUntilMs = Math.max(leaseUntilMs, untilMs)
 		},
+		presume(leaseMs, now) {
+			presumedUntil = Math.max(presumedUntil, now + leaseMs / SLOWEST_RATE + END_MARGIN_MS)
+		},
 		hasLapsed(now) {
+			if (now <= presumedUntil) return false
 			if (!reading) return leaseUntilMs === -Infinity
 			const lowest = reading.clockMs + (now - reading.at) * SLOWEST_RATE
 			return lowest > leaseUntilMs + END_MARGIN_MS
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -9,6 +9,7 @@
 	freeCpu,
 	hasRoom,
 	isCompatible,
+	isIdle,
 	isPromising,
 	isUsable,
 	newLinkState,
@@ -37,6 +38,8 @@
 	reserve(req: TaskRequest): void
 	unreserve(req: TaskRequest): void
 	runCount(): number
+	/** Whether nothing that anybody may want can be there. */
+	isIdle(): boolean
 	/** Tasks of one job's step that run there. */
 	countOf(stepName: string): number
 	start(req: TaskRequest, onEnd: OnTaskEnd): Run
@@ -74,6 +77,7 @@
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
 		runCount: () => link.runs.size,
+		isIdle: () => isIdle(link),
 		countOf(stepName) {
 			let count = 0
 			for (const task of link.runs.keys()) if (stepNameOf(task) === stepName) count++
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -11,7 +11,9 @@
 	addRun,
 	closeLink,
 	forgettableSerial,
+	isIdle,
 	isOwnReply,
+	isWaitedFor,
 	lostOrStopped,
 	nextLeaseUntil,
 	noteAnswering,
@@ -55,7 +57,7 @@
 		const waitMs = link.isFenceTaken && !isSilent ? waitMsOf(link) : 0
 		// A silent executor may hear us: what is asked while it is silent must not keep its lease alive,
 		// or nobody could ever tell that its runs have ended.
-		const leaseUntilMs = isSilent ? undefined : nextLeaseUntil(link)
+		const leaseUntilMs = isSilent || hasOnlyUnwanted(link) ? undefined : nextLeaseUntil(link)
 		const order = {fence, seenSerial: forgettableSerial(link), leaseUntilMs, waitMs}
 		const reply = await orders.hold(link.record, order, waitMs + HOLD_SLACK_MS)
 		if (isOwnReply(link, reply, "hold")) noteHeld(link, reply, sentAt)
@@ -65,13 +67,24 @@
 	}
 }
 
+/**
+ * Whether all that runs there is to end. Its lease is not renewed then: should each stop be lost, the end of the lease
+ * still ends it, within the time after which others take it as ended.
+ */
+function hasOnlyUnwanted(link: LinkState): boolean {
+	const {runs, orphans, unnoted} = link
+	if (unnoted.size > 0 || (orphans.size > 0 && isWaitedFor(link))) return false
+	if (runs.size + orphans.size === 0) return false
+	return [...runs.values()].every(({state}) => state === "stopping")
+}
+
 const waitMsOf = (link: LinkState) => (link.runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS)
 
 async function noteUnheld(link: LinkState, reply: HoldReply) {
 	const {clock} = link.deps
 	noteSilence(link, reply.type === "silent" ? reply.cause : reply.type)
 	if (link.executorClock.hasLapsed(clock.now())) settleAllLost(link, "its lease ended while silent")
-	if (link.isRetired && link.runs.size === 0) return closeLink(link)
+	if (link.isRetired && isIdle(link)) return closeLink(link)
 	await clock.sleep(SILENT_RETRY_MS)
 }
 
@@ -101,18 +114,10 @@
 
 function noteOrphan(link: LinkState, row: RunningRow): string {
 	const name = runName(row.task, row.run)
-	if (!isWaitedFor(link) && !link.stoppedOrphans.has(name)) {
-		link.stoppedOrphans.add(name)
-		void stopOrphan(link, row.task, row.run)
-	}
+	if (!isWaitedFor(link)) void stopOrphan(link, row.task, row.run)
 	return name
 }
 
-/** Whether runs that nobody here started may still find somebody who wants them. */
-function isWaitedFor({deps}: LinkState): boolean {
-	return deps.clock.now() < deps.orphansWaitUntil || deps.kept.isRestoring()
-}
-
 function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
 	for (const run of [...link.runs.values()]) {
 		if (run.listedFrom === undefined || run.listedFrom > sentAt) continue
@@ -175,6 +180,9 @@
  * the list under our fence does not name, was refused for its fence; its room is not taken.
  */
 export function adoptRun(link: LinkState, run: Run, wasStarted: boolean) {
+	const {clock, maxLeaseMs} = link.deps
+	// Its lease is the one that the placer before asked for last, whatever the executor has told here.
+	link.executorClock.presume(maxLeaseMs, clock.now())
 	addRun(link, run)
 	const name = runName(run.req.task, run.req.run)
 	const end = link.strayEnds.get(name)
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -13,6 +13,7 @@
 	isOwnReply,
 	nextLeaseUntil,
 	noteSilence,
+	runName,
 	settleRun,
 	type LinkState,
 } from "./link-state.js"
@@ -78,21 +79,45 @@
  * settled by the end of its lease; a stop makes it refuse them.
  */
 export function stopUnansweredStarts(link: LinkState) {
-	for (const {task, run} of link.unanswered) void stopOrphan(link, task, run)
-	link.unanswered.length = 0
+	for (const {task, run} of link.unanswered.splice(0)) void stopOrphan(link, task, run)
 }
 
-/** Stops a run that nobody here started. */
+/**
+ * Stops a run that nobody here wants, again and again until that is answered: one order that is lost must not leave it
+ * running beside the next run of its task.
+ */
 export async function stopOrphan(link: LinkState, task: string, run: number) {
-	const {clock, log, metrics, orders, fence} = link.deps
-	link.stoppingUntil = clock.now() + STOP_TIMEOUT_MS + stopTakesMs(link)
+	const {clock, log, metrics, fence, onRoom} = link.deps
+	const name = runName(task, run)
+	if (link.stoppingOrphans.has(name)) return
+	link.stoppingOrphans.add(name)
 	const fields = {task, run, executor: link.record.id, fence, job: task.split(".")[0]}
 	log.alarm("executor", "orphan_stopped", "executor: runs what nobody here started.", fields)
 	metrics.count("orphan_runs", "stopped")
-	const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
-	if (!isOwnReply(link, reply, "stop")) return
+	if (!(await sendOrphanStop(link, task, run))) {
+		link.stoppingOrphans.delete(name)
+		link.unanswered.push({task, run})
+		return
+	}
 	link.stoppingUntil = clock.now() + stopTakesMs(link)
-	clock.schedule(stopTakesMs(link), link.deps.onRoom)
+	clock.schedule(stopTakesMs(link), () => {
+		// Should a list still name it, it is stopped once more.
+		link.stoppingOrphans.delete(name)
+		onRoom()
+	})
+}
+
+/** Whether the stop was answered; the end of a silent executor's lease ends the tries. */
+async function sendOrphanStop(link: LinkState, task: string, run: number): Promise<boolean> {
+	const {clock, orders, fence} = link.deps
+	while (!link.isClosed) {
+		link.stoppingUntil = clock.now() + STOP_TIMEOUT_MS + stopTakesMs(link)
+		const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
+		if (isOwnReply(link, reply, "stop")) return true
+		if (link.silentSince !== undefined && link.executorClock.hasLapsed(clock.now())) return false
+		await clock.sleep(STOP_RETRY_MS)
+	}
+	return false
 }
 
 async function sendStart(link: LinkState, run: Run) {
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -58,11 +58,11 @@
 	readonly runs: Map<string, Run>
 	/** Runs there that nobody here started; while there are any, the free room is unknown. */
 	orphans: ReadonlySet<string>
-	/** Orphans that were told to stop. */
-	readonly stoppedOrphans: Set<string>
+	/** Runs that nobody here wants and that are being stopped. */
+	readonly stoppingOrphans: Set<string>
 	/** Ends of runs that nobody here started, until the placer before hands them over. */
 	readonly strayEnds: Map<string, RunEnd>
-	/** Runs that were settled though a start of theirs was never answered. */
+	/** Runs that were settled though a start or stop of theirs was never answered. */
 	readonly unanswered: {readonly task: string; readonly run: number}[]
 	readonly used: {cpu: number; memoryMb: number; accelerators: number}
 	/** Ends up to this serial are settled here. */
@@ -79,14 +79,16 @@
 }
 
 export function newLinkState(record: ExecutorRecord, deps: LinkDeps): LinkState {
+	const executorClock = createExecutorClock()
+	executorClock.presume(deps.maxLeaseMs, deps.clock.now())
 	return {
 		deps,
 		record,
-		executorClock: createExecutorClock(),
+		executorClock,
 		runs: new Map(),
 		orphans: new Set(),
 		unanswered: [],
-		stoppedOrphans: new Set(),
+		stoppingOrphans: new Set(),
 		strayEnds: new Map(),
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
@@ -122,6 +124,18 @@
 	return silentSince === undefined || deps.clock.now() - silentSince < PROMISING_MS
 }
 
+/** Whether runs that nobody here started may still find somebody who wants them. */
+export function isWaitedFor({deps}: LinkState): boolean {
+	return deps.clock.now() < deps.orphansWaitUntil || deps.kept.isRestoring()
+}
+
+/** Whether nothing that anybody may want can be there: no run, and no end that is not noted yet. */
+export function isIdle(link: LinkState): boolean {
+	const {runs, unnoted, orphans, executorClock, deps} = link
+	if (runs.size > 0 || unnoted.size > 0 || (orphans.size > 0 && isWaitedFor(link))) return false
+	return link.isFenceTaken || executorClock.hasLapsed(deps.clock.now())
+}
+
 export function freeCpu({record, used}: LinkState): number {
 	return record.capacity.cpu - used.cpu
 }
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -3,7 +3,7 @@
  */
 import type {Clock} from "@cottonwood/core"
 import type {Advisor} from "../types/advisor.js"
-import type {ExecutorOrders} from "../types/executor.js"
+import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {ExecutorLink} from "./executor-link.js"
@@ -35,6 +35,8 @@
 
 export interface RunningAt {
 	readonly executor: string
+	/** The executor as the placer before knew it: the successor's list may lack it by now. */
+	readonly record?: ExecutorRecord
 	readonly isStarted: boolean
 }
 
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -112,23 +112,11 @@
 function adopt(
 	state: PlacerState,
 	req: TaskRequest,
-	{executor, isStarted}: RunningAt,
+	{executor, record, isStarted}: RunningAt,
 	onEnd: OnTaskEnd,
 ): TaskHandle {
-	const link = state.links.get(executor)
-	if (!link) {
-		const {job, task, run} = req
-		state.deps.log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", {
-			job,
-			task,
-			run,
-			executor,
-			fence: state.deps.fence,
-			outcome: "executor not listed",
-		})
-		onEnd({type: "lost", executor, cause: "its executor is not listed here"})
-		return {cancel: () => undefined}
-	}
+	const link = state.links.get(executor) ?? (record && addUnlisted(state, record))
+	if (!link) return presumeEnded(state, req, executor, onEnd)
 	let stop = () => undefined as void
 	const item: Waiting = {
 		req,
@@ -151,6 +139,27 @@
 	return {cancel: () => stop()}
 }
 
+/** An executor that the list lacks is watched for what runs there; it gets nothing new until the list has it. */
+function addUnlisted(state: PlacerState, record: ExecutorRecord): ExecutorLink {
+	const link = addLink(state, record)
+	link.retire()
+	return link
+}
+
+/** Nobody here can ask the executor, but its lease is over by then. */
+function presumeEnded(
+	{deps}: PlacerState,
+	{job, task, run}: TaskRequest,
+	executor: string,
+	onEnd: OnTaskEnd,
+): TaskHandle {
+	const fields = {job, task, run, executor, fence: deps.fence, outcome: "executor unknown"}
+	deps.log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", fields)
+	const end = {type: "lost", executor, cause: "its executor is unknown here"} as const
+	deps.clock.schedule(SETTLED_MS, () => void onEnd(end))
+	return {cancel: () => undefined}
+}
+
 function giveAll(state: PlacerState, send: (item: Waiting, from?: RunningAt) => void) {
 	state.successor = send
 	// Kept jobs are not sent: the successor reads them from the store, and finds their runs by itself.
@@ -158,12 +167,12 @@
 		for (let item = state.queue.take(group); item; item = state.queue.take(group))
 			if (!item.req.isKept) send(item)
 	const running = [...state.links.values()].flatMap(link =>
-		link.runs().map(({run, isStarted}) => ({run, isStarted, executor: link.record.id})),
+		link.runs().map(({run, isStarted}) => ({run, isStarted, record: link.record})),
 	)
 	close(state)
-	for (const {run, isStarted, executor} of running) {
+	for (const {run, isStarted, record} of running) {
 		const item = state.started.get(run)
-		if (item && !item.req.isKept) send(item, {executor, isStarted})
+		if (item && !item.req.isKept) send(item, {executor: record.id, record, isStarted})
 	}
 }
 
@@ -231,7 +240,7 @@
 	walkSoon(state)
 }
 
-function addLink(state: PlacerState, record: ExecutorRecord) {
+function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
 	const {clock, orders, log, metrics, fence, maxLeaseMs, stopGraceMs, onFenced} = state.deps
 	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
@@ -251,12 +260,13 @@
 	})
 	state.links.set(record.id, link)
 	const fields = {executor: record.id, address: record.address, freeCpu: record.capacity.cpu}
-	log.event("placer", "executor_added", "placer: the list has a new executor.", fields)
+	log.event("placer", "executor_added", "placer: has a new executor.", fields)
+	return link
 }
 
 function retireLink(state: PlacerState, id: string, link: ExecutorLink) {
 	link.retire()
-	if (link.runCount() > 0) return
+	if (!link.isIdle()) return
 	link.close()
 	state.links.delete(id)
 	state.judgement.forget(id)
--- a/packages/jobs/test/succession.test.ts
+++ b/packages/jobs/test/succession.test.ts
@@ -120,6 +120,16 @@
 		expect([...executor.running.keys()]).to.eql([])
 	})
 
+	it("tells a run as lost only once the last lease that anyone asked for is over", async () => {
+		const {clock, executor, ends, handOver} = createWorld()
+		executor.isLost = ({fence}) => fence === 8
+		await handOver(["e1"])
+		await clock.advance(3_000)
+		expect(ends.map(({type, isRunning}) => ({type, isRunning}))).to.eql([
+			{type: "lost", isRunning: false},
+		])
+	})
+
 	it("says what was known of a run that it took over", async () => {
 		const {clock, executor, lines, handOver} = createWorld()
 		executor.isLost = ({fence}) => fence === 8
