Hand a domain over with all executors that it has, and leave the executors of other domains alone

Cause: found by looking for the same class elsewhere. (1) A successor got the platform's list only; executors that the list has dropped and that still run something were unknown to it. Kept jobs then began again as soon as each listed executor obeyed, though an unlisted one could still run their tasks. (2) An instance that took one more domain over set the executors of its other domains to none until the next reading of the list, 650 ms later at most. Change: the placer names its own executors, dropped ones as leaving, and they are there before placing begins. Without such a handover restored tasks wait the 2 s after which no lease of the placer before can last. New jobs wait for nothing. Ruled out: kept jobs' records naming their executors (a write for each start). Tests: `starts a restored task again only when executors that the list lacks …` and `goes on using its own domain's executors …` fail with the guard, or the call as it was, put back; `names executors that the list has dropped …`.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -10,7 +10,6 @@
 import type {ClaimsLoop} from "../fleet/claims.js"
 import type {FleetView} from "../fleet/members.js"
 import type {Peers, TakeOverMessage, TakeOverReply} from "../fleet/peers.js"
-import type {ExecutorRecord} from "../types/executor.js"
 import type {Member} from "../types/fleet.js"
 import type {EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
@@ -38,7 +37,6 @@
 	readonly hosts: Hosts
 	readonly overflow: Overflow
 	readonly claims: () => ClaimsLoop
-	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 	/** Where this instance places now. */
 	readonly placedDomains: () => readonly string[]
 	readonly isLeaving: () => boolean
@@ -75,7 +73,7 @@
 		const message: TakeOverMessage = {
 			failureDomain,
 			fence: claim.fence,
-			executors: deps.executorsOf(failureDomain),
+			executors: hosts.executorsOf(failureDomain),
 			from: self.session,
 		}
 		hosts.offerHandover(failureDomain)
@@ -145,10 +143,8 @@
 			if (deps.isLeaving()) return {isTaken: false}
 			const known = view.claimOf(failureDomain)
 			if (known && known.fence > fence) return {isTaken: false}
-			hosts.expectHandover(failureDomain)
-			const isTaken = await deps.claims().takeNow(failureDomain, fence)
-			if (isTaken) hosts.setExecutors(executors)
-			return {isTaken}
+			hosts.expectHandover(failureDomain, executors)
+			return {isTaken: await deps.claims().takeNow(failureDomain, fence)}
 		},
 		close() {
 			isClosed = true
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -17,6 +17,8 @@
 const SHORT_WAIT_MS = 30
 /** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
 const HANDOVER_WAIT_MS = 800
+/** Of the first claim that a failure domain ever has: nobody placed there before. */
+const FIRST_FENCE = 1
 
 export interface Host {
 	readonly claim: Claim
@@ -48,14 +50,17 @@
 	of(failureDomain: string): Host | undefined
 	/** Begins or ends placing after a claim changed. */
 	noteClaim(claim: Claim): void
-	/** Whoever places the domain now hands its runs over; they are waited for. */
-	expectHandover(failureDomain: string): void
+	/** Whoever places the domain now hands its runs over; they are waited for, on the executors that it has. */
+	expectHandover(failureDomain: string, executors: readonly ExecutorRecord[]): void
 	/** From now on a higher fence means that the successor has begun, not that all is lost. */
 	offerHandover(failureDomain: string): void
 	withdrawHandover(failureDomain: string): void
 	/** Gives a domain's runs and queue to the placer that has the claim now. */
 	giveTo(successor: Claim, overflow: Overflow): void
+	/** Takes the platform's list, of all failure domains. */
 	setExecutors(records: readonly ExecutorRecord[]): void
+	/** A hosted domain's executors, those that the list has dropped included; none without a host. */
+	executorsOf(failureDomain: string): readonly ExecutorRecord[]
 	/** Runs a job at a placer here, or refuses it at once. */
 	run(host: Host, job: Job, queue: Queue, onCancel: (callback: () => void) => void): Promise<JobEnd>
 	/** Placers elsewhere may have room now. */
@@ -66,30 +71,42 @@
 	close(): void
 }
 
+interface Expected {
+	readonly until: number
+	readonly executors: readonly ExecutorRecord[]
+}
+
 export function createHosts(deps: HostsDeps): Hosts {
 	const {clock, log, metrics, self} = deps
 	const hosts = new Map<string, Host>()
-	/** Domains that the placer before hands over, until when it is waited for. */
-	const handoversUntil = new Map<string, number>()
+	/** Domains that the placer before hands over, until when it is waited for, and what it has there. */
+	const expected = new Map<string, Expected>()
 	/** Domains whose placing ends by a handover: another claim is expected. */
 	const givenUp = new Set<string>()
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
 		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
-		const waitsUntil = handoversUntil.get(failureDomain) ?? -Infinity
-		const orphansWaitMs = Math.max(0, waitsUntil - clock.now())
+		const handover = expectedNow(failureDomain)
+		const orphansWaitMs = handover ? handover.until - clock.now() : 0
+		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
 		const onDeposed = () => endPlacing(failureDomain, fence, "the store has another claim")
 		const keeper = deps.createKeeper(claim, onDeposed)
-		const fenced = {failureDomain, fence, onFenced, orphansWaitMs}
+		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const placer = createPlacer({...deps, ...fenced, kept: keeper})
 		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
 		keeper.begin(placer)
-		placer.setExecutors(deps.executorsOf(failureDomain))
+		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence}
 		log.alarm("placer", "placing_begun", "placer: places a failure domain now.", fields)
 	}
 
+	function expectedNow(failureDomain: string): Expected | undefined {
+		const handover = expected.get(failureDomain)
+		expected.delete(failureDomain)
+		return handover && handover.until > clock.now() ? handover : undefined
+	}
+
 	function endPlacing(failureDomain: string, fence: number, cause: string) {
 		const host = hosts.get(failureDomain)
 		if (!host || host.claim.fence !== fence || givenUp.has(failureDomain)) return
@@ -123,8 +140,8 @@
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
 		},
-		expectHandover(failureDomain) {
-			handoversUntil.set(failureDomain, clock.now() + HANDOVER_WAIT_MS)
+		expectHandover(failureDomain, executors) {
+			expected.set(failureDomain, {until: clock.now() + HANDOVER_WAIT_MS, executors})
 		},
 		offerHandover(failureDomain) {
 			givenUp.add(failureDomain)
@@ -148,6 +165,7 @@
 			for (const [failureDomain, {placer}] of hosts)
 				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
 		},
+		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, onCancel) {
 			const refusal = refusalOf(job, queue, host.placer)
 			if (refusal) return refusal
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -210,7 +210,6 @@
 		hosts,
 		overflow,
 		claims: () => claims,
-		executorsOf: domain => executors.recordsOf(domain),
 		placedDomains: () => Object.keys(hosts.rooms()),
 		isLeaving: () => isLeaving,
 	})
--- a/packages/jobs/src/internals.ts
+++ b/packages/jobs/src/internals.ts
@@ -3,7 +3,7 @@
  */
 export * from "./coordinate/dispatcher.js"
 export * from "./coordinate/handover.js"
-export type * from "./coordinate/hosts.js"
+export * from "./coordinate/hosts.js"
 export * from "./coordinate/job-run.js"
 export * from "./coordinate/overflow.js"
 export * from "./fleet/beats.js"
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -38,6 +38,8 @@
 	reserve(req: TaskRequest): void
 	unreserve(req: TaskRequest): void
 	runCount(): number
+	/** Whether the list no longer names it. */
+	isRetired(): boolean
 	/** Whether nothing that anybody may want can be there. */
 	isIdle(): boolean
 	/** Tasks of one job's step that run there. */
@@ -77,6 +79,7 @@
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
 		runCount: () => link.runs.size,
+		isRetired: () => link.isRetired,
 		isIdle: () => isIdle(link),
 		countOf(stepName) {
 			let count = 0
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -25,6 +25,8 @@
 	readonly stopGraceMs: number
 	/** Runs left by the placer before wait this long to be handed over. */
 	readonly orphansWaitMs: number
+	/** Whether no run of a placer before can be on an executor that is not linked here. */
+	readonly knowsAllExecutors: boolean
 	readonly kept: KeptRuns
 	/** Hands a task to another domain's placer; false when none has room. */
 	readonly handOver: (item: Waiting) => boolean
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -34,6 +34,8 @@
 	submit(req: TaskRequest, onEnd: OnTaskEnd, onStart: () => void): TaskHandle
 	/** Takes over the platform's list of this domain's executors. */
 	setExecutors(records: readonly ExecutorRecord[]): void
+	/** Its executors; those that the list has dropped count as leaving. */
+	executors(): readonly ExecutorRecord[]
 	room(): Room
 	counts(): PlacerCounts
 	/** Whether any executor is, or will soon be, usable. */
@@ -87,6 +89,7 @@
 	return {
 		submit: (req, onEnd, onStart) => submit(state, req, onEnd, onStart),
 		setExecutors: records => setExecutors(state, records),
+		executors: () => [...state.links.values()].map(recordOf),
 		room: () => roomFor(state.links, state.queue, state.judgement.health),
 		counts: () => countsOf(state),
 		canServe: () => promisingLinks(state.links).length > 0,
@@ -104,6 +107,9 @@
 	}
 }
 
+const recordOf = (link: ExecutorLink): ExecutorRecord =>
+	link.isRetired() ? {...link.record, isLeaving: true} : link.record
+
 function close(state: PlacerState) {
 	state.isClosed = true
 	for (const link of state.links.values()) link.close()
@@ -274,9 +280,13 @@
 	state.deps.log.event("placer", "executor_dropped", "placer: the list has it no more.", fields)
 }
 
-/** A placer that does not know yet that it was replaced learns it at any executor, and its leases end. */
+/**
+ * A placer that does not know yet that it was replaced learns it at any executor, and its leases end. Executors
+ * that the list has dropped may still run something for it, and are not asked here unless it named them.
+ */
 function isSettled({links, deps, createdAt}: PlacerState): boolean {
 	if (deps.clock.now() - createdAt >= SETTLED_MS) return true
+	if (!deps.knowsAllExecutors) return false
 	return links.size > 0 && [...links.values()].every(link => link.isFenceTaken())
 }
 
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -24,6 +24,7 @@
 	const asked: string[] = []
 	const given: string[] = []
 	const hosts = {
+		executorsOf: () => [],
 		offerHandover: () => undefined,
 		withdrawHandover: () => undefined,
 		giveTo: (successor: Claim) => void given.push(`${successor.placer.name}/${successor.fence}`),
@@ -39,7 +40,6 @@
 		hosts,
 		overflow: {handOver: unused, sendTo: unused},
 		claims: unused,
-		executorsOf: () => [],
 		placedDomains: () => (view.claimOf("a")?.placer === self ? ["a"] : []),
 		isLeaving: () => false,
 		peers: {
--- /dev/null
+++ b/packages/jobs/test/hosts.test.ts
@@ -0,0 +1,74 @@
+/**
+ * The placers that one instance hosts, when one more domain is handed to it.
+ */
+import {createJobMetrics, silentLog, type Claim, type ExecutorRecord} from "@cottonwood/jobs"
+import {createHosts, type Keeper} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {FakeFleet, record} from "./support/fake-executors.js"
+import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+
+const self = {name: "a-1", session: "a-1-s", failureDomain: "a", address: "a-1:1", cpuShare: 1}
+const claimOf = (failureDomain: string, fence: number): Claim => ({
+	failureDomain,
+	fence,
+	placer: self,
+})
+
+function createWorld(listed: readonly ExecutorRecord[]) {
+	const clock = createFakeClock()
+	const keeper = {
+		...NO_KEPT_RUNS,
+		begin: () => undefined,
+		close: () => undefined,
+		jobCount: () => 0,
+	} as unknown as Keeper
+	const hosts = createHosts({
+		clock,
+		orders: new FakeFleet(clock),
+		advisor: NO_ADVISOR,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		self,
+		maxLeaseMs: 1_000,
+		stopGraceMs: 50,
+		handOver: () => false,
+		onRoomChange: () => undefined,
+		createKeeper: () => keeper,
+		executorsOf: domain => listed.filter(({failureDomain}) => failureDomain === domain),
+	})
+	return {clock, hosts}
+}
+
+describe("hosts", () => {
+	it("goes on using its own domain's executors while it takes another domain over", async () => {
+		const {clock, hosts} = createWorld([record("a1")])
+		hosts.noteClaim(claimOf("a", 1))
+		await clock.advance(50)
+		expect(hosts.of("a")?.placer.counts().usable).to.equal(1)
+		hosts.expectHandover("b", [record("b1", {failureDomain: "b"})])
+		hosts.noteClaim(claimOf("b", 5))
+		await clock.advance(50)
+		expect(hosts.of("a")?.placer.counts().usable).to.equal(1)
+		expect(hosts.of("b")?.placer.counts().usable).to.equal(1)
+	})
+
+	it("names executors that the list has dropped to its successor while something runs there", async () => {
+		const {clock, hosts} = createWorld([record("a1"), record("a2")])
+		hosts.noteClaim(claimOf("a", 1))
+		await clock.advance(50)
+		const req = taskRequest("j.0.0.0", {estimateMs: 5_000, avoid: ["a2"]})
+		hosts.of("a")?.placer.submit(
+			req,
+			() => undefined,
+			() => undefined,
+		)
+		await clock.advance(20)
+		hosts.setExecutors([record("a2")])
+		const named = hosts.executorsOf("a").map(({id, isLeaving}) => ({id, isLeaving}))
+		expect(named).to.have.deep.members([
+			{id: "a1", isLeaving: true},
+			{id: "a2", isLeaving: false},
+		])
+	})
+})
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -39,7 +39,11 @@
 	let session = 0
 
 	/** Begins to place under the next fence; the placer before learns nothing of it by itself. */
-	function beginPlacing(extra: Partial<KeeperDeps> = {}, orphansWaitMs = 0) {
+	function beginPlacing(
+		extra: Partial<KeeperDeps> = {},
+		orphansWaitMs = 0,
+		{listed = ["e1", "e2", "e3"], knowsAllExecutors = true} = {},
+	) {
 		session++
 		const placer = {name: `n${session}`, session: `s${session}`, failureDomain: "a"}
 		const member = {...placer, address: "n:1", cpuShare: 1}
@@ -66,6 +70,7 @@
 			fence: claim.fence,
 			maxLeaseMs: 1_000,
 			orphansWaitMs,
+			knowsAllExecutors,
 			stopGraceMs: 50,
 			kept: keeper,
 			advisor: NO_ADVISOR,
@@ -74,7 +79,7 @@
 			onRoomChange: () => undefined,
 		})
 		keeper.begin(hosted)
-		hosted.setExecutors([record("e1"), record("e2"), record("e3")])
+		hosted.setExecutors(listed.map(id => record(id)))
 		const close = () => {
 			keeper.close()
 			hosted.close()
@@ -303,6 +308,20 @@
 		expect(world.clock.now()).to.be.greaterThan(begunAt)
 	})
 
+	it("starts a restored task again only when executors that the list lacks have certainly ended it", async () => {
+		const world = createWorld()
+		const first = world.beginPlacing({}, 0, {listed: ["e1"]})
+		await world.clock.advance(100)
+		await accept(world, first.keeper, job({steps: [step({count: 1})]}))
+		expect(world.startsOf(task(0)).map(({executor}) => executor)).to.eql(["e1"])
+		first.close()
+		world.beginPlacing({}, 0, {listed: ["e2", "e3"], knowsAllExecutors: false})
+		await world.clock.advance(1_900)
+		expect(world.startsOf(task(0))).to.have.length(1)
+		await world.clock.advance(300)
+		expect(world.startsOf(task(0))).to.have.length(2)
+	})
+
 	it("writes nothing after another placer has the claim", async () => {
 		const world = createWorld()
 		const first = world.beginPlacing()
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -22,6 +22,7 @@
 		fence: 7,
 		maxLeaseMs: 1_000,
 		orphansWaitMs: 0,
+		knowsAllExecutors: true,
 		stopGraceMs: 50,
 		handOver: () => false,
 		kept: NO_KEPT_RUNS,
--- a/packages/jobs/test/selection.test.ts
+++ b/packages/jobs/test/selection.test.ts
@@ -20,6 +20,7 @@
 		fence: 1,
 		maxLeaseMs: 1_000,
 		orphansWaitMs: 0,
+		knowsAllExecutors: true,
 		stopGraceMs: 50,
 		handOver: () => false,
 		kept: NO_KEPT_RUNS,
--- a/packages/jobs/test/succession.test.ts
+++ b/packages/jobs/test/succession.test.ts
@@ -49,6 +49,7 @@
 			fence,
 			maxLeaseMs: LEASE_MS,
 			orphansWaitMs: 0,
+			knowsAllExecutors: true,
 			stopGraceMs: STOP_GRACE_MS,
 			handOver: () => false,
 			kept: NO_KEPT_RUNS,
--- a/packages/jobs/test/tickets.test.ts
+++ b/packages/jobs/test/tickets.test.ts
@@ -35,6 +35,7 @@
 		fence: 1,
 		maxLeaseMs: 1_000,
 		orphansWaitMs: 0,
+		knowsAllExecutors: true,
 		stopGraceMs: 50,
 		kept: NO_KEPT_RUNS,
 		handOver: () => {
