Start nothing from before a standstill, and let a run that nobody hands over end with its lease

Cause: found by looking for the same class elsewhere. (1) An instance that is frozen for longer than the 600 ms after which its callers' calls break, and the 2 s after which they take its tasks as ended, sent the next try of a start as soon as it woke, and walked its queue before it had read that nobody wanted the tasks any more. (2) A successor renewed the lease of runs while it waited 800 ms for their handover; when that never came and the stop was lost too, they outlived the time after which their callers had them run anew. Change: no start is sent later than 400 ms after its task was placed; after a standstill of more than 400 ms the queue is walked once the loop has gone round; only runs that somebody here wants have their lease renewed. Ruled out: a fence per call (executors keep one number); a shorter wait for handovers (slow instances need it). Tests: `repeats no start after it stood still …`, `reads its news before it starts what waited …` failed first; `lets a run that is never handed over end with the lease that it has` fails with the renewal put back.

--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -57,7 +57,7 @@
 		const waitMs = link.isFenceTaken && !isSilent ? waitMsOf(link) : 0
 		// A silent executor may hear us: what is asked while it is silent must not keep its lease alive,
 		// or nobody could ever tell that its runs have ended.
-		const leaseUntilMs = isSilent || hasOnlyUnwanted(link) ? undefined : nextLeaseUntil(link)
+		const leaseUntilMs = isSilent || !needsLease(link) ? undefined : nextLeaseUntil(link)
 		const order = {fence, seenSerial: forgettableSerial(link), leaseUntilMs, waitMs}
 		const reply = await orders.hold(link.record, order, waitMs + HOLD_SLACK_MS)
 		if (isOwnReply(link, reply, "hold")) noteHeld(link, reply, sentAt)
@@ -68,14 +68,14 @@
 }
 
 /**
- * Whether all that runs there is to end. Its lease is not renewed then: should each stop be lost, the end of the lease
- * still ends it, within the time after which others take it as ended.
+ * Whether the lease is to be renewed. It is not while only runs are left that nobody here wants, or that the placer before
+ * may still hand over: should that never come, and each stop be lost, the last lease of that placer ends them within
+ * the time after which their callers take them as ended.
  */
-function hasOnlyUnwanted(link: LinkState): boolean {
-	const {runs, orphans, unnoted} = link
-	if (unnoted.size > 0 || (orphans.size > 0 && isWaitedFor(link))) return false
-	if (runs.size + orphans.size === 0) return false
-	return [...runs.values()].every(({state}) => state === "stopping")
+function needsLease({runs, orphans, unnoted, deps}: LinkState): boolean {
+	if (unnoted.size > 0 || deps.kept.isRestoring()) return true
+	if (runs.size + orphans.size === 0) return true
+	return [...runs.values()].some(({state}) => state !== "stopping")
 }
 
 const waitMsOf = (link: LinkState) => (link.runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS)
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -23,6 +23,11 @@
 /** A start's answer is missed after this: slower instances need tens of milliseconds. */
 const START_TIMEOUT_MS = 90
 const START_TRIES = 3
+/**
+ * No start is sent later than this after its task was placed; the tries take 270 ms. An instance that stood still in
+ * between does not know yet whether its task runs elsewhere by now.
+ */
+const LATEST_START_MS = 400
 const STOP_TIMEOUT_MS = 150
 /** Timers here and there, and the way of the answer. */
 const STOP_MARGIN_MS = 20
@@ -125,6 +130,7 @@
 	const {task, run: number, spec} = run.req
 	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
 	for (let tries = 0; tries < START_TRIES && isCurrent(link, run); tries++) {
+		if (clock.now() - run.startedAt > LATEST_START_MS) break
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
 		const sentAt = clock.now()
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -9,6 +9,7 @@
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
 import {createJudgement} from "./judgement.js"
 import type {PlacerDeps, PlacerState, RunningAt} from "./placer-state.js"
+import {startPulse} from "./pulse.js"
 import {promisingLinks, roomFor, usableLinks, waitBeforeMs} from "./room.js"
 import type {OnTaskEnd, Run, TaskRequest} from "./run.js"
 import {createTaskQueue, type Waiting} from "./task-queue.js"
@@ -80,6 +81,7 @@
 		links: new Map(),
 		judgement: createJudgement(deps),
 		tickets: createTickets({...deps, onTickets: () => walkSoon(state)}),
+		pulse: startPulse(deps.clock),
 		started: new Map(),
 		successor: undefined,
 		isWalkDue: false,
@@ -112,6 +114,7 @@
 
 function close(state: PlacerState) {
 	state.isClosed = true
+	state.pulse.close()
 	for (const link of state.links.values()) link.close()
 }
 
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -12,6 +12,8 @@
 const MAX_GROUPS_PER_WALK = 24
 /** A gang that has waited so long for room for all its members gets what becomes free. */
 const GANG_PATIENCE_MS = 400
+/** After a standstill the loop has read what lay in its connections by then: it goes round in a millisecond. */
+const NEWS_MS = 10
 
 /** Several ends in one turn of the loop need one walk. */
 export function walkSoon(state: PlacerState) {
@@ -21,6 +23,8 @@
 }
 
 function walk(state: PlacerState) {
+	if (state.pulse.hasStoodStill() && !state.isClosed)
+		return void state.deps.clock.schedule(NEWS_MS, () => walk(state))
 	state.isWalkDue = false
 	if (state.isClosed) return
 	const groups = state.queue.inOrder(state.deps.clock.now())
--- a/packages/jobs/test/succession.test.ts
+++ b/packages/jobs/test/succession.test.ts
@@ -121,6 +121,16 @@
 		expect([...executor.running.keys()]).to.eql([])
 	})
 
+	it("lets a run that is never handed over end with the lease that it has", async () => {
+		const {clock, executor, placeFirst, place} = createWorld()
+		const first = await placeFirst()
+		first.close()
+		executor.isLost = ({type}) => type === "stop"
+		place(8, {orphansWaitMs: HANDOVER_WAIT_MS}).setExecutors([record("e1")])
+		await clock.advance(LEASE_MS + 50)
+		expect([...executor.running.keys()]).to.eql([])
+	})
+
 	it("tells a run as lost only once the last lease that anyone asked for is over", async () => {
 		const {clock, executor, ends, handOver} = createWorld()
 		executor.isLost = ({fence}) => fence === 8
@@ -131,6 +141,41 @@
 		])
 	})
 
+	it("repeats no start after it stood still: its task may run elsewhere by now", async () => {
+		const {clock, executor, place} = createWorld()
+		const placer = place(7)
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		executor.isLost = ({type}) => type === "start"
+		placer.submit(
+			taskRequest(TASK),
+			() => undefined,
+			() => undefined,
+		)
+		await clock.advance(20)
+		executor.isLost = () => false
+		clock.freeze(3_000)
+		await clock.advance(300)
+		expect(executor.started).to.eql([])
+	})
+
+	it("reads its news before it starts what waited while it stood still", async () => {
+		const {clock, executor, place} = createWorld()
+		const placer = place(7)
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const task = placer.submit(
+			taskRequest(TASK),
+			() => undefined,
+			() => undefined,
+		)
+		clock.freeze(3_000)
+		await clock.advance(1)
+		task.cancel()
+		await clock.advance(300)
+		expect(executor.started).to.eql([])
+	})
+
 	it("says what was known of a run that it took over", async () => {
 		const {clock, executor, lines, handOver} = createWorld()
 		executor.isLost = ({fence}) => fence === 8
--- a/packages/jobs/test/support/fake-clock.ts
+++ b/packages/jobs/test/support/fake-clock.ts
@@ -6,6 +6,8 @@
 export interface FakeClock extends Clock {
 	/** Moves on step by step, so that what is due in between happens in order. */
 	advance(ms: number): Promise<void>
+	/** Time passes and nothing runs, as while a process is frozen; what fell due runs at the next `advance`. */
+	freeze(ms: number): void
 }
 
 interface Timer {
@@ -36,6 +38,9 @@
 		wallNow: () => now,
 		sleep: ms => new Promise<void>(resolve => void schedule(ms, resolve)),
 		schedule,
+		freeze(ms) {
+			now += ms
+		},
 		async advance(ms) {
 			const until = now + ms
 			await settle()
--- a/packages/jobs/test/support/leased-executor.ts
+++ b/packages/jobs/test/support/leased-executor.ts
@@ -31,6 +31,8 @@
 export class LeasedExecutor implements ExecutorOrders {
 	/** What runs there, by task. */
 	readonly running = new Map<string, number>()
+	/** Tasks whose starts were carried out. */
+	readonly started: string[] = []
 	readonly stops: StopOrder[] = []
 	/** Orders that neither arrive nor are answered. */
 	isLost: (order: AnyOrder) => boolean = () => false
@@ -78,6 +80,7 @@
 		if (refusal) return refusal
 		this.leaseUntilMs = Math.max(this.leaseUntilMs, order.leaseUntilMs)
 		this.running.set(order.task, order.run)
+		this.started.push(order.task)
 		return {type: "started", clockMs: this.clock.now()}
 	}
 
