Specify how a run goes from one placer to the next; each guard seen to fail

Cause: why tests and walks missed the fault: the specification of placing knows a successor only after the death of the placer before, hears every executor at once, and loses no stop. Handovers, where a run goes on, stood in no specification. Change: a specification with the lease of the placer before, orders that are lost, a list that drops the executor, and callers that take a task as ended by time. Three guards: presumeLease, watchUnlisted, renewWantedOnly.

--- a/packages/spec/test/protocols.test.ts
+++ b/packages/spec/test/protocols.test.ts
@@ -4,6 +4,7 @@
 	ALL_HANDOVER_GUARDS,
 	ALL_KEEPER_GUARDS,
 	ALL_PLACER_GUARDS,
+	ALL_SUCCESSION_GUARDS,
 	configProtocol,
 	exchangeProtocol,
 	explore,
@@ -11,6 +12,7 @@
 	keeperProtocol,
 	ownerProtocol,
 	placerProtocol,
+	successionProtocol,
 	type Specification,
 } from "@cottonwood/spec"
 import {expect} from "chai"
@@ -98,6 +100,17 @@
 		breaks(`without ${guard}`, placerProtocol({...ALL_PLACER_GUARDS, [guard]: false}), twice)
 })
 
+describe("specification of a run that goes from one placer to the next", () => {
+	const twice = "a task ran twice at once"
+	holds("with all guards", successionProtocol())
+	for (const guard of ["presumeLease", "watchUnlisted", "renewWantedOnly"] as const)
+		breaks(
+			`without ${guard}`,
+			successionProtocol({...ALL_SUCCESSION_GUARDS, [guard]: false}),
+			twice,
+		)
+})
+
 describe("specification of keeping jobs", () => {
 	const without = (guard: keyof typeof ALL_KEEPER_GUARDS) =>
 		keeperProtocol({...ALL_KEEPER_GUARDS, [guard]: false})
