End what nobody wants within one lease, whatever is lost, and run no task beside its run before

A lease on which others rest their proof of an end was renewed by somebody: by a successor that had yet to read the store (4 s and more), for the sake of neighbours while a stop stayed unanswered (4 s), by a start beside such a run (2.8 s), by a start repeated after the cancel, and by a successor to which a run that was being stopped was handed over as wanted. A placer started a task that it still knew as running under that name, on the same executor even over the old run, whose room it lost. A placer whose successor's answer was lost went on as host of a domain that was not its own. A link that had closed was never opened again. Change: only runs that somebody here wants have their lease renewed, and none while a stop is unanswered; nothing starts there meanwhile; runs are handed over with the reason why they are being stopped; a task waits until its run before is over; a claim that the asked instance has written counts as its answer; closed links are replaced; a call that was read together with its cancelling is cancelled. Ruled out: shorter leases (two lost answers in a row would end all that runs). The wire's change has no test.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -10,7 +10,7 @@
 import type {ClaimsLoop} from "../fleet/claims.js"
 import type {FleetView} from "../fleet/members.js"
 import type {Peers, TakeOverMessage, TakeOverReply} from "../fleet/peers.js"
-import type {Member} from "../types/fleet.js"
+import type {Claim, Member} from "../types/fleet.js"
 import type {EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
 import type {Overflow} from "./overflow.js"
@@ -81,17 +81,25 @@
 		const fields = {failureDomain, fence: claim.fence, peer: member.name}
 		const outcome = reply?.isTaken ? "taken" : reply ? "declined" : "silent"
 		log.alarm("placer", "handover", "placer: asked an instance to take over.", {...fields, outcome})
-		if (!reply?.isTaken) {
+		const successor = reply?.isTaken
+			? {failureDomain, fence: claim.fence + 1, placer: member}
+			: claimSince(claim, member)
+		if (!successor) {
 			hosts.withdrawHandover(failureDomain)
 			return false
 		}
-		const successor = {failureDomain, fence: claim.fence + 1, placer: member}
 		hosts.giveTo(successor, overflow)
 		view.noteHeard(member.session)
 		view.noteClaim(successor)
 		return true
 	}
 
+	/** The claim that the asked instance has written though its answer did not come. */
+	function claimSince({failureDomain, fence}: Claim, {session}: Member): Claim | undefined {
+		const known = view.claimOf(failureDomain)
+		return known && known.fence > fence && known.placer.session === session ? known : undefined
+	}
+
 	async function giveAway(failureDomain: string) {
 		for (const member of successorsFor(failureDomain))
 			if (await giveTo(failureDomain, member)) return
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -81,8 +81,8 @@
 	const hosts = new Map<string, Host>()
 	/** Domains that the placer before hands over, until when it is waited for, and what it has there. */
 	const expected = new Map<string, Expected>()
-	/** Domains whose placing ends by a handover: another claim is expected. */
-	const givenUp = new Set<string>()
+	/** Domains whose placing ends by a handover: another claim is expected. With what came of it meanwhile. */
+	const givenUp = new Map<string, string | undefined>()
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
@@ -109,7 +109,8 @@
 
 	function endPlacing(failureDomain: string, fence: number, cause: string) {
 		const host = hosts.get(failureDomain)
-		if (!host || host.claim.fence !== fence || givenUp.has(failureDomain)) return
+		if (!host || host.claim.fence !== fence) return
+		if (givenUp.has(failureDomain)) return void givenUp.set(failureDomain, cause)
 		hosts.delete(failureDomain)
 		host.keeper.close()
 		host.placer.close()
@@ -144,10 +145,14 @@
 			expected.set(failureDomain, {until: clock.now() + HANDOVER_WAIT_MS, executors})
 		},
 		offerHandover(failureDomain) {
-			givenUp.add(failureDomain)
+			givenUp.set(failureDomain, undefined)
 		},
 		withdrawHandover(failureDomain) {
+			const cause = givenUp.get(failureDomain)
 			givenUp.delete(failureDomain)
+			const host = hosts.get(failureDomain)
+			// Somebody else places there by now, though not by this handover.
+			if (host && cause !== undefined) endPlacing(failureDomain, host.claim.fence, cause)
 		},
 		giveTo(successor, overflow) {
 			const {failureDomain, fence} = successor
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -93,7 +93,8 @@
 			runsAt,
 		}
 		const call = peers.runTask(claim.placer.address, message, leftMs + ANSWER_SLACK_MS)
-		item.onStart(() => call.cancel())
+		// What is being stopped already must reach the successor, or it would take the run for one that is wanted.
+		if (!runsAt?.stopCause) item.onStart(() => call.cancel())
 		const reply = await call.reply
 		const outcome = reply?.type ?? "silent"
 		metrics.count("tasks_handed_over", outcome)
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -8,6 +8,7 @@
 	closeLink,
 	freeCpu,
 	hasRoom,
+	hasRunOf,
 	isCompatible,
 	isIdle,
 	isPromising,
@@ -16,7 +17,7 @@
 	occupy,
 	type LinkDeps,
 } from "./link-state.js"
-import type {OnTaskEnd, Run, TaskRequest} from "./run.js"
+import type {OnTaskEnd, Run, StopCause, TaskRequest} from "./run.js"
 import {stepNameOf} from "./task-queue.js"
 
 export interface ExecutorLink {
@@ -38,6 +39,12 @@
 	reserve(req: TaskRequest): void
 	unreserve(req: TaskRequest): void
 	runCount(): number
+	/** Whether a run of the task is there, or is still being stopped. */
+	hasRunOf(task: string): boolean
+	/** Whether nothing more is asked of it. */
+	isClosed(): boolean
+	/** Whether another life has answered in its place. */
+	isReplaced(): boolean
 	/** Whether the list no longer names it. */
 	isRetired(): boolean
 	/** Whether nothing that anybody may want can be there. */
@@ -50,7 +57,7 @@
 	/** What runs here now, with whether its start was answered. */
 	runs(): readonly {readonly run: Run; readonly isStarted: boolean}[]
 	/** Ends a run that nobody wants any more; its `onEnd` follows when it has ended. */
-	cancel(run: Run): void
+	cancel(run: Run, cause?: StopCause): void
 	/** Offers the runs that nobody here started, and ends that nobody watched, to the kept jobs. */
 	offerOrphans(): void
 	/** The list no longer names it: nothing new, and gone once nothing runs. */
@@ -79,6 +86,9 @@
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
 		runCount: () => link.runs.size,
+		hasRunOf: task => hasRunOf(link, task),
+		isClosed: () => link.isClosed,
+		isReplaced: () => link.isReplaced,
 		isRetired: () => link.isRetired,
 		isIdle: () => isIdle(link),
 		countOf(stepName) {
@@ -94,7 +104,7 @@
 		},
 		runs: () =>
 			[...link.runs.values()].map(run => ({run, isStarted: run.listedFrom !== undefined})),
-		cancel: run => stopRun(link, run, "cancelled"),
+		cancel: (run, cause = "cancelled") => stopRun(link, run, cause),
 		offerOrphans: () => offerOrphans(link),
 		retire() {
 			link.isRetired = true
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -68,14 +68,15 @@
 }
 
 /**
- * Whether the lease is to be renewed. It is not while only runs are left that nobody here wants, or that the placer before
- * may still hand over: should that never come, and each stop be lost, the last lease of that placer ends them within
- * the time after which their callers take them as ended.
+ * Whether the lease is to be renewed. It is not for runs that nobody here wants, whatever they are: that the placer before
+ * may still hand over, that may be a kept job's once the store is read, or that are being stopped. Nor is it while a
+ * stop stays without an answer, at the risk of what else runs there. So each run that nobody wants is over
+ * a lease later at most, and those who wait for that go by nothing else.
  */
-function needsLease({runs, orphans, unnoted, deps}: LinkState): boolean {
-	if (unnoted.size > 0 || deps.kept.isRestoring()) return true
-	if (runs.size + orphans.size === 0) return true
-	return [...runs.values()].some(({state}) => state !== "stopping")
+function needsLease({runs, orphans, unansweredStops}: LinkState): boolean {
+	if (unansweredStops.size > 0) return false
+	const isIdle = runs.size + orphans.size === 0
+	return isIdle || [...runs.values()].some(({state}) => state !== "stopping")
 }
 
 const waitMsOf = (link: LinkState) => (link.runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS)
@@ -191,7 +192,7 @@
 		noteAdopted(link, run, `ended: ${end.how}`)
 		return forgetWhenNoted(link, end.serial, settleRun(link, run, endOf(link, run, end)))
 	}
-	const isThere = link.orphans.has(name)
+	const isThere = link.orphans.has(name) || link.stoppingOrphans.has(name)
 	if (!isThere && !wasStarted && link.isFenceTaken) {
 		noteAdopted(link, run, "never there")
 		return void settleRun(link, run, {type: "returned", cause: "its start never arrived"})
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -17,7 +17,7 @@
 	settleRun,
 	type LinkState,
 } from "./link-state.js"
-import type {OnTaskEnd, Run, TaskEnd, TaskRequest} from "./run.js"
+import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "./run.js"
 import {stepNameOf} from "./task-queue.js"
 
 /** A start's answer is missed after this: slower instances need tens of milliseconds. */
@@ -72,7 +72,7 @@
 }
 
 /** Ends a run; its `onEnd` follows when it has ended. */
-export function stopRun(link: LinkState, run: Run, cause: NonNullable<Run["stopCause"]>) {
+export function stopRun(link: LinkState, run: Run, cause: StopCause) {
 	if (run.state === "stopping") return
 	run.stopCause ??= cause
 	run.state = "stopping"
@@ -114,22 +114,32 @@
 
 /** Whether the stop was answered; the end of a silent executor's lease ends the tries. */
 async function sendOrphanStop(link: LinkState, task: string, run: number): Promise<boolean> {
-	const {clock, orders, fence} = link.deps
+	const {clock} = link.deps
 	while (!link.isClosed) {
 		link.stoppingUntil = clock.now() + STOP_TIMEOUT_MS + stopTakesMs(link)
-		const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
-		if (isOwnReply(link, reply, "stop")) return true
-		if (link.silentSince !== undefined && link.executorClock.hasLapsed(clock.now())) return false
+		if (await isStopAnswered(link, task, run)) return true
+		if (link.silentSince !== undefined && link.executorClock.hasLapsed(clock.now())) break
 		await clock.sleep(STOP_RETRY_MS)
 	}
+	link.unansweredStops.delete(runName(task, run))
 	return false
 }
 
+async function isStopAnswered(link: LinkState, task: string, run: number): Promise<boolean> {
+	const {orders, fence} = link.deps
+	const name = runName(task, run)
+	const reply = await orders.stop(link.record, {task, run, fence}, STOP_TIMEOUT_MS)
+	const isAnswered = isOwnReply(link, reply, "stop")
+	if (isAnswered) link.unansweredStops.delete(name)
+	else link.unansweredStops.add(name)
+	return isAnswered
+}
+
 async function sendStart(link: LinkState, run: Run) {
 	const {clock, orders, metrics, fence} = link.deps
 	const {task, run: number, spec} = run.req
 	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
-	for (let tries = 0; tries < START_TRIES && isCurrent(link, run); tries++) {
+	for (let tries = 0; tries < START_TRIES && isStarting(link, run); tries++) {
 		if (clock.now() - run.startedAt > LATEST_START_MS) break
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
@@ -142,10 +152,16 @@
 		if (link.isClosed) return
 		run.hasSilentStart = true
 	}
+	if (!isStarting(link, run)) return
 	noteSilence(link, "starts without an answer")
 	stopRun(link, run, "uncertain")
 }
 
+/** A run that is being stopped gets no further start: that would renew the lease under which it may run. */
+function isStarting(link: LinkState, run: Run): boolean {
+	return isCurrent(link, run) && run.state !== "stopping"
+}
+
 function noteStartReply(
 	link: LinkState,
 	run: Run,
@@ -170,7 +186,8 @@
 
 /** The executor has had the run; from now on its lists say what becomes of it. */
 function noteThere(run: Run, now: number) {
-	run.listedFrom = now
+	// What an answered stop has said holds on: a stop takes its time, whatever answer comes after it.
+	run.listedFrom = Math.max(run.listedFrom ?? now, now)
 	run.hasSilentStart = false
 	if (run.state === "starting") run.state = "running"
 }
@@ -205,14 +222,14 @@
 const stopTakesMs = (link: LinkState) => link.deps.stopGraceMs + STOP_MARGIN_MS
 
 async function sendStop(link: LinkState, run: Run) {
-	const {orders, clock, fence} = link.deps
+	const {clock} = link.deps
 	const {task, run: number} = run.req
 	while (!link.isClosed && isCurrent(link, run)) {
-		const reply = await orders.stop(link.record, {task, run: number, fence}, STOP_TIMEOUT_MS)
-		if (isOwnReply(link, reply, "stop")) {
+		if (await isStopAnswered(link, task, number)) {
 			run.listedFrom = clock.now() + stopTakesMs(link)
 			return
 		}
 		await clock.sleep(STOP_RETRY_MS)
 	}
+	link.unansweredStops.delete(runName(task, number))
 }
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -60,6 +60,8 @@
 	orphans: ReadonlySet<string>
 	/** Runs that nobody here wants and that are being stopped. */
 	readonly stoppingOrphans: Set<string>
+	/** Runs that are being stopped and of whose stops one at least stayed without an answer. */
+	readonly unansweredStops: Set<string>
 	/** Ends of runs that nobody here started, until the placer before hands them over. */
 	readonly strayEnds: Map<string, RunEnd>
 	/** Runs that were settled though a start or stop of theirs was never answered. */
@@ -72,6 +74,8 @@
 	isFenceTaken: boolean
 	isRetired: boolean
 	isClosed: boolean
+	/** Another life answered: whatever ran in this one is gone. */
+	isReplaced: boolean
 	silentSince: number | undefined
 	unhealthyUntil: number
 	/** Until then a run that nobody here started may still be stopping, and holds its room unlisted. */
@@ -89,6 +93,7 @@
 		orphans: new Set(),
 		unanswered: [],
 		stoppingOrphans: new Set(),
+		unansweredStops: new Set(),
 		strayEnds: new Map(),
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
@@ -96,6 +101,7 @@
 		isFenceTaken: false,
 		isRetired: false,
 		isClosed: false,
+		isReplaced: false,
 		silentSince: undefined,
 		unhealthyUntil: -Infinity,
 		stoppingUntil: -Infinity,
@@ -112,6 +118,8 @@
 		!link.record.isLeaving &&
 		link.silentSince === undefined &&
 		link.orphans.size === 0 &&
+		// A start would renew the lease of what is not known to be stopping yet.
+		link.unansweredStops.size === 0 &&
 		now >= link.stoppingUntil &&
 		now >= link.unhealthyUntil
 	)
@@ -136,6 +144,13 @@
 	return link.isFenceTaken || executorClock.hasLapsed(deps.clock.now())
 }
 
+/** Whether a run of the task is there, or is still being stopped. */
+export function hasRunOf({runs, orphans, stoppingOrphans}: LinkState, task: string): boolean {
+	if (runs.has(task)) return true
+	const isOfTask = (name: string) => name.startsWith(`${task}/`)
+	return [...orphans].some(isOfTask) || [...stoppingOrphans].some(isOfTask)
+}
+
 export function freeCpu({record, used}: LinkState): number {
 	return record.capacity.cpu - used.cpu
 }
@@ -234,6 +249,7 @@
 	const fields = {executor: link.record.id, count: link.runs.size}
 	const message = "executor: another life answers there."
 	link.deps.log.alarm("executor", "executor_replaced", message, fields)
+	link.isReplaced = true
 	closeLink(link)
 	settleAllLost(link, "replaced")
 }
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -10,7 +10,7 @@
 import type {Judgement} from "./judgement.js"
 import type {KeptRuns} from "./link-state.js"
 import type {Pulse} from "./pulse.js"
-import type {Run} from "./run.js"
+import type {Run, StopCause} from "./run.js"
 import type {TaskQueue, Waiting} from "./task-queue.js"
 import type {Tickets} from "./tickets.js"
 
@@ -41,6 +41,8 @@
 	/** The executor as the placer before knew it: the successor's list may lack it by now. */
 	readonly record?: ExecutorRecord
 	readonly isStarted: boolean
+	/** Why it is being stopped; undefined while somebody wants it. */
+	readonly stopCause?: StopCause
 }
 
 export type Links = ReadonlyMap<string, ExecutorLink>
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -121,10 +121,15 @@
 function adopt(
 	state: PlacerState,
 	req: TaskRequest,
-	{executor, record, isStarted}: RunningAt,
+	{executor, record, isStarted, stopCause}: RunningAt,
 	onEnd: OnTaskEnd,
 ): TaskHandle {
-	const link = state.links.get(executor) ?? (record && addUnlisted(state, record))
+	const known = state.links.get(executor)
+	if (known?.isReplaced()) {
+		void onEnd({type: "lost", executor, cause: "replaced"})
+		return {cancel: () => undefined}
+	}
+	const link = known && !known.isClosed() ? known : record && addUnlisted(state, record)
 	if (!link) return presumeEnded(state, req, executor, onEnd)
 	let stop = () => undefined as void
 	const item: Waiting = {
@@ -143,7 +148,10 @@
 		return onEnd(end)
 	})
 	adopted = run
-	if (!hasEnded) state.started.set(run, item)
+	if (!hasEnded) {
+		state.started.set(run, item)
+		if (stopCause) link.cancel(run, stopCause)
+	}
 	stop = () => link.cancel(run)
 	return {cancel: () => stop()}
 }
@@ -181,7 +189,8 @@
 	close(state)
 	for (const {run, isStarted, record} of running) {
 		const item = state.started.get(run)
-		if (item && !item.req.isKept) send(item, {executor: record.id, record, isStarted})
+		const {stopCause} = run
+		if (item && !item.req.isKept) send(item, {executor: record.id, record, isStarted, stopCause})
 	}
 }
 
@@ -242,8 +251,8 @@
 	const listed = new Set(records.map(record => record.id))
 	for (const record of records) {
 		const link = state.links.get(record.id)
-		if (link) link.update(record)
-		else addLink(state, record)
+		if (!link || (link.isClosed() && !link.isReplaced())) addLink(state, record)
+		else link.update(record)
 	}
 	for (const [id, link] of state.links) if (!listed.has(id)) retireLink(state, id, link)
 	walkSoon(state)
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -61,6 +61,9 @@
 	| {readonly type: "outnumbered"; readonly executor: string}
 	| {readonly type: "stopped"}
 
+/** `uncertain`: whether it runs is not known, since its start had no answer. */
+export type StopCause = "cancelled" | "stuck" | "uncertain"
+
 /** A run on an executor. */
 export interface Run {
 	readonly req: TaskRequest
@@ -74,7 +77,7 @@
 	/** A start order for it has stayed without an answer, and none was answered since. */
 	hasSilentStart: boolean
 	/** Why it is being stopped; undefined while nobody wants that. */
-	stopCause: "cancelled" | "stuck" | "uncertain" | undefined
+	stopCause: StopCause | undefined
 	percent: number
 	/** When `percent` last rose. */
 	progressAt: number
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -60,6 +60,8 @@
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
+		// The same task may come anew while its run before is being stopped, and must not run beside it.
+		if (hasRunOf(state, next.req.task)) return
 		const link = chooseExecutor(links, next.req, judgement.health, judgement.speeds)
 		if (link) {
 			queue.take(group)
@@ -72,6 +74,11 @@
 	}
 }
 
+function hasRunOf({links}: PlacerState, task: string): boolean {
+	for (const link of links.values()) if (link.hasRunOf(task)) return true
+	return false
+}
+
 /** Starts a gang once there is room for all its members, and none of it before. */
 function placeGang(state: PlacerState, group: Group, links: Links): "hold back" | undefined {
 	const {queue, judgement, deps} = state
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -58,7 +58,7 @@
 			},
 		},
 	})
-	return {clock, handover, asked, given}
+	return {clock, handover, view, asked, given}
 }
 
 describe("handover", () => {
@@ -78,6 +78,16 @@
 		expect(world.given).to.eql([])
 	})
 
+	it("gives its runs on when the claim is the successor's though no answer came", async () => {
+		const world = createWorld([member("a-1"), member("a-2"), member("a-3")], 5_000)
+		void world.handover.giveAllAway()
+		await world.clock.advance(100)
+		world.view.noteClaim({failureDomain: "a", fence: 5, placer: member("a-2")})
+		await world.clock.advance(2_500)
+		expect(world.asked).to.eql(["a-2:1"])
+		expect(world.given).to.eql(["a-2/5"])
+	})
+
 	it("gives the domain to a much larger instance once that has settled", async () => {
 		const world = createWorld([member("a-1", 0.3), member("a-2", 0.4), member("a-3", 1.3)], 10)
 		await world.clock.advance(1_500)
--- a/packages/jobs/test/hosts.test.ts
+++ b/packages/jobs/test/hosts.test.ts
@@ -53,6 +53,17 @@
 		expect(hosts.of("b")?.placer.counts().usable).to.equal(1)
 	})
 
+	it("ends placing when its successor's answer was lost and somebody else has the claim", async () => {
+		const {clock, hosts} = createWorld([record("a1")])
+		hosts.noteClaim(claimOf("a", 1))
+		await clock.advance(50)
+		hosts.offerHandover("a")
+		hosts.noteClaim({...claimOf("a", 2), placer: {...self, session: "other"}})
+		expect(hosts.of("a"), "its runs may still be asked for").to.not.equal(undefined)
+		hosts.withdrawHandover("a")
+		expect(hosts.of("a")).to.equal(undefined)
+	})
+
 	it("names executors that the list has dropped to its successor while something runs there", async () => {
 		const {clock, hosts} = createWorld([record("a1"), record("a2")])
 		hosts.noteClaim(claimOf("a", 1))
--- /dev/null
+++ b/packages/jobs/test/unwanted-runs.test.ts
@@ -0,0 +1,253 @@
+/**
+ * Runs that nobody wants any more: each is over a lease later at most, whatever is lost, and its task does not
+ * run again beside it.
+ */
+import {createJobMetrics, silentLog, type ExecutorRecord} from "@cottonwood/jobs"
+import {
+	createPlacer,
+	type KeptRuns,
+	type Placer,
+	type PlacerDeps,
+	type RunningAt,
+	type TaskEnd,
+	type TaskRequest,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {LeasedExecutor, type AnyOrder} from "./support/leased-executor.js"
+import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+
+const TASK = "j.0.0.0"
+const NEIGHBOUR = "k.0.0.0"
+const LEASE_MS = 1_000
+/** Until a stop counts as unanswered, and what is being stopped takes its time. */
+const STOP_MS = 150 + 70
+const SMALL = {cpu: 1_000, memoryMb: 1, accelerators: 0}
+const isStop = ({type}: AnyOrder) => type === "stop"
+const ignore = () => undefined
+
+class Executors {
+	private readonly executors = new Map<string, LeasedExecutor>()
+
+	constructor(private readonly clock: FakeClock) {}
+
+	at(id: string): LeasedExecutor {
+		let executor = this.executors.get(id)
+		if (!executor) this.executors.set(id, (executor = new LeasedExecutor(this.clock)))
+		return executor
+	}
+
+	set isLost(isLost: (order: AnyOrder) => boolean) {
+		for (const executor of this.executors.values()) executor.isLost = isLost
+	}
+
+	/** Executors where the task runs. */
+	with(task: string): readonly string[] {
+		return [...this.executors].filter(([, {running}]) => running.has(task)).map(([id]) => id)
+	}
+
+	readonly orders: PlacerDeps["orders"] = {
+		start: (executor, order, ms) => this.at(executor.id).start(executor, order, ms),
+		stop: (executor, order, ms) => this.at(executor.id).stop(executor, order, ms),
+		hold: (executor, order, ms) => this.at(executor.id).hold(executor, order, ms),
+		isReachable: async () => true,
+		forget: ignore,
+	}
+}
+
+function createWorld() {
+	const clock = createFakeClock()
+	const executors = new Executors(clock)
+	const ends: (TaskEnd & {readonly task: string})[] = []
+
+	function place(fence: number, ids: readonly string[], extra: Partial<PlacerDeps> = {}): Placer {
+		const placer = createPlacer({
+			clock,
+			orders: executors.orders,
+			log: silentLog,
+			metrics: createJobMetrics(),
+			failureDomain: "a",
+			fence,
+			maxLeaseMs: LEASE_MS,
+			orphansWaitMs: 0,
+			knowsAllExecutors: true,
+			stopGraceMs: 50,
+			handOver: () => false,
+			kept: NO_KEPT_RUNS,
+			advisor: NO_ADVISOR,
+			onFenced: ignore,
+			onRoomChange: ignore,
+			...extra,
+		})
+		placer.setExecutors(ids.map(id => record(id)))
+		return placer
+	}
+
+	async function run(placer: Placer, task: string, extra: Partial<TaskRequest> = {}) {
+		await clock.advance(10)
+		const req = taskRequest(task, {estimateMs: 50_000, isLasting: true, need: SMALL, ...extra})
+		const handle = placer.submit(req, end => void ends.push({...end, task}), ignore)
+		await clock.advance(10)
+		return handle
+	}
+
+	/** Gives all runs on, as a leaving placer does. */
+	function giveAll(from: Placer, to: Placer) {
+		from.giveAll(({req}, runsAt?: RunningAt) => {
+			if (runsAt) to.adopt(req, runsAt, end => void ends.push({...end, task: req.task}))
+		})
+	}
+
+	return {clock, executors, ends, place, run, giveAll}
+}
+
+describe("unwanted runs", () => {
+	it("are kept alive by no placer that has yet to read which of them it wants", async () => {
+		const {clock, executors, place, run} = createWorld()
+		const first = place(7, ["e1"])
+		await run(first, TASK)
+		first.close()
+		const kept: KeptRuns = {...NO_KEPT_RUNS, isRestoring: () => true}
+		place(8, ["e1"], {kept})
+		await clock.advance(LEASE_MS + 50)
+		expect(executors.with(TASK)).to.eql([])
+	})
+
+	it("end with the lease when their stops stay unanswered, whatever else runs there", async () => {
+		const {clock, executors, ends, place, run} = createWorld()
+		const placer = place(7, ["e1"])
+		const handle = await run(placer, TASK)
+		await run(placer, NEIGHBOUR)
+		executors.isLost = isStop
+		handle.cancel()
+		await clock.advance(LEASE_MS + STOP_MS)
+		expect(executors.with(TASK)).to.eql([])
+		expect(ends).to.deep.include({type: "stopped", task: TASK})
+	})
+
+	it("leave their neighbours alone once a stop is answered", async () => {
+		const {clock, executors, ends, place, run} = createWorld()
+		const placer = place(7, ["e1"])
+		const handle = await run(placer, TASK)
+		await run(placer, NEIGHBOUR)
+		let lost = 0
+		executors.isLost = order => isStop(order) && lost++ < 2
+		handle.cancel()
+		await clock.advance(3_000)
+		expect(executors.with(NEIGHBOUR)).to.eql(["e1"])
+		expect(ends.map(({task, type}) => ({task, type}))).to.eql([{task: TASK, type: "stopped"}])
+	})
+
+	it("get no longer lease by a start beside them", async () => {
+		const {clock, executors, place, run} = createWorld()
+		const placer = place(7, ["e1"])
+		const handle = await run(placer, TASK)
+		executors.isLost = isStop
+		handle.cancel()
+		await clock.advance(300)
+		await run(placer, NEIGHBOUR)
+		expect(executors.at("e1").started).to.eql([TASK])
+		await clock.advance(LEASE_MS)
+		expect(executors.with(TASK)).to.eql([])
+	})
+
+	it("get no further start once they are being stopped", async () => {
+		const {clock, executors, place, run} = createWorld()
+		const placer = place(7, ["e1"])
+		await clock.advance(10)
+		const starts: number[] = []
+		executors.at("e1").isLost = ({type}) => {
+			if (type === "start") starts.push(clock.now())
+			return type !== "hold"
+		}
+		const handle = await run(placer, TASK)
+		handle.cancel()
+		await clock.advance(400)
+		expect(starts).to.have.length(1)
+	})
+
+	it("hold back the same task when it comes anew, and lose no room", async () => {
+		const {clock, executors, ends, place, run} = createWorld()
+		const placer = place(7, ["e1", "e2"])
+		const handle = await run(placer, TASK)
+		const [where] = executors.with(TASK)
+		executors.isLost = isStop
+		handle.cancel()
+		await clock.advance(400)
+		await run(placer, TASK)
+		expect(executors.with(TASK)).to.eql([where])
+		executors.isLost = () => false
+		await clock.advance(500)
+		expect(executors.with(TASK)).to.have.length(1)
+		expect(ends.map(({type}) => type)).to.eql(["stopped"])
+		expect(placer.counts()).to.include({running: 1, waiting: 0})
+	})
+
+	it("are handed on as unwanted, from one successor to the next", async () => {
+		const {clock, executors, ends, place, run, giveAll} = createWorld()
+		const first = place(7, ["e1"])
+		const handle = await run(first, TASK)
+		await run(first, NEIGHBOUR)
+		executors.isLost = isStop
+		handle.cancel()
+		await clock.advance(100)
+		const second = place(8, ["e1"], {orphansWaitMs: 800})
+		await clock.advance(5)
+		giveAll(first, second)
+		await clock.advance(50)
+		const third = place(9, ["e1"], {orphansWaitMs: 800})
+		await clock.advance(5)
+		giveAll(second, third)
+		executors.isLost = () => false
+		await clock.advance(300)
+		expect(executors.with(TASK)).to.eql([])
+		expect(executors.with(NEIGHBOUR)).to.eql(["e1"])
+		expect(ends).to.eql([{type: "stopped", task: TASK}])
+	})
+
+	it("are tried again after a handover when they were stopped for their executor's fault", async () => {
+		const {clock, executors, ends, place, run, giveAll} = createWorld()
+		const first = place(7, ["e1"])
+		await run(first, TASK, {isLasting: false, estimateMs: 100})
+		executors.isLost = isStop
+		await clock.advance(850)
+		const second = place(8, ["e1"], {orphansWaitMs: 800})
+		await clock.advance(5)
+		giveAll(first, second)
+		executors.isLost = () => false
+		await clock.advance(400)
+		expect(ends.map(({type}) => type)).to.eql(["lost"])
+		expect(executors.at("e1").stops.map(({fence}) => fence)).to.include(8)
+	})
+})
+
+describe("links to executors", () => {
+	const LISTED: readonly ExecutorRecord[] = [record("e1")]
+
+	it("begin anew when an executor that was given up is listed again", async () => {
+		const {clock, executors, place, run} = createWorld()
+		const placer = place(7, ["e1"])
+		await run(placer, TASK)
+		executors.isLost = () => true
+		await clock.advance(600)
+		placer.setExecutors([])
+		await clock.advance(1_500)
+		executors.isLost = () => false
+		placer.setExecutors(LISTED)
+		await clock.advance(500)
+		expect(placer.counts().usable).to.equal(1)
+	})
+
+	it("tell a run as lost that is handed over after its executor's next life has answered", async () => {
+		const {clock, executors, ends, place, run, giveAll} = createWorld()
+		const first = place(7, ["e1"])
+		await run(first, TASK)
+		executors.at("e1").hold = async () => ({type: "replaced"})
+		const second = place(8, ["e1"], {orphansWaitMs: 800})
+		await clock.advance(5)
+		giveAll(first, second)
+		await clock.advance(100)
+		expect(ends.map(({type}) => type)).to.include("lost")
+	})
+})
--- a/packages/wire/src/json-service.ts
+++ b/packages/wire/src/json-service.ts
@@ -75,7 +75,11 @@
 
 function unaryOf(handler: JsonHandler): grpc.handleUnaryCall<unknown, unknown> {
 	return (call, callback) => {
-		const onCancel = (listener: () => void) => void call.on("cancelled", listener)
+		const onCancel = (listener: () => void) => {
+			// A call that was read together with its cancelling tells of it only here.
+			if (call.cancelled) listener()
+			else call.on("cancelled", listener)
+		}
 		handler(call.request, {onCancel}).then(
 			value => callback(null, value),
 			(err: Error) => callback({code: grpc.status.INTERNAL, message: err.message}),
