Let the stand-in's executors leave any order unanswered, and hand a domain over on processes while they do

Cause: why neither process tests nor the soak found the fault: the stand-in's executors left only starts unanswered, never the first order of a successor. Change: orders of any kind may be left unanswered and carried out late; a soak fault of it; a process test; one new life for each ended instance; ports from a block of the process below 32,768; a fleet that fails to begin is ended. A reading of another placer that is half a second old is counted in its presumed lease (20 ms).

--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -10,6 +10,8 @@
 const SLOWEST_RATE = 0.98
 /** What is being stopped at a lease's end takes up to 50 ms by the contract, and 10 ms for our timer. */
 const END_MARGIN_MS = 60
+/** Another placer may have gone by a reading that was half a second old: 2% of that, and its timers. */
+const OTHERS_READING_MS = 20
 
 export interface ExecutorClock {
 	/** Notes a reading that has just arrived. */
@@ -41,7 +43,8 @@
 			leaseUntilMs = Math.max(leaseUntilMs, untilMs)
 		},
 		presume(leaseMs, now) {
-			presumedUntil = Math.max(presumedUntil, now + leaseMs / SLOWEST_RATE + END_MARGIN_MS)
+			const longestMs = leaseMs / SLOWEST_RATE + END_MARGIN_MS + OTHERS_READING_MS
+			presumedUntil = Math.max(presumedUntil, now + longestMs)
 		},
 		hasLapsed(now) {
 			if (now <= presumedUntil) return false
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -4,7 +4,6 @@
 import {spawn, type ChildProcess} from "node:child_process"
 import {mkdtempSync, rmSync, writeFileSync} from "node:fs"
 import {createServer} from "node:net"
-import type {AddressInfo} from "node:net"
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {fileURLToPath} from "node:url"
@@ -18,6 +17,10 @@
 const PATIENT_DEADLINE_MS = 10_000
 const READY_POLL_MS = 50
 const READY_TRIES = 200
+/** Below the range that connections are opened from, which begins at 32,768 on Linux. */
+const FIRST_PORT = 10_000
+const PORTS_PER_BLOCK = 100
+const PORT_BLOCKS = 220
 
 export interface Edge {
 	readonly name: string
@@ -45,12 +48,23 @@
 	readonly retryAfter: string | undefined
 }
 
+let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK
+
+/** A free port of this process's own block, below those that outgoing connections use. */
 async function freePort(): Promise<number> {
+	for (;;) {
+		const port = nextPort++
+		if (nextPort >= FIRST_PORT + PORT_BLOCKS * PORTS_PER_BLOCK) nextPort = FIRST_PORT
+		if (await isFree(port)) return port
+	}
+}
+
+function isFree(port: number): Promise<boolean> {
 	const server = createServer()
-	await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
-	const {port} = server.address() as AddressInfo
-	await new Promise(resolve => server.close(resolve))
-	return port
+	return new Promise(resolve => {
+		server.once("error", () => resolve(false))
+		server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)))
+	})
 }
 
 function settingsOf(
@@ -206,7 +220,18 @@
 		return edge
 	}
 
-	await Promise.all(names.map(([name, failureDomain]) => start(name, failureDomain)))
+	async function close() {
+		for (const {child} of edges) child.kill("SIGKILL")
+		await Promise.all(edges.map(({exited}) => exited))
+		rmSync(folder, {recursive: true, force: true})
+	}
+
+	try {
+		await Promise.all(names.map(([name, failureDomain]) => start(name, failureDomain)))
+	} catch (err) {
+		await close()
+		throw err
+	}
 	return {
 		edges,
 		start,
@@ -217,10 +242,6 @@
 			await untilReady(next)
 			return next
 		},
-		async close() {
-			for (const {child} of edges) child.kill("SIGKILL")
-			await Promise.all(edges.map(({exited}) => exited))
-			rmSync(folder, {recursive: true, force: true})
-		},
+		close,
 	}
 }
--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -13,6 +13,8 @@
 	loseAnswers?: boolean
 	/** The next so many starts are not answered, and done so much later. */
 	lateStarts?: {count: number; delayMs: number}
+	/** Says of each order whether it is left unanswered and carried out so many milliseconds later. */
+	lateOrders?: (fence: number) => number | undefined
 	/** Tasks end as failed. */
 	failAll?: boolean
 	/** Tasks make no progress. */
@@ -105,6 +107,11 @@
 			setTimeout(() => this.carryOut(req.url ?? "", order), late.delayMs)
 			return
 		}
+		const lateMs = this.faults.lateOrders?.(order.fence ?? 0)
+		if (lateMs !== undefined) {
+			setTimeout(() => this.carryOut(req.url ?? "", order), lateMs)
+			return
+		}
 		if (req.url === "/hold") return this.answerHold(order, res)
 		const [status, answer] = this.carryOut(req.url ?? "", order)
 		if (!this.faults.loseAnswers) this.answer(res, status, answer)
@@ -121,6 +128,7 @@
 		this.highestFence = fence
 		if (path === "/run-start") return this.startTask(order)
 		if (path === "/run-stop") return this.stopTask(order)
+		if (path === "/hold") return this.renew(order)
 		return [404, {}]
 	}
 
@@ -129,6 +137,12 @@
 		this.leaseUntil = Math.max(this.leaseUntil, Math.min(deadlineMs, this.clock() + MAX_LEASE_MS))
 	}
 
+	private renew(order: Order): [number, object] {
+		this.extend(order["deadline-ms"])
+		this.finished = this.finished.filter(([serial]) => serial > (order["last-seen"] ?? 0))
+		return [200, {}]
+	}
+
 	private startTask(order: Order): [number, object] {
 		const {task, run} = order
 		if (this.faults.unhealthy) return [503, {}]
@@ -199,8 +213,7 @@
 	private async answerHold(order: Order, res: ServerResponse) {
 		if ((order.fence ?? 0) < this.highestFence) return this.answer(res, 409, {reason: "fence"})
 		this.highestFence = order.fence ?? 0
-		this.extend(order["deadline-ms"])
-		this.finished = this.finished.filter(([serial]) => serial > (order["last-seen"] ?? 0))
+		this.renew(order)
 		if (this.finished.length === 0) await this.nextEnd(order["wait-ms"] ?? 0)
 		if (this.faults.mute || this.faults.loseAnswers) return
 		this.answer(res, 200, {running: this.rows(), finished: this.finished})
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -26,6 +26,7 @@
 	"executor fails all",
 	"executor hangs",
 	"executor carries out late",
+	"executors leave orders unanswered",
 	"new configuration",
 ] as const)
 export type LeasedFault = (typeof LEASED_FAULTS)[number]
@@ -48,6 +49,11 @@
 const LATE_MS = 2_500
 const LATE_STARTS = 3
 const LOST_WRITES = 4
+/** Of all orders to all executors; they are carried out within this. */
+const UNANSWERED_SHARE = 0.3
+const UNANSWERED_LATE_MS = 4_000
+/** How much longer than others this fault lasts: handovers are to fall into it. */
+const UNANSWERED_LASTS = 4
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
 
@@ -61,8 +67,13 @@
 	return [...newest.values()].filter(({child}) => child.exitCode === null && !child.signalCode)
 }
 
+/** Instances that a fault has begun to end: another may hasten that, but only one life follows. */
+const replaced = new WeakSet<Edge>()
+
 async function replace({fleet}: LeasedWorld, edge: Edge, signal: "SIGKILL" | "SIGTERM") {
 	edge.child.kill(signal)
+	if (replaced.has(edge)) return
+	replaced.add(edge)
 	await edge.exited
 	await fleet.restart(edge)
 }
@@ -111,6 +122,14 @@
 	}
 }
 
+async function leaveUnanswered({platform, random, lastsMs}: LeasedWorld) {
+	const lateOrders = () =>
+		random() < UNANSWERED_SHARE ? LATE_MS + random() * UNANSWERED_LATE_MS : undefined
+	for (const {executor} of platform.executors) executor.faults.lateOrders = lateOrders
+	await sleep(lastsMs * UNANSWERED_LASTS)
+	for (const {executor} of platform.executors) executor.faults.lateOrders = undefined
+}
+
 async function failLink(world: LeasedWorld, name: LeasedFault, link: Link) {
 	if (name.startsWith("reset")) return link.reset()
 	const begin = () => {
@@ -148,6 +167,8 @@
 				() => void edge.child.kill("SIGSTOP"),
 				() => void edge.child.kill("SIGCONT"),
 			)
+		case "executors leave orders unanswered":
+			return leaveUnanswered(world)
 		case "new configuration":
 			return platform.putConfig((world.configVersion += 1 + Math.floor(random() * 3)))
 		case "cut from store":
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -4,16 +4,16 @@
 import meow from "meow"
 import {ALL_FAULTS, type FaultName} from "./faults.js"
 import {LEASED_FAULTS, type LeasedFault} from "./leased-faults.js"
-import {runLeasedSoak} from "./leased-soak.js"
+import {LEASED_SOAK_DEFAULTS, runLeasedSoak} from "./leased-soak.js"
 import {runSoak} from "./soak.js"
 
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--on platform|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--fault NAME ...]
+	  $ npm run soak -- [--on platform|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--fault NAME ...]
 
 	--on platform  the program on the stand-in of the users' platform (the default);
-	               --faults N of them are drawn in each run
+	               --faults N of them are drawn in each run, while --callers N hand in jobs
 	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
@@ -22,7 +22,8 @@
 		importMeta: import.meta,
 		flags: {
 			on: {type: "string", choices: ["platform", "product"], default: "platform"},
-			faults: {type: "number", default: 12},
+			faults: {type: "number", default: LEASED_SOAK_DEFAULTS.count},
+			callers: {type: "number", default: LEASED_SOAK_DEFAULTS.callers},
 			seed: {type: "number", default: 1},
 			runs: {type: "number", default: 1},
 			rounds: {type: "number", default: 1},
@@ -40,7 +41,7 @@
 
 function soakPlatform(seed: number, onFault: (text: string) => void) {
 	const faults = flags.fault.length > 0 ? (flags.fault as LeasedFault[]) : LEASED_FAULTS
-	return runLeasedSoak({seed, faults, count: flags.faults, onFault})
+	return runLeasedSoak({seed, faults, count: flags.faults, callers: flags.callers, onFault})
 }
 
 const soak = flags.on === "product" ? soakProduct : soakPlatform
--- a/packages/standins/test/leased.test.ts
+++ b/packages/standins/test/leased.test.ts
@@ -161,6 +161,23 @@
 		expect(await edge.exited).to.equal(0)
 	})
 
+	it("hands its runs over though executors leave the successor's first orders unanswered", async () => {
+		const placer = placerOf("a")
+		const id = newId()
+		for (const {executor} of platform.executors) {
+			let unanswered = 0
+			executor.faults.lateOrders = fence => (fence > 1 && unanswered++ < 2 ? 2_000 : undefined)
+		}
+		const caller = edgeOf(placer === "a-1" ? "a-2" : "a-1")
+		const pending = handIn(caller, id, {count: 4, spec: {workMs: 1_500}})
+		await sleep(400)
+		edgeOf(placer).child.kill("SIGTERM")
+		expect((await pending).status).to.equal(200)
+		const starts = [0, 1, 2, 3].map(at => platform.startsOf(`${id}.0.0.${at}`))
+		expect(starts).to.eql([1, 1, 1, 1])
+		expect(platform.violations).to.eql([])
+	})
+
 	it("serves a new configuration, and refuses a queue that is gone", async () => {
 		platform.putConfig(2, {routes: []})
 		await sleep(500)
