Tie an expected handover to its claim, and repeat no start beside a stop without an answer

Cause: found when the change was read as a whole. Test: `takes no handover for one that belongs to another claim`.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -151,7 +151,7 @@
 			if (deps.isLeaving()) return {isTaken: false}
 			const known = view.claimOf(failureDomain)
 			if (known && known.fence > fence) return {isTaken: false}
-			hosts.expectHandover(failureDomain, executors)
+			hosts.expectHandover({failureDomain, fence: fence + 1}, executors)
 			return {isTaken: await deps.claims().takeNow(failureDomain, fence)}
 		},
 		close() {
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -50,8 +50,11 @@
 	of(failureDomain: string): Host | undefined
 	/** Begins or ends placing after a claim changed. */
 	noteClaim(claim: Claim): void
-	/** Whoever places the domain now hands its runs over; they are waited for, on the executors that it has. */
-	expectHandover(failureDomain: string, executors: readonly ExecutorRecord[]): void
+	/** Whoever has the claim before this one hands its runs over; they are waited for, on the executors that it has. */
+	expectHandover(
+		claim: Pick<Claim, "failureDomain" | "fence">,
+		executors: readonly ExecutorRecord[],
+	): void
 	/** From now on a higher fence means that the successor has begun, not that all is lost. */
 	offerHandover(failureDomain: string): void
 	withdrawHandover(failureDomain: string): void
@@ -72,6 +75,7 @@
 }
 
 interface Expected {
+	readonly fence: number
 	readonly until: number
 	readonly executors: readonly ExecutorRecord[]
 }
@@ -87,7 +91,7 @@
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
 		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
-		const handover = expectedNow(failureDomain)
+		const handover = expectedAt(claim)
 		const orphansWaitMs = handover ? handover.until - clock.now() : 0
 		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
 		const onDeposed = () => endPlacing(failureDomain, fence, "the store has another claim")
@@ -101,10 +105,11 @@
 		log.alarm("placer", "placing_begun", "placer: places a failure domain now.", fields)
 	}
 
-	function expectedNow(failureDomain: string): Expected | undefined {
+	function expectedAt({failureDomain, fence}: Claim): Expected | undefined {
 		const handover = expected.get(failureDomain)
 		expected.delete(failureDomain)
-		return handover && handover.until > clock.now() ? handover : undefined
+		const isMeant = handover?.fence === fence && handover.until > clock.now()
+		return isMeant ? handover : undefined
 	}
 
 	function endPlacing(failureDomain: string, fence: number, cause: string) {
@@ -141,8 +146,8 @@
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
 		},
-		expectHandover(failureDomain, executors) {
-			expected.set(failureDomain, {until: clock.now() + HANDOVER_WAIT_MS, executors})
+		expectHandover({failureDomain, fence}, executors) {
+			expected.set(failureDomain, {fence, until: clock.now() + HANDOVER_WAIT_MS, executors})
 		},
 		offerHandover(failureDomain) {
 			givenUp.set(failureDomain, undefined)
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -140,7 +140,7 @@
 	const {task, run: number, spec} = run.req
 	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
 	for (let tries = 0; tries < START_TRIES && isStarting(link, run); tries++) {
-		if (clock.now() - run.startedAt > LATEST_START_MS) break
+		if (clock.now() - run.startedAt > LATEST_START_MS || link.unansweredStops.size > 0) break
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
 		const sentAt = clock.now()
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -147,8 +147,9 @@
 /** Whether a run of the task is there, or is still being stopped. */
 export function hasRunOf({runs, orphans, stoppingOrphans}: LinkState, task: string): boolean {
 	if (runs.has(task)) return true
+	if (orphans.size + stoppingOrphans.size === 0) return false
 	const isOfTask = (name: string) => name.startsWith(`${task}/`)
-	return [...orphans].some(isOfTask) || [...stoppingOrphans].some(isOfTask)
+	return [...orphans, ...stoppingOrphans].some(isOfTask)
 }
 
 export function freeCpu({record, used}: LinkState): number {
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -91,7 +91,7 @@
 	return {
 		submit: (req, onEnd, onStart) => submit(state, req, onEnd, onStart),
 		setExecutors: records => setExecutors(state, records),
-		executors: () => [...state.links.values()].map(recordOf),
+		executors: () => [...state.links.values()].filter(link => !link.isClosed()).map(recordOf),
 		room: () => roomFor(state.links, state.queue, state.judgement.health),
 		counts: () => countsOf(state),
 		canServe: () => promisingLinks(state.links).length > 0,
--- a/packages/jobs/test/hosts.test.ts
+++ b/packages/jobs/test/hosts.test.ts
@@ -46,13 +46,22 @@
 		hosts.noteClaim(claimOf("a", 1))
 		await clock.advance(50)
 		expect(hosts.of("a")?.placer.counts().usable).to.equal(1)
-		hosts.expectHandover("b", [record("b1", {failureDomain: "b"})])
+		hosts.expectHandover({failureDomain: "b", fence: 5}, [record("b1", {failureDomain: "b"})])
 		hosts.noteClaim(claimOf("b", 5))
 		await clock.advance(50)
 		expect(hosts.of("a")?.placer.counts().usable).to.equal(1)
 		expect(hosts.of("b")?.placer.counts().usable).to.equal(1)
 	})
 
+	it("takes no handover for one that belongs to another claim", async () => {
+		const {clock, hosts} = createWorld([record("b2", {failureDomain: "b"})])
+		hosts.expectHandover({failureDomain: "b", fence: 5}, [record("b1", {failureDomain: "b"})])
+		hosts.noteClaim(claimOf("b", 7))
+		await clock.advance(50)
+		expect(hosts.executorsOf("b").map(({id}) => id)).to.eql(["b2"])
+		expect(hosts.of("b")?.placer.isSettled()).to.equal(false)
+	})
+
 	it("ends placing when its successor's answer was lost and somebody else has the claim", async () => {
 		const {clock, hosts} = createWorld([record("a1")])
 		hosts.noteClaim(claimOf("a", 1))
