--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -6,7 +6,6 @@
 import {
 	claimKey,
 	createKeeper,
-	createPlacer,
 	createWallClock,
 	endKey,
 	openKey,
@@ -20,7 +19,8 @@
 import {FakeFleet, record} from "./support/fake-executors.js"
 import {createFakeStore} from "./support/fake-store.js"
 import {step} from "./support/records.js"
-import {NO_ADVISOR, QUEUE} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {QUEUE} from "./support/requests.js"
 
 const ID = "00000000000000aa"
 const job = (extra: Partial<KeptJobRequest> = {}): KeptJobRequest => ({
@@ -63,20 +63,13 @@
 			onDeposed: () => void deposed++,
 			...extra,
 		})
-		const hosted = createPlacer({
+		const hosted = createTestPlacer({
 			...common,
 			orders,
-			failureDomain: "a",
 			fence: claim.fence,
-			maxLeaseMs: 1_000,
 			orphansWaitMs,
 			knowsAllExecutors,
-			stopGraceMs: 50,
 			kept: keeper,
-			advisor: NO_ADVISOR,
-			handOver: () => false,
-			onFenced: () => undefined,
-			onRoomChange: () => undefined,
 		})
 		keeper.begin(hosted)
 		hosted.setExecutors(listed.map(id => record(id)))
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -1,34 +1,23 @@
 /**
  * The placer and its links: room, fences, leases, and orders whose answers are lost.
  */
-import {createJobMetrics, silentLog} from "@cottonwood/jobs"
-import {createPlacer, type PlacerDeps, type TaskEnd} from "@cottonwood/jobs/internals"
+import type {PlacerDeps, TaskEnd} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeExecutors, record} from "./support/fake-executors.js"
-import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {taskRequest} from "./support/requests.js"
 
 function createWorld(extra: Partial<PlacerDeps> = {}) {
 	const clock = createFakeClock()
 	const orders = new FakeExecutors(clock)
 	const ends: (TaskEnd & {readonly task: string})[] = []
 	let fencedTimes = 0
-	const placer = createPlacer({
+	const placer = createTestPlacer({
 		clock,
 		orders,
-		log: silentLog,
-		metrics: createJobMetrics(),
-		failureDomain: "a",
 		fence: 7,
-		maxLeaseMs: 1_000,
-		orphansWaitMs: 0,
-		knowsAllExecutors: true,
-		stopGraceMs: 50,
-		handOver: () => false,
-		kept: NO_KEPT_RUNS,
-		advisor: NO_ADVISOR,
 		onFenced: () => void fencedTimes++,
-		onRoomChange: () => undefined,
 		...extra,
 	})
 	function submit(task: string, options: Parameters<typeof taskRequest>[1] = {}) {
--- a/packages/jobs/test/selection.test.ts
+++ b/packages/jobs/test/selection.test.ts
@@ -1,33 +1,17 @@
 /**
  * Which executor a task goes to: labels, racks, tasks per executor, speed.
  */
-import {createJobMetrics, silentLog, type ExecutorRecord} from "@cottonwood/jobs"
-import {createPlacer} from "@cottonwood/jobs/internals"
+import type {ExecutorRecord} from "@cottonwood/jobs"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeExecutors, record} from "./support/fake-executors.js"
-import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {taskRequest} from "./support/requests.js"
 
 async function createWorld(records: readonly ExecutorRecord[]) {
 	const clock = createFakeClock()
 	const orders = new FakeExecutors(clock)
-	const placer = createPlacer({
-		clock,
-		orders,
-		log: silentLog,
-		metrics: createJobMetrics(),
-		failureDomain: "a",
-		fence: 1,
-		maxLeaseMs: 1_000,
-		orphansWaitMs: 0,
-		knowsAllExecutors: true,
-		stopGraceMs: 50,
-		handOver: () => false,
-		kept: NO_KEPT_RUNS,
-		advisor: NO_ADVISOR,
-		onFenced: () => undefined,
-		onRoomChange: () => undefined,
-	})
+	const placer = createTestPlacer({clock, orders})
 	placer.setExecutors(records)
 	await clock.advance(10)
 	async function place(task: string, extra: Parameters<typeof taskRequest>[1] = {}) {
--- a/packages/jobs/test/succession.test.ts
+++ b/packages/jobs/test/succession.test.ts
@@ -11,17 +11,17 @@
  * the news, the time that a successor leaves unknown runs alone), and by the first case below: `run_ended` with
  * `outcome=lost`, `cause=its lease ended while silent` 110 ms after `run_adopted` with no `inputAgeMs`.
  */
-import {createJobMetrics, silentLog, type EventLog, type LogFields} from "@cottonwood/jobs"
-import {createPlacer, type PlacerDeps, type TaskEnd} from "@cottonwood/jobs/internals"
+import type {EventLog, LogFields} from "@cottonwood/jobs"
+import type {PlacerDeps, TaskEnd} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
 import {LeasedExecutor} from "./support/leased-executor.js"
-import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {taskRequest} from "./support/requests.js"
 
 const TASK = "j.0.0.0"
 const LEASE_MS = 1_000
-const STOP_GRACE_MS = 50
 const HANDOVER_WAIT_MS = 800
 
 interface Line extends LogFields {
@@ -40,24 +40,7 @@
 	const onEnd = (end: TaskEnd) => void ends.push({...end, isRunning: executor.running.has(TASK)})
 
 	function place(fence: number, extra: Partial<PlacerDeps> = {}) {
-		return createPlacer({
-			clock,
-			orders: executor,
-			log: silentLog,
-			metrics: createJobMetrics(),
-			failureDomain: "a",
-			fence,
-			maxLeaseMs: LEASE_MS,
-			orphansWaitMs: 0,
-			knowsAllExecutors: true,
-			stopGraceMs: STOP_GRACE_MS,
-			handOver: () => false,
-			kept: NO_KEPT_RUNS,
-			advisor: NO_ADVISOR,
-			onFenced: () => undefined,
-			onRoomChange: () => undefined,
-			...extra,
-		})
+		return createTestPlacer({clock, orders: executor, fence, ...extra})
 	}
 
 	/** A placer with a run of the task under way. */
--- /dev/null
+++ b/packages/jobs/test/support/placers.ts
@@ -0,0 +1,25 @@
+/** Placers for tests; what a test does not name is as for a domain without a placer before. */
+import {createJobMetrics, silentLog} from "@cottonwood/jobs"
+import {createPlacer, type Placer, type PlacerDeps} from "@cottonwood/jobs/internals"
+import {NO_ADVISOR, NO_KEPT_RUNS} from "./requests.js"
+
+type Given = Pick<PlacerDeps, "clock" | "orders"> & Partial<PlacerDeps>
+
+export function createTestPlacer(given: Given): Placer {
+	return createPlacer({
+		log: silentLog,
+		metrics: createJobMetrics(),
+		failureDomain: "a",
+		fence: 1,
+		maxLeaseMs: 1_000,
+		orphansWaitMs: 0,
+		knowsAllExecutors: true,
+		stopGraceMs: 50,
+		handOver: () => false,
+		kept: NO_KEPT_RUNS,
+		advisor: NO_ADVISOR,
+		onFenced: () => undefined,
+		onRoomChange: () => undefined,
+		...given,
+	})
+}
--- a/packages/jobs/test/tickets.test.ts
+++ b/packages/jobs/test/tickets.test.ts
@@ -1,12 +1,12 @@
 /**
  * Queues with advice: a step runs only on executors with a ticket, and is asked for sparingly.
  */
-import {createJobMetrics, silentLog, type AdviceReply, type Advisor} from "@cottonwood/jobs"
-import {createPlacer} from "@cottonwood/jobs/internals"
+import type {AdviceReply, Advisor} from "@cottonwood/jobs"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeFleet, record} from "./support/fake-executors.js"
-import {NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {taskRequest} from "./support/requests.js"
 
 const ADVICE = {decideMs: 20, perExecutorMs: 2}
 
@@ -25,24 +25,13 @@
 			return decide(step, executors)
 		},
 	}
-	const placer = createPlacer({
+	const placer = createTestPlacer({
 		clock,
 		orders,
 		advisor,
-		log: silentLog,
-		metrics: createJobMetrics(),
-		failureDomain: "a",
-		fence: 1,
-		maxLeaseMs: 1_000,
-		orphansWaitMs: 0,
-		knowsAllExecutors: true,
-		stopGraceMs: 50,
-		kept: NO_KEPT_RUNS,
 		handOver: () => {
 			throw new Error("a task with advice was handed to another domain")
 		},
-		onFenced: () => undefined,
-		onRoomChange: () => undefined,
 	})
 	placer.setExecutors([record("e1"), record("e2"), record("e3")])
 	await clock.advance(20)
--- a/packages/jobs/test/unwanted-runs.test.ts
+++ b/packages/jobs/test/unwanted-runs.test.ts
@@ -2,21 +2,21 @@
  * Runs that nobody wants any more: each is over a lease later at most, whatever is lost, and its task does not
  * run again beside it.
  */
-import {createJobMetrics, silentLog, type ExecutorRecord} from "@cottonwood/jobs"
-import {
-	createPlacer,
-	type KeptRuns,
-	type Placer,
-	type PlacerDeps,
-	type RunningAt,
-	type TaskEnd,
-	type TaskRequest,
+import type {ExecutorRecord} from "@cottonwood/jobs"
+import type {
+	KeptRuns,
+	Placer,
+	PlacerDeps,
+	RunningAt,
+	TaskEnd,
+	TaskRequest,
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
 import {LeasedExecutor, type AnyOrder} from "./support/leased-executor.js"
-import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
 
 const TASK = "j.0.0.0"
 const NEIGHBOUR = "k.0.0.0"
@@ -62,24 +62,7 @@
 	const ends: (TaskEnd & {readonly task: string})[] = []
 
 	function place(fence: number, ids: readonly string[], extra: Partial<PlacerDeps> = {}): Placer {
-		const placer = createPlacer({
-			clock,
-			orders: executors.orders,
-			log: silentLog,
-			metrics: createJobMetrics(),
-			failureDomain: "a",
-			fence,
-			maxLeaseMs: LEASE_MS,
-			orphansWaitMs: 0,
-			knowsAllExecutors: true,
-			stopGraceMs: 50,
-			handOver: () => false,
-			kept: NO_KEPT_RUNS,
-			advisor: NO_ADVISOR,
-			onFenced: ignore,
-			onRoomChange: ignore,
-			...extra,
-		})
+		const placer = createTestPlacer({clock, orders: executors.orders, fence, ...extra})
 		placer.setExecutors(ids.map(id => record(id)))
 		return placer
 	}
