Name what stops unanswered orders for all that it stops, and ask once whether a silent executor's lease is over

Cause: read as a newcomer, the change left a name that said starts and meant stops too, and one question asked in two ways. Change: `stopUnanswered`; `hasLapsedSilent` where the link has just been noted as silent. Behaviour is as it was.

--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -6,12 +6,13 @@
  * silent its runs count as running until its lease has certainly ended.
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
-import {stopOrphan, stopRun, stopUnansweredStarts} from "./link-orders.js"
+import {stopOrphan, stopRun, stopUnanswered} from "./link-orders.js"
 import {
 	addRun,
 	closeLink,
 	forgettableSerial,
 	forgetUnwatched,
+	hasLapsedSilent,
 	isIdle,
 	isOwnReply,
 	isWaitedFor,
@@ -93,7 +94,7 @@
 async function noteUnheld(link: LinkState, reply: HoldReply) {
 	const {clock} = link.deps
 	noteSilence(link, reply.type === "silent" ? reply.cause : reply.type)
-	if (link.executorClock.hasLapsed(clock.now())) {
+	if (hasLapsedSilent(link)) {
 		settleAllLost(link, "its lease ended while silent")
 		link.orphans = new Set()
 		// What it listed before is told by nobody; the store has what counts, or the next list names it.
@@ -107,7 +108,7 @@
 	const now = link.deps.clock.now()
 	link.executorClock.observe(reply.clockMs, now)
 	noteAnswering(link)
-	stopUnansweredStarts(link)
+	stopUnanswered(link)
 	for (const end of reply.ends) noteEnd(link, end)
 	const listed = new Set<string>()
 	const unknown = new Set<string>()
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -84,9 +84,9 @@
 
 /**
  * Starts that were never answered may be carried out when an executor is back, though their runs were
- * settled by the end of its lease; a stop makes it refuse them.
+ * settled by the end of its lease, and so may stops; a stop that is answered makes it refuse the starts.
  */
-export function stopUnansweredStarts(link: LinkState) {
+export function stopUnanswered(link: LinkState) {
 	for (const {task, run} of link.unanswered.splice(0)) void stopOrphan(link, task, run)
 }
 
