--- /dev/null
+++ b/packages/standins/src/bench/jobs-bench.ts
@@ -0,0 +1,152 @@
+/**
+ * What a job costs the fleet in processor time: real instances against the stand-in of the users' platform.
+ *
+ * Jobs arrive at an even rate, spread over all instances, in three shapes: many short tasks, a few long
+ * ones, and two of middle length. Processor time is the operating system's account of each process, over the
+ * time under load, less start.
+ */
+import {startEdges, handIn, untilPlaced, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
+import {readUsage} from "./usage.js"
+
+export interface JobsBenchOptions {
+	readonly failureDomains: number
+	readonly instancesPerDomain: number
+	readonly executorsPerDomain: number
+	readonly jobsPerSecond: number
+	readonly seconds: number
+	/** Arguments of the runtime, for a profile. */
+	readonly nodeArgs?: readonly string[]
+}
+
+export interface JobsBenchFigures {
+	readonly jobs: number
+	/** Jobs that were not answered with success. */
+	readonly failures: number
+	/** Processor milliseconds of all instances for each job. */
+	readonly cpuMsPerJob: number
+	/** Of the instances that place, and of the others. */
+	readonly placersCpuMsPerJob: number
+	readonly othersCpuMsPerJob: number
+	/** Processor milliseconds of all instances in a second without jobs. */
+	readonly idleCpuMsPerSecond: number
+	readonly p50Ms: number
+	readonly p95Ms: number
+}
+
+interface Shape {
+	readonly weight: number
+	readonly count: number
+	readonly workMs: number
+}
+
+/** The mix of the users' sheets: kinds of request by their share of arrivals. */
+const SHAPES: readonly Shape[] = [
+	{weight: 0.25, count: 8, workMs: 60},
+	{weight: 0.04, count: 4, workMs: 900},
+	{weight: 0.71, count: 2, workMs: 200},
+]
+const IDLE_MS = 3_000
+/** The first calls of a process are slower: its code is compiled meanwhile. */
+const WARM_UP_MS = 3_000
+const MS_PER_S = 1_000
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+
+/** Goes through the shapes by their weights, the same way in each run. */
+function shapeOf(serial: number): Shape {
+	let place = ((serial * 0.618_033_988_7) % 1) - 1e-9
+	for (const shape of SHAPES) {
+		place -= shape.weight
+		if (place < 0) return shape
+	}
+	return SHAPES[SHAPES.length - 1] as Shape
+}
+
+async function offer(fleet: EdgeFleet, options: JobsBenchOptions, forMs: number, prefix: string) {
+	const tookMs: number[] = []
+	let failures = 0
+	const calls: Promise<void>[] = []
+	const begunAt = performance.now()
+	for (let serial = 0; ; serial++) {
+		const dueInMs = begunAt + (serial * MS_PER_S) / options.jobsPerSecond - performance.now()
+		if (dueInMs > 0) await sleep(dueInMs)
+		if (performance.now() - begunAt > forMs) break
+		const edge = fleet.edges[serial % fleet.edges.length] as Edge
+		calls.push(callOnce(edge, prefix + serial.toString(16).padStart(12, "0"), shapeOf(serial)))
+	}
+	await Promise.all(calls)
+	return {jobs: calls.length, failures, tookMs: tookMs.sort((a, b) => a - b)}
+
+	async function callOnce(edge: Edge, id: string, {count, workMs}: Shape) {
+		const sentAt = performance.now()
+		const answer = await handIn(edge, id, {count, cpu: 8_000, spec: {workMs}}).catch(
+			() => undefined,
+		)
+		if (answer?.status !== 200) failures++
+		tookMs.push(performance.now() - sentAt - workMs)
+	}
+}
+
+function cpuMsOf(edges: readonly Edge[]): number {
+	return edges.reduce((sum, {child}) => sum + readUsage(child.pid as number).cpuMs, 0)
+}
+
+function placersOf(fleet: EdgeFleet, platform: LeasedPlatform, domains: readonly string[]) {
+	const names = domains.map(domain => {
+		const claim = platform.store.read(`fleet/claim/${domain}`) as {placer: {name: string}}
+		return claim.placer.name
+	})
+	return fleet.edges.filter(({name}) => names.includes(name))
+}
+
+export async function runJobsBench(options: JobsBenchOptions): Promise<JobsBenchFigures> {
+	const domains = Array.from({length: options.failureDomains}, (_, at) => `d${at + 1}`)
+	const platform = await startLeasedPlatform({
+		failureDomains: domains,
+		executorsPerDomain: options.executorsPerDomain,
+	})
+	platform.putConfig(1)
+	const names = domains.flatMap(domain =>
+		Array.from(
+			{length: options.instancesPerDomain},
+			(_, at) => [`${domain}-${at + 1}`, domain] as const,
+		),
+	)
+	const fleet = await startEdges(platform, names, {nodeArgs: options.nodeArgs})
+	try {
+		await untilPlaced(fleet, platform.executors.length)
+		await offer(fleet, options, WARM_UP_MS, "aaaa")
+		const beforeIdle = cpuMsOf(fleet.edges)
+		await sleep(IDLE_MS)
+		const idleCpuMs = cpuMsOf(fleet.edges) - beforeIdle
+		const placers = placersOf(fleet, platform, domains)
+		const others = fleet.edges.filter(edge => !placers.includes(edge))
+		const before = {placers: cpuMsOf(placers), others: cpuMsOf(others)}
+		const load = await offer(fleet, options, options.seconds * MS_PER_S, "bbbb")
+		const placersMs = cpuMsOf(placers) - before.placers
+		const othersMs = cpuMsOf(others) - before.others
+		const at = (share: number) => load.tookMs[Math.floor(load.tookMs.length * share)] ?? 0
+		return {
+			jobs: load.jobs,
+			failures: load.failures,
+			cpuMsPerJob: (placersMs + othersMs) / load.jobs,
+			placersCpuMsPerJob: placersMs / load.jobs,
+			othersCpuMsPerJob: othersMs / load.jobs,
+			idleCpuMsPerSecond: idleCpuMs / (IDLE_MS / MS_PER_S),
+			p50Ms: at(0.5),
+			p95Ms: at(0.95),
+		}
+	} finally {
+		await stopAll(fleet)
+		await platform.close()
+	}
+}
+
+/** By SIGTERM first: a profile is written when a process ends by itself. */
+async function stopAll(fleet: EdgeFleet) {
+	for (const {child} of fleet.edges) child.kill("SIGTERM")
+	const patience = sleep(12 * MS_PER_S)
+	await Promise.race([Promise.all(fleet.edges.map(({exited}) => exited)), patience])
+	await fleet.close()
+}
