Carry the calls between two instances on one gRPC stream

Cause: a call of its own for each job and task costs headers, trailers and a dozen objects on both sides; a fifth of the processor samples of loaded instances lay in the gRPC and HTTP/2 libraries. Change: one bidirectional stream from each instance to each other that it calls; what is sent in one turn of the loop is one message. Cancelling is a frame; a broken stream ends all calls on it for both sides, as a broken connection did. A call counts as never sent only if its stream was never established. Keep-alive and its times are as before. Ruled out: shorter keep-alives (they decide when a dead peer is noticed); datagrams for calls (they would need repeats of our own).

--- a/packages/wire/src/json-service.ts
+++ b/packages/wire/src/json-service.ts
@@ -1,6 +1,10 @@
 /**
- * gRPC services whose messages are JSON: for calls that are frequent and small, where a text that can
- * be read in a capture is worth more than a few bytes.
+ * Services between instances whose messages are JSON: for calls that are frequent and small, where a text that
+ * can be read in a capture is worth more than a few bytes.
+ *
+ * All calls from one instance to another share one gRPC stream, and what is sent in one turn of the loop goes
+ * as one message: a call of its own for each costs headers, trailers and a dozen objects on both sides.
+ * When the stream breaks, every call under way on it is over, for both sides.
  */
 import * as grpc from "@grpc/grpc-js"
 
@@ -28,15 +32,32 @@
 const encode = (value: unknown) => Buffer.from(JSON.stringify(value))
 const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"))
 
-function methodOf(service: string, name: string): grpc.MethodDefinition<unknown, unknown> {
-	return {
-		path: `/${service}/${name}`,
-		requestStream: false,
-		responseStream: false,
-		requestSerialize: encode,
-		requestDeserialize: decode,
-		responseSerialize: encode,
-		responseDeserialize: decode,
+/** What the side that calls sends. */
+type CallerFrame =
+	| {readonly id: number; readonly method: string; readonly message: unknown}
+	/** Nobody waits for the answer any more. */
+	| {readonly id: number; readonly cancel: true}
+
+/** What the side that is called sends; without a value it could not tell one. */
+interface AnswerFrame {
+	readonly id: number
+	readonly value?: unknown
+	readonly error?: string
+}
+
+const exchangePath = (service: string) => `/${service}/exchange`
+
+/** Sends the frames of one turn of the loop as one message. */
+function createFrameWriter<T>(write: (frames: readonly T[]) => void) {
+	let waiting: T[] = []
+	function flush() {
+		const frames = waiting
+		waiting = []
+		write(frames)
+	}
+	return (frame: T) => {
+		if (waiting.length === 0) setImmediate(flush)
+		waiting.push(frame)
 	}
 }
 
@@ -58,13 +79,17 @@
 	handlers: Readonly<Record<string, JsonHandler>>,
 ): Promise<JsonServer> {
 	const server = new grpc.Server(CHANNEL_OPTIONS)
-	const definition: Record<string, grpc.MethodDefinition<unknown, unknown>> = {}
-	const implementation: grpc.UntypedServiceImplementation = {}
-	for (const [name, handler] of Object.entries(handlers)) {
-		definition[name] = methodOf(service, name)
-		implementation[name] = unaryOf(handler)
+	const exchange = {
+		path: exchangePath(service),
+		requestStream: true,
+		responseStream: true,
+		requestSerialize: encode,
+		requestDeserialize: decode,
+		responseSerialize: encode,
+		responseDeserialize: decode,
 	}
-	server.addService(definition, implementation)
+	const serve = (stream: ExchangeStream) => serveExchange(stream, handlers)
+	server.addService({exchange}, {exchange: serve})
 	return new Promise((resolve, reject) => {
 		server.bindAsync(address, grpc.ServerCredentials.createInsecure(), err => {
 			if (err) reject(err)
@@ -73,18 +98,59 @@
 	})
 }
 
-function unaryOf(handler: JsonHandler): grpc.handleUnaryCall<unknown, unknown> {
-	return (call, callback) => {
+type ExchangeStream = grpc.ServerDuplexStream<unknown, unknown>
+
+function serveExchange(stream: ExchangeStream, handlers: Readonly<Record<string, JsonHandler>>) {
+	/** Calls under way, each with those who want to know that it is over for its caller. */
+	const underWay = new Map<number, (() => void)[]>()
+	let isBroken = false
+	const send = createFrameWriter<AnswerFrame>(frames => {
+		if (!isBroken) stream.write(frames)
+	})
+
+	function cancel(id: number) {
+		const listeners = underWay.get(id)
+		underWay.delete(id)
+		for (const listener of listeners ?? []) listener()
+	}
+
+	function answer(id: number, frame: AnswerFrame) {
+		if (underWay.delete(id)) send(frame)
+	}
+
+	function take(frame: CallerFrame) {
+		const {id} = frame
+		if ("cancel" in frame) return cancel(id)
+		const handler = handlers[frame.method]
+		if (!handler) return send({id, error: `no method ${frame.method}`})
+		const listeners: (() => void)[] = []
+		underWay.set(id, listeners)
 		const onCancel = (listener: () => void) => {
 			// A call that was read together with its cancelling tells of it only here.
-			if (call.cancelled) listener()
-			else call.on("cancelled", listener)
+			if (underWay.has(id)) listeners.push(listener)
+			else listener()
 		}
-		handler(call.request, {onCancel}).then(
-			value => callback(null, value),
-			(err: Error) => callback({code: grpc.status.INTERNAL, message: err.message}),
+		handler(frame.message, {onCancel}).then(
+			value => answer(id, {id, value}),
+			(err: Error) => answer(id, {id, error: err.message}),
 		)
 	}
+
+	function breakOff() {
+		if (isBroken) return
+		isBroken = true
+		for (const id of [...underWay.keys()]) cancel(id)
+	}
+
+	// The caller's side takes the stream as established once these have arrived.
+	stream.sendMetadata(new grpc.Metadata())
+	stream.on("data", (frames: readonly CallerFrame[]) => frames.forEach(take))
+	stream.on("cancelled", breakOff)
+	stream.on("error", breakOff)
+	stream.on("end", () => {
+		breakOff()
+		stream.end()
+	})
 }
 
 /** What became of a call: an answer, or nothing that can be told. */
@@ -96,8 +162,8 @@
 /** How the library words the failure of a call for which it got no connection. */
 const UNSENT = /^No connection established/
 
-function noAnswer(cause: string): JsonReply {
-	return {type: "no answer", cause, wasSent: !UNSENT.test(cause)}
+function noAnswer(cause: string, wasEstablished: boolean): JsonReply {
+	return {type: "no answer", cause, wasSent: wasEstablished || !UNSENT.test(cause)}
 }
 
 export interface JsonCall {
@@ -110,27 +176,76 @@
 	close(): void
 }
 
+/** Calls under way on one stream, and the stream. */
+interface Exchange {
+	readonly send: (frame: CallerFrame) => void
+	readonly pending: Map<number, (reply: JsonReply) => void>
+	readonly close: () => void
+}
+
 /** Opens a client to an address; it connects on first use. */
 export function connectJson(service: string, address: string): JsonClient {
 	const client = new grpc.Client(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS)
+	let current: Exchange | undefined
+	let serial = 0
+
+	function open(): Exchange {
+		const pending: Exchange["pending"] = new Map()
+		const path = exchangePath(service)
+		const stream = client.makeBidiStreamRequest<unknown, unknown>(path, encode, decode)
+		let isEstablished = false
+		let isBroken = false
+		const send = createFrameWriter<CallerFrame>(frames => {
+			if (!isBroken) stream.write(frames)
+		})
+		const exchange: Exchange = {send, pending, close: () => stream.cancel()}
+
+		function breakOff(cause: string) {
+			isBroken = true
+			if (current === exchange) current = undefined
+			const lost = noAnswer(cause, isEstablished)
+			for (const resolve of [...pending.values()]) resolve(lost)
+		}
+
+		stream.on("metadata", () => (isEstablished = true))
+		stream.on("data", (frames: readonly AnswerFrame[]) => {
+			for (const frame of frames) pending.get(frame.id)?.(replyOf(frame))
+		})
+		stream.on("error", (err: grpc.ServiceError) => breakOff(err.details || err.message))
+		stream.on("end", () => breakOff("the stream ended"))
+		return exchange
+	}
+
 	return {
 		call(method, message, timeoutMs) {
-			let cancel = () => undefined as void
+			const exchange = (current ??= open())
+			const id = ++serial
+			let giveUp: (cause: string) => void = () => undefined
 			const reply = new Promise<JsonReply>(resolve => {
-				const call = client.makeUnaryRequest(
-					`/${service}/${method}`,
-					encode,
-					decode,
-					message,
-					new grpc.Metadata(),
-					{deadline: Date.now() + timeoutMs},
-					(err, value) =>
-						resolve(err ? noAnswer(err.details || err.message) : {type: "answer", value}),
-				)
-				cancel = () => call.cancel()
+				const settle = (answer: JsonReply) => {
+					clearTimeout(timer)
+					exchange.pending.delete(id)
+					resolve(answer)
+				}
+				giveUp = cause => {
+					if (!exchange.pending.has(id)) return
+					settle(noAnswer(cause, true))
+					exchange.send({id, cancel: true})
+				}
+				const timer = setTimeout(() => giveUp("no answer in time"), timeoutMs)
+				exchange.pending.set(id, settle)
+				exchange.send({id, method, message})
 			})
-			return {reply, cancel: () => cancel()}
+			return {reply, cancel: () => giveUp("cancelled")}
+		},
+		close() {
+			current?.close()
+			client.close()
 		},
-		close: () => client.close(),
 	}
 }
+
+function replyOf({value, error}: AnswerFrame): JsonReply {
+	if (error !== undefined) return {type: "no answer", cause: error, wasSent: true}
+	return {type: "answer", value}
+}
