Start from compiled code, load only the parts of libraries that are used, and write log lines with less work

A log line went through three copies and a sort for cycles that flat fields cannot have. Change: the bundle keeps what the runtime compiled of it, and a small script starts from both; it falls back to the source. The log uses the library's streams with one plain format. Measured: processor time from start to the refusal of missing settings, `time node target/... edge`: 0.32 0.39 0.39 s before, 0.23 0.20 0.17 0.20 0.17 0.16 s after; a bare runtime takes 0.09 to 0.11. A log line: 9.7 us before, 7.1 us after (printed by the log's test). All 305 tests pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,10 +21,15 @@
 				module: "readonly",
 				__dirname: "readonly",
 				console: "readonly",
+				process: "readonly",
 			},
 		},
 		rules: {"@typescript-eslint/no-require-imports": "off"},
 	},
+	{
+		files: ["**/*.mjs"],
+		languageOptions: {globals: {process: "readonly", URL: "readonly"}},
+	},
 	{
 		files: ["packages/*/test/**"],
 		rules: {"max-lines-per-function": "off", "@typescript-eslint/no-unused-expressions": "off"},
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -2,13 +2,8 @@
  * An instance of the job fleet: joins the store, the peers, the executors and the callers.
  */
 import {randomUUID} from "node:crypto"
-import {
-	systemClock,
-	type Clock,
-	type Store,
-	type StoreItem,
-	type TransactionalStore,
-} from "@cottonwood/core"
+import type {Clock, Store, StoreItem, TransactionalStore} from "@cottonwood/core"
+import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
 import {createDispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -1,7 +1,8 @@
 /**
  * What a placer thinks of its executors, from how runs ended there: who is set aside, who is fast.
  */
-import {createHealth, type Clock, type Health} from "@cottonwood/core"
+import type {Clock} from "@cottonwood/core"
+import {createHealth, type Health} from "@cottonwood/core/health"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {Run, TaskEnd} from "./run.js"
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -65,6 +65,18 @@
 export const LOG_FLUSH_MS = 100
 const STDOUT = 1
 
+/** Where the library looks for a line's level and its text. */
+const LEVEL = Symbol.for("level")
+const MESSAGE = Symbol.for("message")
+
+/**
+ * The library's own format copies each line three times and sorts for cycles, which flat fields cannot have.
+ */
+const plainJson = winston.format(info => {
+	info[MESSAGE] = JSON.stringify(info)
+	return info
+})
+
 type Write = (
 	bytes: Buffer,
 	done: (err: NodeJS.ErrnoException | null, written: number) => void,
@@ -85,7 +97,7 @@
 	}
 
 	override log(info: Record<symbol, string>, next: () => void) {
-		const line = `${info[Symbol.for("message")]}\n`
+		const line = `${info[MESSAGE]}\n`
 		if (this.waitingBytes + line.length > BUFFER_BYTES) this.dropped++
 		else {
 			this.chunks.push(line)
@@ -145,12 +157,8 @@
 	settings: LogSettings,
 	output: Transport = new BoundedOutput(),
 ): EventLog {
-	const {combine, timestamp, json} = winston.format
-	const logger = winston.createLogger({
-		defaultMeta: {instance: settings.instance},
-		format: combine(timestamp(), json()),
-		transports: [output],
-	})
+	const {instance} = settings
+	const logger = winston.createLogger({format: plainJson(), transports: [output]})
 	const rates = new Map<string, KindRate>()
 
 	function isKept(kind: string): KindRate | undefined {
@@ -168,15 +176,20 @@
 		return undefined
 	}
 
+	function write(level: "info" | "warn", message: string, fields: object) {
+		const timestamp = new Date().toISOString()
+		logger.write({[LEVEL]: level, level, message, timestamp, instance, ...fields})
+	}
+
 	return {
 		event(part, kind, message, fields = {}) {
 			const rate = isKept(kind)
 			if (!rate) return
 			const sampledOut = rate.skipped > 0 ? {sampledOut: rate.skipped} : {}
 			rate.skipped = 0
-			logger.info(message, {part, kind, ...fields, ...sampledOut})
+			write("info", message, {part, kind, ...fields, ...sampledOut})
 		},
-		alarm: (part, kind, message, fields = {}) => void logger.warn(message, {part, kind, ...fields}),
+		alarm: (part, kind, message, fields = {}) => write("warn", message, {part, kind, ...fields}),
 	}
 }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,27 +1,41 @@
 /**
- * Bundles the platform's program into one file under target/, from the sources, so that a deployment
- * needs no built packages and a start reads one file.
+ * Bundles the platform's program into target/, from the sources, so that a deployment needs no built packages:
+ * its source in one file, what the runtime compiles of it, and the script that starts it from both.
+ *
+ * Compiling the source took 0.13 of the 0.36 s of processor time of a start.
  */
+import {spawnSync} from "node:child_process"
+import {copyFileSync} from "node:fs"
 import {build} from "esbuild"
 
-const banner =
-	'import {createRequire} from "node:module"; const require = createRequire(import.meta.url)'
+/** As in deploy/system.toml: compiled code is refused under other arguments. */
+const RUNTIME_ARGS = ["--max-old-space-size=160"]
+const START = "target/cottonwood.cjs"
 
 await build({
-	entryPoints: ["platform/src/bin.ts"],
-	outfile: "target/cottonwood.mjs",
+	entryPoints: ["platform/src/main.ts"],
+	outfile: "target/program.cjs",
 	bundle: true,
 	platform: "node",
 	target: "node20",
-	format: "esm",
+	format: "cjs",
 	sourcemap: false,
-	// Libraries in the older module format ask for Node's own modules this way.
-	banner: {js: banner},
+	// Half the text to read; names stay, for stack traces.
+	minifyWhitespace: true,
+	legalComments: "none",
 	alias: {
-		"@cottonwood/core": "./packages/core/src/index.ts",
+		"@cottonwood/core/clock": "./packages/core/src/utils/clock.ts",
+		"@cottonwood/core/health": "./packages/core/src/core/health.ts",
 		"@cottonwood/wire/json": "./packages/wire/src/json-service.ts",
 		"@cottonwood/wire/datagrams": "./packages/wire/src/datagrams.ts",
 		"@cottonwood/jobs": "./packages/jobs/src/index.ts",
+		// Of the library's parts only this one is used; loading the others took 40 ms of a start.
+		undici: "./scripts/undici-agent.mjs",
 	},
 	logLevel: "warning",
 })
+copyFileSync("scripts/start.cjs", START)
+const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
+	stdio: "inherit",
+})
+process.exit(status ?? 1)
--- /dev/null
+++ b/scripts/start.cjs
@@ -0,0 +1,26 @@
+/**
+ * Starts the bundled program from its source and from what the runtime compiled of it when it was bundled.
+ *
+ * Should the runtime refuse the compiled part (another version, other arguments), it compiles the source as
+ * usual. `--compile` writes that part. In the older module format, since the loader of the newer one costs a
+ * start 15 ms.
+ */
+const {existsSync, readFileSync, writeFileSync} = require("node:fs")
+const {join} = require("node:path")
+const {Script} = require("node:vm")
+
+const COMPILE = "--compile"
+const source = join(__dirname, "program.cjs")
+const compiled = join(__dirname, "program.compiled")
+
+const text = `(function (require, exports, module) {${readFileSync(source, "utf8")}\n})`
+const isCompiling = process.argv[2] === COMPILE
+const script = new Script(text, {
+	filename: source,
+	cachedData: !isCompiling && existsSync(compiled) ? readFileSync(compiled) : undefined,
+})
+const program = {exports: {}}
+script.runInThisContext()(require, program.exports, program)
+
+if (isCompiling) writeFileSync(compiled, script.createCachedData())
+else program.exports.main({isCompiledCodeUsed: script.cachedDataRejected === false})
