--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -311,7 +311,8 @@
 			return false
 		case "silent":
 			link.deps.metrics.count("executor_orders_silent", order)
-			link.deps.losses.noteLost()
+			// One that is silent already is dead or cut off; nothing is lost on the way to the others.
+			if (link.silentSince === undefined) link.deps.losses.noteLost()
 			return false
 		default:
 			link.answeredAt = link.deps.clock.now()
--- a/packages/jobs/src/place/room.ts
+++ b/packages/jobs/src/place/room.ts
@@ -27,12 +27,12 @@
 	return links.reduce((sum, link) => sum + Math.floor(link.freeCpu() / Math.max(1, cpu)), 0)
 }
 
-/** What others are told; nothing is free for them while something waits here. */
+/** What others are told; what anything that waits here could use is not free for them. */
 export function roomFor(links: Links, queue: TaskQueue, health: Health): Room {
 	const open = usableLinks(links).filter(link => health.isUsable(link.record.id))
 	const free = open.map(link => link.freeCpu()).sort((a, b) => b - a)
 	return {
-		freeCpu: queue.size() > 0 ? [] : free.slice(0, ROOM_ENTRIES),
+		freeCpu: free.filter(cpu => cpu < queue.leastCpu()).slice(0, ROOM_ENTRIES),
 		totalCpu: open.reduce((sum, link) => sum + link.record.capacity.cpu, 0),
 		waitingWork: Math.round(queue.work()),
 		labels: [...new Set(open.flatMap(link => link.record.labels))],
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -39,6 +39,8 @@
 	/** Takes the first of a group out of the queue. */
 	take(group: Group): Waiting | undefined
 	size(): number
+	/** Thousandths of a core that the smallest task asks for; Infinity while nothing waits. */
+	leastCpu(): number
 	/** Core-milliseconds that wait. */
 	work(): number
 	/** Core-milliseconds that go before a task of this urgency. */
@@ -129,6 +131,12 @@
 			return item
 		},
 		size: () => size,
+		leastCpu() {
+			let least = Infinity
+			for (const {waiting} of groups.values())
+				least = Math.min(least, waiting[0]?.req.need.cpu ?? Infinity)
+			return least
+		},
 		work: () => Math.max(0, work),
 		workBefore(urgency, now) {
 			let before = 0
