--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -81,18 +81,10 @@
 }
 
 /** Where ends are waited for, nothing is unknown, and one hold may not be enough. */
-function wantsSpareHold({
-	deps,
-	isFenceTaken,
-	silentSince,
-	runs,
-	orphans,
-	unnoted,
-	...link
-}: LinkState) {
-	const isBusy = runs.size > 0 && orphans.size === 0 && unnoted.size === 0
-	if (link.isClosed || !isFenceTaken || silentSince !== undefined) return false
-	return isBusy && deps.losses.isLossy()
+function wantsSpareHold(link: LinkState): boolean {
+	if (link.isClosed || !link.isFenceTaken || link.silentSince !== undefined) return false
+	const isBusy = link.runs.size > 0 && link.orphans.size === 0 && link.unnoted.size === 0
+	return isBusy && link.deps.losses.isLossy()
 }
 
 async function holdOnce(link: LinkState, waitMs: number) {
