Bound a batch of frames, ask for the whole need before a refusal is waived, and let a build go on without its rehearsal

Cause, found by reading the change: (1) all frames of one turn went as one message, and a domain handed over with 1,000 long jobs would pass the longest message of 4 MB, which ends the stream with all its calls; (2) whether a job fits now was asked of processors alone, not of memory, accelerators and label; (3) a rehearsal that fails or hangs would have failed the build; (4) with over 500 ends waiting for the store an executor lists the first 500, which would have passed for an overtaken list. Change: batches end at a million characters; room is asked for the step; the rehearsal has 15 s, and a failure is a line; lists are judged by their ends only while none wait to be noted. Ruled out: the same fault in the frames of answers (same writer).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
 				__dirname: "readonly",
 				console: "readonly",
 				process: "readonly",
+				setTimeout: "readonly",
 			},
 		},
 		rules: {"@typescript-eslint/no-require-imports": "off"},
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -97,7 +97,7 @@
 /** What waits may want more room at once than there is, while this job would find enough. */
 function canStartNow({steps}: Job, {service}: Queue, placer: Placer): boolean {
 	const [first] = steps
-	return first !== undefined && placer.hasRoomFor(first.need, service, first.count)
+	return first !== undefined && placer.hasRoomFor(first, service)
 }
 
 export function createHosts(deps: HostsDeps): Hosts {
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -32,7 +32,7 @@
 	isPromising(): boolean
 	/** Thousandths of a core that are free. */
 	freeCpu(): number
-	hasRoom(req: TaskRequest): boolean
+	hasRoom(req: Pick<TaskRequest, "need">): boolean
 	/** Whether what runs there and the task may share the executor. */
 	isCompatible(req: TaskRequest): boolean
 	/** Counts a task's room as taken, or as free again, while a gang is tried. */
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -149,8 +149,9 @@
 	noteAnswering(link)
 	stopUnanswered(link)
 	// Of two holds the later answer may be the older one: it lists as running what the other told the end of.
-	const isOvertaken =
-		Math.max(seenSerial, ...reply.ends.map(({serial}) => serial)) < link.seenSerial
+	const toldSerial = Math.max(seenSerial, ...reply.ends.map(({serial}) => serial))
+	// Ends that are not noted yet are listed again, not all of them at once, and to one hold at a time.
+	const isOvertaken = link.unnoted.size === 0 && toldSerial < link.seenSerial
 	for (const end of reply.ends) noteEnd(link, end)
 	if (isOvertaken) return
 	const listed = new Set<string>()
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -169,7 +169,7 @@
 	return record.capacity.cpu - used.cpu
 }
 
-export function hasRoom({record, used}: LinkState, {need}: TaskRequest): boolean {
+export function hasRoom({record, used}: LinkState, {need}: Pick<TaskRequest, "need">): boolean {
 	const {capacity} = record
 	return (
 		used.cpu + need.cpu <= capacity.cpu &&
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -6,7 +6,7 @@
  */
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
-import type {TaskNeed} from "../types/job.js"
+import type {Step} from "../types/job.js"
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
 import {createJudgement} from "./judgement.js"
 import {createLosses} from "./losses.js"
@@ -54,8 +54,8 @@
 	 * milliseconds; Infinity without an executor that is or will soon be usable.
 	 */
 	expectedWaitMs(urgency: number): number
-	/** Whether so many tasks of a need could all start now, whatever waits for more room than that. */
-	hasRoomFor(need: TaskNeed, service: string, count: number): boolean
+	/** Whether all tasks of a step could start now, whatever waits for more room than that. */
+	hasRoomFor(step: Step, service: string): boolean
 	/** Offers what executors have listed so far to the kept jobs, which are known from now on. */
 	offerOrphans(): void
 	/** Tries the queue again soon: room may have appeared elsewhere. */
@@ -107,7 +107,7 @@
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
 		expectedWaitMs: urgency => waitBeforeMs(state.links, state.queue, urgency, deps.clock.now()),
-		hasRoomFor: (need, service, count) => hasRoomFor(state, need, service, count),
+		hasRoomFor: (step, service) => hasRoomFor(state, step, service),
 		offerOrphans() {
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
 		},
@@ -322,16 +322,11 @@
 	return [...links.values()].every(link => !link.isFenceTaken())
 }
 
-function hasRoomFor(
-	{links, judgement}: PlacerState,
-	need: TaskNeed,
-	service: string,
-	count: number,
-): boolean {
+function hasRoomFor({links, judgement}: PlacerState, step: Step, service: string): boolean {
 	const open = usableLinks(links).filter(
 		({record}) => record.service === service && judgement.health.isUsable(record.id),
 	)
-	return countThatFit(open, need) >= count
+	return countThatFit(open, step) >= step.count
 }
 
 function countsOf({queue, links}: PlacerState): PlacerCounts {
--- a/packages/jobs/src/place/room.ts
+++ b/packages/jobs/src/place/room.ts
@@ -3,7 +3,7 @@
  */
 import type {Health} from "@cottonwood/core"
 import type {Room} from "../types/fleet.js"
-import type {TaskNeed} from "../types/job.js"
+import type {Step} from "../types/job.js"
 import type {ExecutorLink} from "./executor-link.js"
 import type {TaskQueue} from "./task-queue.js"
 
@@ -22,9 +22,12 @@
 export const promisingLinks = (links: Links): readonly ExecutorLink[] =>
 	[...links.values()].filter(link => link.isPromising())
 
-/** How many tasks of a need the executors can take now. */
-export function countThatFit(links: readonly ExecutorLink[], {cpu}: TaskNeed): number {
-	return links.reduce((sum, link) => sum + Math.floor(link.freeCpu() / Math.max(1, cpu)), 0)
+/** How many tasks of a step the executors can take now, by their processors. */
+export function countThatFit(links: readonly ExecutorLink[], {need, label}: Step): number {
+	return links
+		.filter(link => link.hasRoom({need}))
+		.filter(({record}) => label === undefined || record.labels.includes(label))
+		.reduce((sum, link) => sum + Math.floor(link.freeCpu() / Math.max(1, need.cpu)), 0)
 }
 
 /** What others are told; what anything that waits here could use is not free for them. */
--- a/packages/wire/src/json-service.ts
+++ b/packages/wire/src/json-service.ts
@@ -9,6 +9,8 @@
 import * as grpc from "@grpc/grpc-js"
 
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+/** Frames are sent together up to this; a quarter of the longest message, since a character may take four bytes. */
+const BATCH_CHARS = MAX_MESSAGE_BYTES / 4
 const MIN_RECONNECT_BACKOFF_MS = 50
 const MAX_RECONNECT_BACKOFF_MS = 400
 /** A peer that is cut off is noticed after this and the time-out; see docs/PLATFORM.md. */
@@ -29,7 +31,8 @@
 	"grpc.service_config_disable_resolution": 1,
 })
 
-const encode = (value: unknown) => Buffer.from(JSON.stringify(value))
+/** Messages are written as bytes already. */
+const encode = (bytes: Buffer) => bytes
 const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"))
 
 /** What the side that calls sends. */
@@ -47,17 +50,25 @@
 
 const exchangePath = (service: string) => `/${service}/exchange`
 
-/** Sends the frames of one turn of the loop as one message. */
-function createFrameWriter<T>(write: (frames: readonly T[]) => void) {
-	let waiting: T[] = []
+/** Sends the frames of one turn of the loop as one message, or as several when they are long. */
+function createFrameWriter<T>(write: (bytes: Buffer) => void) {
+	let texts: string[] = []
+	let size = 0
+
 	function flush() {
-		const frames = waiting
-		waiting = []
-		write(frames)
+		if (texts.length === 0) return
+		const bytes = Buffer.from(`[${texts.join()}]`)
+		texts = []
+		size = 0
+		write(bytes)
 	}
+
 	return (frame: T) => {
-		if (waiting.length === 0) setImmediate(flush)
-		waiting.push(frame)
+		const text = JSON.stringify(frame)
+		if (size + text.length > BATCH_CHARS) flush()
+		if (texts.length === 0) setImmediate(flush)
+		texts.push(text)
+		size += text.length
 	}
 }
 
@@ -98,14 +109,14 @@
 	})
 }
 
-type ExchangeStream = grpc.ServerDuplexStream<unknown, unknown>
+type ExchangeStream = grpc.ServerDuplexStream<unknown, Buffer>
 
 function serveExchange(stream: ExchangeStream, handlers: Readonly<Record<string, JsonHandler>>) {
 	/** Calls under way, each with those who want to know that it is over for its caller. */
 	const underWay = new Map<number, (() => void)[]>()
 	let isBroken = false
-	const send = createFrameWriter<AnswerFrame>(frames => {
-		if (!isBroken) stream.write(frames)
+	const send = createFrameWriter<AnswerFrame>(bytes => {
+		if (!isBroken) stream.write(bytes)
 	})
 
 	function cancel(id: number) {
@@ -192,11 +203,11 @@
 	function open(): Exchange {
 		const pending: Exchange["pending"] = new Map()
 		const path = exchangePath(service)
-		const stream = client.makeBidiStreamRequest<unknown, unknown>(path, encode, decode)
+		const stream = client.makeBidiStreamRequest<Buffer, unknown>(path, encode, decode)
 		let isEstablished = false
 		let isBroken = false
-		const send = createFrameWriter<CallerFrame>(frames => {
-			if (!isBroken) stream.write(frames)
+		const send = createFrameWriter<CallerFrame>(bytes => {
+			if (!isBroken) stream.write(bytes)
 		})
 		const exchange: Exchange = {send, pending, close: () => stream.cancel()}
 
--- a/packages/wire/test/json-service.test.ts
+++ b/packages/wire/test/json-service.test.ts
@@ -116,6 +116,18 @@
 		client.close()
 	})
 
+	it("sends any number of long messages at once", async () => {
+		const {client, close} = await createWorld({
+			length: message => Promise.resolve((message as {text: string}).text.length),
+		})
+		// Six megabytes in one turn of the loop; a message holds four.
+		const text = "é".repeat(200_000)
+		const calls = Array.from({length: 30}, () => client.call("length", {text}, 5_000))
+		const replies = await Promise.all(calls.map(({reply}) => reply))
+		for (const reply of replies) expect(reply).to.eql({type: "answer", value: 200_000})
+		close()
+	})
+
 	it("answers a method that nobody handles, or whose handler throws, with a failure of that call alone", async () => {
 		const {client, close} = await createWorld({
 			fail: () => Promise.reject(new Error("broken")),
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -10,6 +10,8 @@
 const {Script} = require("node:vm")
 
 const COMPILE = "--compile"
+/** Five times what it takes. */
+const REHEARSAL_MS = 15_000
 const source = join(__dirname, "program.cjs")
 const compiled = join(__dirname, "program.compiled")
 
@@ -27,7 +29,10 @@
 
 /** Functions are compiled when they are first called, so the program serves some jobs before it is written. */
 async function compile() {
-	await program.exports.rehearse()
+	const isOver = new Promise(resolve => setTimeout(resolve, REHEARSAL_MS, "it took too long"))
+	const failure = await Promise.race([program.exports.rehearse(), isOver]).catch(err => err.message)
+	// A build goes on without: what is not compiled now is compiled when it is needed.
+	if (failure) process.stderr.write(`cottonwood: the rehearsal failed: ${failure}\n`)
 	writeFileSync(compiled, script.createCachedData())
 	process.exit(0)
 }
