Pause between attempts to connect that get nowhere, and end the pause on news of the peer

A cut of minutes would have taken a thousand of the 4,100 that an instance has. Change: attempts pause 0.3 to 2 s, doubled; calls in a pause fail at once as never sent; a beat from the peer ends the pause, at most each second. A task that could not be sent makes its domain's told room count as none until the next telling. Ruled out: destroying the socket (the library ends it, which waits for the connection); the library's own back-off (its attempts have no time-out).

--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -46,7 +46,7 @@
 
 export function createOverflow(deps: OverflowDeps): Overflow {
 	const {clock, peers, view, self, log, metrics} = deps
-	const counted = new Map<string, Counted>()
+	const counted = new Map<string, Counted | undefined>()
 
 	function roomOf(failureDomain: string): Counted | undefined {
 		const told = view.roomOf(failureDomain)
@@ -58,6 +58,11 @@
 		return fresh
 	}
 
+	function noRoomOf(failureDomain: string): Counted | undefined {
+		const told = view.roomOf(failureDomain)
+		return told && {told, freeCpu: []}
+	}
+
 	const isLabelled = ({told}: Counted, {label, rack}: TaskRequest) =>
 		(label === undefined || told.room.labels.includes(label)) &&
 		(rack === undefined || told.room.labels.includes(rack))
@@ -105,6 +110,8 @@
 			outcome,
 			tookMs: Math.round(clock.now() - now),
 		})
+		// Its room is of no use until it is told again.
+		if (call.wasUnsent()) counted.set(claim.failureDomain, noRoomOf(claim.failureDomain))
 		if (call.wasUnsent() && !runsAt) item.onEnd({type: "returned", cause: "no connection"})
 		else item.onEnd(await endOf(reply, claim, runsAt !== undefined))
 	}
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -109,6 +109,8 @@
 	runTask(address: string, message: TaskMessage, timeoutMs: number): PeerCall<TaskReply>
 	takeOver(address: string, message: TakeOverMessage, timeoutMs: number): PeerCall<TakeOverReply>
 	kept(address: string, message: KeptMessage, timeoutMs: number): PeerCall<KeptReply>
+	/** A datagram came from there. */
+	noteReachable(address: string): void
 	close(): void
 }
 
@@ -151,6 +153,7 @@
 		runTask: (address, message, timeoutMs) => call(address, "runTask", message, timeoutMs),
 		takeOver: (address, message, timeoutMs) => call(address, "takeOver", message, timeoutMs),
 		kept: (address, message, timeoutMs) => call(address, "kept", message, timeoutMs),
+		noteReachable: address => clients.get(address)?.noteReachable(),
 		close() {
 			for (const client of clients.values()) client.close()
 			clients.clear()
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -161,6 +161,7 @@
 
 	function takeBeat(beat: Beat) {
 		view.takeBeat(beat)
+		peers.noteReachable(beat.from.address)
 		if (beat.configVersion > (config.current()?.version ?? 0)) config.refresh()
 		if (Object.values(beat.rooms).some(room => room.freeCpu.length > 0)) hosts.walk()
 	}
--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -37,6 +37,7 @@
 			runTask: unused,
 			takeOver: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: unused,
 		},
 		send: (_address, message) => void sent.push(message),
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -25,6 +25,7 @@
 			runTask: unused,
 			takeOver: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: unused,
 		},
 		view: createFleetView(clock, () => undefined),
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -49,6 +49,7 @@
 			runJob: unused,
 			runTask: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: () => undefined,
 			takeOver(address, _message, timeoutMs) {
 				asked.push(address)
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -46,6 +46,7 @@
 			runJob: unused,
 			takeOver: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: () => undefined,
 			runTask() {
 				let answer: (reply: TaskReply | undefined) => void = () => undefined
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -39,6 +39,7 @@
 			runTask: unused,
 			takeOver: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: unused,
 			runJob(address) {
 				asked.push(address)
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -196,6 +196,7 @@
 				),
 			takeOver: unused,
 			kept: unused,
+			noteReachable: () => undefined,
 			close: () => undefined,
 		}
 		const view = createFleetView(clock, claim => hosts.noteClaim(claim))
--- a/packages/wire/src/json-service.ts
+++ b/packages/wire/src/json-service.ts
@@ -22,6 +22,13 @@
  * attempt that begins while a link is cut outlasts the cut by seconds. Another one is begun instead.
  */
 const ESTABLISH_MS = 300
+/**
+ * Between attempts that got nowhere, doubled each time: each leaves a socket behind until the system gives up its packets,
+ * after two minutes. At two seconds that is a hundred sockets for a peer.
+ */
+const LONGEST_PAUSE_MS = 2_000
+/** News that a peer can be reached ends a pause, at most so often: it may hear nothing of us. */
+const NEWS_MS = 1_000
 
 const CHANNEL_OPTIONS: grpc.ChannelOptions = Object.freeze({
 	"grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
@@ -181,6 +188,13 @@
 /** How the library words the failure of a call for which it got no connection. */
 const UNSENT = /^No connection established/
 
+/** There is none, and an attempt has got nowhere a short while ago. */
+const NO_CONNECTION = Object.freeze({
+	type: "no answer",
+	cause: "no connection in time",
+	wasSent: false,
+}) satisfies JsonReply
+
 export interface JsonCall {
 	readonly reply: Promise<JsonReply>
 	cancel(): void
@@ -188,6 +202,8 @@
 
 export interface JsonClient {
 	call(method: string, message: unknown, timeoutMs: number): JsonCall
+	/** The peer was heard by other means: an attempt to connect that is under way in vain is replaced. */
+	noteReachable(): void
 	close(): void
 }
 
@@ -195,6 +211,8 @@
 interface Exchange {
 	readonly send: (frame: CallerFrame) => void
 	readonly pending: Map<number, (reply: JsonReply) => void>
+	/** Begins another attempt, unless there is a connection. */
+	readonly connectAnew: () => void
 	readonly close: () => void
 }
 
@@ -205,6 +223,9 @@
 	let client = newClient()
 	let current: Exchange | undefined
 	let serial = 0
+	let failedAttempts = 0
+	let pauseUntil = -Infinity
+	let newsAt = -Infinity
 
 	const isConnected = () =>
 		client.getChannel().getConnectivityState(false) === grpc.connectivityState.READY
@@ -219,7 +240,7 @@
 		const send = createFrameWriter<CallerFrame>(bytes => {
 			if (!isBroken) stream.write(bytes)
 		})
-		const exchange: Exchange = {send, pending, close: () => stream.cancel()}
+		const exchange = {send, pending, connectAnew, close: () => stream.cancel()}
 
 		function breakOff(cause: string, wasSent: boolean) {
 			clearTimeout(timer)
@@ -231,7 +252,10 @@
 		/** What waits for a connection has not been sent; a peer that is slow to answer may have it. */
 		function connectAnew() {
 			if (wasConnected || isConnected()) return
-			breakOff("no connection in time", false)
+			failedAttempts++
+			const pauseMs = ESTABLISH_MS * 2 ** (failedAttempts - 1)
+			pauseUntil = performance.now() + Math.min(LONGEST_PAUSE_MS, pauseMs)
+			breakOff(NO_CONNECTION.cause, false)
 			stream.cancel()
 			client.close()
 			client = newClient()
@@ -242,6 +266,7 @@
 		client.waitForReady(Date.now() + ESTABLISH_MS, err => (wasConnected ||= !err))
 		stream.on("metadata", () => {
 			isEstablished = true
+			failedAttempts = 0
 			clearTimeout(timer)
 		})
 		stream.on("data", (frames: readonly AnswerFrame[]) => {
@@ -257,6 +282,8 @@
 
 	return {
 		call(method, message, timeoutMs) {
+			if (!current && performance.now() < pauseUntil)
+				return {reply: Promise.resolve(NO_CONNECTION), cancel: () => undefined}
 			const exchange = (current ??= open())
 			const id = ++serial
 			let giveUp: (cause: string) => void = () => undefined
@@ -277,6 +304,14 @@
 			})
 			return {reply, cancel: () => giveUp("cancelled")}
 		},
+		noteReachable() {
+			const now = performance.now()
+			if (failedAttempts === 0 || now - newsAt < NEWS_MS) return
+			newsAt = now
+			current?.connectAnew()
+			failedAttempts = 0
+			pauseUntil = -Infinity
+		},
 		close() {
 			current?.close()
 			client.close()
--- a/packages/wire/test/json-service.test.ts
+++ b/packages/wire/test/json-service.test.ts
@@ -147,6 +147,9 @@
 		for (const socket of sockets) socket.destroy()
 		await new Promise(resolve => mute.close(resolve))
 		const server = await listenJson("test.Service", address, {now: () => Promise.resolve("now")})
+		// Attempts in vain leave sockets behind, so the next one waits a little, or for news of the peer.
+		expect(await client.call("now", {}, 1_000).reply).to.include({wasSent: false})
+		client.noteReachable()
 		expect(await client.call("now", {}, 1_000).reply).to.eql({type: "answer", value: "now"})
 		client.close()
 		server.close()
