--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -5,7 +5,6 @@
 import type {PlacerDeps} from "../place/placer-state.js"
 import {createPlacer} from "../place/placer.js"
 import type {TaskRequest} from "../place/run.js"
-import {urgencyOf} from "../place/task-queue.js"
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
@@ -149,7 +148,7 @@
 		// Within a moment it has executors; what can start in time then is worth the wait.
 		if (placer.isBeginning()) return undefined
 		const startBy = latestUsefulStart(job, queue)
-		const waitMs = placer.expectedWaitMs(urgencyOf({startBy, priority: queue.priority}))
+		const waitMs = placer.expectedWaitMs(startBy)
 		const isInTime = clock.now() + waitMs <= startBy || waitMs < SHORT_WAIT_MS
 		const allMs = placer.expectedWaitMs(Infinity)
 		if (isInTime && allMs <= longestBacklogMs(job, queue)) return undefined
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -50,10 +50,10 @@
 	/** Whether every executor obeys this placer, or has certainly ended what the one before started. */
 	isSettled(): boolean
 	/**
-	 * How long a task of this urgency will wait at the pace of the estimates, in
+	 * How long a task with this latest useful start will wait at the pace of the estimates, in
 	 * milliseconds; Infinity without an executor that is or will soon be usable.
 	 */
-	expectedWaitMs(urgency: number): number
+	expectedWaitMs(startBy: number): number
 	/** Whether all tasks of a step could start now, whatever waits for more room than that. */
 	hasRoomFor(step: Step, service: string): boolean
 	/** Offers what executors have listed so far to the kept jobs, which are known from now on. */
@@ -106,7 +106,7 @@
 		canServe: () => promisingLinks(state.links).length > 0,
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
-		expectedWaitMs: urgency => waitBeforeMs(state.links, state.queue, urgency, deps.clock.now()),
+		expectedWaitMs: startBy => waitBeforeMs(state.links, state.queue, startBy, deps.clock.now()),
 		hasRoomFor: (step, service) => hasRoomFor(state, step, service),
 		offerOrphans() {
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
--- a/packages/jobs/src/place/room.ts
+++ b/packages/jobs/src/place/room.ts
@@ -42,9 +42,9 @@
 	}
 }
 
-/** How long the work that goes before a task of this urgency will take, in milliseconds; Infinity without executors. */
-export function waitBeforeMs(links: Links, queue: TaskQueue, urgency: number, now: number): number {
+/** How long the work that goes before a start will take, in milliseconds; Infinity without executors. */
+export function waitBeforeMs(links: Links, queue: TaskQueue, startBy: number, now: number): number {
 	const cpu = promisingLinks(links).reduce((sum, link) => sum + link.record.capacity.cpu, 0)
 	if (cpu === 0) return Infinity
-	return queue.workBefore(urgency, now) / ((cpu / MILLICORES) * PACKED_SHARE)
+	return queue.workBefore(startBy, now) / ((cpu / MILLICORES) * PACKED_SHARE)
 }
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -2,8 +2,7 @@
  * What waits for room at a placer: tasks of one shape in groups, the most urgent group first.
  *
  * A group is a step's tasks that need the same; when one does not fit the others do not either. Groups
- * go by rank, then by urgency: the latest start that is still useful, with a little more for queues of less
- * priority.
+ * go by rank, then by the latest start that is still useful.
  */
 import type {OnTaskEnd, TaskRequest} from "./run.js"
 
@@ -23,7 +22,6 @@
 export interface Group {
 	readonly key: string
 	readonly startBy: number
-	readonly urgency: number
 	readonly waiting: Waiting[]
 	readonly uselessAt: number
 	/** Whether tasks of its job have started already. */
@@ -43,22 +41,11 @@
 	leastCpu(): number
 	/** Core-milliseconds that wait. */
 	work(): number
-	/** Core-milliseconds that go before a task of this urgency. */
-	workBefore(urgency: number, now: number): number
+	/** Core-milliseconds that go before a task with this latest useful start. */
+	workBefore(startBy: number, now: number): number
 	expired(now: number): readonly Waiting[]
 }
 
-/**
- * A queue of the next lower priority counts as if it could wait so much longer, in milliseconds: half the slack of a
- * short task. The short kind of request earned 0.81 instead of 0.79 of its credit at 1.5 times the load.
- */
-const PRIORITY_STEP_MS = 60
-
-/** When a task should start at the latest, with its queue's priority; less goes first. */
-export function urgencyOf({startBy, priority}: Pick<TaskRequest, "startBy" | "priority">): number {
-	return startBy + priority * PRIORITY_STEP_MS
-}
-
 const workOf = ({need, estimateMs}: TaskRequest) => (need.cpu / 1_000) * estimateMs
 
 function groupKeyOf(req: TaskRequest): string {
@@ -77,7 +64,7 @@
 
 function newGroup(key: string, req: TaskRequest): Group {
 	const {startBy, uselessAt, isBegun} = req
-	return {key, startBy, urgency: urgencyOf(req), uselessAt, waiting: [], isBegun}
+	return {key, startBy, uselessAt, waiting: [], isBegun}
 }
 
 /**
@@ -120,7 +107,7 @@
 		},
 		inOrder(now) {
 			return [...groups.values()].sort(
-				(a, b) => rankOf(a, now) - rankOf(b, now) || a.urgency - b.urgency,
+				(a, b) => rankOf(a, now) - rankOf(b, now) || a.startBy - b.startBy,
 			)
 		},
 		take(group) {
@@ -138,10 +125,10 @@
 			return least
 		},
 		work: () => Math.max(0, work),
-		workBefore(urgency, now) {
+		workBefore(startBy, now) {
 			let before = 0
 			for (const group of groups.values()) {
-				if (group.startBy < now || group.urgency > urgency) continue
+				if (group.startBy < now || group.startBy > startBy) continue
 				for (const item of group.waiting) before += workOf(item.req)
 			}
 			return before
