--- a/packages/jobs/src/fleet/strain.ts
+++ b/packages/jobs/src/fleet/strain.ts
@@ -8,8 +8,8 @@
 import type {Clock} from "@cottonwood/core"
 
 const SAMPLE_MS = 100
-/** A timer that is so late has waited for other work; half the slack of a short task for a few of them. */
-const LATE_MS = 25
+/** A timer that is so late has waited for other work; half the slack of a short task. */
+const LATE_MS = 50
 /** So many late timers in a row: 0.6 s without a pause. */
 const LATE_IN_A_ROW = 5
 /** The code of a new process runs slowly at first. */
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -237,7 +237,6 @@
 		kept: keptParts.front,
 		notReadyCause() {
 			if (isLeaving) return "leaving"
-			if (strain.isStrained()) return "cannot keep up"
 			if (!config.current()) return "no configuration yet"
 			return dispatcher.canPlace() ? undefined : "no placer can be reached"
 		},
