Bound every lease by what its callers are known to want

Cause: the end of a run rested on sums of spans of several processes: a placer that is slow or stopped by turns renews the lease of a run whose caller is gone for as long as it does not notice, and a call that lay in a socket counted as fresh.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -7,7 +7,7 @@
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
-import type {Job, JobEnd} from "../types/job.js"
+import type {Caller, Job, JobEnd, RemoteCaller} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
 import {latestUsefulStart} from "./job-run.js"
@@ -22,11 +22,15 @@
 const BEGINNING_MS = 1_000
 /** A fraction of the shortest task. */
 const PLACER_POLL_MS = 10
+/** Calls that are read later than this after the connections were read last count as that old; four looks. */
+const UNREAD_MS = 200
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
 
 export interface DispatcherDeps {
 	readonly clock: Clock
+	/** Steady milliseconds: what arrived here before then has been read. */
+	readonly knownAt: () => number
 	readonly log: EventLog
 	readonly peers: Peers
 	readonly view: FleetView
@@ -43,9 +47,9 @@
 	/** Runs a job to its end, here or at another instance. */
 	dispatch(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd>
 	/** Runs a job that another instance's caller handed in. */
-	runJob(message: JobMessage, onCancel: OnCancel): Promise<JobReply>
+	runJob(message: JobMessage, caller: RemoteCaller): Promise<JobReply>
 	/** Runs a task of a job that another placer has. */
-	runTask(message: TaskMessage, onCancel: OnCancel): Promise<TaskReply>
+	runTask(message: TaskMessage, caller: RemoteCaller): Promise<TaskReply>
 	/** Placers in the order in which a job that comes now would ask them. */
 	candidates(): readonly Claim[]
 	/** Whether a job that comes now would find a placer. */
@@ -54,6 +58,26 @@
 	workCount(): number
 }
 
+/** What another placer asks for, in times of this process. */
+function requestOf(message: TaskMessage, {madeAt, confirmedAt}: RemoteCaller): TaskRequest {
+	return {
+		...message.task,
+		startBy: madeAt + message.startInMs,
+		uselessAt: madeAt + message.uselessInMs,
+		deadlineAt: madeAt + message.leftMs,
+		confirmedAt,
+		isForeign: true,
+	}
+}
+
+/** A call that lay unread here is as old as it may be, so that nothing runs for a caller that has given it up. */
+function sinceArrival(job: Job, {clock, knownAt}: DispatcherDeps): Job {
+	const unreadMs = clock.now() - knownAt()
+	if (unreadMs < UNREAD_MS) return job
+	const {receivedAt, deadlineAt} = job
+	return {...job, receivedAt: receivedAt - unreadMs, deadlineAt: deadlineAt - unreadMs}
+}
+
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
@@ -126,10 +150,11 @@
 		claim: Claim,
 		job: Job,
 		queue: Queue,
-		onCancel: OnCancel,
+		{onCancel, confirmedAt}: Caller,
 	): Promise<JobReply | {readonly type: "unsent"}> {
 		const message = messageOf(job, queue, claim)
-		const call = peers.runJob(claim.placer.address, message, message.leftMs + ANSWER_SLACK_MS)
+		const timeoutMs = message.leftMs + ANSWER_SLACK_MS
+		const call = peers.runJob(claim.placer.address, message, timeoutMs, confirmedAt)
 		let isCancelled = false
 		onCancel(() => {
 			isCancelled = true
@@ -154,7 +179,7 @@
 	}
 
 	/** Asks placers in turn, as long as those before have certainly not begun the job. */
-	async function tryPlacers(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd> {
+	async function tryPlacers(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
 		const tried = new Set<string>()
 		let refusal: JobEnd | undefined
 		while (tried.size < MAX_PLACERS_TRIED) {
@@ -167,8 +192,8 @@
 			tried.add(claim.failureDomain)
 			const host = hosts.of(claim.failureDomain)
 			const end = host
-				? await hosts.run(host, job, queue, onCancel)
-				: await runThere(claim, job, queue, onCancel)
+				? await hosts.run(host, job, queue, caller)
+				: await runThere(claim, job, queue, caller)
 			noteTry(job, claim, end.type)
 			if (end.type === "unsent" || end.type === "not placer") continue
 			if (end.type !== "refused") return end
@@ -205,38 +230,34 @@
 	}
 
 	return {
-		dispatch: (job, queue, onCancel) => counted(tryPlacers(job, queue, onCancel)),
-		async runJob(message, onCancel) {
+		dispatch(job, queue, onCancel) {
+			const caller = {onCancel, confirmedAt: deps.knownAt}
+			return counted(tryPlacers(sinceArrival(job, deps), queue, caller))
+		},
+		async runJob(message, caller) {
 			// A leaving placer has its host until somebody has taken the domain over; what comes until then goes along.
 			const host = hosts.of(message.failureDomain)
 			if (!host) return {type: "not placer"}
-			const now = clock.now()
+			const {madeAt} = caller
 			const job: Job = {
 				...message.job,
-				receivedAt: now - message.ageMs,
-				deadlineAt: now + message.leftMs,
+				receivedAt: madeAt - message.ageMs,
+				deadlineAt: madeAt + message.leftMs,
 			}
 			const queue = queueFor(message)
 			if (!queue) return {type: "refused", kind: "no_configuration", cause: "unknown queue here"}
-			return counted(hosts.run(host, job, queue, onCancel))
+			return counted(hosts.run(host, job, queue, caller))
 		},
-		runTask(message, onCancel) {
+		runTask(message, caller) {
 			const host = hosts.of(message.failureDomain)
 			if (!host || deps.isLeaving()) return Promise.resolve({type: "not placer"})
-			const now = clock.now()
-			const req: TaskRequest = {
-				...message.task,
-				startBy: now + message.startInMs,
-				uselessAt: now + message.uselessInMs,
-				deadlineAt: now + message.leftMs,
-				isForeign: true,
-			}
+			const req = requestOf(message, caller)
 			const {runsAt} = message
 			const end = new Promise<TaskEnd>(resolve => {
 				const handle = runsAt
 					? host.placer.adopt(req, runsAt, resolve)
 					: host.placer.submit(req, resolve, () => undefined)
-				onCancel(() => handle.cancel())
+				caller.onCancel(() => handle.cancel())
 			})
 			return counted(end)
 		},
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -8,7 +8,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
-import type {Job, JobEnd} from "../types/job.js"
+import type {Caller, Job, JobEnd} from "../types/job.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
@@ -43,7 +43,7 @@
 	| "advisor"
 	| "log"
 	| "metrics"
-	| "maxLeaseMs"
+	| "leaseRule"
 	| "stopGraceMs"
 	| "handOver"
 	| "onRoomChange"
@@ -73,7 +73,7 @@
 	/** A hosted domain's executors, those that the list has dropped included; none without a host. */
 	executorsOf(failureDomain: string): readonly ExecutorRecord[]
 	/** Runs a job at a placer here, or refuses it at once. */
-	run(host: Host, job: Job, queue: Queue, onCancel: (callback: () => void) => void): Promise<JobEnd>
+	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
 	/** Placers elsewhere may have room now. */
 	walk(): void
 	rooms(): Readonly<Record<string, Room>>
@@ -197,7 +197,7 @@
 				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
-		async run(host, job, queue, onCancel) {
+		async run(host, job, queue, {onCancel, confirmedAt}) {
 			const refusal = refusalOf(job, queue, host.placer)
 			if (refusal) return refusal
 			const submit = (
@@ -205,7 +205,7 @@
 				onEnd: Parameters<Placer["submit"]>[1],
 				onStart: () => void,
 			) => host.placer.submit(req, onEnd, onStart)
-			const run = startJobRun(job, queue, {clock, log, metrics, submit})
+			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit})
 			host.jobs.add(run)
 			onCancel(() => run.cancel())
 			const end = await run.ended
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -29,6 +29,8 @@
 	readonly clock: Clock
 	readonly log: EventLog
 	readonly metrics: JobMetrics
+	/** Steady milliseconds: as of when the job's caller is known to want it. */
+	readonly confirmedAt: () => number
 	readonly submit: (
 		req: TaskRequest,
 		onEnd: (end: TaskEnd) => void,
@@ -85,11 +87,14 @@
 	const tasks: TaskState[] = []
 	let firstStartAt: number | undefined
 	let isOver = false
+	/** As of when the caller wanted it, once it is over: what came after says nothing of this job's runs. */
+	let lastConfirmedAt = -Infinity
 	let settle: (end: JobEnd) => void = () => undefined
 	const ended = new Promise<JobEnd>(resolve => (settle = resolve))
 
 	function finish(end: JobEnd) {
 		if (isOver) return
+		lastConfirmedAt = deps.confirmedAt()
 		isOver = true
 		cancelDeadline()
 		cancelUnstarted()
@@ -104,6 +109,8 @@
 		return Math.max(0, ...following.map(({step, at}) => step.estimateMs + chainAfterMs(at)))
 	}
 
+	const confirmedAt = () => (isOver ? lastConfirmedAt : deps.confirmedAt())
+
 	function requestOf(task: TaskState): TaskRequest {
 		const step = job.steps[task.step] as Step
 		return {
@@ -117,6 +124,7 @@
 			startBy: dueAt - step.estimateMs - chainAfterMs(task.step),
 			uselessAt: job.receivedAt + objectiveMs * USELESS_OBJECTIVES,
 			deadlineAt: job.deadlineAt,
+			confirmedAt,
 			isBegun: firstStartAt !== undefined,
 			priority: queue.priority,
 			label: step.label,
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -6,6 +6,7 @@
 import type {Clock} from "@cottonwood/core"
 import type {FleetView, ToldRoom} from "../fleet/members.js"
 import type {Peers, TaskMessage} from "../fleet/peers.js"
+import {certainEndAt, type LeaseRule} from "../place/lease-rule.js"
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {Waiting} from "../place/task-queue.js"
@@ -15,16 +16,12 @@
 
 /** Told room that is older says nothing any more: two beats. */
 const ROOM_AGE_MS = 500
-/**
- * A task whose placer fell silent runs no more after this: the placer notices within 600 ms that its
- * caller is gone and stops it, or its executor's lease of 1,000 ms (2% slow) ends; and a margin.
- */
-const PRESUMED_ENDED_MS = 2_000
 /** An answer is waited for beyond the task's deadline, since its stop takes a moment. */
 const ANSWER_SLACK_MS = 300
 
 export interface OverflowDeps {
 	readonly clock: Clock
+	readonly leaseRule: LeaseRule
 	readonly peers: Peers
 	readonly view: FleetView
 	readonly self: Member
@@ -45,7 +42,7 @@
 }
 
 export function createOverflow(deps: OverflowDeps): Overflow {
-	const {clock, peers, view, self, log, metrics} = deps
+	const {clock, leaseRule, peers, view, self, log, metrics} = deps
 	const counted = new Map<string, Counted | undefined>()
 
 	function roomOf(failureDomain: string): Counted | undefined {
@@ -85,7 +82,7 @@
 
 	async function send(claim: Claim, item: Waiting, runsAt?: RunningAt): Promise<void> {
 		const {req} = item
-		const {startBy, uselessAt, deadlineAt, ...task} = req
+		const {startBy, uselessAt, deadlineAt, confirmedAt, ...task} = req
 		const now = clock.now()
 		const leftMs = deadlineAt - now
 		const message: TaskMessage = {
@@ -97,7 +94,8 @@
 			from: self.session,
 			runsAt,
 		}
-		const call = peers.runTask(claim.placer.address, message, leftMs + ANSWER_SLACK_MS)
+		const {address} = claim.placer
+		const call = peers.runTask(address, message, leftMs + ANSWER_SLACK_MS, confirmedAt)
 		// What is being stopped already must reach the successor, or it would take the run for one that is wanted.
 		if (!runsAt?.stopCause) item.onStart(() => call.cancel())
 		const reply = await call.reply
@@ -113,18 +111,21 @@
 		// Its room is of no use until it is told again.
 		if (call.wasUnsent()) counted.set(claim.failureDomain, noRoomOf(claim.failureDomain))
 		if (call.wasUnsent() && !runsAt) item.onEnd({type: "returned", cause: "no connection"})
-		else item.onEnd(await endOf(reply, claim, runsAt !== undefined))
+		else item.onEnd(await endOf(reply, claim, item, runsAt !== undefined))
 	}
 
 	async function endOf(
 		reply: TaskEnd | {readonly type: "not placer"} | undefined,
 		{placer}: Claim,
+		{req}: Waiting,
 		wasRunning: boolean,
 	): Promise<TaskEnd> {
 		if (reply && reply.type !== "not placer") return reply
 		// What was running when it was given away may run on until its lease ends.
 		if (reply && !wasRunning) return {type: "returned", cause: "not placer"}
-		await clock.sleep(PRESUMED_ENDED_MS)
+		// Whoever has it was told nothing later than this; its lease ends by that, whatever is known there.
+		const toldAt = Math.min(clock.now(), req.confirmedAt())
+		await clock.sleep(Math.max(0, certainEndAt(leaseRule, toldAt) - clock.now()))
 		return {type: "lost", executor: placer.name, cause: reply?.type ?? "its placer is silent"}
 	}
 
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -11,7 +11,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Beat} from "../types/fleet.js"
 import type {AcceptReply, CancelReply} from "../keep/keeper.js"
-import type {Job, JobEnd} from "../types/job.js"
+import type {Job, JobEnd, RemoteCaller} from "../types/job.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {JobState, KeptJobRequest} from "../types/kept-job.js"
 import type {JobMetrics} from "../utils/metrics.js"
@@ -34,7 +34,7 @@
 }
 
 export interface TaskMessage {
-	readonly task: Omit<TaskRequest, "startBy" | "uselessAt" | "deadlineAt">
+	readonly task: Omit<TaskRequest, "startBy" | "uselessAt" | "deadlineAt" | "confirmedAt">
 	readonly startInMs: number
 	readonly uselessInMs: number
 	readonly leftMs: number
@@ -78,8 +78,8 @@
 
 export interface PeerHandlers {
 	beat(beat: Beat): Beat
-	runJob(message: JobMessage, onCancel: (callback: () => void) => void): Promise<JobReply>
-	runTask(message: TaskMessage, onCancel: (callback: () => void) => void): Promise<TaskReply>
+	runJob(message: JobMessage, caller: RemoteCaller): Promise<JobReply>
+	runTask(message: TaskMessage, caller: RemoteCaller): Promise<TaskReply>
 	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
 	kept(message: KeptMessage): Promise<KeptReply>
 }
@@ -88,8 +88,8 @@
 export function listenPeers(address: string, handlers: PeerHandlers): Promise<JsonServer> {
 	return listenJson(SERVICE, address, {
 		beat: async message => handlers.beat(message as Beat),
-		runJob: (message, {onCancel}) => handlers.runJob(message as JobMessage, onCancel),
-		runTask: (message, {onCancel}) => handlers.runTask(message as TaskMessage, onCancel),
+		runJob: (message, caller) => handlers.runJob(message as JobMessage, caller),
+		runTask: (message, caller) => handlers.runTask(message as TaskMessage, caller),
 		takeOver: message => handlers.takeOver(message as TakeOverMessage),
 		kept: message => handlers.kept(message as KeptMessage),
 	})
@@ -105,8 +105,20 @@
 
 export interface Peers {
 	beat(address: string, beat: Beat, timeoutMs: number): Promise<Beat | undefined>
-	runJob(address: string, message: JobMessage, timeoutMs: number): PeerCall<JobReply>
-	runTask(address: string, message: TaskMessage, timeoutMs: number): PeerCall<TaskReply>
+	/** `confirmedAt`: as of when the job is wanted here, in steady milliseconds; the peer is told again and again. */
+	runJob(
+		address: string,
+		message: JobMessage,
+		timeoutMs: number,
+		confirmedAt: () => number,
+	): PeerCall<JobReply>
+	/** `confirmedAt` as for a job. */
+	runTask(
+		address: string,
+		message: TaskMessage,
+		timeoutMs: number,
+		confirmedAt: () => number,
+	): PeerCall<TaskReply>
 	takeOver(address: string, message: TakeOverMessage, timeoutMs: number): PeerCall<TakeOverReply>
 	kept(address: string, message: KeptMessage, timeoutMs: number): PeerCall<KeptReply>
 	/** A datagram came from there. */
@@ -136,8 +148,9 @@
 		method: string,
 		message: unknown,
 		timeoutMs: number,
+		confirmedAt?: () => number,
 	): PeerCall<T> {
-		const sent = clientOf(address).call(method, message, timeoutMs)
+		const sent = clientOf(address).call(method, message, timeoutMs, confirmedAt)
 		let isUnsent = false
 		const reply = sent.reply.then(answer => {
 			isUnsent = answer.type === "no answer" && !answer.wasSent
@@ -149,8 +162,10 @@
 
 	return {
 		beat: (address, beat, timeoutMs) => call<Beat>(address, "beat", beat, timeoutMs).reply,
-		runJob: (address, message, timeoutMs) => call(address, "runJob", message, timeoutMs),
-		runTask: (address, message, timeoutMs) => call(address, "runTask", message, timeoutMs),
+		runJob: (address, message, timeoutMs, confirmedAt) =>
+			call(address, "runJob", message, timeoutMs, confirmedAt),
+		runTask: (address, message, timeoutMs, confirmedAt) =>
+			call(address, "runTask", message, timeoutMs, confirmedAt),
 		takeOver: (address, message, timeoutMs) => call(address, "takeOver", message, timeoutMs),
 		kept: (address, message, timeoutMs) => call(address, "kept", message, timeoutMs),
 		noteReachable: address => clients.get(address)?.noteReachable(),
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -20,6 +20,7 @@
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import {createExecutorList} from "./place/executor-list.js"
+import type {LeaseRule} from "./place/lease-rule.js"
 import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
@@ -27,6 +28,7 @@
 import type {Job, JobEnd} from "./types/job.js"
 import type {EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
+import {watchNews} from "./utils/news.js"
 
 const REACH_TIMEOUT_MS = 250
 /** Executors that are asked before a foreign failure domain is taken over. */
@@ -39,7 +41,8 @@
 	readonly failureDomains: readonly string[]
 	/** Where peers reach this instance: host and port. */
 	readonly peerAddress: string
-	readonly maxLeaseMs: number
+	/** How long runs may go on for a caller that is not heard. */
+	readonly leaseRule: LeaseRule
 	/** What is being stopped may go on for this long. */
 	readonly stopGraceMs: number
 	/** The cores that this instance may use. */
@@ -85,9 +88,11 @@
 ): Promise<JobInstance> {
 	const clock = systemClock
 	const {store, log, metrics} = deps
+	const {leaseRule} = settings
 	const self = newMember(settings)
 	let isLeaving = false
 	const strain = watchStrain(clock)
+	const news = watchNews(clock)
 	const config = followConfig(clock, deps)
 
 	const peers = createPeers(metrics)
@@ -99,7 +104,7 @@
 		hosts.noteClaim(claim)
 		if (isNew) executors.readNow()
 	})
-	const overflow = createOverflow({clock, peers, view, self, log, metrics})
+	const overflow = createOverflow({clock, leaseRule, peers, view, self, log, metrics})
 
 	const hosts: Hosts = createHosts({
 		clock,
@@ -108,7 +113,7 @@
 		log,
 		metrics,
 		self,
-		maxLeaseMs: settings.maxLeaseMs,
+		leaseRule,
 		stopGraceMs: settings.stopGraceMs,
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.noteRoomChange(),
@@ -117,6 +122,7 @@
 	})
 	const dispatcher = createDispatcher({
 		clock,
+		knownAt: news.knownAt,
 		log,
 		peers,
 		view,
@@ -182,8 +188,8 @@
 			takeBeat(beat)
 			return ownBeat()
 		},
-		runJob: (message, onCancel) => dispatcher.runJob(message, onCancel),
-		runTask: (message, onCancel) => dispatcher.runTask(message, onCancel),
+		runJob: (message, caller) => dispatcher.runJob(message, caller),
+		runTask: (message, caller) => dispatcher.runTask(message, caller),
 		takeOver: message => handover.takeOver(message),
 		kept: message => keptParts.front.answer(message),
 	})
@@ -249,7 +255,7 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const placing = [strain, claims, handover, keptParts, beats, config]
+			const placing = [strain, news, claims, handover, keptParts, beats, config]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
 			for (const part of [...placing, ...serving]) part.close()
 		},
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -110,6 +110,7 @@
 			startBy: dueAt + slackMs - step.estimateMs,
 			uselessAt: Infinity,
 			deadlineAt: Infinity,
+			confirmedAt: () => Infinity,
 			isBegun: task.ends > 0,
 			priority: queue.priority,
 			label: step.label,
--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -1,15 +1,12 @@
 /**
  * What is known of an executor's steady clock, and until when its lease can last.
  *
- * All lease times are on the executor's clock, which may run slow. Sending uses the likely reading;
- * judging that a lease has ended uses the lowest reading possible. A lease that another placer asked for is
+ * All lease times are on the executor's clock, which may run slow. Both asking for a lease and judging that it has ended go
+ * by the lowest reading possible: no lease lasts longer than was meant. A lease that another placer asked for is
  * not known here, so the longest one is presumed.
  */
+import {END_MARGIN_MS, SLOWEST_RATE} from "./lease-rule.js"
 
-/** The slowest that an executor's clock may run; from the platform's contract (2%). */
-const SLOWEST_RATE = 0.98
-/** What is being stopped at a lease's end takes up to 50 ms by the contract, and 10 ms for our timer. */
-const END_MARGIN_MS = 60
 /** Another placer may have gone by a reading that was half a second old: 2% of that, and its timers. */
 const OTHERS_READING_MS = 20
 
@@ -18,13 +15,15 @@
 	observe(clockMs: number, now: number): void
 	/** How old the last reading is, in milliseconds; undefined before the first one. */
 	readingAgeMs(now: number): number | undefined
-	/** The likely reading now; undefined before the first one. */
-	estimate(now: number): number | undefined
+	/** The lowest reading possible now; undefined before the first one. */
+	lowest(now: number): number | undefined
 	/** Notes that an order asks for a lease until then. */
 	extend(leaseUntilMs: number): void
-	/** Notes that another placer may have asked for a lease of this length until now, both in milliseconds. */
-	presume(leaseMs: number, now: number): void
-	/** Whether everything under the leases asked for, here or by another placer, has certainly ended. */
+	/** Notes that another placer may have asked for leases until now that last so long here, both in milliseconds. */
+	presume(lastsMs: number, now: number): void
+	/** By then everything under the leases asked for, here or by another placer, has certainly ended; on our clock. */
+	leasesEndAt(now: number): number
+	/** Whether it has. */
 	hasLapsed(now: number): boolean
 }
 
@@ -33,24 +32,32 @@
 	let leaseUntilMs = -Infinity
 	/** On our clock, since an executor that has not answered has told no reading of its own. */
 	let presumedUntil = -Infinity
+
+	function lowest(now: number): number | undefined {
+		return reading && reading.clockMs + (now - reading.at) * SLOWEST_RATE
+	}
+
+	function leasesEndAt(now: number): number {
+		const clockMs = lowest(now)
+		if (clockMs === undefined) return presumedUntil
+		const ownEndAt = now + (leaseUntilMs - clockMs) / SLOWEST_RATE + END_MARGIN_MS
+		return Math.max(presumedUntil, ownEndAt)
+	}
+
 	return {
 		observe(clockMs, now) {
-			reading = {clockMs, at: now}
+			// Answers may pass each other; each reading says that it was so late at least.
+			if (clockMs >= (lowest(now) ?? -Infinity)) reading = {clockMs, at: now}
 		},
 		readingAgeMs: now => reading && now - reading.at,
-		estimate: now => reading && reading.clockMs + (now - reading.at),
+		lowest,
 		extend(untilMs) {
 			leaseUntilMs = Math.max(leaseUntilMs, untilMs)
 		},
-		presume(leaseMs, now) {
-			const longestMs = leaseMs / SLOWEST_RATE + END_MARGIN_MS + OTHERS_READING_MS
-			presumedUntil = Math.max(presumedUntil, now + longestMs)
-		},
-		hasLapsed(now) {
-			if (now <= presumedUntil) return false
-			if (!reading) return leaseUntilMs === -Infinity
-			const lowest = reading.clockMs + (now - reading.at) * SLOWEST_RATE
-			return lowest > leaseUntilMs + END_MARGIN_MS
+		presume(lastsMs, now) {
+			presumedUntil = Math.max(presumedUntil, now + lastsMs + OTHERS_READING_MS)
 		},
+		leasesEndAt,
+		hasLapsed: now => now > leasesEndAt(now),
 	}
 }
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -10,6 +10,7 @@
 	hasRoom,
 	hasRunOf,
 	isCompatible,
+	isConfirmed,
 	isIdle,
 	isPromising,
 	isUsable,
@@ -35,6 +36,8 @@
 	hasRoom(req: Pick<TaskRequest, "need">): boolean
 	/** Whether what runs there and the task may share the executor. */
 	isCompatible(req: TaskRequest): boolean
+	/** Whether the task's caller is known to want it so lately that a run may begin there. */
+	isConfirmed(req: TaskRequest): boolean
 	/** Counts a task's room as taken, or as free again, while a gang is tried. */
 	reserve(req: TaskRequest): void
 	unreserve(req: TaskRequest): void
@@ -83,6 +86,7 @@
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
 		isCompatible: req => isCompatible(link, req),
+		isConfirmed: req => isConfirmed(link, req),
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
 		runCount: () => link.runs.size,
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -103,15 +103,14 @@
 }
 
 /**
- * Whether the lease is to be renewed. It is not for runs that nobody here wants, whatever they are: that the placer before
- * may still hand over, that may be a kept job's once the store is read, or that are being stopped. Nor is it while a
- * stop stays without an answer, at the risk of what else runs there. So each run that nobody wants is over
- * a lease later at most, and those who wait for that go by nothing else.
+ * Whether the lease is to be renewed. It is not beside a run of which it is not known here whether anybody wants it: that the
+ * placer before may still hand over, or that may be a kept job's once the store is read. Nor is it for runs that are being
+ * stopped, or while a stop stays without an answer, at the risk of what else runs there. Where nothing runs no lease is
+ * needed: a start asks for its own.
  */
 function needsLease({runs, orphans, unansweredStops}: LinkState): boolean {
-	if (unansweredStops.size > 0) return false
-	const isIdle = runs.size + orphans.size === 0
-	return isIdle || [...runs.values()].some(({state}) => state !== "stopping")
+	if (unansweredStops.size + orphans.size > 0) return false
+	return [...runs.values()].some(({state}) => state !== "stopping")
 }
 
 function holdSlackMs({deps}: LinkState): number {
@@ -187,7 +186,9 @@
 
 function noteFenceTaken(link: LinkState) {
 	link.isFenceTaken = true
-	const {log, fence, onRoom} = link.deps
+	const {clock, log, fence, leaseRule, onRoom} = link.deps
+	// Until this answer the placer before may have asked it for leases.
+	link.executorClock.presume(leaseRule.longestEndMs, clock.now())
 	const fields = {executor: link.record.id, fence, count: link.orphans.size}
 	log.event("executor", "fence_taken", "executor: obeys our fence.", fields)
 	onRoom()
@@ -241,9 +242,9 @@
  * the list under our fence does not name, was refused for its fence; its room is not taken.
  */
 export function adoptRun(link: LinkState, run: Run, wasStarted: boolean) {
-	const {clock, maxLeaseMs} = link.deps
+	const {clock, leaseRule} = link.deps
 	// Its lease is the one that the placer before asked for last, whatever the executor has told here.
-	link.executorClock.presume(maxLeaseMs, clock.now())
+	link.executorClock.presume(leaseRule.longestEndMs, clock.now())
 	addRun(link, run)
 	const name = runName(run.req.task, run.req.run)
 	const end = link.strayEnds.get(name)
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -12,6 +12,7 @@
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
+import {leaseMsFor, mayBegin, type LeaseRule} from "./lease-rule.js"
 import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
 import type {Losses} from "./losses.js"
 import type {Tickets} from "./tickets.js"
@@ -37,8 +38,7 @@
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly fence: number
-	/** The longest lease that an executor grants, in milliseconds. */
-	readonly maxLeaseMs: number
+	readonly leaseRule: LeaseRule
 	/** What is being stopped may go on for this long, in milliseconds, listed or not. */
 	readonly stopGraceMs: number
 	/** Runs that nobody here started are left alone until then: the placer before hands them over. */
@@ -90,7 +90,7 @@
 
 export function newLinkState(record: ExecutorRecord, deps: LinkDeps): LinkState {
 	const executorClock = createExecutorClock()
-	executorClock.presume(deps.maxLeaseMs, deps.clock.now())
+	executorClock.presume(deps.leaseRule.longestEndMs, deps.clock.now())
 	return {
 		deps,
 		record,
@@ -186,6 +186,21 @@
 	return true
 }
 
+/** Whether a run of the task would end in time for whoever may stop wanting it unheard; see the lease rule. */
+export function isConfirmed(link: LinkState, {confirmedAt}: TaskRequest): boolean {
+	const {clock, leaseRule} = link.deps
+	const now = clock.now()
+	const leasesEndAt = link.executorClock.leasesEndAt(now)
+	return mayBegin(leaseRule, {confirmedAt: confirmedAt(), leasesEndAt}, now)
+}
+
+/** As of when all runs there are known to be wanted, or were before they were stopped. */
+function oldestConfirmation({runs}: LinkState): number {
+	let oldest = Infinity
+	for (const {req} of runs.values()) oldest = Math.min(oldest, req.confirmedAt())
+	return oldest
+}
+
 /** Counts room as taken, or with -1 as free again. */
 export function occupy({used}: LinkState, {need}: TaskRequest, sign: 1 | -1) {
 	used.cpu += sign * need.cpu
@@ -234,11 +249,18 @@
 	}
 }
 
-/** The end of the lease to ask for, on the executor's clock; undefined before its first answer. */
+/**
+ * The end of the lease to ask for, on the executor's clock; undefined before its first answer, and while a run there has
+ * not been confirmed for so long that none may be asked for.
+ */
 export function nextLeaseUntil(link: LinkState): number | undefined {
-	const reading = link.executorClock.estimate(link.deps.clock.now())
+	const {clock, leaseRule} = link.deps
+	const now = clock.now()
+	const reading = link.executorClock.lowest(now)
 	if (reading === undefined) return undefined
-	const untilMs = Math.floor(reading + link.deps.maxLeaseMs)
+	const leaseMs = leaseMsFor(leaseRule, oldestConfirmation(link), now)
+	if (leaseMs < 1) return undefined
+	const untilMs = Math.floor(reading + leaseMs)
 	link.executorClock.extend(untilMs)
 	return untilMs
 }
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -8,6 +8,7 @@
 import type {JobMetrics} from "../utils/metrics.js"
 import type {ExecutorLink} from "./executor-link.js"
 import type {Judgement} from "./judgement.js"
+import type {LeaseRule} from "./lease-rule.js"
 import type {KeptRuns} from "./link-state.js"
 import type {Losses} from "./losses.js"
 import type {Pulse} from "./pulse.js"
@@ -23,7 +24,7 @@
 	readonly metrics: JobMetrics
 	readonly failureDomain: string
 	readonly fence: number
-	readonly maxLeaseMs: number
+	readonly leaseRule: LeaseRule
 	readonly stopGraceMs: number
 	/** Runs left by the placer before wait this long to be handed over. */
 	readonly orphansWaitMs: number
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -257,6 +257,8 @@
 		state.isSweepDue = false
 		for (const item of state.queue.expired(state.deps.clock.now()))
 			giveBack(state, item, "deadline")
+		// What found no room for want of a late confirmation may have one by now.
+		walkSoon(state)
 		sweepSoon(state)
 	})
 }
@@ -273,7 +275,7 @@
 }
 
 function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
-	const {clock, orders, log, metrics, fence, maxLeaseMs, stopGraceMs, onFenced} = state.deps
+	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced} = state.deps
 	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
 		clock,
@@ -281,7 +283,7 @@
 		log,
 		metrics,
 		fence,
-		maxLeaseMs,
+		leaseRule,
 		stopGraceMs,
 		orphansWaitUntil,
 		kept: state.deps.kept,
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -21,6 +21,11 @@
 	readonly uselessAt: number
 	/** Steady milliseconds: nothing runs beyond it. */
 	readonly deadlineAt: number
+	/**
+	 * Steady milliseconds: as of when its caller is known to want it. Once nobody does it stays where it was. Infinity
+	 * where no caller waits, as for kept jobs.
+	 */
+	readonly confirmedAt: () => number
 	/** Tasks of its job have started before; what was done for them is lost with it. */
 	readonly isBegun: boolean
 	readonly priority: number
--- a/packages/jobs/src/place/selection.ts
+++ b/packages/jobs/src/place/selection.ts
@@ -47,6 +47,7 @@
 	const {record} = link
 	if (record.service !== req.service) return false
 	if (!link.isUsable() || !link.hasRoom(req) || !link.isCompatible(req)) return false
+	if (!link.isConfirmed(req)) return false
 	if (req.label !== undefined && !record.labels.includes(req.label)) return false
 	if (req.maxPerExecutor && link.countOf(stepNameOf(req.task)) >= req.maxPerExecutor) return false
 	return health.isUsable(record.id)
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -48,6 +48,20 @@
 	readonly deadlineAt: number
 }
 
+/** Whoever waits for a job or a task. */
+export interface Caller {
+	/** Calls back once, when nobody waits any more. */
+	readonly onCancel: (callback: () => void) => void
+	/** Steady milliseconds: as of when it is known to wait; what has come since may lie unread. */
+	readonly confirmedAt: () => number
+}
+
+/** A caller at another instance. */
+export interface RemoteCaller extends Caller {
+	/** Steady milliseconds: what it asks was not sent before then. */
+	readonly madeAt: number
+}
+
 /** How a job ended, as its submitter is told. */
 export type JobEnd =
 	| {readonly type: "completed"}
--- /dev/null
+++ b/packages/jobs/src/utils/news.ts
@@ -0,0 +1,50 @@
+/**
+ * How old what this process knows may be: the time as of which everything that had arrived at it has been read.
+ *
+ * A process that stands still, or gets little processor time, does not know what lies unread in its connections: that
+ * a caller has left, for one. Its clock goes on meanwhile, so what it has not heard is no proof of anything.
+ */
+import type {Clock} from "@cottonwood/core"
+
+/** Between two looks; half of the time between two readings of a placer's clock would be of no more use. */
+const LOOK_MS = 50
+/**
+ * Turns of the loop after which what had arrived before them has been read and told on: one reads the end of a
+ * connection, and it takes two more until the connection counts as closed.
+ */
+const TURNS = 3
+
+export interface News {
+	/** Steady milliseconds: what arrived before then has been read. */
+	knownAt(): number
+	close(): void
+}
+
+export function watchNews(
+	clock: Clock,
+	nextTurn: (callback: () => void) => unknown = setImmediate,
+): News {
+	let knownAt = clock.now()
+	let isClosed = false
+
+	function afterTurns(turns: number, callback: () => void) {
+		if (turns === 0) callback()
+		else nextTurn(() => afterTurns(turns - 1, callback))
+	}
+
+	function look() {
+		const at = clock.now()
+		afterTurns(TURNS, () => {
+			knownAt = at
+			if (!isClosed) clock.schedule(LOOK_MS, look)
+		})
+	}
+
+	look()
+	return {
+		knownAt: () => knownAt,
+		close() {
+			isClosed = true
+		},
+	}
+}
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -5,7 +5,7 @@
 import {createDispatcher, createFleetView, type JobMessage} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
-import {QUEUE} from "./support/requests.js"
+import {QUEUE, STAYING} from "./support/requests.js"
 
 const unused = () => {
 	throw new Error("not used")
@@ -18,6 +18,7 @@
 	const host = {placer: {canServe: () => true}}
 	const dispatcher = createDispatcher({
 		clock,
+		knownAt: () => clock.now(),
 		log: silentLog,
 		peers: {
 			beat: unused,
@@ -41,7 +42,8 @@
 		refreshConfig: () => void refreshed++,
 		isLeaving: () => false,
 	})
-	return {clock, dispatcher, ran, refreshed: () => refreshed}
+	const caller = {...STAYING, madeAt: clock.now()}
+	return {clock, dispatcher, caller, ran, refreshed: () => refreshed}
 }
 
 const configOf = (version: number, queues: readonly Queue[]): FleetConfig => ({
@@ -66,30 +68,30 @@
 	const newer = {...QUEUE, service: "moved"}
 
 	it("are run at once under a newer configuration than the placer has", async () => {
-		const {dispatcher, ran, clock, refreshed} = createWorld(configOf(3, [QUEUE]))
-		void dispatcher.runJob(messageUnder(4, newer), () => undefined)
+		const {dispatcher, caller, ran, clock, refreshed} = createWorld(configOf(3, [QUEUE]))
+		void dispatcher.runJob(messageUnder(4, newer), caller)
 		await clock.advance(1)
 		expect(ran.map(({service}) => service)).to.eql(["moved"])
 		expect(refreshed()).to.equal(1)
 	})
 
 	it("are run at once by a placer that has no configuration yet", async () => {
-		const {dispatcher, ran, clock} = createWorld(undefined)
-		void dispatcher.runJob(messageUnder(4, newer), () => undefined)
+		const {dispatcher, caller, ran, clock} = createWorld(undefined)
+		void dispatcher.runJob(messageUnder(4, newer), caller)
 		await clock.advance(1)
 		expect(ran).to.have.length(1)
 	})
 
 	it("go by the placer's own configuration when that is as new, or newer", async () => {
-		const {dispatcher, ran, clock} = createWorld(configOf(5, [QUEUE]))
-		void dispatcher.runJob(messageUnder(4, newer), () => undefined)
+		const {dispatcher, caller, ran, clock} = createWorld(configOf(5, [QUEUE]))
+		void dispatcher.runJob(messageUnder(4, newer), caller)
 		await clock.advance(1)
 		expect(ran.map(({service}) => service)).to.eql(["svc"])
 	})
 
 	it("are refused when the newer configuration here has their queue no more", async () => {
-		const {dispatcher, ran} = createWorld(configOf(5, []))
-		const reply = await dispatcher.runJob(messageUnder(4, newer), () => undefined)
+		const {dispatcher, caller, ran} = createWorld(configOf(5, []))
+		const reply = await dispatcher.runJob(messageUnder(4, newer), caller)
 		expect(reply).to.deep.include({type: "refused", kind: "no_configuration"})
 		expect(ran).to.have.length(0)
 	})
--- a/packages/jobs/test/hosts.test.ts
+++ b/packages/jobs/test/hosts.test.ts
@@ -6,7 +6,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeFleet, record} from "./support/fake-executors.js"
-import {NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
 
 const self = {name: "a-1", session: "a-1-s", failureDomain: "a", address: "a-1:1", cpuShare: 1}
 const claimOf = (failureDomain: string, fence: number): Claim => ({
@@ -30,7 +30,7 @@
 		log: silentLog,
 		metrics: createJobMetrics(),
 		self,
-		maxLeaseMs: 1_000,
+		leaseRule: LEASE_RULE,
 		stopGraceMs: 50,
 		handOver: () => false,
 		onRoomChange: () => undefined,
--- a/packages/jobs/test/job-run.test.ts
+++ b/packages/jobs/test/job-run.test.ts
@@ -30,6 +30,7 @@
 		clock,
 		log: silentLog,
 		metrics: createJobMetrics(),
+		confirmedAt: () => clock.now(),
 		submit(req, onEnd, onStart) {
 			const item = {req, onEnd, onStart, isCancelled: false}
 			submitted.push(item)
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -11,7 +11,7 @@
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock, settle} from "./support/fake-clock.js"
-import {taskRequest} from "./support/requests.js"
+import {LEASE_RULE, taskRequest} from "./support/requests.js"
 
 const member = (name: string, failureDomain: string): Member => ({
 	name,
@@ -37,6 +37,7 @@
 	}
 	const overflow = createOverflow({
 		clock,
+		leaseRule: LEASE_RULE,
 		view,
 		self,
 		log: silentLog,
@@ -73,10 +74,12 @@
 		view.takeBeat(beat)
 	}
 	const ends: TaskEnd[] = []
+	/** As of when the callers here are known to wait; they have not been heard since the beginning. */
+	const confirmedAt = clock.now()
 	let stop: (() => void) | undefined
 	function hand(task: string, extra: Parameters<typeof taskRequest>[1] = {}) {
 		const item: Waiting = {
-			req: taskRequest(task, extra),
+			req: taskRequest(task, {confirmedAt: () => confirmedAt, ...extra}),
 			since: clock.now(),
 			onEnd: end => void ends.push(end),
 			onStart: stopRun => (stop = stopRun),
@@ -85,7 +88,8 @@
 	}
 	function giveRunning(task: string) {
 		const onEnd = (end: TaskEnd) => void ends.push(end)
-		const item = {req: taskRequest(task), since: clock.now(), onEnd, onStart: () => undefined}
+		const req = taskRequest(task, {confirmedAt: () => confirmedAt})
+		const item = {req, since: clock.now(), onEnd, onStart: () => undefined}
 		overflow.sendTo(claim, item, {executor: "e9", isStarted: true})
 	}
 	return {clock, calls, tellRoom, hand, giveRunning, ends, stop: () => stop?.()}
@@ -134,7 +138,9 @@
 		for (const call of calls) call.answer(undefined)
 		await settle()
 		expect(ends.map(({type}) => type)).to.eql(["returned"])
-		await clock.advance(2_100)
+		await clock.advance(LEASE_RULE.endsWithinMs - 1)
+		expect(ends.map(({type}) => type)).to.eql(["returned"])
+		await clock.advance(1)
 		expect(ends.map(({type}) => type)).to.eql(["returned", "lost"])
 	})
 
@@ -142,9 +148,9 @@
 		const {giveRunning, calls, ends, clock} = createWorld()
 		giveRunning("j.0.0.0")
 		calls[0]?.answer({type: "not placer"})
-		await clock.advance(1_900)
+		await clock.advance(LEASE_RULE.endsWithinMs - 1)
 		expect(ends).to.eql([])
-		await clock.advance(200)
+		await clock.advance(1)
 		expect(ends.map(({type}) => type)).to.eql(["lost"])
 	})
 
@@ -153,9 +159,9 @@
 		tellRoom([54_000])
 		hand("j.0.0.0")
 		calls[0]?.answer(undefined)
-		await clock.advance(1_900)
+		await clock.advance(LEASE_RULE.endsWithinMs - 1)
 		expect(ends).to.eql([])
-		await clock.advance(200)
+		await clock.advance(1)
 		expect(ends.map(({type}) => type)).to.eql(["lost"])
 	})
 })
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -31,6 +31,7 @@
 	}
 	const dispatcher = createDispatcher({
 		clock,
+		knownAt: () => clock.now(),
 		log: silentLog,
 		view,
 		self,
--- a/packages/jobs/test/support/placers.ts
+++ b/packages/jobs/test/support/placers.ts
@@ -1,7 +1,7 @@
 /** Placers for tests; what a test does not name is as for a domain without a placer before. */
 import {createJobMetrics, silentLog} from "@cottonwood/jobs"
 import {createPlacer, type Placer, type PlacerDeps} from "@cottonwood/jobs/internals"
-import {NO_ADVISOR, NO_KEPT_RUNS} from "./requests.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS} from "./requests.js"
 
 type Given = Pick<PlacerDeps, "clock" | "orders"> & Partial<PlacerDeps>
 
@@ -11,7 +11,7 @@
 		metrics: createJobMetrics(),
 		failureDomain: "a",
 		fence: 1,
-		maxLeaseMs: 1_000,
+		leaseRule: LEASE_RULE,
 		orphansWaitMs: 0,
 		knowsAllExecutors: true,
 		stopGraceMs: 50,
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -12,6 +12,7 @@
 	type JobEnd,
 	type Member,
 	type Queue,
+	type RemoteCaller,
 	type Room,
 } from "@cottonwood/jobs"
 import {
@@ -29,7 +30,7 @@
 	type Peers,
 	type TaskReply,
 } from "@cottonwood/jobs/internals"
-import {NO_ADVISOR, NO_KEPT_RUNS} from "../requests.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS} from "../requests.js"
 import type {ReplayClock} from "./replay-clock.js"
 import {createReplayOrders, ReplayExecutor} from "./replay-executor.js"
 import {KINDS, SLACK_MS, STRETCH, type ReplayJob} from "./replay-load.js"
@@ -39,6 +40,8 @@
 /** One way between a caller and its instance. */
 const CALLER_WAY_MS = 3.5
 const DEADLINE_MS = 1_500
+/** Between two confirmations that a call is still wanted. */
+const CONFIRM_MS = 100
 const CONFIG_VERSION = 1
 
 export interface ReplayWorldOptions {
@@ -143,10 +146,27 @@
 		from: string,
 		to: string,
 		timeoutMs: number,
-		run: (instance: Instance, onCancel: (callback: () => void) => void) => Promise<T>,
+		confirmedAt: () => number,
+		run: (instance: Instance, caller: RemoteCaller) => Promise<T>,
 	): PeerCall<T> {
 		const listeners: (() => void)[] = []
+		const madeAt = clock.now()
+		let heardAt = confirmedAt()
 		let isOver = false
+
+		/** The other side is told as of when the call is wanted, again and again. */
+		function confirm() {
+			if (isOver) return
+			if (!isApart(from, to)) heardAt = confirmedAt()
+			clock.schedule(CONFIRM_MS, confirm)
+		}
+
+		const caller: RemoteCaller = {
+			onCancel: listener => void listeners.push(listener),
+			madeAt,
+			confirmedAt: () => heardAt,
+		}
+		clock.schedule(CONFIRM_MS, confirm)
 		const reply = new Promise<T | undefined>(resolve => {
 			const settle = (value: T | undefined) => {
 				isOver = true
@@ -156,7 +176,7 @@
 			clock.schedule(PEER_WAY_MS, () => {
 				const instance = instances.get(to)
 				if (!instance || isApart(from, to)) return
-				void run(instance, listener => listeners.push(listener)).then(value => {
+				void run(instance, caller).then(value => {
 					if (isApart(from, to)) return
 					clock.schedule(PEER_WAY_MS, () => settle(value))
 				})
@@ -186,13 +206,21 @@
 		}
 		const peers: Peers = {
 			beat: () => Promise.resolve(undefined),
-			runJob: (address, message, timeoutMs) =>
-				call<JobReply>(failureDomain, domainAt(address), timeoutMs, (instance, onCancel) =>
-					instance.dispatcher.runJob(message, onCancel),
+			runJob: (address, message, timeoutMs, confirmedAt) =>
+				call<JobReply>(
+					failureDomain,
+					domainAt(address),
+					timeoutMs,
+					confirmedAt,
+					(instance, caller) => instance.dispatcher.runJob(message, caller),
 				),
-			runTask: (address, message, timeoutMs) =>
-				call<TaskReply>(failureDomain, domainAt(address), timeoutMs, (instance, onCancel) =>
-					instance.dispatcher.runTask(message, onCancel),
+			runTask: (address, message, timeoutMs, confirmedAt) =>
+				call<TaskReply>(
+					failureDomain,
+					domainAt(address),
+					timeoutMs,
+					confirmedAt,
+					(instance, caller) => instance.dispatcher.runTask(message, caller),
 				),
 			takeOver: unused,
 			kept: unused,
@@ -200,7 +228,8 @@
 			close: () => undefined,
 		}
 		const view = createFleetView(clock, claim => hosts.noteClaim(claim))
-		const common = {clock, log: silentLog, metrics, self, peers, view}
+		const leaseRule = LEASE_RULE
+		const common = {clock, leaseRule, log: silentLog, metrics, self, peers, view}
 		const overflow = createOverflow(common)
 		const keeper = {
 			...NO_KEPT_RUNS,
@@ -212,7 +241,6 @@
 			...common,
 			orders: createReplayOrders(byId),
 			advisor: NO_ADVISOR,
-			maxLeaseMs: 1_000,
 			stopGraceMs: 50,
 			handOver: item => overflow.handOver(item),
 			onRoomChange: () => beats?.noteRoomChange(),
@@ -232,6 +260,7 @@
 		}
 		const dispatcher = createDispatcher({
 			...common,
+			knownAt: () => clock.now(),
 			hosts,
 			config: () => ({
 				version: CONFIG_VERSION,
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -1,5 +1,5 @@
 /** Task requests and queues for tests. */
-import type {Advisor, Queue} from "@cottonwood/jobs"
+import {leaseRuleFor, type Advisor, type Caller, type LeaseRule, type Queue} from "@cottonwood/jobs"
 import type {KeptRuns, TaskRequest} from "@cottonwood/jobs/internals"
 
 export function taskRequest(task: string, extra: Partial<TaskRequest> = {}): TaskRequest {
@@ -14,6 +14,7 @@
 		startBy: 2_000,
 		uselessAt: 50_000,
 		deadlineAt: 60_000,
+		confirmedAt: () => Infinity,
 		isBegun: false,
 		priority: 0,
 		avoid: [],
@@ -33,6 +34,15 @@
 	slackMs: 60,
 }
 
+/** Callers that come back after 1.3 s, and executors that grant leases of one second. */
+export const LEASE_RULE: LeaseRule = leaseRuleFor({
+	resubmitMs: 1_300,
+	maxLeaseMs: 1_000,
+})._unsafeUnwrap()
+
+/** A caller that stays, and is heard all the time. */
+export const STAYING: Caller = {onCancel: () => undefined, confirmedAt: () => Infinity}
+
 /** A service that is never asked. */
 export const NO_ADVISOR: Advisor = {
 	ask: () => Promise.reject(new Error("no advice was needed")),
