Specify runs that end by their callers' confirmations, and tasks handed to another domain

Cause: the end of an old run rested on sums of several processes' time spans, and no specification had processes and messages that are late without bound. Change: two specifications in discrete ticks. In the first a coordinator confirms a call as of a moment of the placer's clock, the placer bounds the executor's lease by the oldest confirmation there, and the caller comes back after the bound. In the second a placer hands a task to another domain, passes the caller's confirmation on, gives the host up, and runs the task again. Each guard that is left out is found with the shortest row of events; runs that outlive a first lease, second attempts and second runs are shown to be reached. In the rule as told three things had to be added for the invariant: a successor presumes the longest lease as of when the executor obeyed it, a confirmation counts for calls of its own stream, and a break must be there to be read when the caller notices it. No code outside the package is changed.

--- /dev/null
+++ b/packages/spec/src/confirmation-protocol.ts
@@ -0,0 +1,360 @@
+/**
+ * How long a run lives that nobody may want any more: its caller's coordinator confirms it, the placer bounds the
+ * executor's lease by that confirmation, and the caller comes back only when the bound is past.
+ *
+ * A coordinator confirms a call as of a moment of the placer's clock: the reading of a pulse, moved by the time that passed
+ * at the coordinator until it had read all its connections. So a pulse that was late by some ticks makes the
+ * confirmed moment older by as many. Ages are ticks of one real clock; differing rates are left to the margins of
+ * the real rule.
+ *
+ * Processes and messages may be late without bound: every step may be taken at any later tick, or never. Of several
+ * messages of one kind under way the model has the latest, which allows the most. A neighbour runs on the same executor
+ * all the time, and its own caller's confirmation is always fresh. A successor has the call as the first placer had it.
+ * The executor alone keeps time: it ends a run within the tick in which the lease ends.
+ */
+import type {Specification} from "./explore.js"
+
+const LEASE_TICKS = 2
+/** All runs on an executor end that long after their confirmation. */
+const BOUND_TICKS = 2
+/** A tick ends leases before anything else happens in it, so a caller that waits as long as the bound comes later. */
+const RESUBMIT_TICKS = BOUND_TICKS
+/** An age from which on a confirmation allows nothing. */
+const STALE_TICKS = BOUND_TICKS
+
+type Coordinator =
+	/** It confirms the call whenever it has read its connections. */
+	| "wants it"
+	/** It has sent the cancel on the call's stream, and goes on confirming others there. */
+	| "cancelled it"
+	/** It has lost the call's stream, or died; it, or its next life, confirms others on a new one. */
+	| "is gone"
+
+export interface ConfirmationState {
+	/** Ticks since the caller lost its connection or got an open answer; undefined while it waits. */
+	readonly brokenFor: number | undefined
+	readonly coordinator: Coordinator
+	/** Age of the latest moment as of which the coordinator knows that it wanted the call. */
+	readonly wantedAge: number
+	readonly call: "unsent" | "under way" | "read" | "cancelled"
+	/** Age of the moment that the placer takes for the call's confirmation, or that the call under way tells. */
+	readonly confirmedAge: number
+	/** Age of the moment that the confirmation under way tells; undefined when none is. */
+	readonly confirmation: number | undefined
+	readonly run: "none" | "ordered" | "running" | "ended"
+	/** Ticks that are left of the lease that the start itself asked for. */
+	readonly startLease: number
+	/** Ticks that are left of the lease at the executor. */
+	readonly lease: number
+	/** Ticks that are left of the lease that an order under way asks for; undefined when none is. */
+	readonly order: number | undefined
+	/** Ticks that are left, as the placer has it, of the longest lease asked for. */
+	readonly askedLease: number
+	/** Whether the executor obeys a successor of the first placer. */
+	readonly hasSuccessor: boolean
+	/** The run is there, and the placer knows nothing of it. */
+	readonly isOrphan: boolean
+	/** The caller has come back, and the task runs elsewhere. */
+	readonly runsAgain: boolean
+}
+
+export interface ConfirmationGuards {
+	/** A lease ends by the bound of each run on the executor, whoever it is renewed for. */
+	readonly boundByOldest: boolean
+	/** A call that arrives is as old as what it tells. */
+	readonly ageOfCall: boolean
+	/** A confirmation that arrives is as old as what it tells. */
+	readonly ageOfConfirmation: boolean
+	/** A start is ordered only where the lease asked for already ends by the run's bound. */
+	readonly lookBeforeStart: boolean
+	/** A successor takes it that the placer before has asked for the longest lease. */
+	readonly presumeLease: boolean
+	/** It takes that as of when the executor obeyed it, since the placer before may have asked until then. */
+	readonly presumeAtFence: boolean
+	/** Nothing is renewed while a run is there of which nothing is known. */
+	readonly renewNoOrphans: boolean
+	/** What is confirmed after a call's cancel does not confirm that call. */
+	readonly keepCancelled: boolean
+	/** What is confirmed on one stream does not confirm calls of another. */
+	readonly ownStream: boolean
+	/** An order tells the end of the lease, not its length. */
+	readonly absoluteEnd: boolean
+	/** A coordinator that reads a connection finds the break of it. */
+	readonly breakIsSeen: boolean
+	/** A caller comes back no earlier than the bound is past. */
+	readonly comeBackLate: boolean
+}
+
+export const ALL_CONFIRMATION_GUARDS: ConfirmationGuards = Object.freeze({
+	boundByOldest: true,
+	ageOfCall: true,
+	ageOfConfirmation: true,
+	lookBeforeStart: true,
+	presumeLease: true,
+	presumeAtFence: true,
+	renewNoOrphans: true,
+	keepCancelled: true,
+	ownStream: true,
+	absoluteEnd: true,
+	breakIsSeen: true,
+	comeBackLate: true,
+})
+
+export interface ConfirmationEvent {
+	readonly type:
+		| "connections read after a prompt pulse"
+		| "connections read after a late pulse"
+		| "call sent"
+		| "call read"
+		| "confirmation sent"
+		| "confirmation read"
+		| "confirmation of others read"
+		| "cancel read"
+		| "connection breaks"
+		| "answered open"
+		| "coordinator dies or loses its stream"
+		| "lease asked"
+		| "order arrives"
+		| "start ordered"
+		| "start arrives"
+		| "stop carried out"
+		| "successor fences"
+		| "run handed over"
+		| "caller comes back"
+		| "tick"
+}
+
+type EventType = ConfirmationEvent["type"]
+
+const INITIAL: ConfirmationState = Object.freeze({
+	brokenFor: undefined,
+	coordinator: "wants it",
+	wantedAge: STALE_TICKS,
+	call: "unsent",
+	confirmedAge: STALE_TICKS,
+	confirmation: undefined,
+	run: "none",
+	startLease: 0,
+	lease: 0,
+	order: undefined,
+	askedLease: 0,
+	hasSuccessor: false,
+	isOrphan: false,
+	runsAgain: false,
+})
+
+const isThere = ({run}: ConfirmationState) => run === "ordered" || run === "running"
+
+/** What the executor's lease may still be for the run's own sake. */
+const boundOf = ({confirmedAge}: ConfirmationState) => BOUND_TICKS - confirmedAge
+
+/** The longest lease that the placer may ask for now, for a neighbour's sake too. */
+function allowedLease(state: ConfirmationState, guards: ConfirmationGuards): number {
+	if (state.isOrphan) return guards.renewNoOrphans ? 0 : LEASE_TICKS
+	if (!isThere(state) || !guards.boundByOldest) return LEASE_TICKS
+	return Math.min(LEASE_TICKS, boundOf(state))
+}
+
+function mayStart(state: ConfirmationState, guards: ConfirmationGuards): boolean {
+	if (state.call !== "read" || state.run !== "none" || boundOf(state) === 0) return false
+	return !guards.lookBeforeStart || state.askedLease <= boundOf(state)
+}
+
+/** The coordinator has read all its connections, and the pulse that it goes by was late by some ticks. */
+function readConnections(
+	state: ConfirmationState,
+	pulseTicks: number,
+	guards: ConfirmationGuards,
+): ConfirmationState {
+	const isFound = state.brokenFor !== undefined && guards.breakIsSeen
+	if (isFound) return {...state, coordinator: "cancelled it"}
+	return {...state, wantedAge: Math.min(state.wantedAge, pulseTicks)}
+}
+
+function readCall(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
+	return {...state, call: "read", confirmedAge: guards.ageOfCall ? state.confirmedAge : 0}
+}
+
+function readConfirmation(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
+	const toldAge = guards.ageOfConfirmation ? (state.confirmation ?? STALE_TICKS) : 0
+	const confirmedAge = Math.min(state.confirmedAge, toldAge)
+	return {...state, confirmation: undefined, confirmedAge}
+}
+
+function askLease(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
+	const asked = allowedLease(state, guards)
+	return {...state, order: asked, askedLease: Math.max(state.askedLease, asked)}
+}
+
+function orderStart(state: ConfirmationState): ConfirmationState {
+	const startLease = Math.min(LEASE_TICKS, boundOf(state))
+	const askedLease = Math.max(state.askedLease, startLease)
+	return {...state, run: "ordered", startLease, askedLease}
+}
+
+function takeStart(state: ConfirmationState): ConfirmationState {
+	if (state.startLease === 0) return {...state, run: "ended"}
+	return {...state, run: "running", lease: Math.max(state.lease, state.startLease)}
+}
+
+function presumedLease({presumeLease, presumeAtFence}: ConfirmationGuards): number {
+	if (!presumeLease) return 0
+	// A successor that presumes as of its own beginning is at least a tick early.
+	return presumeAtFence ? LEASE_TICKS : LEASE_TICKS - 1
+}
+
+/** The executor obeys no order of the placer before any more; what it lists is all that the successor knows. */
+function takeOver(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
+	return {
+		...state,
+		hasSuccessor: true,
+		isOrphan: state.run === "running",
+		run: state.run === "ordered" ? "ended" : state.run,
+		order: undefined,
+		askedLease: presumedLease(guards),
+	}
+}
+
+const older = (age: number) => Math.min(STALE_TICKS, age + 1)
+const shorter = (left: number) => Math.max(0, left - 1)
+
+function tick(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
+	const {brokenFor, confirmation, order, run} = state
+	const lease = shorter(state.lease)
+	return {
+		...state,
+		brokenFor: brokenFor === undefined ? undefined : Math.min(RESUBMIT_TICKS, brokenFor + 1),
+		wantedAge: older(state.wantedAge),
+		confirmedAge: older(state.confirmedAge),
+		confirmation: confirmation === undefined ? undefined : older(confirmation),
+		run: run === "running" && lease === 0 ? "ended" : run,
+		startLease: shorter(state.startLease),
+		lease,
+		order: order !== undefined && guards.absoluteEnd ? shorter(order) : order,
+		askedLease: shorter(state.askedLease),
+	}
+}
+
+type Step = (state: ConfirmationState, guards: ConfirmationGuards) => ConfirmationState
+
+const STEPS: Readonly<Record<EventType, Step>> = {
+	"connections read after a prompt pulse": (state, guards) => readConnections(state, 0, guards),
+	"connections read after a late pulse": (state, guards) => readConnections(state, 1, guards),
+	"call sent": state => ({...state, call: "under way", confirmedAge: state.wantedAge}),
+	"call read": readCall,
+	"confirmation sent": state => ({...state, confirmation: state.wantedAge}),
+	"confirmation read": readConfirmation,
+	"confirmation of others read": state => ({...state, confirmedAge: 0}),
+	"cancel read": state => ({...state, call: "cancelled"}),
+	"connection breaks": state => ({...state, brokenFor: 0}),
+	"answered open": state => ({...state, brokenFor: 0, coordinator: "cancelled it"}),
+	"coordinator dies or loses its stream": state => ({
+		...state,
+		brokenFor: state.brokenFor ?? 0,
+		coordinator: "is gone",
+	}),
+	"lease asked": askLease,
+	"order arrives": state => ({
+		...state,
+		order: undefined,
+		lease: Math.max(state.lease, state.order ?? 0),
+	}),
+	"start ordered": orderStart,
+	"start arrives": takeStart,
+	"stop carried out": state => ({...state, run: "ended"}),
+	"successor fences": takeOver,
+	"run handed over": state => ({...state, isOrphan: false}),
+	"caller comes back": state => ({...state, runsAgain: true}),
+	tick,
+}
+
+/** Whether the call's run has ended, or can never begin; each call has one. */
+function isSettled({run, call, coordinator}: ConfirmationState): boolean {
+	if (run !== "none") return run === "ended"
+	return call === "cancelled" || (call === "unsent" && coordinator !== "wants it")
+}
+
+/** Leaves out what can no longer tell one future from another. */
+function reduced(state: ConfirmationState, {absoluteEnd}: ConfirmationGuards): ConfirmationState {
+	if (isSettled(state)) return {...INITIAL, run: "ended"}
+	const {order, lease} = state
+	const isOrderIdle = absoluteEnd && order !== undefined && order <= lease
+	return {
+		...state,
+		order: isOrderIdle ? undefined : order,
+		wantedAge: state.coordinator === "wants it" ? state.wantedAge : STALE_TICKS,
+	}
+}
+
+/** Whether a confirmation that is meant for others would be taken for the call's own. */
+function isMistaken(
+	{call, coordinator}: ConfirmationState,
+	{keepCancelled, ownStream}: ConfirmationGuards,
+) {
+	if (coordinator === "cancelled it") return call === "cancelled" && !keepCancelled
+	return coordinator === "is gone" && call === "read" && !ownStream
+}
+
+function callEvents(state: ConfirmationState): readonly (readonly [EventType, boolean])[] {
+	const {brokenFor, coordinator, call, confirmation, wantedAge} = state
+	const isWanted = coordinator === "wants it"
+	const isWaiting = brokenFor === undefined
+	const isNews = wantedAge < Math.min(STALE_TICKS, confirmation ?? STALE_TICKS)
+	return [
+		["connections read after a prompt pulse", isWanted && (wantedAge > 0 || !isWaiting)],
+		["connections read after a late pulse", isWanted && wantedAge > 1 && isWaiting],
+		["call sent", isWanted && call === "unsent" && wantedAge < STALE_TICKS],
+		["call read", call === "under way"],
+		["confirmation sent", isWanted && call !== "unsent" && isNews],
+		["confirmation read", call === "read" && confirmation !== undefined],
+		[
+			"cancel read",
+			call === "read" && confirmation === undefined && coordinator === "cancelled it",
+		],
+		["connection breaks", isWaiting],
+		["answered open", isWaiting && call !== "unsent"],
+		["coordinator dies or loses its stream", isWanted],
+	]
+}
+
+function runEvents(
+	state: ConfirmationState,
+	guards: ConfirmationGuards,
+): readonly (readonly [EventType, boolean])[] {
+	const {brokenFor, call, run, lease, order, hasSuccessor, isOrphan, runsAgain} = state
+	const resubmitTicks = guards.comeBackLate ? RESUBMIT_TICKS : RESUBMIT_TICKS - 1
+	const isUnwanted = call === "cancelled" || isOrphan
+	return [
+		["confirmation of others read", isMistaken(state, guards)],
+		["lease asked", allowedLease(state, guards) > Math.max(lease, order ?? 0)],
+		["order arrives", order !== undefined],
+		["start ordered", mayStart(state, guards)],
+		["start arrives", run === "ordered"],
+		["stop carried out", isThere(state) && isUnwanted],
+		["successor fences", !hasSuccessor],
+		["run handed over", isOrphan],
+		["caller comes back", !runsAgain && brokenFor !== undefined && brokenFor >= resubmitTicks],
+		["tick", true],
+	]
+}
+
+function enabled(
+	state: ConfirmationState,
+	guards: ConfirmationGuards,
+): readonly ConfirmationEvent[] {
+	if (state.run === "ended") return []
+	const rules = [...callEvents(state), ...runEvents(state, guards)]
+	return rules.filter(([, isEnabled]) => isEnabled).map(([type]) => ({type}))
+}
+
+export function confirmationProtocol(
+	guards: ConfirmationGuards = ALL_CONFIRMATION_GUARDS,
+): Specification<ConfirmationState, ConfirmationEvent> {
+	return {
+		initial: INITIAL,
+		next: (state, {type}) => reduced(STEPS[type](state, guards), guards),
+		enabled: state => enabled(state, guards),
+		violation: ({run, runsAgain}) =>
+			run === "running" && runsAgain ? "a task ran twice at once" : undefined,
+	}
+}
--- /dev/null
+++ b/packages/spec/src/handed-over-protocol.ts
@@ -0,0 +1,257 @@
+/**
+ * A task that a placer hands to a host, the placer of another domain: the placer passes on the confirmation that it has
+ * of the caller's coordinator, gives the host up when it gets no answer, and then runs the task itself, while the
+ * caller may come back as well.
+ *
+ * That a placer's runs end by the bound after what it was told is `confirmation-protocol.ts`; here a run simply does. Ages
+ * are ticks of one real clock, told and judged as there. Processes and messages may be late without bound; of
+ * several confirmations under way the model has the latest, which allows the most.
+ */
+import type {Specification} from "./explore.js"
+
+/** A run ends that long after its confirmation. */
+const BOUND_TICKS = 2
+/** A tick ends runs before anything else happens in it, so a caller that waits as long as the bound comes later. */
+const RESUBMIT_TICKS = BOUND_TICKS
+/** A sum that is too small for what it stands for. */
+const SHORT_WAIT_TICKS = 1
+/** An age from which on a confirmation allows nothing. */
+const STALE_TICKS = BOUND_TICKS
+
+type Run = "none" | "running" | "ended"
+
+export interface HandedOverState {
+	/** Ticks since the caller lost its connection; undefined while it waits. */
+	readonly brokenFor: number | undefined
+	/** A coordinator that has given the call up confirms it no more. */
+	readonly hasCoordinatorGivenUp: boolean
+	/** Age of the latest moment as of which the coordinator knows that it wanted the call. */
+	readonly wantedAge: number
+	/** The placer wants the task no more: it has read the cancel, or has answered with the end left open. */
+	readonly isUnwanted: boolean
+	/** Age of the moment that the placer takes for the caller's confirmation. */
+	readonly heldAge: number
+	readonly call: "unsent" | "under way" | "read"
+	/** Age of the moment that the host takes for the confirmation, or that the call under way tells. */
+	readonly hostAge: number
+	/** Ticks that are left of the bound that the call alone gave. */
+	readonly callLeft: number
+	/** Age of the moment that the confirmation to the host tells; undefined when none is under way. */
+	readonly passed: number | undefined
+	/** Ticks since the placer sent the host anything that confirms the task. */
+	readonly sentFor: number
+	/** Ticks since the placer gave the host up; undefined while it waits for its answer. */
+	readonly givenUpFor: number | undefined
+	readonly hostRun: Run
+	readonly ownRun: Run
+	/** The caller has come back, and the task runs at a third placer. */
+	readonly runsAgain: boolean
+}
+
+export interface HandedOverGuards {
+	/** What a placer passes on is the caller's confirmation, not its own wish. */
+	readonly passCallers: boolean
+	/** What is passed on is the confirmation of that call, not of the stream that it came on. */
+	readonly passOwnCalls: boolean
+	/** A call that arrives at the host is as old as what it tells. */
+	readonly ageOfCall: boolean
+	/** A confirmation that arrives at the host is as old as what it tells. */
+	readonly ageOfConfirmation: boolean
+	/** A host that was given up has had no confirmation for the bound before the task runs again. */
+	readonly waitFromSent: boolean
+}
+
+export const ALL_HANDED_OVER_GUARDS: HandedOverGuards = Object.freeze({
+	passCallers: true,
+	passOwnCalls: true,
+	ageOfCall: true,
+	ageOfConfirmation: true,
+	waitFromSent: true,
+})
+
+export interface HandedOverEvent {
+	readonly type:
+		| "connections read"
+		| "connection breaks"
+		| "coordinator dies"
+		| "confirmation read"
+		| "cancel read"
+		| "placer answers open"
+		| "call sent"
+		| "call read"
+		| "confirmation passed on"
+		| "confirmation passed on read"
+		| "host starts"
+		| "host's run stops"
+		| "host given up"
+		| "placer runs it again"
+		| "caller comes back"
+		| "tick"
+}
+
+type EventType = HandedOverEvent["type"]
+
+const INITIAL: HandedOverState = Object.freeze({
+	brokenFor: undefined,
+	hasCoordinatorGivenUp: false,
+	wantedAge: 0,
+	isUnwanted: false,
+	heldAge: 0,
+	call: "unsent",
+	hostAge: STALE_TICKS,
+	callLeft: 0,
+	passed: undefined,
+	sentFor: BOUND_TICKS,
+	givenUpFor: undefined,
+	hostRun: "none",
+	ownRun: "none",
+	runsAgain: false,
+})
+
+/** What the placer tells the host of the caller. Others on the caller's stream are confirmed all the time. */
+function toldAge(state: HandedOverState, {passCallers, passOwnCalls}: HandedOverGuards): number {
+	const isOthers = state.isUnwanted && !passOwnCalls
+	return passCallers && !isOthers ? state.heldAge : 0
+}
+
+/** The coordinator answers its caller in the same moment, which is the earliest. */
+function answerOpen(state: HandedOverState): HandedOverState {
+	const brokenFor = state.brokenFor ?? 0
+	return {...state, brokenFor, hasCoordinatorGivenUp: true, isUnwanted: true}
+}
+
+function readConnections(state: HandedOverState): HandedOverState {
+	if (state.brokenFor !== undefined) return {...state, hasCoordinatorGivenUp: true}
+	return {...state, wantedAge: 0}
+}
+
+function sendCall(state: HandedOverState, guards: HandedOverGuards): HandedOverState {
+	const hostAge = toldAge(state, guards)
+	return {...state, call: "under way", hostAge, callLeft: BOUND_TICKS - hostAge, sentFor: 0}
+}
+
+function readPassed(state: HandedOverState, guards: HandedOverGuards): HandedOverState {
+	const age = guards.ageOfConfirmation ? (state.passed ?? STALE_TICKS) : 0
+	return {...state, passed: undefined, hostAge: Math.min(state.hostAge, age)}
+}
+
+const older = (age: number) => Math.min(STALE_TICKS, age + 1)
+const olderIfAny = (age: number | undefined) => (age === undefined ? undefined : older(age))
+const endIfStale = (run: Run, age: number): Run =>
+	run === "running" && age >= STALE_TICKS ? "ended" : run
+
+function tick(state: HandedOverState): HandedOverState {
+	const heldAge = older(state.heldAge)
+	const hostAge = older(state.hostAge)
+	return {
+		...state,
+		brokenFor: olderIfAny(state.brokenFor),
+		wantedAge: older(state.wantedAge),
+		heldAge,
+		hostAge,
+		callLeft: Math.max(0, state.callLeft - 1),
+		passed: olderIfAny(state.passed),
+		sentFor: older(state.sentFor),
+		givenUpFor: olderIfAny(state.givenUpFor),
+		hostRun: endIfStale(state.hostRun, hostAge),
+		ownRun: endIfStale(state.ownRun, heldAge),
+	}
+}
+
+function next(
+	state: HandedOverState,
+	{type}: HandedOverEvent,
+	guards: HandedOverGuards,
+): HandedOverState {
+	switch (type) {
+		case "connections read":
+			return readConnections(state)
+		case "connection breaks":
+			return {...state, brokenFor: 0}
+		case "coordinator dies":
+			return {...state, brokenFor: state.brokenFor ?? 0, hasCoordinatorGivenUp: true}
+		case "confirmation read":
+			return {...state, heldAge: Math.min(state.heldAge, state.wantedAge)}
+		case "cancel read":
+			return {...state, isUnwanted: true}
+		case "placer answers open":
+			return answerOpen(state)
+		case "call sent":
+			return sendCall(state, guards)
+		case "call read":
+			return {...state, call: "read", hostAge: guards.ageOfCall ? state.hostAge : 0}
+		case "confirmation passed on":
+			return {...state, passed: toldAge(state, guards), sentFor: 0}
+		case "confirmation passed on read":
+			return readPassed(state, guards)
+		case "host starts":
+			return {...state, hostRun: "running"}
+		case "host's run stops":
+			return {...state, hostRun: "ended"}
+		case "host given up":
+			return {...state, givenUpFor: 0}
+		case "placer runs it again":
+			return {...state, ownRun: "running"}
+		case "caller comes back":
+			return {...state, runsAgain: true}
+		case "tick":
+			return tick(state)
+	}
+}
+
+/** Whether the placer takes the host's run as ended, by its answer or by the time that has passed. */
+function isTakenAsEnded(state: HandedOverState, guards: HandedOverGuards): boolean {
+	if (state.hostRun === "ended") return true
+	if (state.givenUpFor === undefined) return false
+	if (guards.waitFromSent) return state.sentFor >= BOUND_TICKS
+	return state.givenUpFor >= SHORT_WAIT_TICKS
+}
+
+function mayRunAgain(state: HandedOverState, guards: HandedOverGuards): boolean {
+	const isWanted = !state.isUnwanted && state.heldAge < STALE_TICKS
+	return isWanted && state.ownRun === "none" && isTakenAsEnded(state, guards)
+}
+
+function enabled(state: HandedOverState, guards: HandedOverGuards): readonly HandedOverEvent[] {
+	const {brokenFor, call, hostRun, isUnwanted, givenUpFor} = state
+	const isConfirming = !state.hasCoordinatorGivenUp
+	const isWithHost = call !== "unsent" && givenUpFor === undefined && hostRun !== "ended"
+	const isFresh = state.heldAge < STALE_TICKS
+	const isNews = toldAge(state, guards) < Math.min(state.hostAge, state.passed ?? STALE_TICKS)
+	const rules: readonly (readonly [EventType, boolean])[] = [
+		["connections read", isConfirming && (state.wantedAge > 0 || brokenFor !== undefined)],
+		["connection breaks", brokenFor === undefined],
+		["coordinator dies", isConfirming],
+		["confirmation read", !isUnwanted && state.wantedAge < state.heldAge],
+		["cancel read", !isConfirming && !isUnwanted],
+		["placer answers open", isConfirming && !isUnwanted],
+		["call sent", call === "unsent" && !isUnwanted && isFresh],
+		["call read", call === "under way"],
+		["confirmation passed on", isWithHost && isNews && (!isUnwanted || !guards.passOwnCalls)],
+		["confirmation passed on read", call === "read" && state.passed !== undefined],
+		["host starts", call === "read" && hostRun === "none" && state.hostAge < STALE_TICKS],
+		["host's run stops", hostRun === "running"],
+		["host given up", isWithHost],
+		["placer runs it again", mayRunAgain(state, guards)],
+		["caller comes back", !state.runsAgain && brokenFor === RESUBMIT_TICKS],
+		["tick", true],
+	]
+	return rules.filter(([, isEnabled]) => isEnabled).map(([type]) => ({type}))
+}
+
+/** Says which two runs of the task there are at once. */
+function violation({hostRun, ownRun, runsAgain}: HandedOverState): string | undefined {
+	const running = [hostRun === "running", ownRun === "running", runsAgain].filter(Boolean)
+	return running.length > 1 ? "a task ran twice at once" : undefined
+}
+
+export function handedOverProtocol(
+	guards: HandedOverGuards = ALL_HANDED_OVER_GUARDS,
+): Specification<HandedOverState, HandedOverEvent> {
+	return {
+		initial: INITIAL,
+		next: (state, event) => next(state, event, guards),
+		enabled: state => enabled(state, guards),
+		violation,
+	}
+}
--- /dev/null
+++ b/packages/spec/test/confirmation.test.ts
@@ -0,0 +1,94 @@
+import {
+	ALL_CONFIRMATION_GUARDS,
+	ALL_HANDED_OVER_GUARDS,
+	confirmationProtocol,
+	explore,
+	handedOverProtocol,
+	tracesTo,
+	type Specification,
+} from "@cottonwood/spec"
+import {expect} from "chai"
+
+const TWICE = "a task ran twice at once"
+const LONGER = "a run goes on beyond its first lease"
+const AGAIN = "the task runs again"
+
+function holds<State, Event extends {readonly type: string}>(spec: Specification<State, Event>) {
+	it("with all guards: no order of events breaks the invariant", () => {
+		const {states, violation} = explore(spec)
+		console.log(`        ${states} states`)
+		expect(violation).to.equal(undefined)
+	})
+}
+
+/** A shortest row of events to a state that breaks the invariant has that many of them. */
+function breaks<State, Event extends {readonly type: string}>(
+	guard: string,
+	spec: Specification<State, Event>,
+	length: number,
+) {
+	it(`without ${guard}: ${length} events lead to two runs at once`, () => {
+		const traces = tracesTo(spec, state => spec.violation(state))
+		const lengths = traces.map(({events}) => events.length)
+		expect(new Set(traces.map(({what}) => what))).to.deep.equal(new Set([TWICE]))
+		expect(Math.min(...lengths)).to.equal(length)
+	})
+}
+
+/** With all guards there are states of each of these kinds, so the guards don't hold by forbidding everything. */
+function reaches<State, Event extends {readonly type: string}>(
+	spec: Specification<State, Event>,
+	kinds: Readonly<Record<string, (state: State) => boolean>>,
+) {
+	for (const [kind, isOfKind] of Object.entries(kinds))
+		it(`with all guards: ${kind}`, () => {
+			const traces = tracesTo(spec, state => (isOfKind(state) ? kind : undefined))
+			expect(traces).not.to.have.lengthOf(0)
+		})
+}
+
+describe("specification of confirmed runs", () => {
+	const without = (guard: keyof typeof ALL_CONFIRMATION_GUARDS) =>
+		confirmationProtocol({...ALL_CONFIRMATION_GUARDS, [guard]: false})
+	holds(confirmationProtocol())
+	reaches(confirmationProtocol(), {
+		[AGAIN]: ({runsAgain}) => runsAgain,
+		[LONGER]: ({run, startLease}) => run === "running" && startLease === 0,
+	})
+	const lengths = {
+		boundByOldest: 11,
+		ageOfCall: 9,
+		ageOfConfirmation: 11,
+		lookBeforeStart: 11,
+		presumeLease: 12,
+		presumeAtFence: 12,
+		renewNoOrphans: 12,
+		keepCancelled: 13,
+		ownStream: 10,
+		absoluteEnd: 11,
+		breakIsSeen: 9,
+		comeBackLate: 8,
+	} as const
+	for (const guard of Object.keys(lengths) as (keyof typeof lengths)[])
+		breaks(guard, without(guard), lengths[guard])
+})
+
+describe("specification of a task that was handed to another domain", () => {
+	const without = (guard: keyof typeof ALL_HANDED_OVER_GUARDS) =>
+		handedOverProtocol({...ALL_HANDED_OVER_GUARDS, [guard]: false})
+	holds(handedOverProtocol())
+	reaches(handedOverProtocol(), {
+		[AGAIN]: ({runsAgain}) => runsAgain,
+		"its placer runs it again": ({ownRun}) => ownRun === "running",
+		[LONGER]: ({hostRun, callLeft}) => hostRun === "running" && callLeft === 0,
+	})
+	const lengths = {
+		passCallers: 7,
+		passOwnCalls: 9,
+		ageOfCall: 7,
+		ageOfConfirmation: 12,
+		waitFromSent: 6,
+	} as const
+	for (const guard of Object.keys(lengths) as (keyof typeof lengths)[])
+		breaks(guard, without(guard), lengths[guard])
+})
