Test the lease rule, confirmations and news, and stop runs whose caller was not heard for long

A run that is not confirmed for 700 ms is stopped and told as lost: it would cut the leases of all that runs beside it.

--- a/packages/jobs/src/place/lease-rule.ts
+++ b/packages/jobs/src/place/lease-rule.ts
@@ -25,6 +25,12 @@
 /** A shorter lease is not worth a start: two holds without an answer would end it. */
 const LEAST_START_LEASE_MS = 400
 
+/**
+ * A run whose caller was not heard for so long is not waited for: its neighbours' leases are down to half their length. A
+ * broken connection is noticed within 600 ms.
+ */
+const UNHEARD_MS = 700
+
 export interface LeaseRule {
 	/** Every run has ended so long after its caller was last known to want it, in milliseconds. */
 	readonly endsWithinMs: number
@@ -65,6 +71,11 @@
 	return confirmedAt + endsWithinMs
 }
 
+/** Whether a run's caller has not been known to want it for too long. */
+export function isUnheard(confirmedAt: number, now: number): boolean {
+	return now - confirmedAt > UNHEARD_MS
+}
+
 /**
  * The lease to ask for, in milliseconds of the executor's clock, when the oldest confirmation of all runs there is
  * `confirmedAt`; none below 1.
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -6,7 +6,7 @@
  * silent its runs count as running until its lease has certainly ended.
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
-import {stopOrphan, stopRun, stopUnanswered} from "./link-orders.js"
+import {stopOrphan, stopRun, stopUnanswered, stopUnheard} from "./link-orders.js"
 import {
 	addRun,
 	closeLink,
@@ -90,6 +90,7 @@
 async function holdOnce(link: LinkState, waitMs: number) {
 	const {clock, orders, fence} = link.deps
 	const sentAt = clock.now()
+	stopUnheard(link)
 	// A silent executor may hear us: what is asked while it is silent must not keep its lease alive,
 	// or nobody could ever tell that its runs have ended.
 	const isSilent = link.silentSince !== undefined
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -18,6 +18,7 @@
 	settleRun,
 	type LinkState,
 } from "./link-state.js"
+import {isUnheard} from "./lease-rule.js"
 import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "./run.js"
 import {stepNameOf} from "./task-queue.js"
 
@@ -84,6 +85,13 @@
 	void sendStop(link, run)
 }
 
+/** Stops what nobody is known to have wanted for so long that it cuts the leases of its neighbours short. */
+export function stopUnheard(link: LinkState) {
+	const now = link.deps.clock.now()
+	for (const run of [...link.runs.values()])
+		if (isUnheard(run.req.confirmedAt(), now)) stopRun(link, run, "unheard")
+}
+
 /**
  * Starts that were never answered may be carried out when an executor is back, though their runs were
  * settled by the end of its lease, and so may stops; a stop that is answered makes it refuse the starts.
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -237,8 +237,16 @@
 /** How a run without a result ended, by what was wanted of it. */
 export function lostOrStopped(link: LinkState, run: Run, cause: string): TaskEnd {
 	const executor = link.record.id
-	if (run.stopCause === "cancelled") return {type: "stopped"}
-	return {type: "lost", executor, cause: run.stopCause === "stuck" ? "stuck" : cause}
+	switch (run.stopCause) {
+		case "cancelled":
+			return {type: "stopped"}
+		case "stuck":
+			return {type: "lost", executor, cause: "stuck"}
+		case "unheard":
+			return {type: "lost", executor, cause: "its caller was not heard"}
+		default:
+			return {type: "lost", executor, cause}
+	}
 }
 
 export function settleAllLost(link: LinkState, cause: string) {
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -66,8 +66,11 @@
 	| {readonly type: "outnumbered"; readonly executor: string}
 	| {readonly type: "stopped"}
 
-/** `uncertain`: whether it runs is not known, since its start had no answer. */
-export type StopCause = "cancelled" | "stuck" | "uncertain"
+/**
+ * `uncertain`: whether it runs is not known, since its start had no answer. `unheard`: nobody was known to want it for
+ * so long that the leases of its neighbours suffer.
+ */
+export type StopCause = "cancelled" | "stuck" | "uncertain" | "unheard"
 
 /** A run on an executor. */
 export interface Run {
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -1,7 +1,7 @@
 /**
- * Jobs that other instances hand to the placer here.
+ * Jobs that callers and other instances hand in here.
  */
-import {silentLog, type FleetConfig, type Queue} from "@cottonwood/jobs"
+import {silentLog, type FleetConfig, type Job, type Queue} from "@cottonwood/jobs"
 import {createDispatcher, createFleetView, type JobMessage} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
@@ -14,11 +14,15 @@
 function createWorld(own: FleetConfig | undefined) {
 	const clock = createFakeClock()
 	const ran: Queue[] = []
+	const jobs: Job[] = []
+	let knownAt = clock.now()
 	let refreshed = 0
 	const host = {placer: {canServe: () => true}}
+	const self = {name: "a-1", session: "s", failureDomain: "a", address: "a-1:1", cpuShare: 1}
+	const view = createFleetView(clock, () => undefined)
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: () => clock.now(),
+		knownAt: () => knownAt,
 		log: silentLog,
 		peers: {
 			beat: unused,
@@ -29,12 +33,13 @@
 			noteReachable: () => undefined,
 			close: unused,
 		},
-		view: createFleetView(clock, () => undefined),
-		self: {name: "a-1", session: "s", failureDomain: "a", address: "a-1:1", cpuShare: 1},
+		view,
+		self,
 		hosts: {
 			of: () => host,
-			run(_host: unknown, _job: unknown, queue: Queue) {
+			run(_host: unknown, job: Job, queue: Queue) {
 				ran.push(queue)
+				jobs.push(job)
 				return Promise.resolve({type: "completed"})
 			},
 		} as never,
@@ -43,7 +48,9 @@
 		isLeaving: () => false,
 	})
 	const caller = {...STAYING, madeAt: clock.now()}
-	return {clock, dispatcher, caller, ran, refreshed: () => refreshed}
+	const claim = () => view.noteClaim({failureDomain: "a", fence: 1, placer: self})
+	const read = () => void (knownAt = clock.now())
+	return {clock, dispatcher, caller, claim, read, ran, jobs, refreshed: () => refreshed}
 }
 
 const configOf = (version: number, queues: readonly Queue[]): FleetConfig => ({
@@ -96,3 +103,42 @@
 		expect(ran).to.have.length(0)
 	})
 })
+
+describe("jobs that lay unread", () => {
+	it("at their placer are as old as they are by the word of whoever sent them", async () => {
+		const {dispatcher, caller, jobs, clock} = createWorld(configOf(4, [QUEUE]))
+		clock.freeze(3_000)
+		const madeAt = clock.now() - 2_500
+		void dispatcher.runJob({...messageUnder(4, QUEUE), ageMs: 40}, {...caller, madeAt})
+		await clock.advance(1)
+		expect(jobs).to.have.length(1)
+		expect(jobs[0]).to.include({receivedAt: madeAt - 40, deadlineAt: madeAt + 1_000})
+	})
+
+	/*
+	 * An instance stood still for 3 s with a call in its socket, whose caller gave up after 1.5 s and handed the same id in
+	 * elsewhere. Read as fresh it ran again beside that: "runs at i-3/1 and i-1" on processes.
+	 */
+	it("at the instance that their caller reached are as old as they may be", async () => {
+		const {dispatcher, claim, read, jobs, clock} = createWorld(configOf(4, [QUEUE]))
+		const job = (): Job => ({
+			id: "00000000000000aa",
+			queue: QUEUE.name,
+			spec: "",
+			steps: [],
+			receivedAt: clock.now(),
+			deadlineAt: clock.now() + 1_500,
+		})
+		claim()
+		clock.freeze(3_000)
+		const late = job()
+		void dispatcher.dispatch(late, QUEUE, () => undefined)
+		await clock.advance(1)
+		expect(jobs[0]?.deadlineAt).to.equal(late.deadlineAt - 3_000)
+		read()
+		const fresh = job()
+		void dispatcher.dispatch(fresh, QUEUE, () => undefined)
+		await clock.advance(1)
+		expect(jobs[1]?.deadlineAt).to.equal(fresh.deadlineAt)
+	})
+})
--- a/packages/jobs/test/job-run.test.ts
+++ b/packages/jobs/test/job-run.test.ts
@@ -116,4 +116,14 @@
 		await settle()
 		expect(submitted.map(({isCancelled}) => isCancelled)).to.eql([false, true, true])
 	})
+
+	it("is confirmed by nothing that its submitter does after its end", async () => {
+		const {clock, submitted, run} = createWorld([{count: 2}])
+		submitted[0]?.onStart()
+		await clock.advance(100)
+		run.cancel()
+		const endedAt = clock.now()
+		await clock.advance(500)
+		expect(submitted.map(({req}) => req.confirmedAt())).to.eql([endedAt, endedAt])
+	})
 })
--- /dev/null
+++ b/packages/jobs/test/lease-rule.test.ts
@@ -0,0 +1,105 @@
+/**
+ * The rule that ends every run in time for callers that come back, whatever the clocks of both sides do within the contract.
+ */
+import {leaseRuleFor} from "@cottonwood/jobs"
+import {
+	certainEndAt,
+	createExecutorClock,
+	END_MARGIN_MS,
+	leaseMsFor,
+	mayBegin,
+	SLOWEST_RATE,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import fc from "fast-check"
+import {LEASE_RULE} from "./support/requests.js"
+
+const RESUBMIT_MS = 1_300
+/** Callers' packets, and the one that tells the other side of a broken connection. */
+const WAY_MS = 50
+
+/** An executor whose steady clock runs at some rate: what its clock shows at a time here, and the reverse. */
+function executorAt(rate: number, offset: number) {
+	return {
+		clockAt: (now: number) => offset + now * rate,
+		timeOf: (clockMs: number) => (clockMs - offset) / rate,
+	}
+}
+
+const scene = fc.record({
+	rate: fc.double({min: SLOWEST_RATE, max: 1, noNaN: true}),
+	offset: fc.integer({min: 0, max: 1_000_000}),
+	readingAgeMs: fc.integer({min: 0, max: 5_000}),
+	confirmationAgeMs: fc.integer({min: 0, max: 2_000}),
+})
+
+describe("lease rule", () => {
+	it("ends every run before its caller may come back", () => {
+		expect(LEASE_RULE.endsWithinMs + WAY_MS).to.be.at.most(RESUBMIT_MS)
+	})
+
+	it("asks for no lease under which a run goes on for longer than it may, at any rate of the executor's clock", () => {
+		fc.assert(
+			fc.property(scene, ({rate, offset, readingAgeMs, confirmationAgeMs}) => {
+				const now = 100_000
+				const executor = executorAt(rate, offset)
+				const clock = createExecutorClock()
+				const readAt = now - readingAgeMs
+				clock.observe(Math.floor(executor.clockAt(readAt)), readAt)
+				const confirmedAt = now - confirmationAgeMs
+				const leaseMs = leaseMsFor(LEASE_RULE, confirmedAt, now)
+				if (leaseMs < 1) return
+				const untilMs = Math.floor((clock.lowest(now) ?? 0) + leaseMs)
+				const endsAt = executor.timeOf(untilMs) + END_MARGIN_MS
+				expect(endsAt).to.be.at.most(certainEndAt(LEASE_RULE, confirmedAt))
+			}),
+		)
+	})
+
+	it("never says too early that a lease has ended, and says so in the end", () => {
+		fc.assert(
+			fc.property(scene, ({rate, offset, readingAgeMs}) => {
+				const now = 100_000
+				const executor = executorAt(rate, offset)
+				const clock = createExecutorClock()
+				const readAt = now - readingAgeMs
+				clock.observe(Math.floor(executor.clockAt(readAt)), readAt)
+				const untilMs = Math.floor((clock.lowest(now) ?? 0) + LEASE_RULE.longestLeaseMs)
+				clock.extend(untilMs)
+				const endsAt = executor.timeOf(untilMs)
+				expect(clock.hasLapsed(Math.max(now, endsAt))).to.equal(false)
+				expect(clock.hasLapsed(now + 2 * LEASE_RULE.longestEndMs)).to.equal(true)
+			}),
+		)
+	})
+
+	it("lets nothing begin under leases that outlast what its confirmation allows", () => {
+		const now = 5_000
+		const leasesEndAt = now + LEASE_RULE.longestEndMs
+		const oldest = leasesEndAt - LEASE_RULE.endsWithinMs
+		expect(mayBegin(LEASE_RULE, {confirmedAt: oldest, leasesEndAt}, now)).to.equal(true)
+		expect(mayBegin(LEASE_RULE, {confirmedAt: oldest - 1, leasesEndAt}, now)).to.equal(false)
+		expect(mayBegin(LEASE_RULE, {confirmedAt: now - 900, leasesEndAt: now}, now)).to.equal(false)
+	})
+
+	it("lets a task begin beside a lease that was just asked for, at the age that confirmations have", () => {
+		const now = 5_000
+		const leasesEndAt = now + LEASE_RULE.longestEndMs
+		expect(mayBegin(LEASE_RULE, {confirmedAt: now - 170, leasesEndAt}, now)).to.equal(true)
+	})
+
+	it("is refused where callers come back too soon for any lease", () => {
+		const refused = leaseRuleFor({resubmitMs: 600, maxLeaseMs: 1_000})
+		expect(refused.isErr()).to.equal(true)
+		expect(leaseRuleFor({resubmitMs: 5_000, maxLeaseMs: 1_000})._unsafeUnwrap()).to.include({
+			longestLeaseMs: 1_000,
+		})
+	})
+
+	it("goes by the later of two readings, whichever answer comes first", () => {
+		const clock = createExecutorClock()
+		clock.observe(10_000, 500)
+		clock.observe(9_900, 510)
+		expect(clock.lowest(510)).to.be.at.least(10_000)
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/news.test.ts
@@ -0,0 +1,40 @@
+/** How old what an instance knows may be, by the turns of its loop. */
+import {watchNews} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+
+function createWorld() {
+	const clock = createFakeClock()
+	const turns: (() => void)[] = []
+	const news = watchNews(clock, callback => turns.push(callback))
+	const turn = () => {
+		for (const callback of turns.splice(0)) callback()
+	}
+	return {clock, news, turn}
+}
+
+describe("news", () => {
+	it("are as old as the last look after which the loop went round three times", async () => {
+		const {clock, news, turn} = createWorld()
+		const begunAt = clock.now()
+		for (let at = 0; at < 3; at++) turn()
+		await clock.advance(60)
+		turn()
+		turn()
+		expect(news.knownAt()).to.equal(begunAt)
+		turn()
+		expect(news.knownAt()).to.equal(begunAt + 50)
+	})
+
+	it("stay as old as they are while the process stands still", async () => {
+		const {clock, news, turn} = createWorld()
+		const begunAt = clock.now()
+		for (let at = 0; at < 3; at++) turn()
+		clock.freeze(3_000)
+		// Timers come first after a standstill; what lay in the connections is read after them.
+		await clock.advance(0)
+		expect(news.knownAt()).to.equal(begunAt)
+		for (let at = 0; at < 3; at++) turn()
+		expect(news.knownAt()).to.equal(begunAt + 3_000)
+	})
+})
