Say in the lines who asked for a run, under which fence it ran and what proved its end

Cause: no line told an instance that asked itself from a placer silent for 17 s, two lives of one name apart, for whom a run was started, by what proof it was told as ended, or since when a placer no longer wanted it. So no explanation of a doubled run could be told from another. Change: placer_asked has isOwn and no inputAgeMs where it asked itself, and the placer's life (session), as have claim_known, claim_written (of the one before), registered, handover, handed_over and task_handed_over. task_started, run_ended, run_stopping and run_adopted have the life that asked (caller), by a field that the receiver of a job or task sets. run_ended has its fence and proof; task_handed_over fence, cause and proof. New: run_stopping, orphan_ended. Not sampled any more: ends of stopped runs, starts of second and later runs, answers given up or unsent, handed tasks lost or without an answer. trace names the instance of a caller's life. Ruled out: keeping the lines of each job until it has ended, to write sampled ones after an open end: it needs memory for each job and loses them with the process; what a sampled start says stands in run_ended. A line for each renewal of a lease: too many. Decisions are unchanged.

--- a/packages/ctl/src/commands/trace.ts
+++ b/packages/ctl/src/commands/trace.ts
@@ -50,10 +50,22 @@
 		.sort((a, b) => (a.timestamp < b.timestamp ? -1 : a.timestamp > b.timestamp ? 1 : 0))
 }
 
-function describe(line: LogLine): string {
+/** The names of instances by their lives, from all lines that name one with its life. */
+export function livesOf(lines: readonly LogLine[]): ReadonlyMap<unknown, string> {
+	const lives = new Map<unknown, string>()
+	for (const {session, peer} of lines)
+		if (session !== undefined && typeof peer === "string") lives.set(session, peer)
+	return lives
+}
+
+/** What a line says beside its columns; the life of who asked with its name, if any line tells it. */
+export function describeLine(line: LogLine, lives: ReadonlyMap<unknown, string>): string {
 	return Object.entries(line)
 		.filter(([name]) => !COLUMNS.has(name))
-		.map(([name, value]) => `${name}=${String(value)}`)
+		.map(([name, value]) => {
+			const instance = name === "caller" ? lives.get(value) : undefined
+			return `${name}=${String(value)}${instance ? ` (${instance})` : ""}`
+		})
 		.join(" ")
 }
 
@@ -64,6 +76,7 @@
 		files.length > 0 ? files.map(file => readFileSync(file, "utf8")) : [readFileSync(0, "utf8")]
 	const lines = texts.flatMap(readLines)
 	const timeline = timelineOf(lines, job)
+	const lives = livesOf(lines)
 	if (timeline.length === 0) {
 		const since = lines.map(({timestamp}) => timestamp).sort()[0] ?? "never: no lines were read"
 		printLine(`not known here; the lines begin ${since}`)
@@ -73,7 +86,12 @@
 	else
 		printTable(
 			["time", "instance", "kind", "what"],
-			timeline.map(line => [line.timestamp.slice(11), line.instance, line.kind, describe(line)]),
+			timeline.map(line => [
+				line.timestamp.slice(11),
+				line.instance,
+				line.kind,
+				describeLine(line, lives),
+			]),
 		)
 	return EXIT.ok
 }
--- a/packages/ctl/test/trace.test.ts
+++ b/packages/ctl/test/trace.test.ts
@@ -1,7 +1,7 @@
 /**
  * The timeline of a job from log lines.
  */
-import {readLines, timelineOf} from "cottonwoodctl/trace"
+import {describeLine, livesOf, readLines, timelineOf} from "cottonwoodctl/trace"
 import {expect} from "chai"
 
 const LINES = [
@@ -21,4 +21,18 @@
 	it("knows nothing of a job without lines", () => {
 		expect(timelineOf(readLines(LINES.join("\n")), "cc")).to.eql([])
 	})
+
+	it("names the instance whose life asked, as far as any line does", () => {
+		const at = '"timestamp":"2026-01-01T00:00:02.000Z"'
+		const lines = readLines(
+			[
+				`{${at},"kind":"claim_known","peer":"edge-a-1","session":"11111111","fence":4}`,
+				`{${at},"kind":"task_started","job":"aa","fence":4,"caller":"11111111"}`,
+				`{${at},"kind":"run_ended","job":"aa","proof":"lease over","caller":"22222222"}`,
+			].join("\n"),
+		)
+		const [, started, ended] = lines.map(line => describeLine(line, livesOf(lines)))
+		expect(started).to.equal("fence=4 caller=11111111 (edge-a-1)")
+		expect(ended).to.equal("proof=lease over caller=22222222")
+	})
 })
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -8,7 +8,7 @@
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
 import {latestUsefulStart} from "./job-run.js"
 
@@ -54,6 +54,20 @@
 	workCount(): number
 }
 
+/** What this instance heard of itself, or of a life before it at its address, is no age of a placer's word. */
+function whoIsAsked({view, self}: DispatcherDeps, {placer, fence, failureDomain}: Claim) {
+	const isOwn = placer.session === self.session
+	const silentMs = isOwn ? Infinity : Math.round(view.silentMs(placer.session))
+	return {
+		peer: placer.name,
+		session: lifeOf(placer.session),
+		isOwn,
+		failureDomain,
+		fence,
+		inputAgeMs: Number.isFinite(silentMs) ? silentMs : undefined,
+	}
+}
+
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
@@ -178,15 +192,13 @@
 		return refusal ?? {type: "refused", kind: "no_capacity", cause: "no placer can be reached"}
 	}
 
-	function noteTry(job: Job, {placer, fence, failureDomain}: Claim, outcome: string) {
-		const silentMs = Math.round(view.silentMs(placer.session))
-		log.event("job", "placer_asked", "job: a placer answered.", {
+	function noteTry(job: Job, claim: Claim, outcome: string) {
+		// Whoever was asked may have the job all the same.
+		const write = outcome === "given up" || outcome === "unsent" ? log.alarm : log.event
+		write("job", "placer_asked", "job: a placer answered.", {
 			job: job.id,
-			peer: placer.name,
-			failureDomain,
-			fence,
+			...whoIsAsked(deps, claim),
 			outcome,
-			inputAgeMs: Number.isFinite(silentMs) ? silentMs : undefined,
 			tookMs: Math.round(clock.now() - job.receivedAt),
 		})
 	}
@@ -213,6 +225,7 @@
 			const now = clock.now()
 			const job: Job = {
 				...message.job,
+				caller: message.from,
 				receivedAt: now - message.ageMs,
 				deadlineAt: now + message.leftMs,
 			}
@@ -226,6 +239,7 @@
 			const now = clock.now()
 			const req: TaskRequest = {
 				...message.task,
+				caller: message.from,
 				startBy: now + message.startInMs,
 				uselessAt: now + message.uselessInMs,
 				deadlineAt: now + message.leftMs,
--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -12,7 +12,7 @@
 import type {FleetView} from "../fleet/members.js"
 import type {Peers, TakeOverMessage, TakeOverReply} from "../fleet/peers.js"
 import type {Claim, Member} from "../types/fleet.js"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
 import type {Overflow} from "./overflow.js"
 
@@ -94,7 +94,8 @@
 		}
 		hosts.offerHandover(failureDomain)
 		const reply = await peers.takeOver(member.address, message, TAKE_TIMEOUT_MS).reply
-		const fields = {failureDomain, fence: claim.fence, peer: member.name}
+		const asked = {peer: member.name, session: lifeOf(member.session)}
+		const fields = {failureDomain, fence: claim.fence, ...asked}
 		const outcome = reply?.isTaken ? "taken" : reply ? "declined" : "silent"
 		log.alarm("placer", "handover", "placer: asked an instance to take over.", {...fields, outcome})
 		const successor = reply?.isTaken
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -9,6 +9,7 @@
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
 import type {Job, JobEnd} from "../types/job.js"
+import {lifeOf} from "../utils/log.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
@@ -120,7 +121,7 @@
 		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
-		const fields = {failureDomain, fence}
+		const fields = {failureDomain, fence, outcome: handover ? "handed over" : "taken"}
 		log.alarm("placer", "placing_begun", "placer: places a failure domain now.", fields)
 	}
 
@@ -189,7 +190,8 @@
 			host.keeper.close()
 			const count = host.placer.counts().running
 			host.placer.giveAll((item, from) => overflow.sendTo(successor, item, from))
-			const fields = {failureDomain, fence, peer: successor.placer.name, count}
+			const {name, session} = successor.placer
+			const fields = {failureDomain, fence, peer: name, session: lifeOf(session), count}
 			log.alarm("placer", "handed_over", "placer: gave its domain to a successor.", fields)
 		},
 		setExecutors(records) {
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -123,6 +123,7 @@
 			rack: step.rack,
 			maxPerExecutor: step.maxPerExecutor,
 			avoid: [...task.avoid],
+			caller: job.caller,
 			isForeign: false,
 			advice: queue.advice,
 		}
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -10,7 +10,7 @@
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {Waiting} from "../place/task-queue.js"
 import type {Claim, Member} from "../types/fleet.js"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
 /** Told room that is older says nothing any more: two beats. */
@@ -104,10 +104,16 @@
 		const outcome = reply?.type ?? (call.wasUnsent() ? "unsent" : "silent")
 		metrics.count("tasks_handed_over", outcome)
 		const fields = {job: req.job, task: req.task, run: req.run, peer: claim.placer.name}
-		log.event("placer", "task_handed_over", "placer: another placer had a task.", {
+		const isTold = reply !== undefined && reply.type !== "lost"
+		const write = isTold ? log.event : log.alarm
+		write("placer", "task_handed_over", "placer: another placer had a task.", {
 			...fields,
+			session: lifeOf(claim.placer.session),
 			failureDomain: claim.failureDomain,
+			fence: claim.fence,
 			outcome,
+			cause: reply && "cause" in reply ? reply.cause : undefined,
+			proof: reply && reply.type !== "not placer" ? "told by another placer" : undefined,
 			tookMs: Math.round(clock.now() - now),
 		})
 		// Its room is of no use until it is told again.
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -7,7 +7,7 @@
  */
 import type {Clock, Store} from "@cottonwood/core"
 import type {Claim, Member} from "../types/fleet.js"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {claimKey, type FleetView} from "./members.js"
 
@@ -235,6 +235,7 @@
 		log.alarm("fleet", "claim_written", "fleet: claims a failure domain.", {
 			...fields,
 			peer: known?.placer.name,
+			session: lifeOf(known?.placer.session),
 		})
 		if (put.type !== "done") return false
 		view.noteClaim(claim)
--- a/packages/jobs/src/fleet/registration.ts
+++ b/packages/jobs/src/fleet/registration.ts
@@ -3,7 +3,7 @@
  */
 import type {Clock, Store} from "@cottonwood/core"
 import type {Member} from "../types/fleet.js"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
 import {nodeKey} from "./members.js"
 
 /** Long enough for two lost renewals; short enough that a dead instance is forgotten in seconds. */
@@ -29,7 +29,8 @@
 		const put = await store.put(nodeKey(self.name), self, {lease: granted})
 		if (put.type !== "done") return false
 		lease = granted
-		const fields = {peer: self.name, failureDomain: self.failureDomain, address: self.address}
+		const {name, session, failureDomain, address} = self
+		const fields = {peer: name, session: lifeOf(session), failureDomain, address}
 		log.event("fleet", "registered", "fleet: registered in the store.", fields)
 		return true
 	}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -25,7 +25,7 @@
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
 import type {Beat, Member} from "./types/fleet.js"
 import type {Job, JobEnd} from "./types/job.js"
-import type {EventLog} from "./utils/log.js"
+import {lifeOf, type EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
 
 const REACH_TIMEOUT_MS = 250
@@ -93,7 +93,8 @@
 	const peers = createPeers(metrics)
 	const view = createFleetView(clock, claim => {
 		const {fence, placer} = claim
-		const fields = {failureDomain: claim.failureDomain, fence, peer: placer.name}
+		const {failureDomain} = claim
+		const fields = {failureDomain, fence, peer: placer.name, session: lifeOf(placer.session)}
 		log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
 		hosts.noteClaim(claim)
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -3,7 +3,7 @@
  */
 import type {Clock} from "@cottonwood/core"
 import {createHealth, type Health} from "@cottonwood/core/health"
-import type {EventLog} from "../utils/log.js"
+import {lifeOf, type EventLog, type RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {Run, TaskEnd} from "./run.js"
 import {createSpeeds, type Speeds} from "./selection.js"
@@ -22,18 +22,19 @@
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly failureDomain: string
+	readonly fence: number
 }
 
 export interface Judgement {
 	readonly health: Health
 	readonly speeds: Speeds
 	/** Notes how a run ended. */
-	observe(executor: string, run: Run, end: TaskEnd): void
+	observe(executor: string, run: Run, end: TaskEnd, proof: RunProof): void
 	forget(executor: string): void
 }
 
 export function createJudgement(deps: JudgementDeps): Judgement {
-	const {clock, log, metrics, failureDomain} = deps
+	const {clock, log, metrics, failureDomain, fence} = deps
 	const speeds = createSpeeds()
 	const health = createHealth({
 		now: () => clock.now(),
@@ -46,19 +47,22 @@
 		},
 	})
 
-	function noteEnd(executor: string, run: Run, end: TaskEnd, tookMs: number) {
-		const {job, task, run: number, estimateMs} = run.req
-		// What was given up without a proof of its end may run on; such lines are never sampled.
-		const write = end.type === "lost" ? log.alarm : log.event
+	function noteEnd(executor: string, run: Run, end: TaskEnd, proof: RunProof) {
+		const {job, task, run: number, estimateMs, caller} = run.req
+		// What ended without a result may be run again elsewhere; such lines are never sampled.
+		const write = end.type === "lost" || end.type === "stopped" ? log.alarm : log.event
 		write("placer", "run_ended", "placer: a run ended.", {
 			job,
 			task,
 			run: number,
 			executor,
 			estimateMs,
-			tookMs: Math.round(tookMs),
+			tookMs: Math.round(clock.now() - run.startedAt),
 			outcome: end.type,
 			cause: "cause" in end ? end.cause : undefined,
+			proof,
+			fence,
+			caller: lifeOf(caller),
 		})
 	}
 
@@ -71,10 +75,10 @@
 	return {
 		health,
 		speeds,
-		observe(executor, run, end) {
+		observe(executor, run, end, proof) {
 			const now = clock.now()
 			const tookMs = now - run.startedAt
-			noteEnd(executor, run, end, tookMs)
+			noteEnd(executor, run, end, proof)
 			// News of the end may be late; then only the time for which it was seen to run is certain.
 			const isLateNews = now - run.seenAt > LATE_NEWS_MS
 			const ranMs = isLateNews ? run.seenAt - run.startedAt : tookMs
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -6,6 +6,7 @@
  * silent its runs count as running until its lease has certainly ended.
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
+import {lifeOf} from "../utils/log.js"
 import {stopOrphan, stopRun, stopUnanswered} from "./link-orders.js"
 import {
 	addRun,
@@ -128,7 +129,7 @@
 	const {clock} = link.deps
 	noteSilence(link, reply.type === "silent" ? reply.cause : reply.type)
 	if (hasLapsedSilent(link)) {
-		settleAllLost(link, "its lease ended while silent")
+		settleAllLost(link, "its lease ended while silent", "lease over")
 		link.orphans = new Set()
 		// What it listed before is told by nobody; the store has what counts, or the next list names it.
 		if (link.isRetired && !isWaitedFor(link)) forgetUnwatched(link)
@@ -181,7 +182,8 @@
 function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
 	for (const run of [...link.runs.values()]) {
 		if (run.listedFrom === undefined || run.listedFrom > sentAt) continue
-		if (!listed.has(run.req.task)) void settleRun(link, run, lostOrStopped(link, run, "not there"))
+		if (listed.has(run.req.task)) continue
+		void settleRun(link, run, lostOrStopped(link, run, "not there"), "not in a list")
 	}
 }
 
@@ -197,13 +199,23 @@
 	if (end.serial <= link.seenSerial) return
 	link.seenSerial = end.serial
 	const run = link.runs.get(end.task)
-	link.stoppingOrphans.delete(runName(end.task, end.run))
-	if (run?.req.run === end.run)
-		return forgetWhenNoted(link, end.serial, settleRun(link, run, endOf(link, run, end)))
+	if (link.stoppingOrphans.delete(runName(end.task, end.run))) noteOrphanEnd(link, end)
+	if (run?.req.run === end.run) return settleListed(link, run, end)
 	link.unnoted.add(end.serial)
 	link.strayEnds.set(runName(end.task, end.run), end)
 }
 
+function settleListed(link: LinkState, run: Run, end: RunEnd) {
+	const noted = settleRun(link, run, endOf(link, run, end), "listed end")
+	forgetWhenNoted(link, end.serial, noted)
+}
+
+function noteOrphanEnd({deps, record}: LinkState, {task, run, how}: RunEnd) {
+	const fields = {job: task.split(".")[0], task, run, executor: record.id, fence: deps.fence}
+	const message = "executor: what nobody here started has ended."
+	deps.log.alarm("executor", "orphan_ended", message, {...fields, outcome: how})
+}
+
 /** Kept jobs are known from now on: what the executor has listed before may be theirs. */
 export function offerOrphans(link: LinkState) {
 	claimStrayEnds(link)
@@ -250,12 +262,13 @@
 	link.strayEnds.delete(name)
 	if (end) {
 		noteAdopted(link, run, `ended: ${end.how}`)
-		return forgetWhenNoted(link, end.serial, settleRun(link, run, endOf(link, run, end)))
+		return settleListed(link, run, end)
 	}
 	const isThere = link.orphans.has(name) || link.stoppingOrphans.has(name)
 	if (!isThere && !wasStarted && link.isFenceTaken) {
 		noteAdopted(link, run, "never there")
-		return void settleRun(link, run, {type: "returned", cause: "its start never arrived"})
+		const returned = {type: "returned", cause: "its start never arrived"} as const
+		return void settleRun(link, run, returned, "not in a list")
 	}
 	noteAdopted(link, run, isThere ? "listed" : "not listed yet")
 	link.orphans = new Set([...link.orphans].filter(orphan => orphan !== name))
@@ -265,7 +278,7 @@
 /** What is known of an adopted run, and how old that is, decides whether it is later told as lost. */
 function noteAdopted(link: LinkState, run: Run, outcome: string) {
 	const {clock, log, fence} = link.deps
-	const {job, task, run: number} = run.req
+	const {job, task, run: number, caller} = run.req
 	const readingAgeMs = link.executorClock.readingAgeMs(clock.now())
 	log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", {
 		job,
@@ -273,6 +286,7 @@
 		run: number,
 		executor: link.record.id,
 		fence,
+		caller: lifeOf(caller),
 		outcome,
 		inputAgeMs: readingAgeMs === undefined ? undefined : Math.round(readingAgeMs),
 	})
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -6,6 +6,7 @@
  * settles whether it runs.
  */
 import type {StartReply} from "../types/executor.js"
+import {lifeOf} from "../utils/log.js"
 import {
 	addRun,
 	freeCpu,
@@ -81,9 +82,24 @@
 	if (run.state === "stopping") return
 	run.stopCause ??= cause
 	run.state = "stopping"
+	noteStopping(link, run, cause)
 	void sendStop(link, run)
 }
 
+/** From then on nobody here wants it; should no end follow, this says since when it was left over. */
+function noteStopping({deps, record}: LinkState, {req}: Run, cause: StopCause) {
+	const {job, task, run, caller} = req
+	deps.log.alarm("placer", "run_stopping", "placer: stops a run.", {
+		job,
+		task,
+		run,
+		executor: record.id,
+		fence: deps.fence,
+		caller: lifeOf(caller),
+		cause,
+	})
+}
+
 /**
  * Starts that were never answered may be carried out when an executor is back, though their runs were
  * settled by the end of its lease, and so may stops; a stop that is answered makes it refuse the starts.
@@ -238,7 +254,7 @@
 	const end: TaskEnd = isNumberTaken
 		? {type: "outnumbered", executor: link.record.id}
 		: {type: "returned", cause}
-	settleRun(link, run, end)
+	settleRun(link, run, end, "start refused")
 }
 
 /** How long a run that is being stopped may hold its room without being listed. */
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -9,7 +9,7 @@
 	RunEnd,
 	StartReply,
 } from "../types/executor.js"
-import type {EventLog} from "../utils/log.js"
+import type {EventLog, RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
@@ -47,7 +47,7 @@
 	readonly onRoom: () => void
 	/** Called when a higher fence was seen. */
 	readonly onFenced: () => void
-	readonly onRunEnd: (executor: string, run: Run, end: TaskEnd) => void
+	readonly onRunEnd: (executor: string, run: Run, end: TaskEnd, proof: RunProof) => void
 	readonly kept: KeptRuns
 	readonly tickets: Tickets
 	readonly losses: Losses
@@ -203,12 +203,12 @@
 }
 
 /** Ends a run here; its room is free from now on. */
-export function settleRun(link: LinkState, run: Run, end: TaskEnd): TaskEnded {
+export function settleRun(link: LinkState, run: Run, end: TaskEnd, proof: RunProof): TaskEnded {
 	if (!isCurrent(link, run)) return undefined
 	link.runs.delete(run.req.task)
 	occupy(link, run.req, -1)
 	link.deps.metrics.count("task_ends", end.type)
-	link.deps.onRunEnd(link.record.id, run, end)
+	link.deps.onRunEnd(link.record.id, run, end, proof)
 	const noted = run.onEnd(end)
 	link.deps.onRoom()
 	return noted
@@ -226,11 +226,11 @@
 	return {type: "lost", executor, cause: run.stopCause === "stuck" ? "stuck" : cause}
 }
 
-export function settleAllLost(link: LinkState, cause: string) {
+export function settleAllLost(link: LinkState, cause: string, proof: RunProof) {
 	for (const run of [...link.runs.values()]) {
 		const {task, run: number} = run.req
 		if (run.hasSilentStart) link.unanswered.push({task, run: number})
-		settleRun(link, run, lostOrStopped(link, run, cause))
+		settleRun(link, run, lostOrStopped(link, run, cause), proof)
 	}
 }
 
@@ -266,7 +266,7 @@
 	link.isReplaced = true
 	forgetUnwatched(link)
 	closeLink(link)
-	settleAllLost(link, "replaced")
+	settleAllLost(link, "replaced", "replaced")
 }
 
 /** Runs and ends there that nobody here watches are of no account any more. */
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -7,6 +7,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
+import {lifeOf} from "../utils/log.js"
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
 import {createJudgement} from "./judgement.js"
 import {createLosses} from "./losses.js"
@@ -180,11 +181,12 @@
 /** Nobody here can ask the executor, but its lease is over by then. */
 function presumeEnded(
 	{deps}: PlacerState,
-	{job, task, run}: TaskRequest,
+	{job, task, run, caller}: TaskRequest,
 	executor: string,
 	onEnd: OnTaskEnd,
 ): TaskHandle {
-	const fields = {job, task, run, executor, fence: deps.fence, outcome: "executor unknown"}
+	const whose = {fence: deps.fence, caller: lifeOf(caller)}
+	const fields = {job, task, run, executor, ...whose, outcome: "executor unknown"}
 	deps.log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", fields)
 	const end = {type: "lost", executor, cause: "its executor is unknown here"} as const
 	deps.clock.schedule(SETTLED_MS, () => void onEnd(end))
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -29,6 +29,8 @@
 	readonly maxPerExecutor?: number
 	/** Executors where it failed or was lost before. */
 	readonly avoid: readonly string[]
+	/** The session of the instance that handed it, or its job, to the placer here; absent when this one did. */
+	readonly caller?: string
 	/** It came from another placer and is not handed on again. */
 	readonly isForeign: boolean
 	/** It belongs to a kept job: its end is noted in the store before its executor may forget it. */
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -1,6 +1,7 @@
 /**
  * Walks a placer's queue in order and starts what finds room, here or at another domain's placer.
  */
+import {lifeOf} from "../utils/log.js"
 import type {ExecutorLink} from "./executor-link.js"
 import {chooseGang, wouldFitEmpty} from "./gang.js"
 import type {Links, PlacerState} from "./placer-state.js"
@@ -115,12 +116,15 @@
 	const waitedMs = clock.now() - item.since
 	const executor = link.record.id
 	metrics.observe("queue_wait_ms", waitedMs)
-	log.event("placer", "task_started", "placer: starts a task.", {
+	// What is tried again may still run where it was: such lines are never sampled.
+	const write = number > 1 ? log.alarm : log.event
+	write("placer", "task_started", "placer: starts a task.", {
 		job,
 		task,
 		run: number,
 		executor,
 		fence,
+		caller: lifeOf(item.req.caller),
 		freeCpu: link.freeCpu(),
 		needCpu: need.cpu,
 		waitedMs: Math.round(waitedMs),
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -46,6 +46,8 @@
 	readonly receivedAt: number
 	/** Steady milliseconds; nothing runs and nobody waits beyond it. */
 	readonly deadlineAt: number
+	/** The session of the instance that handed it to the placer here; absent for a caller of this one. */
+	readonly caller?: string
 }
 
 /** How a job ended, as its submitter is told. */
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -13,6 +13,18 @@
 export type LogPart =
 	"instance" | "ingress" | "job" | "placer" | "executor" | "fleet" | "store" | "config"
 
+/**
+ * What shows that a run is over: its end in its executor's list, a list without it, the end of every lease that it may
+ * have, another life of its executor, the refusal of its start, or the word of the placer that had it.
+ */
+export type RunProof =
+	| "listed end"
+	| "not in a list"
+	| "lease over"
+	| "replaced"
+	| "start refused"
+	| "told by another placer"
+
 /** The fields of all lines, named once. Times are milliseconds. */
 export interface LogFields {
 	/** The job's id. */
@@ -23,11 +35,19 @@
 	readonly executor?: string
 	readonly failureDomain?: string
 	readonly peer?: string
+	/** The life of `peer`: the first signs of its session. */
+	readonly session?: string
+	/** The life of the instance that asked for the work; absent when the writer itself did. */
+	readonly caller?: string
+	/** Whether the writer asked itself. */
+	readonly isOwn?: boolean
 	readonly fence?: number
 	readonly configVersion?: number
 	/** What was decided or happened. */
 	readonly outcome?: string
 	readonly cause?: string
+	/** What showed that a run is over. */
+	readonly proof?: RunProof
 	/** How old the deciding input was. */
 	readonly inputAgeMs?: number
 	readonly tookMs?: number
@@ -50,6 +70,16 @@
 	alarm(part: LogPart, kind: string, message: string, fields?: LogFields): void
 }
 
+/** Enough of a session to tell the lives of a fleet's instances apart. */
+const LIFE_SIGNS = 8
+
+/** How lines name one life of an instance. */
+export function lifeOf(session: string): string
+export function lifeOf(session: string | undefined): string | undefined
+export function lifeOf(session: string | undefined): string | undefined {
+	return session?.slice(0, LIFE_SIGNS)
+}
+
 export interface LogSettings {
 	readonly instance: string
 	/** Lines of one kind that are written whole in each second; 0 writes none but alarms. */
