--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -131,6 +131,7 @@
 			rack: step.rack,
 			maxPerExecutor: step.maxPerExecutor,
 			avoid: [...task.avoid],
+			askedBy: job.askedBy,
 			isForeign: false,
 			advice: queue.advice,
 		}
