--- /dev/null
+++ b/packages/jobs/test/caller-deadline.test.ts
@@ -0,0 +1,83 @@
+/**
+ * A caller that stays on the line is back 1,300 ms after its deadline, whatever it has heard. The instance that it had called
+ * went on confirming the job to the placer for 400 ms beyond the deadline, until it gave up waiting for the answer; and a call that
+ * had lain unread for 199 ms counted as fresh, so its deadline was that much late everywhere. A lease ends
+ * 1,250 ms after the last confirmation: up to 350 ms, and 149 ms, after the caller may be back.
+ */
+import {silentLog, type Claim, type Job} from "@cottonwood/jobs"
+import {createDispatcher, createFleetView, type JobMessage} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {QUEUE} from "./support/requests.js"
+
+const DEADLINE_MS = 1_500
+const member = (name: string, failureDomain: string) => ({
+	name,
+	session: `${name}-s`,
+	failureDomain,
+	address: `${name}:1`,
+	cpuShare: 1,
+})
+
+function createWorld(unreadMs: number) {
+	const clock = createFakeClock()
+	const placer = member("b-1", "b")
+	const claim: Claim = {failureDomain: "b", fence: 1, placer}
+	const view = createFleetView(clock, () => undefined)
+	view.noteClaim(claim)
+	const beat = {claims: [claim], rooms: {}, isLeaving: false, configVersion: 1}
+	view.takeBeat({...beat, from: placer})
+	const sent: {readonly message: JobMessage; readonly confirmedAt: () => number}[] = []
+	const unused = () => {
+		throw new Error("not used")
+	}
+	const dispatcher = createDispatcher({
+		clock,
+		knownAt: () => clock.now() - unreadMs,
+		log: silentLog,
+		peers: {
+			beat: unused,
+			runTask: unused,
+			takeOver: unused,
+			kept: unused,
+			noteReachable: () => undefined,
+			close: unused,
+			runJob(_address, message, _timeoutMs, confirmedAt) {
+				sent.push({message, confirmedAt})
+				return {reply: new Promise(() => undefined), wasUnsent: () => false, cancel: unused}
+			},
+		},
+		view,
+		self: member("a-1", "a"),
+		hosts: {of: () => undefined} as never,
+		config: () => undefined,
+		refreshConfig: () => undefined,
+		isLeaving: () => false,
+	})
+	const receivedAt = clock.now()
+	const job: Job = {
+		id: "00000000000000aa",
+		queue: QUEUE.name,
+		spec: "",
+		steps: [],
+		receivedAt,
+		deadlineAt: receivedAt + DEADLINE_MS,
+	}
+	void dispatcher.dispatch(job, QUEUE, () => undefined)
+	return {clock, job, sent}
+}
+
+describe("a caller's deadline", () => {
+	it("is the latest time as of which its job is confirmed to a placer", async () => {
+		const {clock, job, sent} = createWorld(0)
+		await clock.advance(DEADLINE_MS + 390)
+		expect(sent).to.have.length(1)
+		expect(sent[0]?.confirmedAt()).to.be.at.most(job.deadlineAt)
+	})
+
+	it("counts from when the call may have come, however short the time is that it may have lain unread", async () => {
+		const {clock, sent} = createWorld(199)
+		await clock.advance(1)
+		expect(sent[0]?.message.leftMs).to.be.at.most(DEADLINE_MS - 199)
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/neighbours.test.ts
@@ -0,0 +1,43 @@
+/**
+ * All that runs on an executor ends by the oldest confirmation there, and a start looks only at its own. So a task whose caller
+ * is heard all the time was started beside a run that had last been confirmed 900 ms before: the start asked for a lease
+ * of 284 ms, no hold could renew it, and the task lapsed with its neighbour though another executor was free.
+ */
+import type {PlacerDeps, TaskEnd} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {LeasedExecutor} from "./support/leased-executor.js"
+import {createTestPlacer} from "./support/placers.js"
+import {taskRequest} from "./support/requests.js"
+
+const ignore = () => undefined
+const NEED = {cpu: 1_000, memoryMb: 1, accelerators: 0}
+
+describe("a start beside a run that is long unconfirmed", () => {
+	it("goes to another executor, where it can be kept", async () => {
+		const clock = createFakeClock()
+		const executors = new Map(["e1", "e2"].map(id => [id, new LeasedExecutor(clock)]))
+		const at = (id: string) => executors.get(id) as LeasedExecutor
+		const orders: PlacerDeps["orders"] = {
+			start: (executor, order, ms) => at(executor.id).start(executor, order, ms),
+			stop: (executor, order, ms) => at(executor.id).stop(executor, order, ms),
+			hold: (executor, order, ms) => at(executor.id).hold(executor, order, ms),
+			isReachable: async () => true,
+			forget: ignore,
+		}
+		const placer = createTestPlacer({clock, orders})
+		placer.setExecutors([record("e1"), record("e2")])
+		await clock.advance(1_500)
+		const lastHeardAt = clock.now()
+		const ends: TaskEnd[] = []
+		const extra = {estimateMs: 50_000, isLasting: true, need: NEED}
+		const silent = taskRequest("j.0.0.0", {...extra, confirmedAt: () => lastHeardAt})
+		placer.submit(silent, ignore, ignore)
+		await clock.advance(900)
+		const heard = taskRequest("k.0.0.0", {...extra, confirmedAt: () => clock.now()})
+		placer.submit(heard, end => void ends.push(end), ignore)
+		await clock.advance(1_000)
+		expect(ends).to.eql([])
+	})
+})
