Judge each connection by when it was accepted, each job by its deadline, each start by its neighbours

And what ended wanted runs: a start beside a long unconfirmed run, a task at a placer that lost its domain.

Change: the instance notes when connections were accepted and when none waited; callers carry when their call can have been made; the last one that came counts; a successor of kept jobs waits until every executor that it knows obeys or is gone.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -7,7 +7,7 @@
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
-import type {Caller, Job, JobEnd, RemoteCaller} from "../types/job.js"
+import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
 import {latestUsefulStart} from "./job-run.js"
@@ -22,15 +22,13 @@
 const BEGINNING_MS = 1_000
 /** A fraction of the shortest task. */
 const PLACER_POLL_MS = 10
-/** Calls that are read later than this after the connections were read last count as that old; four looks. */
+/** A call that may have lain unread for longer, four looks, counts as that old: it is no longer what its caller hopes for. */
 const UNREAD_MS = 200
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
 
 export interface DispatcherDeps {
 	readonly clock: Clock
-	/** Steady milliseconds: what arrived here before then has been read. */
-	readonly knownAt: () => number
 	readonly log: EventLog
 	readonly peers: Peers
 	readonly view: FleetView
@@ -41,15 +39,13 @@
 	readonly isLeaving: () => boolean
 }
 
-type OnCancel = (callback: () => void) => void
-
 export interface Dispatcher {
 	/** Runs a job to its end, here or at another instance. */
-	dispatch(job: Job, queue: Queue, onCancel: OnCancel): Promise<JobEnd>
+	dispatch(job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
 	/** Runs a job that another instance's caller handed in. */
-	runJob(message: JobMessage, caller: RemoteCaller): Promise<JobReply>
+	runJob(message: JobMessage, caller: Caller): Promise<JobReply>
 	/** Runs a task of a job that another placer has. */
-	runTask(message: TaskMessage, caller: RemoteCaller): Promise<TaskReply>
+	runTask(message: TaskMessage, caller: Caller): Promise<TaskReply>
 	/** Placers in the order in which a job that comes now would ask them. */
 	candidates(): readonly Claim[]
 	/** Whether a job that comes now would find a placer. */
@@ -59,7 +55,7 @@
 }
 
 /** What another placer asks for, in times of this process. */
-function requestOf(message: TaskMessage, {madeAt, confirmedAt}: RemoteCaller): TaskRequest {
+function requestOf(message: TaskMessage, {madeAt, confirmedAt}: Caller): TaskRequest {
 	return {
 		...message.task,
 		askedBy: message.from,
@@ -72,11 +68,20 @@
 }
 
 /** A call that lay unread here is as old as it may be, so that nothing runs for a caller that has given it up. */
-function sinceArrival(job: Job, {clock, knownAt}: DispatcherDeps): Job {
-	const unreadMs = clock.now() - knownAt()
-	if (unreadMs < UNREAD_MS) return job
+function sinceArrival(job: Job, {madeAt}: Caller): Job {
 	const {receivedAt, deadlineAt} = job
-	return {...job, receivedAt: receivedAt - unreadMs, deadlineAt: deadlineAt - unreadMs}
+	const unreadMs = Math.max(0, receivedAt - madeAt)
+	const isLate = unreadMs >= UNREAD_MS
+	return {
+		...job,
+		receivedAt: isLate ? receivedAt - unreadMs : receivedAt,
+		deadlineAt: deadlineAt - unreadMs,
+	}
+}
+
+/** Nobody waits beyond the job's deadline, whatever is heard. */
+function untilDeadline(caller: Caller, {deadlineAt}: Job): Caller {
+	return {...caller, confirmedAt: () => Math.min(deadlineAt, caller.confirmedAt())}
 }
 
 /** What this instance heard of itself, or of a life before it at its address, is no age of a placer's word. */
@@ -243,9 +248,9 @@
 	}
 
 	return {
-		dispatch(job, queue, onCancel) {
-			const caller = {onCancel, confirmedAt: deps.knownAt}
-			return counted(tryPlacers(sinceArrival(job, deps), queue, caller))
+		dispatch(handedIn, queue, caller) {
+			const job = sinceArrival(handedIn, caller)
+			return counted(tryPlacers(job, queue, untilDeadline(caller, job)))
 		},
 		async runJob(message, caller) {
 			// A leaving placer has its host until somebody has taken the domain over; what comes until then goes along.
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -138,7 +138,7 @@
 		if (givenUp.has(failureDomain)) return void givenUp.set(failureDomain, cause)
 		hosts.delete(failureDomain)
 		host.keeper.close()
-		host.placer.close()
+		host.placer.giveUp()
 		const fields = {failureDomain, fence, cause, count: host.jobs.size}
 		log.alarm("placer", "placing_ended", "placer: no longer places a failure domain.", fields)
 		for (const job of host.jobs) job.abandon(cause)
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -11,7 +11,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Beat} from "../types/fleet.js"
 import type {AcceptReply, CancelReply} from "../keep/keeper.js"
-import type {Job, JobEnd, RemoteCaller} from "../types/job.js"
+import type {Caller, Job, JobEnd} from "../types/job.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {JobState, KeptJobRequest} from "../types/kept-job.js"
 import type {JobMetrics} from "../utils/metrics.js"
@@ -78,8 +78,8 @@
 
 export interface PeerHandlers {
 	beat(beat: Beat): Beat
-	runJob(message: JobMessage, caller: RemoteCaller): Promise<JobReply>
-	runTask(message: TaskMessage, caller: RemoteCaller): Promise<TaskReply>
+	runJob(message: JobMessage, caller: Caller): Promise<JobReply>
+	runTask(message: TaskMessage, caller: Caller): Promise<TaskReply>
 	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
 	kept(message: KeptMessage): Promise<KeptReply>
 }
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -25,7 +25,7 @@
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
 import type {Beat, Member} from "./types/fleet.js"
-import type {Job, JobEnd} from "./types/job.js"
+import type {Caller, Job, JobEnd} from "./types/job.js"
 import {lifeOf, type EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
 import {watchNews} from "./utils/news.js"
@@ -68,7 +68,9 @@
 
 export interface JobInstance {
 	config(): FleetConfig | undefined
-	dispatch(job: Job, queue: Queue, onCancel: (callback: () => void) => void): Promise<JobEnd>
+	dispatch(job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
+	/** Notes that a caller's connection was accepted; returns as of when what arrived on it has been read, in steady milliseconds. */
+	noteAccepted(): () => number
 	/** Jobs that are kept. */
 	readonly kept: KeptFront
 	/** Why no caller should be sent here; undefined when ready. */
@@ -123,7 +125,6 @@
 	})
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: news.knownAt,
 		log,
 		peers,
 		view,
@@ -241,6 +242,7 @@
 	return {
 		config: config.current,
 		dispatch: dispatcher.dispatch,
+		noteAccepted: news.noteAccepted,
 		kept: keptParts.front,
 		notReadyCause() {
 			if (isLeaving) return "leaving"
--- a/packages/jobs/src/place/lease-rule.ts
+++ b/packages/jobs/src/place/lease-rule.ts
@@ -84,15 +84,24 @@
 	return Math.min(rule.longestLeaseMs, leaseWithinMs(certainEndAt(rule, confirmedAt) - now))
 }
 
+/** A run that may begin on an executor. */
+export interface Beginning {
+	readonly confirmedAt: number
+	/** The oldest confirmation of what runs there. */
+	readonly besideAt: number
+	/** The leases that were asked for there end by then, on this process's clock. */
+	readonly leasesEndAt: number
+}
+
 /**
- * Whether a run may begin on an executor whose leases asked for so far end at `leasesEndAt` at the latest: it would go on
- * under them, whatever its own start asks for.
+ * Whether a run may begin: it would go on under the leases asked for already, whatever its own start asks for, and under no
+ * longer one than its neighbours allow.
  */
 export function mayBegin(
 	rule: LeaseRule,
-	run: {readonly confirmedAt: number; readonly leasesEndAt: number},
+	{confirmedAt, besideAt, leasesEndAt}: Beginning,
 	now: number,
 ): boolean {
-	if (run.leasesEndAt > certainEndAt(rule, run.confirmedAt)) return false
-	return leaseMsFor(rule, run.confirmedAt, now) >= LEAST_START_LEASE_MS
+	if (leasesEndAt > certainEndAt(rule, confirmedAt)) return false
+	return leaseMsFor(rule, Math.min(confirmedAt, besideAt), now) >= LEAST_START_LEASE_MS
 }
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -186,12 +186,16 @@
 	return true
 }
 
-/** Whether a run of the task would end in time for whoever may stop wanting it unheard; see the lease rule. */
+/**
+ * Whether a run of the task would end in time for whoever may stop wanting it unheard, and could be kept beside what runs
+ * there; see the lease rule.
+ */
 export function isConfirmed(link: LinkState, {confirmedAt}: TaskRequest): boolean {
 	const {clock, leaseRule} = link.deps
 	const now = clock.now()
 	const leasesEndAt = link.executorClock.leasesEndAt(now)
-	return mayBegin(leaseRule, {confirmedAt: confirmedAt(), leasesEndAt}, now)
+	const besideAt = oldestConfirmation(link)
+	return mayBegin(leaseRule, {confirmedAt: confirmedAt(), besideAt, leasesEndAt}, now)
 }
 
 /** As of when all runs there are known to be wanted, or were before they were stopped. */
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -10,6 +10,7 @@
 import {lifeOf} from "../utils/log.js"
 import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
 import {createJudgement} from "./judgement.js"
+import {certainEndAt} from "./lease-rule.js"
 import {createLosses} from "./losses.js"
 import type {PlacerDeps, PlacerState, RunningAt} from "./placer-state.js"
 import {startPulse} from "./pulse.js"
@@ -72,6 +73,8 @@
 	 * what runs with the executor that has it. What is submitted later goes there too.
 	 */
 	giveAll(send: (item: Waiting, from?: RunningAt) => void): void
+	/** As `close`, when somebody else places now: tells those that handed tasks over as soon as it is certain that they run no more. */
+	giveUp(): void
 	/** Starts nothing more here; what runs is left to the next fence. */
 	close(): void
 }
@@ -117,6 +120,7 @@
 		},
 		adopt: (req, from, onEnd) => adopt(state, req, from, onEnd),
 		giveAll: send => giveAll(state, send),
+		giveUp: () => giveUp(state),
 		close: () => close(state),
 	}
 }
@@ -130,6 +134,22 @@
 	for (const link of state.links.values()) link.close()
 }
 
+/** The jobs here are given up by whoever has them; what other placers handed over is known to nobody else. */
+function giveUp(state: PlacerState) {
+	close(state)
+	for (const link of state.links.values())
+		for (const {run} of link.runs()) if (run.req.isForeign) tellWhenOver(state, link, run)
+}
+
+/** Nobody renews its lease any more: neither this placer nor a successor, which knows nothing of it. */
+function tellWhenOver({deps}: PlacerState, {record}: ExecutorLink, {req, onEnd}: Run) {
+	const now = deps.clock.now()
+	const endAt = certainEndAt(deps.leaseRule, Math.min(now, req.confirmedAt()))
+	const cause = "its placer lost the domain"
+	const end = {type: "lost", executor: record.id, cause} as const
+	deps.clock.schedule(Math.max(0, endAt - now), () => void onEnd(end))
+}
+
 function adopt(
 	state: PlacerState,
 	req: TaskRequest,
@@ -312,13 +332,14 @@
 }
 
 /**
- * A placer that does not know yet that it was replaced learns it at any executor, and its leases end. Executors
- * that the list has dropped may still run something for it, and are not asked here unless it named them.
+ * A placer that was replaced and does not know it goes on renewing leases wherever the new fence was not seen, for as long as
+ * that may be; so each executor that is known here must obey, or be gone. Executors that the list has
+ * dropped may still run something for it, and are not asked here unless it named them.
  */
 function isSettled({links, deps, createdAt}: PlacerState): boolean {
-	if (deps.clock.now() - createdAt >= SETTLED_MS) return true
-	if (!deps.knowsAllExecutors) return false
-	return links.size > 0 && [...links.values()].every(link => link.isFenceTaken())
+	const isOld = deps.clock.now() - createdAt >= SETTLED_MS
+	const areAllKnown = deps.knowsAllExecutors && links.size > 0
+	return (isOld || areAllKnown) && [...links.values()].every(link => link.isFenceTaken())
 }
 
 function isBeginning({links, deps, createdAt}: PlacerState): boolean {
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -54,16 +54,12 @@
 export interface Caller {
 	/** Calls back once, when nobody waits any more. */
 	readonly onCancel: (callback: () => void) => void
+	/** Steady milliseconds: its call was not made before then, and not much later unless something was held up. */
+	readonly madeAt: number
 	/** Steady milliseconds: as of when it is known to wait; what has come since may lie unread. */
 	readonly confirmedAt: () => number
 }
 
-/** A caller at another instance. */
-export interface RemoteCaller extends Caller {
-	/** Steady milliseconds: what it asks was not sent before then. */
-	readonly madeAt: number
-}
-
 /** How a job ended, as its submitter is told. */
 export type JobEnd =
 	| {readonly type: "completed"}
--- a/packages/jobs/src/utils/news.ts
+++ b/packages/jobs/src/utils/news.ts
@@ -9,14 +9,19 @@
 /** Between two looks; half of the time between two readings of a placer's clock would be of no more use. */
 const LOOK_MS = 50
 /**
- * Turns of the loop after which what had arrived before them has been read and told on: one reads the end of a
- * connection, and it takes two more until the connection counts as closed.
+ * Turns of the loop after which what had arrived on open connections before them has been read and told on: one reads the
+ * end of a connection, and it takes two more until the connection counts as closed.
  */
 const TURNS = 3
 
 export interface News {
-	/** Steady milliseconds: what arrived before then has been read. */
+	/** Steady milliseconds: what arrived before then on connections that were open has been read. */
 	knownAt(): number
+	/**
+	 * Notes that a connection has just been accepted; returns as of when what arrived on it has been read. Until it has been
+	 * looked at, that is the last time when no connection waited to be accepted: each turn of the loop accepts one.
+	 */
+	noteAccepted(): () => number
 	close(): void
 }
 
@@ -25,6 +30,8 @@
 	nextTurn: (callback: () => void) => unknown = setImmediate,
 ): News {
 	let knownAt = clock.now()
+	let noneWaitedAt = knownAt
+	let accepted = 0
 	let isClosed = false
 
 	function afterTurns(turns: number, callback: () => void) {
@@ -32,8 +39,19 @@
 		else nextTurn(() => afterTurns(turns - 1, callback))
 	}
 
+	/** A turn that accepts none shows that none waited when it began. */
+	function lookForWaiting() {
+		const at = clock.now()
+		const before = accepted
+		nextTurn(() => {
+			if (accepted === before) noneWaitedAt = at
+			else lookForWaiting()
+		})
+	}
+
 	function look() {
 		const at = clock.now()
+		lookForWaiting()
 		afterTurns(TURNS, () => {
 			knownAt = at
 			if (!isClosed) clock.schedule(LOOK_MS, look)
@@ -43,6 +61,12 @@
 	look()
 	return {
 		knownAt: () => knownAt,
+		noteAccepted() {
+			accepted++
+			const acceptedAt = clock.now()
+			const arrivedAfter = noneWaitedAt
+			return () => (knownAt >= acceptedAt ? knownAt : arrivedAfter)
+		},
 		close() {
 			isClosed = true
 		},
--- a/packages/jobs/test/caller-deadline.test.ts
+++ b/packages/jobs/test/caller-deadline.test.ts
@@ -33,7 +33,6 @@
 	}
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: () => clock.now() - unreadMs,
 		log: silentLog,
 		peers: {
 			beat: unused,
@@ -63,7 +62,9 @@
 		receivedAt,
 		deadlineAt: receivedAt + DEADLINE_MS,
 	}
-	void dispatcher.dispatch(job, QUEUE, () => undefined)
+	const confirmedAt = () => clock.now() - unreadMs
+	const caller = {onCancel: () => undefined, madeAt: confirmedAt(), confirmedAt}
+	void dispatcher.dispatch(job, QUEUE, caller)
 	return {clock, job, sent}
 }
 
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -22,7 +22,6 @@
 	const view = createFleetView(clock, () => undefined)
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: () => knownAt,
 		log: silentLog,
 		peers: {
 			beat: unused,
@@ -50,7 +49,8 @@
 	const caller = {...STAYING, madeAt: clock.now()}
 	const claim = () => view.noteClaim({failureDomain: "a", fence: 1, placer: self})
 	const read = () => void (knownAt = clock.now())
-	return {clock, dispatcher, caller, claim, read, ran, jobs, refreshed: () => refreshed}
+	const ownCaller = () => ({...STAYING, madeAt: knownAt, confirmedAt: () => knownAt})
+	return {clock, dispatcher, caller, ownCaller, claim, read, ran, jobs, refreshed: () => refreshed}
 }
 
 const configOf = (version: number, queues: readonly Queue[]): FleetConfig => ({
@@ -120,7 +120,7 @@
 	 * elsewhere. Read as fresh it ran again beside that: "runs at i-3/1 and i-1" on processes.
 	 */
 	it("at the instance that their caller reached are as old as they may be", async () => {
-		const {dispatcher, claim, read, jobs, clock} = createWorld(configOf(4, [QUEUE]))
+		const {dispatcher, ownCaller, claim, read, jobs, clock} = createWorld(configOf(4, [QUEUE]))
 		const job = (): Job => ({
 			id: "00000000000000aa",
 			queue: QUEUE.name,
@@ -132,12 +132,12 @@
 		claim()
 		clock.freeze(3_000)
 		const late = job()
-		void dispatcher.dispatch(late, QUEUE, () => undefined)
+		void dispatcher.dispatch(late, QUEUE, ownCaller())
 		await clock.advance(1)
 		expect(jobs[0]?.deadlineAt).to.equal(late.deadlineAt - 3_000)
 		read()
 		const fresh = job()
-		void dispatcher.dispatch(fresh, QUEUE, () => undefined)
+		void dispatcher.dispatch(fresh, QUEUE, ownCaller())
 		await clock.advance(1)
 		expect(jobs[1]?.deadlineAt).to.equal(fresh.deadlineAt)
 	})
--- a/packages/jobs/test/lease-rule.test.ts
+++ b/packages/jobs/test/lease-rule.test.ts
@@ -77,15 +77,23 @@
 		const now = 5_000
 		const leasesEndAt = now + LEASE_RULE.longestEndMs
 		const oldest = leasesEndAt - LEASE_RULE.endsWithinMs
-		expect(mayBegin(LEASE_RULE, {confirmedAt: oldest, leasesEndAt}, now)).to.equal(true)
-		expect(mayBegin(LEASE_RULE, {confirmedAt: oldest - 1, leasesEndAt}, now)).to.equal(false)
-		expect(mayBegin(LEASE_RULE, {confirmedAt: now - 900, leasesEndAt: now}, now)).to.equal(false)
+		expect(mayBegin(LEASE_RULE, {confirmedAt: oldest, besideAt: now, leasesEndAt}, now)).to.equal(
+			true,
+		)
+		expect(
+			mayBegin(LEASE_RULE, {confirmedAt: oldest - 1, besideAt: now, leasesEndAt}, now),
+		).to.equal(false)
+		expect(
+			mayBegin(LEASE_RULE, {confirmedAt: now - 900, besideAt: now, leasesEndAt: now}, now),
+		).to.equal(false)
 	})
 
 	it("lets a task begin beside a lease that was just asked for, at the age that confirmations have", () => {
 		const now = 5_000
 		const leasesEndAt = now + LEASE_RULE.longestEndMs
-		expect(mayBegin(LEASE_RULE, {confirmedAt: now - 170, leasesEndAt}, now)).to.equal(true)
+		expect(
+			mayBegin(LEASE_RULE, {confirmedAt: now - 170, besideAt: now, leasesEndAt}, now),
+		).to.equal(true)
 	})
 
 	it("is refused where callers come back too soon for any lease", () => {
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -197,7 +197,6 @@
 		const asked: {readonly askedBy?: string}[] = []
 		const dispatcher = createDispatcher({
 			clock,
-			knownAt: () => clock.now(),
 			log,
 			view,
 			self: OWN,
@@ -232,7 +231,7 @@
 		// A beat to its earlier life's address has come back to it.
 		view.takeBeat(beatOf(OWN))
 		await clock.advance(17_000)
-		await dispatcher.dispatch(job, QUEUE, ignore)
+		await dispatcher.dispatch(job, QUEUE, STAYING)
 		const line = lineOf("placer_asked")
 		expect(line).to.include({peer: "a-1", session: "11111111", isOwn: true, isSampled: true})
 		expect(line?.inputAgeMs).to.equal(undefined)
@@ -245,7 +244,7 @@
 		const {view, dispatcher, job, lineOf} = createWorld(clock, claim, end)
 		view.takeBeat(beatOf(OTHER))
 		await clock.advance(200)
-		await dispatcher.dispatch(job, QUEUE, ignore)
+		await dispatcher.dispatch(job, QUEUE, STAYING)
 		const asked = {peer: "b-1", session: "22222222", isOwn: false, inputAgeMs: 200}
 		expect(lineOf("placer_asked")).to.include({...asked, isSampled: false})
 	})
--- a/packages/jobs/test/news.test.ts
+++ b/packages/jobs/test/news.test.ts
@@ -38,3 +38,44 @@
 		expect(news.knownAt()).to.equal(begunAt + 3_000)
 	})
 })
+
+describe("news of a connection", () => {
+	it("are as old as the last turn before it in which none waited, until it has been looked at", async () => {
+		const {clock, news, turn} = createWorld()
+		const begunAt = clock.now()
+		for (let at = 0; at < 3; at++) turn()
+		clock.freeze(3_000)
+		await clock.advance(0)
+		// Two connections waited; each turn of the loop accepts one.
+		const first = news.noteAccepted()
+		turn()
+		const second = news.noteAccepted()
+		turn()
+		turn()
+		expect(news.knownAt()).to.equal(begunAt + 3_000)
+		expect(first(), "looked at").to.equal(begunAt + 3_000)
+		await clock.advance(1)
+		const third = news.noteAccepted()
+		expect(third(), "accepted after the look").to.be.at.most(begunAt + 3_000)
+		expect(second()).to.equal(begunAt + 3_000)
+	})
+
+	it("of one that was accepted after a look are not those of the look", async () => {
+		const {clock, news, turn} = createWorld()
+		const begunAt = clock.now()
+		for (let at = 0; at < 3; at++) turn()
+		clock.freeze(3_000)
+		await clock.advance(0)
+		const late = []
+		for (let at = 0; at < 6; at++) {
+			clock.freeze(1)
+			late.push(news.noteAccepted())
+			turn()
+		}
+		expect(news.knownAt()).to.equal(begunAt + 3_000)
+		for (const known of late) expect(known()).to.equal(begunAt)
+		turn()
+		clock.freeze(1)
+		expect(news.noteAccepted()()).to.be.greaterThan(begunAt + 3_000)
+	})
+})
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -10,7 +10,7 @@
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
-import {QUEUE} from "./support/requests.js"
+import {QUEUE, STAYING} from "./support/requests.js"
 
 const member = (name: string): Member => ({
 	name,
@@ -31,7 +31,6 @@
 	}
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: () => clock.now(),
 		log: silentLog,
 		view,
 		self,
@@ -73,7 +72,7 @@
 		deadlineAt: clock.now() + 5_000,
 	})
 	async function dispatch(estimateMs: number) {
-		const end = dispatcher.dispatch(job(estimateMs), QUEUE, () => undefined)
+		const end = dispatcher.dispatch(job(estimateMs), QUEUE, STAYING)
 		let settledAt: number | undefined
 		void end.then(() => (settledAt = clock.now()))
 		return {end, settledAt: () => settledAt}
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -12,7 +12,7 @@
 	type JobEnd,
 	type Member,
 	type Queue,
-	type RemoteCaller,
+	type Caller,
 	type Room,
 } from "@cottonwood/jobs"
 import {
@@ -30,7 +30,7 @@
 	type Peers,
 	type TaskReply,
 } from "@cottonwood/jobs/internals"
-import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS} from "../requests.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, STAYING} from "../requests.js"
 import type {ReplayClock} from "./replay-clock.js"
 import {createReplayOrders, ReplayExecutor} from "./replay-executor.js"
 import {KINDS, SLACK_MS, STRETCH, type ReplayJob} from "./replay-load.js"
@@ -147,7 +147,7 @@
 		to: string,
 		timeoutMs: number,
 		confirmedAt: () => number,
-		run: (instance: Instance, caller: RemoteCaller) => Promise<T>,
+		run: (instance: Instance, caller: Caller) => Promise<T>,
 	): PeerCall<T> {
 		const listeners: (() => void)[] = []
 		const madeAt = clock.now()
@@ -161,7 +161,7 @@
 			clock.schedule(CONFIRM_MS, confirm)
 		}
 
-		const caller: RemoteCaller = {
+		const caller: Caller = {
 			onCancel: listener => void listeners.push(listener),
 			madeAt,
 			confirmedAt: () => heardAt,
@@ -260,7 +260,6 @@
 		}
 		const dispatcher = createDispatcher({
 			...common,
-			knownAt: () => clock.now(),
 			hosts,
 			config: () => ({
 				version: CONFIG_VERSION,
@@ -316,7 +315,8 @@
 				deadlineAt: receivedAt + DEADLINE_MS + 2 * job.objectiveMs,
 			}
 			const instance = instances.get(job.failureDomain) as Instance
-			const end = await instance.dispatcher.dispatch(handedIn, queue, () => undefined)
+			const caller = {...STAYING, madeAt: receivedAt, confirmedAt: () => clock.now()}
+			const end = await instance.dispatcher.dispatch(handedIn, queue, caller)
 			await clock.sleep(CALLER_WAY_MS)
 			return {end, tookMs: clock.now() - sentAt}
 		},
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -41,7 +41,11 @@
 })._unsafeUnwrap()
 
 /** A caller that stays, and is heard all the time. */
-export const STAYING: Caller = {onCancel: () => undefined, confirmedAt: () => Infinity}
+export const STAYING: Caller = {
+	onCancel: () => undefined,
+	madeAt: Infinity,
+	confirmedAt: () => Infinity,
+}
 
 /** A service that is never asked. */
 export const NO_ADVISOR: Advisor = {
