--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -11,7 +11,10 @@
 import {HOST, PREFIX, type LeasedPlatform} from "./platform.js"
 import type {StandInSpec} from "./wire-executor.js"
 
-const PROGRAM = fileURLToPath(new URL("../../../../platform/dist/bin.js", import.meta.url))
+/** Another build of the program may be named, to see what it does in the same test. */
+const PROGRAM =
+	process.env["COTTONWOOD_PROGRAM"] ??
+	fileURLToPath(new URL("../../../../platform/dist/bin.js", import.meta.url))
 /** Jobs are refused that cannot be in time; with these a busy machine of ours is no reason to. */
 const PATIENT_ESTIMATE_MS = 2_000
 const PATIENT_DEADLINE_MS = 10_000
