Bring about the same with nothing lost: three instances that stand still one after the other

The coordinator is killed while the placer between stands still; those that have its tasks stand still from 500 ms on, just before they would notice.

--- a/packages/standins/test/two-runs.test.ts
+++ b/packages/standins/test/two-runs.test.ts
@@ -54,6 +54,20 @@
 	executorsPerDomain: 1,
 }
 
+/** Shortly before a silent peer is noticed: two keepalives, less what has passed since the last answer. */
+const NOTICED_MS = 2 * KEEPALIVE_MS - 100
+
+/** A job of two tasks that run in two domains, neither of them that of its placer. */
+interface HandedOut {
+	readonly id: string
+	readonly calls: Promise<readonly number[]>
+	readonly caller: Edge
+	/** The placer of the job. */
+	readonly between: Edge
+	/** The executors that have a task each. */
+	readonly hosts: readonly HostedExecutor[]
+}
+
 let serial = 0
 const newId = () => (++serial + 0xdef000).toString(16).padStart(16, "0")
 
@@ -150,16 +164,9 @@
 		expectNoneTwice()
 	})
 
-	/*
-	 * The coordinator dies, so its caller comes back 1,300 ms later. The placer between stands still at that
-	 * moment and hands nothing on; those that have its tasks notice after two keepalives (up to 600 ms) that it is
-	 * silent, and renew the leases of 1,000 ms until then. As their executors hear no stop, the runs are over 1,390 to
-	 * 1,500 ms after the coordinator's death.
-	 */
-	it("never come of handed tasks whose executors hear no stop, after their coordinator was killed", async () => {
-		await begin(FOUR_DOMAINS)
+	/** Hands two tasks, one each, to the second and the fourth domain, and opens the connections over which that goes. */
+	async function handOut(): Promise<HandedOut> {
 		const caller = scene.otherOf("a")
-		const between = scene.placerOf("a")
 		const hosts = [...scene.executorsOf("b"), ...scene.executorsOf("d")]
 		const areHandedOver = () => hosts.every(({executor}) => executor.runningCount() === 1)
 		await fillRoom()
@@ -167,7 +174,6 @@
 		await until("both other domains have a task", areHandedOver)
 		const connectedAt = performance.now()
 		await warming
-		hosts.forEach(loseStops)
 		const options = {count: 2, spec: {workMs: 2_500}, deadlineMs: 6_000}
 		const id = newId()
 		const calls = callInTurn([caller, scene.edgeOf("c-1")], id, options)
@@ -177,6 +183,19 @@
 		const sinceConnected = performance.now() - connectedAt
 		await sleep(KEEPALIVE_MS + ARRIVED_MS - (sinceConnected % KEEPALIVE_MS))
 		expect(areHandedOver(), "the first call still goes on").to.equal(true)
+		return {id, calls, caller, between: scene.placerOf("a"), hosts}
+	}
+
+	/*
+	 * The coordinator dies, so its caller comes back 1,300 ms later. The placer between stands still at that
+	 * moment and hands nothing on; those that have its tasks notice after two keepalives (up to 600 ms) that it is
+	 * silent, and renew the leases of 1,000 ms until then. As their executors hear no stop, the runs are over 1,390 to
+	 * 1,500 ms after the coordinator's death.
+	 */
+	it("never come of handed tasks whose executors hear no stop, after their coordinator was killed", async () => {
+		await begin(FOUR_DOMAINS)
+		const {id, calls, caller, between, hosts} = await handOut()
+		hosts.forEach(loseStops)
 		between.child.kill("SIGSTOP")
 		caller.child.kill("SIGKILL")
 		await until("the second try runs", () => startsOf(id) === 2)
@@ -185,6 +204,24 @@
 		expectNoneTwice()
 	})
 
+	/*
+	 * The same with nothing lost: the placers that have the tasks stand still just before they would notice, and stop
+	 * nothing until the leases that they renewed up to then are over.
+	 */
+	it("never come of handed tasks whose placers stand still in their turn, after their coordinator was killed", async () => {
+		await begin(FOUR_DOMAINS)
+		const {id, calls, caller, between} = await handOut()
+		between.child.kill("SIGSTOP")
+		caller.child.kill("SIGKILL")
+		await sleep(NOTICED_MS)
+		const placers = ["b", "d"].map(domain => scene.placerOf(domain))
+		for (const {child} of placers) child.kill("SIGSTOP")
+		await until("the second try runs", () => startsOf(id) === 2)
+		for (const {child} of [...placers, between]) child.kill("SIGCONT")
+		expect((await calls)[0]).to.equal(0)
+		expectNoneTwice()
+	})
+
 	it("never come of a job that a placer reads late, from an instance that was killed", async () => {
 		await begin(TWO_DOMAINS)
 		const id = newId()
