--- /dev/null
+++ b/packages/standins/src/fleet/pair-link.ts
@@ -0,0 +1,128 @@
+/**
+ * A link from one machine to an address of another, TCP and UDP on the same port number, over the ways there and
+ * back. It decides nothing: what passes, and when, is a matter of the ways.
+ */
+import {createSocket, type Socket as Datagrams} from "node:dgram"
+import {connect, createServer, type Server, type Socket} from "node:net"
+import type {Path} from "./path.js"
+
+export interface Target {
+	readonly host: string
+	readonly port: number
+}
+
+export interface PairLink {
+	readonly port: number
+	/** Resets all open connections. */
+	reset(): void
+	close(): void
+}
+
+export interface PairLinkOptions {
+	readonly there: Path
+	readonly back: Path
+	/** Looked up for each connection and datagram; none while nobody listens. */
+	readonly target: () => Target | undefined
+}
+
+const HOST = "127.0.0.1"
+/** A port that is free for TCP may be taken for UDP. */
+const PORT_TRIES = 50
+
+type Track = (socket: Socket) => void
+
+/** Opens a link at a free port. */
+export async function openPairLink(options: PairLinkOptions): Promise<PairLink> {
+	const sockets = new Set<Socket>()
+	const track: Track = socket => {
+		sockets.add(socket)
+		socket.setNoDelay(true)
+		socket.on("error", () => undefined)
+		socket.on("close", () => sockets.delete(socket))
+	}
+	const serve = (near: Socket) => carry(near, options, track)
+	const {server, datagrams, port} = await listenBoth(serve)
+	datagrams.on("message", bytes => {
+		options.there.passDatagram(() => {
+			const target = options.target()
+			if (target) datagrams.send(bytes, target.port, target.host, () => undefined)
+		})
+	})
+	return {
+		port,
+		reset() {
+			for (const socket of sockets) socket.resetAndDestroy()
+		},
+		close() {
+			for (const socket of sockets) socket.destroy()
+			server.close()
+			datagrams.close()
+		},
+	}
+}
+
+/** Carries one connection: its set-up, what it sends and its ends are passed in order, each way. */
+function carry(near: Socket, {there, back, target}: PairLinkOptions, track: Track) {
+	let far: Socket | undefined
+	const breakOff = () => {
+		near.resetAndDestroy()
+		far?.resetAndDestroy()
+		outbound.close()
+		inbound.close()
+	}
+	const outbound = there.openLane(breakOff)
+	const inbound = back.openLane(breakOff)
+
+	function follow(from: Socket, lane: typeof outbound, to: () => Socket | undefined) {
+		track(from)
+		from.on("data", (chunk: Buffer) => lane.pass(() => void (to()?.writable && to()?.write(chunk))))
+		from.on("end", () => lane.pass(() => void to()?.end()))
+		from.on("close", hadError =>
+			lane.pass(() => {
+				if (hadError) to()?.resetAndDestroy()
+				else to()?.destroySoon()
+				lane.close()
+			}),
+		)
+	}
+
+	follow(near, outbound, () => far)
+	outbound.pass(() => {
+		const at = target()
+		// Who has closed before it was connected has sent nothing.
+		if (near.destroyed) return
+		if (!at) return void near.resetAndDestroy()
+		far = connect({...at, allowHalfOpen: true})
+		follow(far, inbound, () => near)
+	})
+}
+
+async function listenBoth(serve: (near: Socket) => void) {
+	for (let tries = 0; tries < PORT_TRIES; tries++) {
+		const server = createServer({allowHalfOpen: true}, serve)
+		const port = await listenTcp(server)
+		const datagrams = await bindUdp(port)
+		if (datagrams) return {server, datagrams, port}
+		server.close()
+	}
+	throw new Error("no port is free for both TCP and UDP")
+}
+
+function listenTcp(server: Server): Promise<number> {
+	return new Promise((resolve, reject) => {
+		server.once("error", reject)
+		server.listen(0, HOST, () => resolve((server.address() as {port: number}).port))
+	})
+}
+
+function bindUdp(port: number): Promise<Datagrams | undefined> {
+	const socket = createSocket("udp4")
+	return new Promise(resolve => {
+		socket.once("error", () => resolve(undefined))
+		socket.bind(port, HOST, () => {
+			socket.removeAllListeners("error")
+			socket.on("error", () => undefined)
+			resolve(socket)
+		})
+	})
+}
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -27,6 +27,8 @@
 	readonly failureDomain: string
 	readonly callers: string
 	readonly readiness: string
+	/** Where peers reach it. */
+	readonly peers: string
 	readonly child: ChildProcess
 	/** The structured lines that it has written. */
 	readonly lines: readonly Readonly<Record<string, unknown>>[]
@@ -37,8 +39,10 @@
 	readonly edges: readonly Edge[]
 	/** Starts one more instance. */
 	start(name: string, failureDomain: string): Promise<Edge>
-	/** Starts an instance again with the name and addresses that it had. */
+	/** Starts an instance again with the name and addresses that it had, but for peers. */
 	restart(edge: Edge): Promise<Edge>
+	/** The same, and does not wait until it is ready. */
+	relaunch(edge: Edge): Promise<Edge>
 	close(): Promise<void>
 }
 
@@ -51,19 +55,19 @@
 let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK
 
 /** A free port of this process's own block, below those that outgoing connections use. */
-async function freePort(): Promise<number> {
+async function freePort(ip: string): Promise<number> {
 	for (;;) {
 		const port = nextPort++
 		if (nextPort >= FIRST_PORT + PORT_BLOCKS * PORTS_PER_BLOCK) nextPort = FIRST_PORT
-		if (await isFree(port)) return port
+		if (await isFree(ip, port)) return port
 	}
 }
 
-function isFree(port: number): Promise<boolean> {
+function isFree(ip: string, port: number): Promise<boolean> {
 	const server = createServer()
 	return new Promise(resolve => {
 		server.once("error", () => resolve(false))
-		server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)))
+		server.listen(port, ip, () => server.close(() => resolve(true)))
 	})
 }
 
@@ -71,16 +75,17 @@
 	name: string,
 	failureDomain: string,
 	platform: LeasedPlatform,
-	ports: readonly number[],
+	at: {readonly ip: string; readonly ports: readonly number[]},
 	storeAddress: string,
 ): object {
+	const {ip, ports} = at
 	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
 	return {
 		node: name,
-		ip: "127.0.0.1",
+		ip,
 		zone: failureDomain,
 		zones: Object.fromEntries(domains.map(domain => [domain, "region"])),
-		listen: {front: `127.0.0.1:${ports[0]}`, ready: `127.0.0.1:${ports[1]}`},
+		listen: {front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`},
 		"port-range": [ports[2], ports[2]],
 		orders: "rpc",
 		platform: {address: storeAddress},
@@ -97,8 +102,9 @@
 	})
 }
 
-async function untilReady(edge: Edge) {
-	for (let tries = 0; tries < READY_TRIES; tries++) {
+async function untilReady(edge: Edge, patienceMs = READY_TRIES * READY_POLL_MS) {
+	const until = performance.now() + patienceMs
+	while (performance.now() < until) {
 		if (await isReady(edge)) return
 		await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
 	}
@@ -182,8 +188,18 @@
 export interface EdgesOptions {
 	/** Where an instance reaches the store, when not at the platform's own address. */
 	readonly storeAddressOf?: (name: string) => string
-	/** Arguments of the runtime, for a profile. */
+	/** Arguments of the runtime, for a profile or a module that is loaded before the program. */
 	readonly nodeArgs?: readonly string[]
+	/** An address of its own for an instance. */
+	readonly ipOf?: (name: string) => string
+	/** What its environment has besides ours. */
+	readonly envOf?: (name: string) => Readonly<Record<string, string>>
+	/** Another build of the program. */
+	readonly program?: string
+	/** How long the first instances may take until they are ready. */
+	readonly readyMs?: number
+	/** Hears of each life that begins. */
+	readonly onLaunch?: (edge: Edge) => void
 }
 
 export async function startEdges(
@@ -194,32 +210,50 @@
 	const folder = mkdtempSync(join(tmpdir(), "cottonwood-edges-"))
 	const edges: Edge[] = []
 
+	const program = options.program ?? PROGRAM
+	const ipOf = options.ipOf ?? (() => "127.0.0.1")
+
 	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
+		const ip = ipOf(name)
 		const file = join(folder, `${name}.json`)
 		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
-		writeFileSync(file, JSON.stringify(settingsOf(name, failureDomain, platform, ports, store)))
-		const env = {...process.env, COTTONWOOD_CONFIG: file}
-		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), PROGRAM, "edge"], {
+		writeFileSync(
+			file,
+			JSON.stringify(settingsOf(name, failureDomain, platform, {ip, ports}, store)),
+		)
+		const env = {...process.env, COTTONWOOD_CONFIG: file, ...options.envOf?.(name)}
+		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), program, "edge"], {
 			env,
 			stdio: ["ignore", "pipe", "inherit"],
 		})
 		const lines: Record<string, unknown>[] = []
 		follow(child, lines)
 		const exited = new Promise<number | null>(resolve => child.once("exit", resolve))
-		const callers = `127.0.0.1:${ports[0]}`
-		const readiness = `127.0.0.1:${ports[1]}`
-		const edge: Edge = {name, failureDomain, callers, readiness, child, lines, exited}
+		const [callers, readiness, peers] = ports.map(port => `${ip}:${port}`) as [
+			string,
+			string,
+			string,
+		]
+		const edge: Edge = {name, failureDomain, callers, readiness, peers, child, lines, exited}
 		edges.push(edge)
+		options.onLaunch?.(edge)
 		return edge
 	}
 
 	async function start(name: string, failureDomain: string): Promise<Edge> {
-		const ports = [await freePort(), await freePort(), await freePort()]
+		const ip = ipOf(name)
+		const ports = [await freePort(ip), await freePort(ip), await freePort(ip)]
 		const edge = launch(name, failureDomain, ports)
-		await untilReady(edge)
+		await untilReady(edge, options.readyMs)
 		return edge
 	}
 
+	async function relaunch(edge: Edge): Promise<Edge> {
+		const portOf = (address: string) => Number(address.split(":")[1])
+		const ports = [portOf(edge.callers), portOf(edge.readiness), await freePort(ipOf(edge.name))]
+		return launch(edge.name, edge.failureDomain, ports)
+	}
+
 	async function close() {
 		for (const {child} of edges) child.kill("SIGKILL")
 		await Promise.all(edges.map(({exited}) => exited))
@@ -235,10 +269,9 @@
 	return {
 		edges,
 		start,
+		relaunch,
 		async restart(edge) {
-			const portOf = (address: string) => Number(address.split(":")[1])
-			const ports = [portOf(edge.callers), portOf(edge.readiness), await freePort()]
-			const next = launch(edge.name, edge.failureDomain, ports)
+			const next = await relaunch(edge)
 			await untilReady(next)
 			return next
 		},
--- /dev/null
+++ b/packages/standins/src/leased/network.ts
@@ -0,0 +1,75 @@
+/**
+ * The network between instances, and from them to executors, on loopback: one way for each ordered pair, and a link
+ * over two of them for each address that an instance may connect to.
+ */
+import {openPairLink, type PairLink, type Target} from "../fleet/pair-link.js"
+import {createPath, type Path} from "../fleet/path.js"
+
+export interface NetworkPlan {
+	/** Each instance's name and its own address. */
+	readonly instances: readonly {readonly name: string; readonly ip: string}[]
+	/** Executors: the place that they share on the network, and where they are reached. */
+	readonly executors: readonly {readonly place: string; readonly address: string}[]
+	/** Where an instance's newest life is reached by its peers. */
+	readonly peerOf: (name: string) => string | undefined
+}
+
+export interface Network {
+	/** The way from one place to another. */
+	path(from: string, to: string): Path
+	/** Resets all connections that were opened from one place to another. */
+	reset(from: string, to: string): void
+	/** The addresses that an instance must not reach directly, with the ports of its links. */
+	routesOf(name: string): Readonly<Record<string, number>>
+	close(): void
+}
+
+function targetOf(address: string | undefined): Target | undefined {
+	if (address === undefined) return undefined
+	const [host = "", port = "0"] = address.split(":")
+	return {host, port: Number(port)}
+}
+
+/** Opens all links. */
+export async function openNetwork(plan: NetworkPlan): Promise<Network> {
+	const paths = new Map<string, Path>()
+	const links = new Map<string, PairLink[]>()
+	const routes = new Map<string, Record<string, number>>()
+	const keyOf = (from: string, to: string) => `${from}>${to}`
+
+	function path(from: string, to: string): Path {
+		const key = keyOf(from, to)
+		const known = paths.get(key) ?? createPath()
+		paths.set(key, known)
+		return known
+	}
+
+	async function open(
+		from: string,
+		to: string,
+		address: string,
+		addressNow: () => string | undefined,
+	) {
+		const target = () => targetOf(addressNow())
+		const link = await openPairLink({there: path(from, to), back: path(to, from), target})
+		links.set(keyOf(from, to), [...(links.get(keyOf(from, to)) ?? []), link])
+		routes.set(from, {...routes.get(from), [address]: link.port})
+	}
+
+	for (const {name: from} of plan.instances) {
+		for (const {name: to, ip} of plan.instances)
+			if (from !== to) await open(from, to, ip, () => plan.peerOf(to))
+		for (const {place, address} of plan.executors) await open(from, place, address, () => address)
+	}
+
+	return {
+		path,
+		reset(from, to) {
+			for (const link of links.get(keyOf(from, to)) ?? []) link.reset()
+		},
+		routesOf: name => routes.get(name) ?? {},
+		close() {
+			for (const link of [...links.values()].flat()) link.close()
+		},
+	}
+}
--- a/packages/standins/src/leased/platform.ts
+++ b/packages/standins/src/leased/platform.ts
@@ -12,6 +12,12 @@
 	readonly executorsPerDomain: number
 	/** Thousandths of a core of each executor. */
 	readonly capacityCpu?: number
+	/** How many executors a failure domain has, when not as many as the others. */
+	readonly executorsOf?: (failureDomain: string) => number
+	/** What an executor's clock counts in one millisecond, by failure domain and number. */
+	readonly clockRateOf?: (name: string) => number
+	/** Takes a line for each start, end and order at executors, and each write of the fleet to the store. */
+	readonly onRecord?: (line: Readonly<Record<string, unknown>>) => void
 	/** Puts something between the instances and an address; returns the address that they are told. */
 	readonly through?: (address: string, name: string) => Promise<string>
 }
@@ -19,6 +25,8 @@
 export interface HostedExecutor {
 	executor: WireExecutor
 	readonly failureDomain: string
+	/** Its failure domain and number there; stays when its process is replaced. */
+	readonly name: string
 	readonly address: string
 	readonly server: Server
 }
@@ -44,6 +52,8 @@
 export const QUEUE = "orders"
 const SERVICE = "svc"
 const BEAT_MS = 500
+/** Where instances note themselves and their claims. */
+const FLEET_PREFIX = "fleet/"
 
 function readBody(req: IncomingMessage): Promise<string> {
 	return new Promise(resolve => {
@@ -58,25 +68,35 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`
 }
 
-/** Watches all executors for two runs of one task at once. */
-function createJudge() {
+/** Watches all executors for two runs of one task at once; `settle` ends what is over by their clocks. */
+function createJudge(
+	settle: () => void,
+	record: (line: Readonly<Record<string, unknown>>) => void,
+) {
 	const violations: string[] = []
-	const running = new Map<string, Set<string>>()
+	const running = new Map<string, Map<string, string>>()
 	const starts = new Map<string, number>()
 	const dones = new Map<string, number>()
 	const events: ExecutorEvents = {
-		onStart(executor, task, run) {
-			const now = running.get(task) ?? new Set()
-			if (now.size > 0) violations.push(`TWICE: ${task} runs at ${[...now].join()} and ${executor}`)
-			now.add(`${executor}/${run}`)
+		onStart(executor, task, run, fence) {
+			const time = new Date().toISOString()
+			const now = running.get(task) ?? new Map<string, string>()
+			if (now.size > 0) settle()
+			const here = `${executor}/${run} (fence ${fence}, ${time})`
+			if (now.size > 0)
+				violations.push(`TWICE: ${task} runs at ${[...now.values()].join()} and ${here}`)
+			now.set(`${executor}/${run}`, here)
 			running.set(task, now)
 			starts.set(task, (starts.get(task) ?? 0) + 1)
+			record({kind: "start", executor, task, run, fence})
 		},
 		onEnd(executor, task, run, how) {
 			running.get(task)?.delete(`${executor}/${run}`)
 			if (how === "done") dones.set(task, (dones.get(task) ?? 0) + 1)
+			record({kind: "end", executor, task, run, how})
 		},
 		onBroken: rule => void violations.push(rule),
+		onOrder: (executor, order) => record({kind: "order", executor, ...order}),
 	}
 	return {violations, starts, dones, events}
 }
@@ -85,15 +105,25 @@
 	const capacityCpu = options.capacityCpu ?? 64_000
 	const through = options.through ?? (address => Promise.resolve(address))
 	const store = new WireStore()
-	const judge = createJudge()
 	const executors: HostedExecutor[] = []
+	const settle = () => executors.forEach(({executor}) => executor.settle())
+	const record = (line: Readonly<Record<string, unknown>>) =>
+		options.onRecord?.({timestamp: new Date().toISOString(), ...line})
+	const judge = createJudge(settle, record)
+	store.onWrite = (key, value) => {
+		if (key.startsWith(FLEET_PREFIX)) record({kind: "store", key, value})
+	}
 	let serial = 0
 	const storeServer = createServer((req, res) => {
 		void readBody(req).then(body => store.handle(req, body, res))
 	})
 	const storeAddress = await listen(storeServer)
 
-	const newExecutor = () => new WireExecutor(`i-${++serial}`, capacityCpu, judge.events)
+	function newExecutor(name: string): WireExecutor {
+		const id = `i-${++serial}`
+		record({kind: "executor", executor: id, name})
+		return new WireExecutor(id, capacityCpu, judge.events, options.clockRateOf?.(name))
+	}
 
 	function beat({executor, address, failureDomain}: HostedExecutor) {
 		store.write(`servers/${executor.id}`, {
@@ -110,14 +140,16 @@
 		})
 	}
 
+	const executorsOf = options.executorsOf ?? (() => options.executorsPerDomain)
 	for (const failureDomain of options.failureDomains)
-		for (let at = 0; at < options.executorsPerDomain; at++) {
+		for (let at = 0; at < executorsOf(failureDomain); at++) {
 			const server = createServer((req, res) => {
 				void readBody(req).then(body => hosted.executor.handle(req, body, res))
 			})
 			const name = `${failureDomain}-${at}`
 			const address = await through(await listen(server), name)
-			const hosted: HostedExecutor = {executor: newExecutor(), failureDomain, address, server}
+			const executor = newExecutor(name)
+			const hosted: HostedExecutor = {executor, failureDomain, name, address, server}
 			executors.push(hosted)
 			beat(hosted)
 		}
@@ -149,7 +181,7 @@
 		restart(hosted) {
 			store.remove(`servers/${hosted.executor.id}`)
 			hosted.executor.crash()
-			hosted.executor = newExecutor()
+			hosted.executor = newExecutor(hosted.name)
 			beat(hosted)
 		},
 		async close() {
--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -31,14 +31,29 @@
 	readonly cpu: number
 	readonly startedAt: number
 	readonly workMs: number
+	/** How it ends by itself; a task without progress never does. */
+	readonly ends: string | undefined
 	readonly cancel: () => void
 }
 
 /** What one executor tells the judge of all. */
 export interface ExecutorEvents {
-	onStart(executor: string, task: string, run: number): void
+	onStart(executor: string, task: string, run: number, fence: number): void
 	onEnd(executor: string, task: string, run: number, how: string): void
 	onBroken(rule: string): void
+	/** An order was carried out, or refused by its status. */
+	onOrder(executor: string, order: CarriedOut): void
+}
+
+/** An order as the executor took it. */
+export interface CarriedOut {
+	readonly path: string
+	readonly fence: number
+	readonly status: number
+	readonly task: string | undefined
+	readonly run: number | undefined
+	/** How long the executor's lease goes on from here, by its own clock. */
+	readonly leaseLeftMs: number
 }
 
 /** What the stand-in's specs say; the product hands them on unread. */
@@ -60,6 +75,8 @@
 
 const MAX_LEASE_MS = 1_000
 const STOP_MS = 5
+/** Between two looks at the lease. */
+const LEASE_LOOK_MS = 2
 
 export class WireExecutor {
 	readonly faults: ExecutorFaults = {}
@@ -72,17 +89,20 @@
 	private serial = 0
 	private highestFence = 0
 	private leaseUntil = 0
-	private readonly leaseTimer = setInterval(() => this.checkLease(), 10)
+	private isGone = false
+	private readonly leaseTimer = setInterval(() => this.settle(), LEASE_LOOK_MS)
 	private readonly waiting = new Set<() => void>()
 
 	constructor(
 		readonly id: string,
 		private readonly capacityCpu: number,
 		private readonly events: ExecutorEvents,
+		/** What its clock counts in one millisecond. */
+		private readonly clockRate = 1,
 	) {}
 
 	clock(): number {
-		return Math.floor(performance.now() + this.clockOffset)
+		return Math.floor(performance.now() * this.clockRate + this.clockOffset)
 	}
 
 	runningCount(): number {
@@ -91,6 +111,7 @@
 
 	/** Its process dies with all that runs there. */
 	crash() {
+		this.isGone = true
 		clearInterval(this.leaseTimer)
 		for (const run of [...this.running.values()]) this.drop(run, "crashed")
 		for (const resolve of this.waiting) resolve()
@@ -98,6 +119,7 @@
 
 	async handle(req: IncomingMessage, body: string, res: ServerResponse) {
 		if (this.faults.mute) return
+		this.settle()
 		const expected = req.headers["x-expect-instance"]
 		if (expected !== undefined && expected !== this.id) return this.answer(res, 421, {})
 		const order = JSON.parse(body || "{}") as Order
@@ -123,6 +145,19 @@
 	}
 
 	private carryOut(path: string, order: Order): [number, object] {
+		if (this.isGone) return [503, {}]
+		this.settle()
+		const carriedOut = this.obey(path, order)
+		this.tell(path, order, carriedOut[0])
+		return carriedOut
+	}
+
+	private tell(path: string, {fence, task, run}: Order, status: number) {
+		const leaseLeftMs = this.leaseUntil - this.clock()
+		this.events.onOrder(this.id, {path, fence, status, task, run, leaseLeftMs})
+	}
+
+	private obey(path: string, order: Order): [number, object] {
 		const fence = order.fence ?? 0
 		if (fence < this.highestFence) return [409, {reason: "fence"}]
 		this.highestFence = fence
@@ -154,19 +189,18 @@
 		return [200, {}]
 	}
 
-	private begin({task, run, spec}: Order) {
+	private begin({task, run, spec, fence}: Order) {
 		const {workMs, cpu, fails} = JSON.parse(spec) as StandInSpec
 		this.lastRun.set(task, run)
 		this.starts++
 		const takesMs = workMs * (this.faults.slowness ?? 1)
 		const ends = fails || this.faults.failAll ? "failed" : "done"
-		const timer = this.faults.hang
-			? undefined
-			: setTimeout(() => this.end(task, run, ends), takesMs)
+		const isHanging = this.faults.hang
+		const timer = isHanging ? undefined : setTimeout(() => this.end(task, run, ends), takesMs)
 		const cancel = () => clearTimeout(timer)
-		const startedAt = this.clock()
-		this.running.set(task, {task, run, cpu, startedAt, workMs: takesMs, cancel})
-		this.events.onStart(this.id, task, run)
+		const progress = {startedAt: this.clock(), workMs: takesMs, ends: isHanging ? undefined : ends}
+		this.running.set(task, {task, run, cpu, ...progress, cancel})
+		this.events.onStart(this.id, task, run, fence)
 		let used = 0
 		for (const running of this.running.values()) used += running.cpu
 		if (used > this.capacityCpu) this.events.onBroken(`LIMIT at ${this.id}: ${used}`)
@@ -197,9 +231,14 @@
 		this.waiting.clear()
 	}
 
-	private checkLease() {
-		if (this.running.size === 0 || this.clock() <= this.leaseUntil) return
-		for (const {task, run} of [...this.running.values()]) this.end(task, run, "lapsed")
+	/** Ends what is over by its own clock; timers may say so later, when the process that hosts it is busy. */
+	settle() {
+		const now = this.clock()
+		for (const {task, run, startedAt, workMs, ends} of [...this.running.values()]) {
+			const doneAt = startedAt + workMs
+			if (ends !== undefined && doneAt < Math.min(now, this.leaseUntil)) this.end(task, run, ends)
+			else if (now > this.leaseUntil) this.end(task, run, "lapsed")
+		}
 	}
 
 	private rows() {
@@ -211,10 +250,10 @@
 	}
 
 	private async answerHold(order: Order, res: ServerResponse) {
-		if ((order.fence ?? 0) < this.highestFence) return this.answer(res, 409, {reason: "fence"})
-		this.highestFence = order.fence ?? 0
-		this.renew(order)
+		const [status, refusal] = this.carryOut("/hold", order)
+		if (status !== 200) return this.answer(res, status, refusal)
 		if (this.finished.length === 0) await this.nextEnd(order["wait-ms"] ?? 0)
+		if (this.isGone) return void res.destroy()
 		if (this.faults.mute || this.faults.loseAnswers) return
 		this.answer(res, 200, {running: this.rows(), finished: this.finished})
 	}
--- a/packages/standins/src/leased/wire-store.ts
+++ b/packages/standins/src/leased/wire-store.ts
@@ -45,6 +45,8 @@
 
 export class WireStore {
 	readonly faults: StoreFaults = {}
+	/** Hears of each write; of a removal without a value. */
+	onWrite: (key: string, value: unknown) => void = () => undefined
 	/** Calls by path, for tests that count them. */
 	readonly calls = new Map<string, number>()
 	private readonly items = new Map<string, Item>()
@@ -198,11 +200,13 @@
 		const item = {key, value, rev, created, lease}
 		this.items.set(key, item)
 		this.changes.push({rev, key, item})
+		this.onWrite(key, this.read(key))
 	}
 
 	private unset(key: string) {
 		if (!this.items.delete(key)) return
 		this.changes.push({rev: ++this.revision, key, item: undefined})
+		this.onWrite(key, undefined)
 	}
 
 	private endLease(id: number) {
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -40,6 +40,8 @@
 	readonly random: () => number
 	/** What lasts, lasts so long, in milliseconds. */
 	readonly lastsMs: number
+	/** Whether a fault that ends an instance is over only when its next life is ready. */
+	readonly waitsForReadiness: boolean
 	/** The number of the newest configuration. */
 	configVersion: number
 }
@@ -62,7 +64,7 @@
 }
 
 /** The living instances: one for each name, the newest life of it. */
-function livingEdges({edges}: EdgeFleet): readonly Edge[] {
+export function livingEdges({edges}: EdgeFleet): readonly Edge[] {
 	const newest = new Map(edges.map(edge => [edge.name, edge]))
 	return [...newest.values()].filter(({child}) => child.exitCode === null && !child.signalCode)
 }
@@ -70,12 +72,17 @@
 /** Instances that a fault has begun to end: another may hasten that, but only one life follows. */
 const replaced = new WeakSet<Edge>()
 
-async function replace({fleet}: LeasedWorld, edge: Edge, signal: "SIGKILL" | "SIGTERM") {
+/** Ends an instance's life and begins its next. */
+export async function replace(
+	{fleet, waitsForReadiness}: LeasedWorld,
+	edge: Edge,
+	signal: "SIGKILL" | "SIGTERM",
+) {
 	edge.child.kill(signal)
 	if (replaced.has(edge)) return
 	replaced.add(edge)
 	await edge.exited
-	await fleet.restart(edge)
+	await (waitsForReadiness ? fleet.restart(edge) : fleet.relaunch(edge))
 }
 
 async function whileLasting({lastsMs}: LeasedWorld, begin: () => void, end: () => void) {
--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -7,6 +7,7 @@
 import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
 import {seededRandom} from "../utils/random.js"
 import {runLeasedCallers, untilEnded, type CalledJob} from "./leased-callers.js"
+import {violationsOf} from "./leased-verdict.js"
 import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
 
 export interface LeasedSoakPlan {
@@ -72,7 +73,8 @@
 	const storeAddressOf = (name: string) => `127.0.0.1:${storeLinks.get(name)?.port}`
 	const fleet = await startEdges(platform, names, {storeAddressOf})
 	const {faultMs: lastsMs} = plan
-	return {platform, fleet, executorLinks, storeLinks, random, lastsMs, configVersion: 1}
+	const links = {executorLinks, storeLinks}
+	return {platform, fleet, ...links, random, lastsMs, waitsForReadiness: true, configVersion: 1}
 }
 
 async function runFaults(world: LeasedWorld, {faults, count, onFault}: LeasedSoakPlan) {
@@ -85,28 +87,6 @@
 	await Promise.all(underWay)
 }
 
-const taskNames = ({id, tasks}: CalledJob) =>
-	Array.from({length: tasks}, (_, at) => `${id}.0.0.${at}`)
-
-/** What the platform's pages promise, for one job. */
-function violationsOf(job: CalledJob, platform: LeasedPlatform): readonly string[] {
-	const {id, isKept, statuses, state} = job
-	const found: string[] = []
-	const starts = taskNames(job).map(platform.startsOf)
-	const dones = taskNames(job).map(platform.donesOf)
-	const isRefusedAlways = statuses.length > 0 && statuses.every(status => status === 503)
-	if (isRefusedAlways && starts.some(count => count > 0))
-		found.push(`REFUSED: ${id} was refused each time, and started`)
-	if (state === "completed" && dones.some(count => count === 0))
-		found.push(`MIXED: ${id} is shown as completed, and a task never ended so`)
-	if (!isKept) return found
-	const isAccepted = statuses.includes(200)
-	if (isAccepted && state === "unknown") found.push(`LOST: ${id} is unknown`)
-	if (isAccepted && !job.isCancelAsked && state !== "completed" && state !== "failed")
-		found.push(`LOST: ${id} is ${state} at the end`)
-	return found
-}
-
 function judge(jobs: readonly CalledJob[], platform: LeasedPlatform): LeasedVerdict {
 	const count = (isWanted: (job: CalledJob) => boolean) => jobs.filter(isWanted).length
 	return {
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -5,15 +5,20 @@
 import {ALL_FAULTS, type FaultName} from "./faults.js"
 import {LEASED_FAULTS, type LeasedFault} from "./leased-faults.js"
 import {LEASED_SOAK_DEFAULTS, runLeasedSoak} from "./leased-soak.js"
+import {ROUGH_SOAK_DEFAULTS, runRoughSoak} from "./rough-soak.js"
 import {runSoak} from "./soak.js"
 
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--on platform|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--fault NAME ...]
+	  $ npm run soak -- [--on platform|rough|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--fault NAME ...]
 
 	--on platform  the program on the stand-in of the users' platform (the default);
 	               --faults N of them are drawn in each run, while --callers N hand in jobs
+	--on rough     the same stand-in, with faults between instances and of whole failure domains, long jobs and
+	               callers that come back; --domains N --instances N --executors N (both for each domain) say
+	               its size, --program PATH another build of the program (its bin.js), --keep DIR where a run
+	               that broke a promise leaves its lines
 	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
@@ -21,9 +26,14 @@
 	{
 		importMeta: import.meta,
 		flags: {
-			on: {type: "string", choices: ["platform", "product"], default: "platform"},
-			faults: {type: "number", default: LEASED_SOAK_DEFAULTS.count},
-			callers: {type: "number", default: LEASED_SOAK_DEFAULTS.callers},
+			on: {type: "string", choices: ["platform", "rough", "product"], default: "platform"},
+			faults: {type: "number"},
+			callers: {type: "number"},
+			domains: {type: "number", default: ROUGH_SOAK_DEFAULTS.domains},
+			instances: {type: "number", default: ROUGH_SOAK_DEFAULTS.instancesPerDomain},
+			executors: {type: "number", default: ROUGH_SOAK_DEFAULTS.executorsPerDomain},
+			program: {type: "string"},
+			keep: {type: "string"},
 			seed: {type: "number", default: 1},
 			runs: {type: "number", default: 1},
 			rounds: {type: "number", default: 1},
@@ -33,6 +43,9 @@
 )
 
 const {flags} = cli
+interface Verdict {
+	readonly violations: readonly string[]
+}
 
 function soakProduct(seed: number, onFault: (text: string) => void) {
 	const faults = flags.fault.length > 0 ? (flags.fault as FaultName[]) : ALL_FAULTS
@@ -41,10 +54,31 @@
 
 function soakPlatform(seed: number, onFault: (text: string) => void) {
 	const faults = flags.fault.length > 0 ? (flags.fault as LeasedFault[]) : LEASED_FAULTS
-	return runLeasedSoak({seed, faults, count: flags.faults, callers: flags.callers, onFault})
+	const {faults: count = LEASED_SOAK_DEFAULTS.count, callers = LEASED_SOAK_DEFAULTS.callers} = flags
+	return runLeasedSoak({seed, faults, count, callers, onFault})
+}
+
+function soakRough(seed: number, onFault: (text: string) => void) {
+	const {faults: count = ROUGH_SOAK_DEFAULTS.count, callers = ROUGH_SOAK_DEFAULTS.callers} = flags
+	return runRoughSoak({
+		seed,
+		count,
+		callers,
+		faults: flags.fault,
+		domains: flags.domains,
+		instancesPerDomain: flags.instances,
+		executorsPerDomain: flags.executors,
+		program: flags.program,
+		keepIn: flags.keep,
+		onFault,
+	})
 }
 
-const soak = flags.on === "product" ? soakProduct : soakPlatform
+const soaks = new Map<string, (seed: number, onFault: (text: string) => void) => Promise<Verdict>>([
+	["product", soakProduct],
+	["rough", soakRough],
+])
+const soak = soaks.get(flags.on) ?? soakPlatform
 for (let run = 0; run < flags.runs; run++) {
 	const seed = flags.seed + run
 	const verdict = await soak(seed, text => process.stderr.write(`seed ${seed}: ${text}\n`))
--- /dev/null
+++ b/packages/standins/src/soak/rough-faults.ts
@@ -0,0 +1,241 @@
+/**
+ * Faults between instances and of whole failure domains: ways that are cut, slow or reset, processes that stand
+ * still or run by turns, losses that come at once or twice in a row. Each begins, lasts, and is mended; they overlap.
+ */
+import type {CutScope, Mending} from "../fleet/path.js"
+import type {Edge} from "../leased/edges.js"
+import {livingEdges, replace} from "./leased-faults.js"
+import {executorsPlace, newestEdges, type RoughWorld} from "./rough-world.js"
+
+export const ROUGH_FAULTS = Object.freeze([
+	"cut between instances",
+	"silence between instances",
+	"slow link between instances",
+	"reset between instances",
+	"cut instance off",
+	"cut instance off one way",
+	"cut failure domain off",
+	"cut failure domain off one way",
+	"cut instance from executors",
+	"lose failure domain",
+	"lose failure domain twice",
+	"lose all instances twice",
+	"run instance by turns",
+	"stand still",
+] as const)
+export type RoughFault = (typeof ROUGH_FAULTS)[number]
+
+/** How long what lasts may last; a takeover takes one to two seconds. */
+const SHORTEST_MS = 300
+const LONGEST_MS = 3_500
+const SHORTEST_DELAY_MS = 50
+const LONGEST_DELAY_MS = 900
+/** A second loss falls into the recovery from the first. */
+const SECOND_LOSS_MS = 1_000
+const SECOND_LOSS_SPREAD_MS = 500
+const TURN_STOPPED_MS = 100
+const TURN_RUNNING_MS = 20
+const SHORTEST_TURNS_MS = 1_500
+const LONGEST_TURNS_MS = 5_000
+const SHORTEST_STANDSTILL_MS = 500
+const LONGEST_STANDSTILL_MS = 3_000
+const SHARE_AT_PLACERS = 0.5
+/** Of silences that leave datagrams alone; the others leave connections alone. */
+const SHARE_STREAMS = 0.7
+/** Of cuts after which what connections held arrives, as on a real network. */
+const SHARE_DELIVERED = 0.75
+
+type Way = readonly [from: string, to: string]
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+const pick = <T>(items: readonly T[], random: () => number) =>
+	items[Math.floor(random() * items.length)] as T
+const between = (least: number, most: number, random: () => number) =>
+	Math.round(least + random() * (most - least))
+
+/** The instance that a failure domain's claim names. */
+function placerOf({platform}: RoughWorld, failureDomain: string): string | undefined {
+	const claim = platform.store.read(`fleet/claim/${failureDomain}`) as
+		{readonly placer: {readonly name: string}} | undefined
+	return claim?.placer.name
+}
+
+/** Some instance, often one that places. */
+function pickInstance(world: RoughWorld, random: () => number): string {
+	const isAtPlacer = random() < SHARE_AT_PLACERS
+	const placer = placerOf(world, pick(world.failureDomains, random))
+	const other = pick([...world.instances.keys()], random)
+	return (isAtPlacer && placer) || other
+}
+
+function membersOf({instances}: RoughWorld, failureDomain: string): readonly string[] {
+	return [...instances].filter(([, domain]) => domain === failureDomain).map(([name]) => name)
+}
+
+const waysBetween = (here: readonly string[], there: readonly string[]): readonly Way[] =>
+	here.flatMap(from => there.map(to => [from, to] as const))
+
+const turned = (ways: readonly Way[]): readonly Way[] => ways.map(([from, to]) => [to, from])
+
+/** One direction or the other. */
+const oneWay = (ways: readonly Way[], random: () => number) =>
+	random() < 0.5 ? ways : turned(ways)
+
+const someWays = (ways: readonly Way[], random: () => number) =>
+	random() < 0.5 ? bothWays(ways) : oneWay(ways, random)
+
+const bothWays = (ways: readonly Way[]) => [...ways, ...turned(ways)]
+
+function waysOffInstance(world: RoughWorld, name: string): readonly Way[] {
+	return waysBetween(
+		[name],
+		[...world.instances.keys()].filter(other => other !== name),
+	)
+}
+
+/** All that leads out of a failure domain, to instances and executors; its own executors stay in reach. */
+function waysOffDomain(world: RoughWorld, failureDomain: string): readonly Way[] {
+	const inside = membersOf(world, failureDomain)
+	const outside = [...world.instances.keys()].filter(name => !inside.includes(name))
+	const others = world.failureDomains.filter(domain => domain !== failureDomain)
+	return [
+		...waysBetween(inside, [...outside, ...others.map(executorsPlace)]),
+		...waysBetween([executorsPlace(failureDomain)], outside),
+	]
+}
+
+function waysToExecutors(world: RoughWorld, name: string): readonly Way[] {
+	const placed = world.failureDomains.filter(domain => placerOf(world, domain) === name)
+	const domains = placed.length > 0 ? placed : [world.instances.get(name) ?? ""]
+	return waysBetween([name], domains.map(executorsPlace))
+}
+
+async function cutFor(
+	{network}: RoughWorld,
+	ways: readonly Way[],
+	scope: CutScope,
+	random: () => number,
+) {
+	const lastsMs = between(SHORTEST_MS, LONGEST_MS, random)
+	const mending: Mending =
+		random() < SHARE_DELIVERED
+			? {type: "deliver", lagMs: () => random() * lastsMs}
+			: {type: "break"}
+	for (const [from, to] of ways) network.path(from, to).cut(scope)
+	await sleep(lastsMs)
+	for (const [from, to] of ways) network.path(from, to).mend(mending)
+}
+
+async function slowDown({network}: RoughWorld, ways: readonly Way[], random: () => number) {
+	const ms = between(SHORTEST_DELAY_MS, LONGEST_DELAY_MS, random)
+	for (const [from, to] of ways) network.path(from, to).delay(ms)
+	await sleep(between(SHORTEST_MS, LONGEST_MS, random))
+	for (const [from, to] of ways) network.path(from, to).delay(0)
+}
+
+const lose = (world: RoughWorld, edges: readonly Edge[]) =>
+	Promise.all(edges.map(edge => replace(world, edge, "SIGKILL")))
+
+async function loseTwice(world: RoughWorld, edges: () => readonly Edge[], random: () => number) {
+	const first = lose(world, edges())
+	await sleep(SECOND_LOSS_MS + random() * SECOND_LOSS_SPREAD_MS)
+	await first
+	await lose(world, edges())
+}
+
+async function runByTurns({child}: Edge, lastsMs: number) {
+	const until = performance.now() + lastsMs
+	while (performance.now() < until) {
+		child.kill("SIGSTOP")
+		await sleep(TURN_STOPPED_MS)
+		child.kill("SIGCONT")
+		await sleep(TURN_RUNNING_MS)
+	}
+}
+
+async function standStill({child}: Edge, lastsMs: number) {
+	child.kill("SIGSTOP")
+	await sleep(lastsMs)
+	child.kill("SIGCONT")
+}
+
+interface Blow {
+	readonly world: RoughWorld
+	readonly random: () => number
+	readonly tell: (where: string) => void
+}
+
+/** A fault of the ways between two instances. */
+async function strikePair({world, random, tell}: Blow, name: RoughFault, instance: string) {
+	const others = [...world.instances.keys()].filter(other => other !== instance)
+	const peer = pick(others, random)
+	const isBoth = random() < 0.5
+	const pair = [[instance, peer] as const]
+	const ways = isBoth ? bothWays(pair) : pair
+	const where = `${instance} ${isBoth ? "and" : "to"} ${peer}`
+	if (name === "reset between instances") {
+		tell(where)
+		world.network.reset(instance, peer)
+		return world.network.reset(peer, instance)
+	}
+	if (name === "silence between instances") {
+		const scope = random() < SHARE_STREAMS ? "streams" : "datagrams"
+		tell(`${where}, ${scope}`)
+		return cutFor(world, ways, scope, random)
+	}
+	tell(where)
+	if (name === "slow link between instances") return slowDown(world, ways, random)
+	return cutFor(world, ways, "all", random)
+}
+
+/** A fault of one instance: of all that leads to it, or of its process. */
+async function strikeInstance({world, random, tell}: Blow, name: RoughFault, instance: string) {
+	const edge = newestEdges(world.fleet).get(instance) as Edge
+	tell(instance)
+	switch (name) {
+		case "cut instance off":
+			return cutFor(world, bothWays(waysOffInstance(world, instance)), "all", random)
+		case "cut instance off one way":
+			return cutFor(world, oneWay(waysOffInstance(world, instance), random), "all", random)
+		case "cut instance from executors":
+			return cutFor(world, someWays(waysToExecutors(world, instance), random), "all", random)
+		case "run instance by turns":
+			return runByTurns(edge, between(SHORTEST_TURNS_MS, LONGEST_TURNS_MS, random))
+		default:
+			return standStill(edge, between(SHORTEST_STANDSTILL_MS, LONGEST_STANDSTILL_MS, random))
+	}
+}
+
+/** A fault of a whole failure domain, or of all. */
+async function strikeDomain({world, random, tell}: Blow, name: RoughFault, domain: string) {
+	const living = () => livingEdges(world.fleet)
+	const livingThere = () => living().filter(({failureDomain}) => failureDomain === domain)
+	tell(name === "lose all instances twice" ? "all" : domain)
+	switch (name) {
+		case "cut failure domain off":
+			return cutFor(world, bothWays(waysOffDomain(world, domain)), "all", random)
+		case "cut failure domain off one way":
+			return cutFor(world, oneWay(waysOffDomain(world, domain), random), "all", random)
+		case "lose failure domain":
+			return void (await lose(world, livingThere()))
+		case "lose failure domain twice":
+			return loseTwice(world, livingThere, random)
+		default:
+			return loseTwice(world, living, random)
+	}
+}
+
+/** Brings about one fault and mends it; says which it was and where. */
+export function runRoughFault(
+	world: RoughWorld,
+	name: RoughFault,
+	random: () => number,
+	onFault: (text: string) => void,
+): Promise<void> {
+	const instance = pickInstance(world, random)
+	const domain = pick(world.failureDomains, random)
+	const blow = {world, random, tell: (where: string) => onFault(`${name} (${where})`)}
+	if (name.includes("between instances")) return strikePair(blow, name, instance)
+	if (name.includes("domain") || name.includes("all")) return strikeDomain(blow, name, domain)
+	return strikeInstance(blow, name, instance)
+}
--- /dev/null
+++ b/packages/standins/src/soak/rough-record.ts
@@ -0,0 +1,38 @@
+/**
+ * What a run leaves behind so that a violation can be traced: one folder a run, JSON lines.
+ */
+import {mkdirSync, writeFileSync} from "node:fs"
+import {join} from "node:path"
+import type {Edge} from "../leased/edges.js"
+
+export type RecordLine = Readonly<Record<string, unknown>>
+
+export interface KeptRun {
+	readonly verdict: RecordLine & {readonly seed: number}
+	/** Faults as they began and ended. */
+	readonly faults: readonly RecordLine[]
+	/** What executors and the store saw. */
+	readonly judged: readonly RecordLine[]
+	readonly jobs: readonly object[]
+	readonly edges: readonly Edge[]
+}
+
+const toLines = (lines: readonly object[]) =>
+	lines.map(line => `${JSON.stringify(line)}\n`).join("")
+
+/** Writes a run's lines into a folder of its own, one file for each life of an instance. */
+export function keepRun(folder: string, {verdict, faults, judged, jobs, edges}: KeptRun): string {
+	const path = join(folder, `seed-${verdict.seed}-${new Date().toISOString().replaceAll(":", "")}`)
+	mkdirSync(path, {recursive: true})
+	writeFileSync(join(path, "verdict.json"), JSON.stringify(verdict, undefined, "\t"))
+	writeFileSync(join(path, "faults.jsonl"), toLines(faults))
+	writeFileSync(join(path, "judge.jsonl"), toLines(judged))
+	writeFileSync(join(path, "jobs.jsonl"), toLines(jobs))
+	const lives = new Map<string, number>()
+	for (const {name, lines} of edges) {
+		const life = (lives.get(name) ?? 0) + 1
+		lives.set(name, life)
+		writeFileSync(join(path, `${name}.${life}.jsonl`), toLines(lines))
+	}
+	return path
+}
--- /dev/null
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -0,0 +1,166 @@
+/**
+ * A rough soak of the program on the stand-in of the users' platform: many jobs as long as a takeover, a failure
+ * domain short of room, callers that come back, and faults between instances and of whole failure domains.
+ */
+import {monitorEventLoopDelay} from "node:perf_hooks"
+import {isReady} from "../leased/edges.js"
+import {seededRandom} from "../utils/random.js"
+import {untilEnded} from "./leased-callers.js"
+import {runLeasedFault} from "./leased-faults.js"
+import {violationsOf} from "./leased-verdict.js"
+import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
+import {runRoughFault} from "./rough-faults.js"
+import {keepRun, type RecordLine} from "./rough-record.js"
+import {isRoughFault, planFaults, type PlannedFault} from "./rough-schedule.js"
+import {closeRoughWorld, newestEdges, startRoughWorld, type RoughWorld} from "./rough-world.js"
+
+export interface RoughSoakPlan {
+	readonly seed: number
+	/** How many faults are brought about in all. */
+	readonly count: number
+	/** Kinds of faults; all when there are none. */
+	readonly faults: readonly string[]
+	readonly domains: number
+	readonly instancesPerDomain: number
+	readonly executorsPerDomain: number
+	readonly callers: number
+	/** Another build of the program. */
+	readonly program: string | undefined
+	/** Runs that broke a promise leave their lines in a folder here. */
+	readonly keepIn: string | undefined
+	/** Runs that broke none leave theirs too. */
+	readonly keepsAll: boolean
+	readonly onFault: (text: string) => void
+}
+
+export const ROUGH_SOAK_DEFAULTS: RoughSoakPlan = Object.freeze({
+	seed: 1,
+	count: 30,
+	faults: [],
+	domains: 3,
+	instancesPerDomain: 3,
+	executorsPerDomain: 3,
+	callers: 40,
+	program: undefined,
+	keepIn: undefined,
+	keepsAll: false,
+	onFault: () => undefined,
+})
+
+export interface RoughVerdict {
+	readonly seed: number
+	readonly jobs: number
+	readonly completed: number
+	readonly refused: number
+	/** Jobs that came back while what became of them was open. */
+	readonly returned: number
+	readonly open: number
+	/** Instances that were not ready some time after the last fault. */
+	readonly unready: readonly string[]
+	/** The longest standstill of the soak itself: executors and links are late by as much. */
+	readonly lagMs: number
+	readonly violations: readonly string[]
+	/** Where the run's lines are. */
+	readonly kept: string | undefined
+}
+
+const SHARE_KEPT = 0.05
+/** All is mended, and every instance ready, within this after the last fault. */
+const FINISH_MS = 30_000
+const READY_POLL_MS = 200
+const LAG_RESOLUTION_MS = 5
+const CALLERS_SEED = 1_000_003
+const WORLD_SEED = 2_000_003
+const NS_PER_MS = 1e6
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+const stamp = (line: RecordLine): RecordLine => ({timestamp: new Date().toISOString(), ...line})
+
+async function runFault(world: RoughWorld, fault: PlannedFault, note: (text: string) => void) {
+	const random = seededRandom(fault.seed)
+	if (isRoughFault(fault.name)) return runRoughFault(world, fault.name, random, note)
+	const lastsMs = 500 + random() * 2_000
+	const before = world.configVersion
+	const own = {...world, random, lastsMs}
+	await runLeasedFault(own, fault.name, note)
+	world.configVersion += own.configVersion - before
+}
+
+async function runFaults(world: RoughWorld, plan: RoughSoakPlan, faults: RecordLine[]) {
+	const began = performance.now()
+	const underWay: Promise<void>[] = []
+	for (const fault of planFaults(plan.seed, plan.count, plan.faults)) {
+		await sleep(began + fault.atMs - performance.now())
+		const number = underWay.length
+		const note = (what: string) => {
+			faults.push(stamp({kind: "begins", number, what}))
+			plan.onFault(what)
+		}
+		const over = () => void faults.push(stamp({kind: "ends", number}))
+		underWay.push(runFault(world, fault, note).finally(over))
+	}
+	await Promise.all(underWay)
+	for (const {child} of world.fleet.edges) child.kill("SIGCONT")
+}
+
+/** Names the instances that are not ready at the end. */
+async function untilAllReady({fleet}: RoughWorld): Promise<readonly string[]> {
+	const until = performance.now() + FINISH_MS
+	for (;;) {
+		const edges = [...newestEdges(fleet).values()]
+		const areReady = await Promise.all(edges.map(isReady))
+		const unready = edges.filter((_, at) => !areReady[at]).map(({name}) => name)
+		if (unready.length === 0 || performance.now() > until) return unready
+		await sleep(READY_POLL_MS)
+	}
+}
+
+function countJobs(jobs: readonly ReturnedJob[]) {
+	const count = (isWanted: (job: ReturnedJob) => boolean) => jobs.filter(isWanted).length
+	const isOpen = (status: number) => ![200, 503].includes(status)
+	return {
+		jobs: jobs.length,
+		completed: count(({state}) => state === "completed"),
+		refused: count(({statuses}) => statuses.at(-1) === 503),
+		returned: count(({statuses}) => statuses.slice(0, -1).some(isOpen)),
+		open: count(({statuses}) => isOpen(statuses.at(-1) ?? 0)),
+	}
+}
+
+/** Runs one soak and returns its verdict; everything that it started is ended in any case. */
+export async function runRoughSoak(changes: Partial<RoughSoakPlan> = {}): Promise<RoughVerdict> {
+	const plan = {...ROUGH_SOAK_DEFAULTS, ...changes}
+	const {seed, callers, keepIn} = plan
+	const judged: RecordLine[] = []
+	const faults: RecordLine[] = []
+	const failureDomains = Array.from({length: plan.domains}, (_, at) => `zone-${at + 1}`)
+	const random = seededRandom(seed + WORLD_SEED)
+	const record = (line: RecordLine) => void judged.push(line)
+	const world = await startRoughWorld({...plan, failureDomains, random, record})
+	const lag = monitorEventLoopDelay({resolution: LAG_RESOLUTION_MS})
+	lag.enable()
+	try {
+		let isNeeded = true
+		const ended = runFaults(world, plan, faults).finally(() => (isNeeded = false))
+		const jobs = await runRoughCallers(world, {
+			seed: seed + CALLERS_SEED,
+			callers,
+			isNeeded: () => isNeeded,
+			shareKept: SHARE_KEPT,
+		})
+		await ended
+		const unready = await untilAllReady(world)
+		await untilEnded(world.fleet, jobs, FINISH_MS)
+		const broken = jobs.flatMap(job => violationsOf(job, world.platform))
+		const violations = [...world.platform.violations, ...broken]
+		const lagMs = Math.round(lag.max / NS_PER_MS)
+		const verdict = {seed, ...countJobs(jobs), unready, lagMs, violations}
+		const {edges} = world.fleet
+		const isToKeep = keepIn !== undefined && (plan.keepsAll || violations.length > 0)
+		const kept = isToKeep ? keepRun(keepIn, {verdict, faults, judged, jobs, edges}) : undefined
+		return {...verdict, kept}
+	} finally {
+		lag.disable()
+		await closeRoughWorld(world)
+	}
+}
--- /dev/null
+++ b/packages/standins/src/soak/rough-world.ts
@@ -0,0 +1,122 @@
+/**
+ * The world of a rough soak: instances with an address and links of their own each, one failure domain that is short
+ * of executors, and executors of which some have slow clocks.
+ */
+import {openLink, type Link} from "../fleet/link.js"
+import {startEdges, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {openNetwork, type Network} from "../leased/network.js"
+import {startLeasedPlatform} from "../leased/platform.js"
+import type {LeasedWorld} from "./leased-faults.js"
+
+export interface RoughWorld extends LeasedWorld {
+	readonly network: Network
+	readonly failureDomains: readonly string[]
+	/** Names of all instances, with their failure domains. */
+	readonly instances: ReadonlyMap<string, string>
+}
+
+export interface RoughWorldPlan {
+	readonly failureDomains: readonly string[]
+	readonly instancesPerDomain: number
+	readonly executorsPerDomain: number
+	/** Another build of the program. */
+	readonly program: string | undefined
+	readonly random: () => number
+	readonly record: (line: Readonly<Record<string, unknown>>) => void
+}
+
+const PRELOAD = new URL("../leased/reroute.js", import.meta.url).href
+/** The first failure domain has so large a share of the executors of another: tasks must go elsewhere. */
+const SHORT_SHARE = 0.34
+const SLOW_CLOCK_SHARE = 0.3
+/** From the contract: clocks of executors are at most 2% slow. */
+const SLOW_CLOCK_RATE = 0.98
+const CAPACITY_CPU = 64_000
+/** On a machine that is shared with others. */
+const READY_MS = 60_000
+/** Addresses 127.16.x.x to 127.215.x.x, another second number for each process, so that soaks keep apart. */
+const FIRST_NET = 16
+const NETS = 200
+const HOSTS_PER_NET = 200
+
+const portOf = (address: string) => Number(address.split(":")[1])
+const ipAt = (at: number) =>
+	[
+		127,
+		FIRST_NET + (process.pid % NETS),
+		Math.floor(at / HOSTS_PER_NET),
+		1 + (at % HOSTS_PER_NET),
+	].join(".")
+
+/** Where a failure domain's executors are on the network. */
+export const executorsPlace = (failureDomain: string) => `executors of ${failureDomain}`
+
+/** The newest life of each instance, by name. */
+export const newestEdges = ({edges}: EdgeFleet): ReadonlyMap<string, Edge> =>
+	new Map(edges.map(edge => [edge.name, edge]))
+
+export async function startRoughWorld(plan: RoughWorldPlan): Promise<RoughWorld> {
+	const {failureDomains, executorsPerDomain, random} = plan
+	const executorLinks = new Map<string, Link>()
+	const storeLinks = new Map<string, Link>()
+	const shortOf = Math.max(1, Math.floor(executorsPerDomain * SHORT_SHARE))
+	const platform = await startLeasedPlatform({
+		failureDomains,
+		executorsPerDomain,
+		executorsOf: domain => (domain === failureDomains[0] ? shortOf : executorsPerDomain),
+		clockRateOf: () => (random() < SLOW_CLOCK_SHARE ? SLOW_CLOCK_RATE : 1),
+		capacityCpu: CAPACITY_CPU,
+		onRecord: plan.record,
+		async through(address, name) {
+			const link = await openLink(() => portOf(address))
+			executorLinks.set(name, link)
+			return `127.0.0.1:${link.port}`
+		},
+	})
+	platform.putConfig(1)
+	const names = failureDomains.flatMap(domain =>
+		Array.from({length: plan.instancesPerDomain}, (_, at) => [`${domain}-${at}`, domain] as const),
+	)
+	const ips = new Map<string, string>(names.map(([name], at) => [name, ipAt(at)]))
+	for (const [name] of names)
+		storeLinks.set(name, await openLink(() => portOf(platform.storeAddress)))
+
+	const peers = new Map<string, string>()
+	const network = await openNetwork({
+		instances: [...ips].map(([name, ip]) => ({name, ip})),
+		executors: platform.executors.map(({failureDomain, address}) => ({
+			place: executorsPlace(failureDomain),
+			address,
+		})),
+		peerOf: name => peers.get(name),
+	})
+	const fleet = await startEdges(platform, names, {
+		storeAddressOf: name => `127.0.0.1:${storeLinks.get(name)?.port}`,
+		ipOf: name => ips.get(name) ?? "127.0.0.1",
+		envOf: name => ({COTTONWOOD_ROUTES: JSON.stringify(network.routesOf(name))}),
+		nodeArgs: ["--import", PRELOAD],
+		program: plan.program,
+		readyMs: READY_MS,
+		onLaunch: edge => void peers.set(edge.name, edge.peers),
+	})
+	return {
+		platform,
+		fleet,
+		network,
+		failureDomains,
+		instances: new Map(names),
+		executorLinks,
+		storeLinks,
+		random,
+		lastsMs: 0,
+		waitsForReadiness: false,
+		configVersion: 1,
+	}
+}
+
+export async function closeRoughWorld({platform, fleet, network, ...world}: RoughWorld) {
+	await fleet.close()
+	network.close()
+	for (const link of [...world.executorLinks.values(), ...world.storeLinks.values()]) link.close()
+	await platform.close()
+}
