--- a/packages/standins/src/soak/rough-callers.ts
+++ b/packages/standins/src/soak/rough-callers.ts
@@ -22,12 +22,15 @@
 
 /** From the contract. */
 const RESUBMIT_MS = 1_300
+/** Tries of one job; fewer once no more jobs are needed. */
 const MAX_TRIES = 12
+const LAST_TRIES = 3
 const MAX_TASKS = 4
-const TASK_CPU = 6_000
+/** Of 64,000 at an executor: all callers together fill most of what there is. */
+const TASK_CPU = 2_000
 const LONGEST_PAUSE_MS = 150
 /** Work as long as a takeover, and short work in between. */
-const SHARE_LONG = 0.6
+const SHARE_LONG = 0.5
 const LEAST_LONG_MS = 500
 const MOST_LONG_MS = 3_000
 const LEAST_SHORT_MS = 20
@@ -95,9 +98,14 @@
 	return status
 }
 
-async function submit(world: RoughWorld, job: ReturnedJob, random: () => number) {
+async function submit(
+	world: RoughWorld,
+	job: ReturnedJob,
+	random: () => number,
+	isNeeded: () => boolean,
+) {
 	const wish = drawWish(random)
-	for (let tries = 0; tries < MAX_TRIES; tries++) {
+	for (let tries = 0; tries < (isNeeded() ? MAX_TRIES : LAST_TRIES); tries++) {
 		const edges = [...newestEdges(world.fleet).values()]
 		const edge = edges[Math.floor(random() * edges.length)] as Edge
 		const began = performance.now()
@@ -122,7 +130,7 @@
 		const answers = {statuses: [], tries: [], state: undefined, isCancelAsked: false}
 		const job: ReturnedJob = {id, tasks, isKept, ...answers}
 		jobs.push(job)
-		await submit(world, job, random)
+		await submit(world, job, random, load.isNeeded)
 		await sleep(LONGEST_PAUSE_MS * random())
 	}
 }
--- a/packages/standins/src/soak/rough-faults.ts
+++ b/packages/standins/src/soak/rough-faults.ts
@@ -33,13 +33,17 @@
 /** A second loss falls into the recovery from the first. */
 const SECOND_LOSS_MS = 1_000
 const SECOND_LOSS_SPREAD_MS = 500
-const TURN_STOPPED_MS = 100
-const TURN_RUNNING_MS = 20
+/** A process that runs by turns is never still for 400 ms, from which on it would notice. */
+const LEAST_STOPPED_MS = 100
+const MOST_STOPPED_MS = 350
+const LEAST_RUNNING_MS = 5
+const MOST_RUNNING_MS = 30
 const SHORTEST_TURNS_MS = 1_500
-const LONGEST_TURNS_MS = 5_000
+const LONGEST_TURNS_MS = 6_000
 const SHORTEST_STANDSTILL_MS = 500
 const LONGEST_STANDSTILL_MS = 3_000
 const SHARE_AT_PLACERS = 0.5
+const SHARE_IN_FOCUS = 0.5
 /** Of silences that leave datagrams alone; the others leave connections alone. */
 const SHARE_STREAMS = 0.7
 /** Of cuts after which what connections held arrives, as on a real network. */
@@ -60,10 +64,14 @@
 	return claim?.placer.name
 }
 
+function pickDomain({failureDomains, focus}: RoughWorld, random: () => number): string {
+	return random() < SHARE_IN_FOCUS ? focus : pick(failureDomains, random)
+}
+
 /** Some instance, often one that places. */
 function pickInstance(world: RoughWorld, random: () => number): string {
 	const isAtPlacer = random() < SHARE_AT_PLACERS
-	const placer = placerOf(world, pick(world.failureDomains, random))
+	const placer = placerOf(world, pickDomain(world, random))
 	const other = pick([...world.instances.keys()], random)
 	return (isAtPlacer && placer) || other
 }
@@ -143,13 +151,15 @@
 	await lose(world, edges())
 }
 
-async function runByTurns({child}: Edge, lastsMs: number) {
-	const until = performance.now() + lastsMs
+async function runByTurns({child}: Edge, random: () => number) {
+	const stoppedMs = between(LEAST_STOPPED_MS, MOST_STOPPED_MS, random)
+	const runningMs = between(LEAST_RUNNING_MS, MOST_RUNNING_MS, random)
+	const until = performance.now() + between(SHORTEST_TURNS_MS, LONGEST_TURNS_MS, random)
 	while (performance.now() < until) {
 		child.kill("SIGSTOP")
-		await sleep(TURN_STOPPED_MS)
+		await sleep(stoppedMs)
 		child.kill("SIGCONT")
-		await sleep(TURN_RUNNING_MS)
+		await sleep(runningMs)
 	}
 }
 
@@ -200,7 +210,7 @@
 		case "cut instance from executors":
 			return cutFor(world, someWays(waysToExecutors(world, instance), random), "all", random)
 		case "run instance by turns":
-			return runByTurns(edge, between(SHORTEST_TURNS_MS, LONGEST_TURNS_MS, random))
+			return runByTurns(edge, random)
 		default:
 			return standStill(edge, between(SHORTEST_STANDSTILL_MS, LONGEST_STANDSTILL_MS, random))
 	}
@@ -233,7 +243,7 @@
 	onFault: (text: string) => void,
 ): Promise<void> {
 	const instance = pickInstance(world, random)
-	const domain = pick(world.failureDomains, random)
+	const domain = pickDomain(world, random)
 	const blow = {world, random, tell: (where: string) => onFault(`${name} (${where})`)}
 	if (name.includes("between instances")) return strikePair(blow, name, instance)
 	if (name.includes("domain") || name.includes("all")) return strikeDomain(blow, name, domain)
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -40,7 +40,7 @@
 	domains: 3,
 	instancesPerDomain: 3,
 	executorsPerDomain: 3,
-	callers: 40,
+	callers: 70,
 	program: undefined,
 	keepIn: undefined,
 	keepsAll: false,
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -11,6 +11,8 @@
 export interface RoughWorld extends LeasedWorld {
 	readonly network: Network
 	readonly failureDomains: readonly string[]
+	/** Many faults fall on this one, so that they meet. */
+	readonly focus: string
 	/** Names of all instances, with their failure domains. */
 	readonly instances: ReadonlyMap<string, string>
 }
@@ -104,6 +106,7 @@
 		fleet,
 		network,
 		failureDomains,
+		focus: failureDomains[Math.floor(random() * failureDomains.length)] as string,
 		instances: new Map(names),
 		executorLinks,
 		storeLinks,
