--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -17,7 +17,8 @@
 	               --faults N of them are drawn in each run, while --callers N hand in jobs
 	--on rough     the same stand-in, with faults between instances and of whole failure domains, long jobs and
 	               callers that come back; --domains N --instances N --executors N (both for each domain) say
-	               its size, --program PATH another build of the program (its bin.js), --keep DIR where a run
+	               its size, --closing SHARE how many callers close their connection
+	               when they stop waiting, --program PATH another build of the program (its bin.js), --keep DIR where a run
 	               that broke a promise leaves its lines
 	--on product   the product's own interface; --rounds N through all faults
 
@@ -32,6 +33,7 @@
 			domains: {type: "number", default: ROUGH_SOAK_DEFAULTS.domains},
 			instances: {type: "number", default: ROUGH_SOAK_DEFAULTS.instancesPerDomain},
 			executors: {type: "number", default: ROUGH_SOAK_DEFAULTS.executorsPerDomain},
+			closing: {type: "number", default: ROUGH_SOAK_DEFAULTS.shareClosing},
 			program: {type: "string"},
 			keep: {type: "string"},
 			seed: {type: "number", default: 1},
@@ -68,6 +70,7 @@
 		domains: flags.domains,
 		instancesPerDomain: flags.instances,
 		executorsPerDomain: flags.executors,
+		shareClosing: flags.closing,
 		program: flags.program,
 		keepIn: flags.keep,
 		onFault,
--- a/packages/standins/src/soak/rough-callers.ts
+++ b/packages/standins/src/soak/rough-callers.ts
@@ -7,8 +7,17 @@
 import type {CalledJob} from "./leased-callers.js"
 import {newestEdges, type RoughWorld} from "./rough-world.js"
 
+interface Wish {
+	readonly workMs: number
+	/** The caller stops waiting then. */
+	readonly deadlineMs: number
+	/** Whether it closes its connection when it stops waiting. */
+	readonly closes: boolean
+}
+
 export interface ReturnedJob extends CalledJob {
 	/** When it was handed in, and what came of it after how many milliseconds. */
+	readonly wish: Wish
 	readonly tries: {readonly at: string; readonly instance: string; status: number; tookMs: number}[]
 }
 
@@ -18,6 +27,8 @@
 	/** New jobs come while this holds. */
 	readonly isNeeded: () => boolean
 	readonly shareKept: number
+	/** Of callers that close their connection when they stop waiting; the others leave it open. */
+	readonly shareClosing: number
 }
 
 /** From the contract. */
@@ -39,8 +50,6 @@
 const SHARE_HASTY = 0.35
 const HASTY_MS = 1_500
 const PATIENT_MS = [4_000, 10_000] as const
-/** Of callers that close their connection when they stop waiting; the others leave it open. */
-const SHARE_CLOSING = 0.5
 /** The least estimate: jobs that cannot be in time are refused, which is not what is looked for here. */
 const LEAST_ESTIMATE_MS = 500
 
@@ -52,24 +61,19 @@
 const idOf = (caller: number, serial: number) =>
 	[caller, serial].map(part => part.toString(16).padStart(8, "0")).join("")
 
-interface Wish {
-	readonly workMs: number
-	readonly deadlineMs: number
-	readonly closes: boolean
-}
-
-function drawWish(random: () => number): Wish {
+function drawWish(random: () => number, shareClosing: number): Wish {
 	const isLong = random() < SHARE_LONG
 	const isHasty = random() < SHARE_HASTY
 	const workMs = isLong
 		? between(LEAST_LONG_MS, isHasty ? HASTY_MS : MOST_LONG_MS, random)
 		: between(LEAST_SHORT_MS, MOST_SHORT_MS, random)
 	const deadlineMs = isHasty ? HASTY_MS : Math.round(between(...PATIENT_MS, random))
-	return {workMs, deadlineMs, closes: random() < SHARE_CLOSING}
+	return {workMs, deadlineMs, closes: random() < shareClosing}
 }
 
 /** Hands in once and waits for its deadline; 0 stands for silence and for a broken connection. */
-async function tryOnce(edge: Edge, job: CalledJob, wish: Wish): Promise<number> {
+async function tryOnce(edge: Edge, job: ReturnedJob): Promise<number> {
+	const {wish} = job
 	const controller = new AbortController()
 	const answer = handIn(edge, job.id, {
 		count: job.tasks,
@@ -104,14 +108,13 @@
 	random: () => number,
 	isNeeded: () => boolean,
 ) {
-	const wish = drawWish(random)
 	for (let tries = 0; tries < (isNeeded() ? MAX_TRIES : LAST_TRIES); tries++) {
 		const edges = [...newestEdges(world.fleet).values()]
 		const edge = edges[Math.floor(random() * edges.length)] as Edge
 		const began = performance.now()
 		const entry = {at: new Date().toISOString(), instance: edge.name, status: -1, tookMs: 0}
 		job.tries.push(entry)
-		entry.status = await tryOnce(edge, job, wish)
+		entry.status = await tryOnce(edge, job)
 		entry.tookMs = Math.round(performance.now() - began)
 		job.statuses.push(entry.status)
 		if (entry.status === 400) throw new Error(`${edge.name} finds a job malformed`)
@@ -127,8 +130,9 @@
 		const id = idOf(at, serial)
 		const isKept = random() < load.shareKept
 		const tasks = 1 + Math.floor(random() * MAX_TASKS)
+		const wish = drawWish(random, load.shareClosing)
 		const answers = {statuses: [], tries: [], state: undefined, isCancelAsked: false}
-		const job: ReturnedJob = {id, tasks, isKept, ...answers}
+		const job: ReturnedJob = {id, tasks, isKept, wish, ...answers}
 		jobs.push(job)
 		await submit(world, job, random, load.isNeeded)
 		await sleep(LONGEST_PAUSE_MS * random())
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -24,6 +24,8 @@
 	readonly instancesPerDomain: number
 	readonly executorsPerDomain: number
 	readonly callers: number
+	/** Of callers that close their connection when they stop waiting. */
+	readonly shareClosing: number
 	/** Another build of the program. */
 	readonly program: string | undefined
 	/** Runs that broke a promise leave their lines in a folder here. */
@@ -41,6 +43,7 @@
 	instancesPerDomain: 3,
 	executorsPerDomain: 3,
 	callers: 70,
+	shareClosing: 0.5,
 	program: undefined,
 	keepIn: undefined,
 	keepsAll: false,
@@ -145,6 +148,7 @@
 		const jobs = await runRoughCallers(world, {
 			seed: seed + CALLERS_SEED,
 			callers,
+			shareClosing: plan.shareClosing,
 			isNeeded: () => isNeeded,
 			shareKept: SHARE_KEPT,
 		})
