--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -254,8 +254,14 @@
 		return launch(edge.name, edge.failureDomain, ports)
 	}
 
-	async function close() {
+	function endAll() {
 		for (const {child} of edges) child.kill("SIGKILL")
+	}
+	process.once("exit", endAll)
+
+	async function close() {
+		process.off("exit", endAll)
+		endAll()
 		await Promise.all(edges.map(({exited}) => exited))
 		rmSync(folder, {recursive: true, force: true})
 	}
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -82,6 +82,8 @@
 	["rough", soakRough],
 ])
 const soak = soaks.get(flags.on) ?? soakPlatform
+// What was started ends with this process, however that ends.
+for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(1))
 for (let run = 0; run < flags.runs; run++) {
 	const seed = flags.seed + run
 	const verdict = await soak(seed, text => process.stderr.write(`seed ${seed}: ${text}\n`))
