--- a/packages/standins/test/leased-soak.test.ts
+++ b/packages/standins/test/leased-soak.test.ts
@@ -1,7 +1,7 @@
 /**
  * A short soak of the program on the stand-in of the users' platform; longer ones are run by hand.
  */
-import {runLeasedSoak} from "@cottonwood/standins"
+import {runLeasedSoak, runRoughSoak} from "@cottonwood/standins"
 import {expect} from "chai"
 
 describe("soak on the users' platform", () => {
@@ -18,4 +18,18 @@
 		expect(verdict.violations).to.eql([])
 		expect(verdict.completed).to.be.greaterThan(0)
 	}).timeout(120_000)
+
+	it("breaks no promise while instances are cut off, stand still and are lost together", async () => {
+		const faults: string[] = []
+		const verdict = await runRoughSoak({
+			seed: 1,
+			count: 16,
+			onFault: text => void faults.push(text),
+		})
+		console.log(`        ${faults.join("; ")}`)
+		console.log(`        ${JSON.stringify(verdict)}`)
+		expect(verdict.violations).to.eql([])
+		expect(verdict.unready).to.eql([])
+		expect(verdict.completed).to.be.greaterThan(0)
+	}).timeout(120_000)
 })
