--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -77,6 +77,7 @@
 	platform: LeasedPlatform,
 	at: {readonly ip: string; readonly ports: readonly number[]},
 	storeAddress: string,
+	cpuShare: number,
 ): object {
 	const {ip, ports} = at
 	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
@@ -88,6 +89,7 @@
 		listen: {front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`},
 		"port-range": [ports[2], ports[2]],
 		orders: "rpc",
+		limits: {"cpu-share": cpuShare},
 		platform: {address: storeAddress},
 		bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
 	}
@@ -192,6 +194,8 @@
 	readonly nodeArgs?: readonly string[]
 	/** An address of its own for an instance. */
 	readonly ipOf?: (name: string) => string
+	/** The cores that it is told it may use; the largest of a failure domain places it. */
+	readonly cpuShareOf?: (name: string) => number
 	/** What its environment has besides ours. */
 	readonly envOf?: (name: string) => Readonly<Record<string, string>>
 	/** Another build of the program. */
@@ -211,6 +215,7 @@
 	const edges: Edge[] = []
 
 	const program = options.program ?? PROGRAM
+	const shareOf = options.cpuShareOf ?? (() => 1)
 	const ipOf = options.ipOf ?? (() => "127.0.0.1")
 
 	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
@@ -219,7 +224,7 @@
 		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
 		writeFileSync(
 			file,
-			JSON.stringify(settingsOf(name, failureDomain, platform, {ip, ports}, store)),
+			JSON.stringify(settingsOf(name, failureDomain, platform, {ip, ports}, store, shareOf(name))),
 		)
 		const env = {...process.env, COTTONWOOD_CONFIG: file, ...options.envOf?.(name)}
 		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), program, "edge"], {
--- a/packages/standins/src/soak/rough-faults.ts
+++ b/packages/standins/src/soak/rough-faults.ts
@@ -22,6 +22,9 @@
 	"lose all instances twice",
 	"run instance by turns",
 	"stand still",
+	"stand still and be cut off",
+	"run by turns and be cut off",
+	"stop and be cut off",
 ] as const)
 export type RoughFault = (typeof ROUGH_FAULTS)[number]
 
@@ -49,6 +52,13 @@
 /** Of cuts after which what connections held arrives, as on a real network. */
 const SHARE_DELIVERED = 0.75
 
+/** Of what is cut off as well as in trouble: how much before or after the trouble begins, and how much longer it lasts. */
+const CUT_LEAD_MS = 300
+const CUT_LAG_MS = 600
+const CUT_LONGEST_MS = 4_500
+const SHARE_EXECUTORS_TOO = 0.4
+const EXECUTORS_LAG_MS = 1_500
+
 type Way = readonly [from: string, to: string]
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
@@ -123,8 +133,8 @@
 	ways: readonly Way[],
 	scope: CutScope,
 	random: () => number,
+	lastsMs = between(SHORTEST_MS, LONGEST_MS, random),
 ) {
-	const lastsMs = between(SHORTEST_MS, LONGEST_MS, random)
 	const mending: Mending =
 		random() < SHARE_DELIVERED
 			? {type: "deliver", lagMs: () => random() * lastsMs}
@@ -163,9 +173,9 @@
 	}
 }
 
-async function standStill({child}: Edge, lastsMs: number) {
+async function standStill({child}: Edge, random: () => number) {
 	child.kill("SIGSTOP")
-	await sleep(lastsMs)
+	await sleep(between(SHORTEST_STANDSTILL_MS, LONGEST_STANDSTILL_MS, random))
 	child.kill("SIGCONT")
 }
 
@@ -198,8 +208,29 @@
 	return cutFor(world, ways, "all", random)
 }
 
+/** Cuts an instance off from its peers about when something else befalls it, and then from its executors now and then. */
+async function cutOffAround(
+	{world, random}: Blow,
+	instance: string,
+	befall: () => Promise<unknown>,
+) {
+	const lead = between(-CUT_LAG_MS, CUT_LEAD_MS, random)
+	const lastsMs = between(LONGEST_MS / 2, CUT_LONGEST_MS, random)
+	const isAlsoFromExecutors = random() < SHARE_EXECUTORS_TOO
+	const lagMs = random() * EXECUTORS_LAG_MS
+	const ways = bothWays(waysOffInstance(world, instance))
+	const later = async () => {
+		await sleep(lagMs)
+		await cutFor(world, bothWays(waysToExecutors(world, instance)), "all", random)
+	}
+	const trouble = sleep(Math.max(0, lead)).then(befall)
+	const cut = sleep(Math.max(0, -lead)).then(() => cutFor(world, ways, "all", random, lastsMs))
+	await Promise.all([trouble, cut, isAlsoFromExecutors ? later() : undefined])
+}
+
 /** A fault of one instance: of all that leads to it, or of its process. */
-async function strikeInstance({world, random, tell}: Blow, name: RoughFault, instance: string) {
+async function strikeInstance(blow: Blow, name: RoughFault, instance: string) {
+	const {world, random, tell} = blow
 	const edge = newestEdges(world.fleet).get(instance) as Edge
 	tell(instance)
 	switch (name) {
@@ -211,8 +242,14 @@
 			return cutFor(world, someWays(waysToExecutors(world, instance), random), "all", random)
 		case "run instance by turns":
 			return runByTurns(edge, random)
+		case "run by turns and be cut off":
+			return cutOffAround(blow, instance, () => runByTurns(edge, random))
+		case "stop and be cut off":
+			return cutOffAround(blow, instance, () => replace(world, edge, "SIGTERM"))
+		case "stand still and be cut off":
+			return cutOffAround(blow, instance, () => standStill(edge, random))
 		default:
-			return standStill(edge, between(SHORTEST_STANDSTILL_MS, LONGEST_STANDSTILL_MS, random))
+			return standStill(edge, random)
 	}
 }
 
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -33,6 +33,8 @@
 const SLOW_CLOCK_SHARE = 0.3
 /** From the contract: clocks of executors are at most 2% slow. */
 const SLOW_CLOCK_RATE = 0.98
+/** Instances differ in size, so that a domain is handed over when a larger one comes back. */
+const CPU_SHARES = [0.25, 0.5, 1] as const
 const CAPACITY_CPU = 64_000
 /** On a machine that is shared with others. */
 const READY_MS = 60_000
@@ -57,6 +59,12 @@
 export const newestEdges = ({edges}: EdgeFleet): ReadonlyMap<string, Edge> =>
 	new Map(edges.map(edge => [edge.name, edge]))
 
+/** The second failure domain has one instance alone: when that is lost, others place there until it is back. */
+const instancesIn = (
+	{failureDomains, instancesPerDomain}: RoughWorldPlan,
+	failureDomain: string,
+) => (failureDomain === failureDomains[1] ? 1 : instancesPerDomain)
+
 export async function startRoughWorld(plan: RoughWorldPlan): Promise<RoughWorld> {
 	const {failureDomains, executorsPerDomain, random} = plan
 	const executorLinks = new Map<string, Link>()
@@ -77,7 +85,13 @@
 	})
 	platform.putConfig(1)
 	const names = failureDomains.flatMap(domain =>
-		Array.from({length: plan.instancesPerDomain}, (_, at) => [`${domain}-${at}`, domain] as const),
+		Array.from(
+			{length: instancesIn(plan, domain)},
+			(_, at) => [`${domain}-${at}`, domain] as const,
+		),
+	)
+	const shares = new Map<string, number>(
+		names.map(([name]) => [name, CPU_SHARES[Math.floor(random() * CPU_SHARES.length)] as number]),
 	)
 	const ips = new Map<string, string>(names.map(([name], at) => [name, ipAt(at)]))
 	for (const [name] of names)
@@ -94,6 +108,7 @@
 	})
 	const fleet = await startEdges(platform, names, {
 		storeAddressOf: name => `127.0.0.1:${storeLinks.get(name)?.port}`,
+		cpuShareOf: name => shares.get(name) ?? 1,
 		ipOf: name => ips.get(name) ?? "127.0.0.1",
 		envOf: name => ({COTTONWOOD_ROUTES: JSON.stringify(network.routesOf(name))}),
 		nodeArgs: ["--import", PRELOAD],
