--- a/packages/standins/src/fleet/pair-link.ts
+++ b/packages/standins/src/fleet/pair-link.ts
@@ -15,6 +15,8 @@
 	readonly port: number
 	/** Resets all open connections. */
 	reset(): void
+	/** Resets them for the side that opened them; the other hears of it over the way there, as it is. */
+	resetNear(): void
 	close(): void
 }
 
@@ -34,13 +36,18 @@
 /** Opens a link at a free port. */
 export async function openPairLink(options: PairLinkOptions): Promise<PairLink> {
 	const sockets = new Set<Socket>()
+	const nears = new Set<Socket>()
 	const track: Track = socket => {
 		sockets.add(socket)
 		socket.setNoDelay(true)
 		socket.on("error", () => undefined)
 		socket.on("close", () => sockets.delete(socket))
 	}
-	const serve = (near: Socket) => carry(near, options, track)
+	const serve = (near: Socket) => {
+		nears.add(near)
+		near.on("close", () => nears.delete(near))
+		carry(near, options, track)
+	}
 	const {server, datagrams, port} = await listenBoth(serve)
 	datagrams.on("message", bytes => {
 		options.there.passDatagram(() => {
@@ -53,6 +60,9 @@
 		reset() {
 			for (const socket of sockets) socket.resetAndDestroy()
 		},
+		resetNear() {
+			for (const near of nears) near.resetAndDestroy()
+		},
 		close() {
 			for (const socket of sockets) socket.destroy()
 			server.close()
--- a/packages/standins/src/leased/network.ts
+++ b/packages/standins/src/leased/network.ts
@@ -19,6 +19,8 @@
 	path(from: string, to: string): Path
 	/** Resets all connections that were opened from one place to another. */
 	reset(from: string, to: string): void
+	/** The same for the side that opened them; whether the other hears of it is a matter of the way. */
+	resetNear(from: string, to: string): void
 	/** The addresses that an instance must not reach directly, with the ports of its links. */
 	routesOf(name: string): Readonly<Record<string, number>>
 	close(): void
@@ -67,6 +69,9 @@
 		reset(from, to) {
 			for (const link of links.get(keyOf(from, to)) ?? []) link.reset()
 		},
+		resetNear(from, to) {
+			for (const link of links.get(keyOf(from, to)) ?? []) link.resetNear()
+		},
 		routesOf: name => routes.get(name) ?? {},
 		close() {
 			for (const link of [...links.values()].flat()) link.close()
--- a/packages/standins/src/soak/rough-faults.ts
+++ b/packages/standins/src/soak/rough-faults.ts
@@ -12,6 +12,7 @@
 	"silence between instances",
 	"slow link between instances",
 	"reset between instances",
+	"reset between instances for one side",
 	"cut instance off",
 	"cut instance off one way",
 	"cut failure domain off",
@@ -25,6 +26,7 @@
 	"stand still and be cut off",
 	"run by turns and be cut off",
 	"stop and be cut off",
+	"be lost without a word",
 ] as const)
 export type RoughFault = (typeof ROUGH_FAULTS)[number]
 
@@ -58,6 +60,8 @@
 const CUT_LONGEST_MS = 4_500
 const SHARE_EXECUTORS_TOO = 0.4
 const EXECUTORS_LAG_MS = 1_500
+/** A broken connection is noticed within this. */
+const NOTICE_MS = 600
 
 type Way = readonly [from: string, to: string]
 
@@ -198,6 +202,12 @@
 		world.network.reset(instance, peer)
 		return world.network.reset(peer, instance)
 	}
+	if (name === "reset between instances for one side") {
+		tell(where)
+		const cut = cutFor(world, bothWays(pair), "all", random)
+		world.network.resetNear(instance, peer)
+		return cut
+	}
 	if (name === "silence between instances") {
 		const scope = random() < SHARE_STREAMS ? "streams" : "datagrams"
 		tell(`${where}, ${scope}`)
@@ -228,6 +238,27 @@
 	await Promise.all([trouble, cut, isAlsoFromExecutors ? later() : undefined])
 }
 
+/**
+ * A machine is gone at once: nothing says so to its peers. Now and then some placer loses sight of its executors
+ * moments later.
+ */
+async function loseSilently({world, random}: Blow, instance: string, edge: Edge) {
+	const {network} = world
+	const ways = bothWays(waysOffInstance(world, instance))
+	const isAlsoFromExecutors = random() < SHARE_EXECUTORS_TOO
+	const other = pickInstance(world, random)
+	const lagMs = random() * NOTICE_MS
+	const downMs = between(LONGEST_MS / 2, LONGEST_MS, random)
+	const later = async () => {
+		await sleep(lagMs)
+		await cutFor(world, bothWays(waysToExecutors(world, other)), "all", random)
+	}
+	for (const [from, to] of ways) network.path(from, to).cut("all")
+	const lost = replace(world, edge, "SIGKILL")
+	await Promise.all([lost, sleep(downMs), isAlsoFromExecutors ? later() : undefined])
+	for (const [from, to] of ways) network.path(from, to).mend({type: "break"})
+}
+
 /** A fault of one instance: of all that leads to it, or of its process. */
 async function strikeInstance(blow: Blow, name: RoughFault, instance: string) {
 	const {world, random, tell} = blow
@@ -246,6 +277,8 @@
 			return cutOffAround(blow, instance, () => runByTurns(edge, random))
 		case "stop and be cut off":
 			return cutOffAround(blow, instance, () => replace(world, edge, "SIGTERM"))
+		case "be lost without a word":
+			return loseSilently(blow, instance, edge)
 		case "stand still and be cut off":
 			return cutOffAround(blow, instance, () => standStill(edge, random))
 		default:
