Bring about a coordinator that loses its power: its caller hears of it at once, its placer does not

The instance stands still for good and its caller's connection is reset. The placer notices after two keepalives and renews the lease until then; with stops that are lost, or with a placer that stands still from 500 ms on, the run is still there when the caller is back after 1,300 ms.

--- a/packages/standins/test/two-runs.test.ts
+++ b/packages/standins/test/two-runs.test.ts
@@ -2,6 +2,7 @@
  * Two runs of one task must never go on at the same time, whichever processes stand still or die while a job
  * changes hands. Each scenario brings one moment about on real processes; executors and callers are the judges.
  */
+import {openLink} from "@cottonwood/standins"
 import type {Edge, HostedExecutor} from "@cottonwood/standins"
 import {expect} from "chai"
 import {
@@ -222,6 +223,59 @@
 		expectNoneTwice()
 	})
 
+	/** An instance loses its power: its caller hears of a broken connection, its peers hear nothing any more. */
+	async function loseCoordinator(): Promise<{
+		readonly id: string
+		readonly calls: Promise<readonly number[]>
+	}> {
+		const caller = scene.otherOf("a")
+		const link = await openLink(() => Number(caller.callers.split(":")[1]))
+		const warming = warmUp(caller)
+		const isThere = () => scene.executorsOf("a").some(({executor}) => executor.runningCount() === 1)
+		await until("the placer has a job", isThere)
+		const connectedAt = performance.now()
+		await warming
+		const id = newId()
+		const linked = {...caller, callers: `127.0.0.1:${link.port}`}
+		const options = {spec: {workMs: 2_500}, deadlineMs: 6_000}
+		const calls = callInTurn([linked, scene.edgeOf("b-1")], id, options)
+		await until("the placer has the job", isThere)
+		await sleep(KEEPALIVE_MS)
+		const sinceConnected = performance.now() - connectedAt
+		await sleep(KEEPALIVE_MS + ARRIVED_MS - (sinceConnected % KEEPALIVE_MS))
+		expect(isThere(), "the first call still goes on").to.equal(true)
+		caller.child.kill("SIGSTOP")
+		link.reset()
+		void calls.finally(() => link.close())
+		return {id, calls}
+	}
+
+	/*
+	 * The placer notices after two keepalives, up to 600 ms, and renews the lease of 1,000 ms until then; the caller is back
+	 * after 1,300 ms.
+	 */
+	it("never come of a coordinator that lost its power while an executor hears no stop", async () => {
+		await begin(TWO_DOMAINS)
+		scene.executorsOf("a").forEach(loseStops)
+		const {id, calls} = await loseCoordinator()
+		await until("the second try runs", () => startsOf(id) === 2)
+		expect((await calls)[0]).to.equal(0)
+		expectNoneTwice()
+	})
+
+	/* Nothing is lost here, but the placer stands still just before it would notice. */
+	it("never come of a coordinator that lost its power before its placer stood still", async () => {
+		await begin(TWO_DOMAINS)
+		const placer = scene.placerOf("a")
+		const {id, calls} = await loseCoordinator()
+		await sleep(NOTICED_MS)
+		placer.child.kill("SIGSTOP")
+		await until("the second try runs", () => startsOf(id) === 2)
+		placer.child.kill("SIGCONT")
+		expect((await calls)[0]).to.equal(0)
+		expectNoneTwice()
+	})
+
 	it("never come of a job that a placer reads late, from an instance that was killed", async () => {
 		await begin(TWO_DOMAINS)
 		const id = newId()
