--- a/packages/standins/test/two-runs.test.ts
+++ b/packages/standins/test/two-runs.test.ts
@@ -130,8 +130,8 @@
 		})
 
 	/*
-	 * The same at the placer itself, which still holds its domain (task_started under the first fence, by the instance that
-	 * was frozen).
+	 * A placer that was frozen for so long has a successor, and may start nothing any more; but it hands the call in
+	 * its socket to the successor, which starts it as one that has just come (task_started there, under the second fence).
 	 */
 	it("never come of a call to a placer that was frozen", async () => {
 		await begin(TWO_DOMAINS)
