--- /dev/null
+++ b/packages/jobs/test/confirmed-callers.test.ts
@@ -0,0 +1,183 @@
+/**
+ * As of when a caller is known to wait is told on with its work, from the connection to the run. Each of these hands was
+ * left out once, and no test failed; each of these fails without one of them.
+ */
+import {createJobMetrics, silentLog, type Claim, type Job} from "@cottonwood/jobs"
+import {
+	createDispatcher,
+	createFleetView,
+	createOverflow,
+	startJobRun,
+	type JobMessage,
+	type TaskMessage,
+	type TaskRequest,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {LEASE_RULE, QUEUE, taskRequest} from "./support/requests.js"
+
+const HEARD_AT = 777
+const member = (name: string, failureDomain: string) => ({
+	name,
+	session: `${name}-s`,
+	failureDomain,
+	address: `${name}:1`,
+	cpuShare: 1,
+})
+const self = member("a-1", "a")
+const other = member("b-1", "b")
+const claim: Claim = {failureDomain: "b", fence: 1, placer: other}
+const ignore = () => undefined
+const unused = () => {
+	throw new Error("not used")
+}
+
+interface Told {
+	readonly message: JobMessage | TaskMessage
+	readonly confirmedAt: () => number
+}
+
+function createWorld(isPlacedHere: boolean) {
+	const clock = createFakeClock()
+	const view = createFleetView(clock, ignore)
+	view.noteClaim(claim)
+	const room = {freeCpu: [54_000], totalCpu: 64_000, waitingWork: 0, labels: []}
+	view.takeBeat({
+		from: other,
+		claims: [claim],
+		rooms: {b: room},
+		isLeaving: false,
+		configVersion: 1,
+	})
+	const told: Told[] = []
+	function tell<M extends Told["message"]>(
+		_address: string,
+		message: M,
+		_timeoutMs: number,
+		confirmedAt: () => number,
+	) {
+		told.push({message, confirmedAt})
+		return {reply: new Promise<never>(ignore), wasUnsent: () => false, cancel: ignore}
+	}
+	const peers = {
+		beat: unused,
+		runJob: tell<JobMessage>,
+		runTask: tell<TaskMessage>,
+		takeOver: unused,
+		kept: unused,
+		noteReachable: ignore,
+		close: ignore,
+	}
+	const asked: TaskRequest[] = []
+	const callers: {readonly confirmedAt: () => number}[] = []
+	const host = {
+		placer: {
+			submit(req: TaskRequest) {
+				asked.push(req)
+				return {cancel: ignore}
+			},
+		},
+	}
+	let unreadMs = 0
+	const dispatcher = createDispatcher({
+		clock,
+		knownAt: () => clock.now() - unreadMs,
+		log: silentLog,
+		peers,
+		view,
+		self,
+		hosts: {
+			of: () => (isPlacedHere ? host : undefined),
+			run(_host: unknown, _job: unknown, _queue: unknown, caller: {confirmedAt: () => number}) {
+				callers.push(caller)
+				return Promise.resolve({type: "completed"})
+			},
+		} as never,
+		config: () => undefined,
+		refreshConfig: ignore,
+		isLeaving: () => false,
+	})
+	const overflow = createOverflow({
+		clock,
+		leaseRule: LEASE_RULE,
+		view,
+		self,
+		log: silentLog,
+		metrics: createJobMetrics(),
+		peers,
+	})
+	const job: Job = {
+		id: "00000000000000aa",
+		queue: QUEUE.name,
+		spec: "",
+		steps: [],
+		receivedAt: clock.now(),
+		deadlineAt: clock.now() + 2_000,
+	}
+	const setUnread = (ms: number) => void (unreadMs = ms)
+	return {clock, dispatcher, overflow, told, asked, callers, job, setUnread}
+}
+
+const remote = {onCancel: ignore, madeAt: 900, confirmedAt: () => HEARD_AT}
+
+describe("as of when a caller waits", () => {
+	it("is told to another instance's placer as what has been read here, again and again", async () => {
+		const {clock, dispatcher, told, job, setUnread} = createWorld(false)
+		void dispatcher.dispatch(job, QUEUE, ignore)
+		await clock.advance(50)
+		setUnread(30)
+		expect(told.map(({confirmedAt}) => confirmedAt())).to.eql([clock.now() - 30])
+	})
+
+	it("counts against a call's time when much may lie unread", async () => {
+		const {clock, dispatcher, told, job, setUnread} = createWorld(false)
+		setUnread(500)
+		void dispatcher.dispatch(job, QUEUE, ignore)
+		await clock.advance(1)
+		expect(told[0]?.message).to.deep.include({leftMs: 1_500, ageMs: 500})
+	})
+
+	it("is what another instance tells, for its jobs and its tasks", async () => {
+		const {dispatcher, asked, callers, job} = createWorld(true)
+		const both = {failureDomain: "b", from: "other", leftMs: 1_000}
+		await dispatcher.runJob({...both, job, queue: QUEUE, ageMs: 0, configVersion: 0}, remote)
+		const task = taskRequest("j.0.0.0")
+		void dispatcher.runTask({...both, task, startInMs: 100, uselessInMs: 200}, remote)
+		expect(callers.map(({confirmedAt}) => confirmedAt())).to.eql([HEARD_AT])
+		expect(asked.map(({confirmedAt}) => confirmedAt())).to.eql([HEARD_AT])
+		expect(asked[0]).to.deep.include({startBy: 1_000, uselessAt: 1_100, deadlineAt: 1_900})
+	})
+
+	it("goes on with a task that is handed to another domain", () => {
+		const {overflow, told} = createWorld(false)
+		overflow.handOver({
+			req: taskRequest("j.0.0.0", {confirmedAt: () => HEARD_AT}),
+			since: 0,
+			onEnd: ignore,
+			onStart: ignore,
+		})
+		expect(told.map(({confirmedAt}) => confirmedAt())).to.eql([HEARD_AT])
+	})
+
+	it("stays what it was once the job is over", async () => {
+		const {clock, job} = createWorld(false)
+		const asked: TaskRequest[] = []
+		const need = {cpu: 1, memoryMb: 1, accelerators: 0}
+		const steps = [{count: 1, need, estimateMs: 100, after: []}]
+		const run = startJobRun({...job, steps}, QUEUE, {
+			clock,
+			log: silentLog,
+			metrics: createJobMetrics(),
+			confirmedAt: () => clock.now(),
+			submit(req) {
+				asked.push(req)
+				return {cancel: ignore}
+			},
+		})
+		await clock.advance(40)
+		const overAt = clock.now()
+		run.cancel()
+		await clock.advance(40)
+		expect(asked.map(({confirmedAt}) => confirmedAt())).to.eql([overAt])
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/confirmed-leases.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Leases end by the oldest confirmation of what runs under them. Each of the looks that this rests on was left out once, and
+ * no test failed; each of these fails without one of them.
+ */
+import {
+	createExecutorClock,
+	type Placer,
+	type PlacerDeps,
+	type RunningAt,
+	type TaskEnd,
+	type TaskRequest,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {LeasedExecutor} from "./support/leased-executor.js"
+import {createTestPlacer} from "./support/placers.js"
+import {LEASE_RULE, taskRequest} from "./support/requests.js"
+
+const TASK = "j.0.0.0"
+const NEIGHBOUR = "k.0.0.0"
+const SMALL = {cpu: 1_000, memoryMb: 1, accelerators: 0}
+const ignore = () => undefined
+
+function createWorld() {
+	const clock = createFakeClock()
+	const executor = new LeasedExecutor(clock)
+	const ends: (TaskEnd & {readonly task: string})[] = []
+	const orders: PlacerDeps["orders"] = {
+		start: (to, order, ms) => executor.start(to, order, ms),
+		stop: (to, order, ms) => executor.stop(to, order, ms),
+		hold: (to, order, ms) => executor.hold(to, order, ms),
+		isReachable: async () => true,
+		forget: ignore,
+	}
+
+	function place(fence: number, extra: Partial<PlacerDeps> = {}): Placer {
+		const placer = createTestPlacer({clock, orders, fence, ...extra})
+		placer.setExecutors([record("e1")])
+		return placer
+	}
+
+	function submit(placer: Placer, task: string, confirmedAt: TaskRequest["confirmedAt"]) {
+		const extra = {estimateMs: 50_000, isLasting: true, need: SMALL, confirmedAt}
+		return placer.submit(taskRequest(task, extra), end => void ends.push({...end, task}), ignore)
+	}
+
+	/** Gives some runs on; nobody tells of the others. */
+	function give(from: Placer, to: Placer, tasks: readonly string[]) {
+		from.giveAll(({req}, runsAt?: RunningAt) => {
+			if (!runsAt || !tasks.includes(req.task)) return
+			to.adopt(req, runsAt, end => void ends.push({...end, task: req.task}))
+		})
+	}
+
+	const isThere = (task: string) => executor.running.has(task)
+	return {clock, executor, ends, place, submit, give, isThere, now: () => clock.now()}
+}
+
+describe("a run whose caller is not heard any more", () => {
+	it("ends in time though its neighbour's caller is heard all the while", async () => {
+		const {clock, place, submit, isThere, now} = createWorld()
+		const placer = place(7)
+		await clock.advance(1_500)
+		const heardAt = now()
+		submit(placer, NEIGHBOUR, now)
+		submit(placer, TASK, () => heardAt)
+		await clock.advance(200)
+		expect([isThere(TASK), isThere(NEIGHBOUR)]).to.eql([true, true])
+		await clock.advance(LEASE_RULE.endsWithinMs - 200)
+		expect(isThere(TASK)).to.equal(false)
+	})
+
+	it("does not begin under a lease that outlasts it, until the caller is heard", async () => {
+		const {clock, place, submit, isThere, now} = createWorld()
+		const placer = place(7)
+		await clock.advance(1_500)
+		submit(placer, NEIGHBOUR, now)
+		await clock.advance(100)
+		let heardAt = now() - 400
+		submit(placer, TASK, () => heardAt)
+		await clock.advance(200)
+		expect(isThere(TASK)).to.equal(false)
+		heardAt = now()
+		await clock.advance(50)
+		expect(isThere(TASK)).to.equal(true)
+	})
+
+	it("gets no lease for its neighbour's sake while nobody has handed it over", async () => {
+		const {clock, executor, place, submit, give, isThere, now} = createWorld()
+		const first = place(7)
+		await clock.advance(1_500)
+		submit(first, NEIGHBOUR, now)
+		submit(first, TASK, now)
+		await clock.advance(200)
+		const second = place(8, {orphansWaitMs: 800})
+		executor.isLost = ({type}) => type === "stop"
+		await clock.advance(20)
+		give(first, second, [NEIGHBOUR])
+		await clock.advance(LEASE_RULE.longestEndMs)
+		expect(isThere(TASK)).to.equal(false)
+	})
+
+	it("does not begin under a lease that a placer before may have asked for until it was obeyed no more", async () => {
+		const {clock, executor, place, submit, isThere, now} = createWorld()
+		executor.isLost = () => true
+		const placer = place(8)
+		await clock.advance(900)
+		executor.isLost = () => false
+		await clock.advance(150)
+		const heardAt = now() - 400
+		submit(placer, TASK, () => heardAt)
+		await clock.advance(50)
+		expect(isThere(TASK)).to.equal(false)
+	})
+
+	it("is not told as lost to its successor before the lease has ended that was asked for last", async () => {
+		const {clock, executor, ends, place, submit, give, isThere, now} = createWorld()
+		const first = place(7)
+		await clock.advance(1_500)
+		submit(first, TASK, now)
+		await clock.advance(200)
+		executor.isLost = ({fence}) => fence === 8
+		const second = place(8, {orphansWaitMs: 800})
+		await clock.advance(600)
+		give(first, second, [TASK])
+		while (ends.length === 0) await clock.advance(10)
+		expect(ends).to.eql([
+			{type: "lost", executor: "e1", cause: "its lease ended while silent", task: TASK},
+		])
+		expect(isThere(TASK)).to.equal(false)
+	})
+})
+
+describe("an executor's clock", () => {
+	it("is read as low as it may be, and takes no reading that says less than is known", () => {
+		const executorClock = createExecutorClock()
+		executorClock.observe(10_000, 0)
+		expect(executorClock.lowest(1_000)).to.equal(10_980)
+		executorClock.observe(10_970, 1_000)
+		expect(executorClock.lowest(1_000)).to.equal(10_980)
+		executorClock.observe(10_990, 1_000)
+		expect(executorClock.lowest(1_000)).to.equal(10_990)
+	})
+
+	it("tells the latest end of all leases asked for, at the slowest rate and with the time that an end takes", () => {
+		const executorClock = createExecutorClock()
+		executorClock.observe(10_000, 0)
+		executorClock.extend(10_980)
+		executorClock.extend(10_490)
+		expect(executorClock.leasesEndAt(0)).to.be.closeTo(1_060, 0.001)
+		expect([executorClock.hasLapsed(1_059), executorClock.hasLapsed(1_061)]).to.eql([false, true])
+	})
+})
