--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -83,7 +83,11 @@
 ])
 const soak = soaks.get(flags.on) ?? soakPlatform
 // What was started ends with this process, however that ends.
-for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(1))
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
+	process.once(signal, () => {
+		process.stderr.write(`ended by ${signal}\n`)
+		process.exit(1)
+	})
 for (let run = 0; run < flags.runs; run++) {
 	const seed = flags.seed + run
 	const verdict = await soak(seed, text => process.stderr.write(`seed ${seed}: ${text}\n`))
