--- a/packages/standins/src/fleet/pair-link.ts
+++ b/packages/standins/src/fleet/pair-link.ts
@@ -21,13 +21,14 @@
 }
 
 export interface PairLinkOptions {
+	/** The address at which the link listens. */
+	readonly host: string
 	readonly there: Path
 	readonly back: Path
 	/** Looked up for each connection and datagram; none while nobody listens. */
 	readonly target: () => Target | undefined
 }
 
-const HOST = "127.0.0.1"
 /** A port that is free for TCP may be taken for UDP. */
 const PORT_TRIES = 50
 
@@ -48,7 +49,7 @@
 		near.on("close", () => nears.delete(near))
 		carry(near, options, track)
 	}
-	const {server, datagrams, port} = await listenBoth(serve)
+	const {server, datagrams, port} = await listenBoth(options.host, serve)
 	datagrams.on("message", bytes => {
 		options.there.passDatagram(() => {
 			const target = options.target()
@@ -107,29 +108,29 @@
 	})
 }
 
-async function listenBoth(serve: (near: Socket) => void) {
+async function listenBoth(host: string, serve: (near: Socket) => void) {
 	for (let tries = 0; tries < PORT_TRIES; tries++) {
 		const server = createServer({allowHalfOpen: true}, serve)
-		const port = await listenTcp(server)
-		const datagrams = await bindUdp(port)
+		const port = await listenTcp(server, host)
+		const datagrams = await bindUdp(port, host)
 		if (datagrams) return {server, datagrams, port}
 		server.close()
 	}
 	throw new Error("no port is free for both TCP and UDP")
 }
 
-function listenTcp(server: Server): Promise<number> {
+function listenTcp(server: Server, host: string): Promise<number> {
 	return new Promise((resolve, reject) => {
 		server.once("error", reject)
-		server.listen(0, HOST, () => resolve((server.address() as {port: number}).port))
+		server.listen(0, host, () => resolve((server.address() as {port: number}).port))
 	})
 }
 
-function bindUdp(port: number): Promise<Datagrams | undefined> {
+function bindUdp(port: number, host: string): Promise<Datagrams | undefined> {
 	const socket = createSocket("udp4")
 	return new Promise(resolve => {
 		socket.once("error", () => resolve(undefined))
-		socket.bind(port, HOST, () => {
+		socket.bind(port, host, () => {
 			socket.removeAllListeners("error")
 			socket.on("error", () => undefined)
 			resolve(socket)
--- a/packages/standins/src/leased/network.ts
+++ b/packages/standins/src/leased/network.ts
@@ -6,6 +6,8 @@
 import {createPath, type Path} from "../fleet/path.js"
 
 export interface NetworkPlan {
+	/** The address at which links listen: one for each test, since instances that outlive theirs still send. */
+	readonly host: string
 	/** Each instance's name and its own address. */
 	readonly instances: readonly {readonly name: string; readonly ip: string}[]
 	/** Executors: the place that they share on the network, and where they are reached. */
@@ -21,8 +23,8 @@
 	reset(from: string, to: string): void
 	/** The same for the side that opened them; whether the other hears of it is a matter of the way. */
 	resetNear(from: string, to: string): void
-	/** The addresses that an instance must not reach directly, with the ports of its links. */
-	routesOf(name: string): Readonly<Record<string, number>>
+	/** The addresses that an instance must not reach directly, with those of its links. */
+	routesOf(name: string): Readonly<Record<string, string>>
 	close(): void
 }
 
@@ -36,7 +38,7 @@
 export async function openNetwork(plan: NetworkPlan): Promise<Network> {
 	const paths = new Map<string, Path>()
 	const links = new Map<string, PairLink[]>()
-	const routes = new Map<string, Record<string, number>>()
+	const routes = new Map<string, Record<string, string>>()
 	const keyOf = (from: string, to: string) => `${from}>${to}`
 
 	function path(from: string, to: string): Path {
@@ -53,9 +55,14 @@
 		addressNow: () => string | undefined,
 	) {
 		const target = () => targetOf(addressNow())
-		const link = await openPairLink({there: path(from, to), back: path(to, from), target})
+		const link = await openPairLink({
+			host: plan.host,
+			there: path(from, to),
+			back: path(to, from),
+			target,
+		})
 		links.set(keyOf(from, to), [...(links.get(keyOf(from, to)) ?? []), link])
-		routes.set(from, {...routes.get(from), [address]: link.port})
+		routes.set(from, {...routes.get(from), [address]: `${plan.host}:${link.port}`})
 	}
 
 	for (const {name: from} of plan.instances) {
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -44,6 +44,8 @@
 const HOSTS_PER_NET = 200
 
 const portOf = (address: string) => Number(address.split(":")[1])
+const LINKS_NET = 255
+const LINK_HOST = [127, FIRST_NET + (process.pid % NETS), LINKS_NET, 1].join(".")
 const ipAt = (at: number) =>
 	[
 		127,
@@ -99,6 +101,7 @@
 
 	const peers = new Map<string, string>()
 	const network = await openNetwork({
+		host: LINK_HOST,
 		instances: [...ips].map(([name, ip]) => ({name, ip})),
 		executors: platform.executors.map(({failureDomain, address}) => ({
 			place: executorsPlace(failureDomain),
--- a/packages/standins/test/pair-link.test.ts
+++ b/packages/standins/test/pair-link.test.ts
@@ -40,7 +40,7 @@
 		await once(datagrams, "listening")
 		there = createPath()
 		back = createPath()
-		link = await openPairLink({there, back, target: () => at(port)})
+		link = await openPairLink({host: HOST, there, back, target: () => at(port)})
 	})
 
 	afterEach(() => {
