Test the seed of the rough soak under which tasks ran twice

Ruled out by the lines: claims from elsewhere (none was known that the store did not hold), standstills of the soak itself (120 ms at most, and executors end runs by their own clocks before a start is judged).

--- a/packages/standins/test/leased-soak.test.ts
+++ b/packages/standins/test/leased-soak.test.ts
@@ -32,4 +32,23 @@
 		expect(verdict.unready).to.eql([])
 		expect(verdict.completed).to.be.greaterThan(0)
 	}).timeout(120_000)
+
+	it("runs no task twice while machines are lost without a word and placers lose sight of executors", async () => {
+		const verdict = await runRoughSoak({
+			seed: 501,
+			count: 30,
+			callers: 90,
+			shareClosing: 1,
+			faults: [
+				"be lost without a word",
+				"reset between instances for one side",
+				"stand still and be cut off",
+				"run by turns and be cut off",
+				"cut instance from executors",
+			],
+		})
+		console.log(`        ${JSON.stringify(verdict)}`)
+		expect(verdict.violations).to.eql([])
+		expect(verdict.completed).to.be.greaterThan(0)
+	}).timeout(120_000)
 })
