--- a/packages/standins/test/leased-soak.test.ts
+++ b/packages/standins/test/leased-soak.test.ts
@@ -3,6 +3,11 @@
  */
 import {runLeasedSoak, runRoughSoak} from "@cottonwood/standins"
 import {expect} from "chai"
+import {tmpdir} from "node:os"
+import {join} from "node:path"
+
+/** A run that breaks a promise leaves its lines here, to be traced. */
+const KEPT_RUNS = join(tmpdir(), "cottonwood-soak")
 
 describe("soak on the users' platform", () => {
 	it("breaks no promise under a few faults of a fixed seed", async () => {
@@ -24,6 +29,7 @@
 		const verdict = await runRoughSoak({
 			seed: 1,
 			count: 16,
+			keepIn: KEPT_RUNS,
 			onFault: text => void faults.push(text),
 		})
 		console.log(`        ${faults.join("; ")}`)
@@ -37,6 +43,7 @@
 		const verdict = await runRoughSoak({
 			seed: 501,
 			count: 30,
+			keepIn: KEPT_RUNS,
 			callers: 90,
 			shareClosing: 1,
 			faults: [
