--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -24,8 +24,13 @@
 const URGENT_BACKLOG_OBJECTIVES = 2
 const BACKLOG_OBJECTIVES = 0.2
 const HIGHEST_PRIORITY = 0
-/** Runs of the placer before are waited for this long; a handover takes some ten round trips. */
-const HANDOVER_WAIT_MS = 800
+/**
+ * Runs of the placer before are waited for this long from the claim on; a handover takes some ten round trips. Until all are
+ * known no lease is renewed beside them; the leases that the placer before asked for last longer.
+ */
+const HANDOVER_WAIT_MS = 500
+/** A claim that was asked for is written within this though the store is slow. */
+const CLAIM_WAIT_MS = 2_000
 /** Of the first claim that a failure domain ever has: nobody placed there before. */
 const FIRST_FENCE = 1
 
@@ -103,7 +108,7 @@
 export function createHosts(deps: HostsDeps): Hosts {
 	const {clock, log, metrics, self} = deps
 	const hosts = new Map<string, Host>()
-	/** Domains that the placer before hands over, until when it is waited for, and what it has there. */
+	/** Domains that the placer before hands over, until when the claim is waited for, and what it has there. */
 	const expected = new Map<string, Expected>()
 	/** Domains whose placing ends by a handover: another claim is expected. With what came of it meanwhile. */
 	const givenUp = new Map<string, string | undefined>()
@@ -112,7 +117,7 @@
 		const {failureDomain, fence} = claim
 		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
 		const handover = expectedAt(claim)
-		const orphansWaitMs = handover ? handover.until - clock.now() : 0
+		const orphansWaitMs = handover ? HANDOVER_WAIT_MS : 0
 		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
 		const onDeposed = () => endPlacing(failureDomain, fence, "the store has another claim")
 		const keeper = deps.createKeeper(claim, onDeposed)
@@ -169,7 +174,7 @@
 				beginPlacing(claim)
 		},
 		expectHandover({failureDomain, fence}, executors) {
-			expected.set(failureDomain, {fence, until: clock.now() + HANDOVER_WAIT_MS, executors})
+			expected.set(failureDomain, {fence, until: clock.now() + CLAIM_WAIT_MS, executors})
 		},
 		offerHandover(failureDomain) {
 			givenUp.set(failureDomain, undefined)
--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/place/executor-clock.ts
@@ -5,7 +5,7 @@
  * by the lowest reading possible: no lease lasts longer than was meant. A lease that another placer asked for is
  * not known here, so the longest one is presumed.
  */
-import {END_MARGIN_MS, SLOWEST_RATE} from "./lease-rule.js"
+import {SLOWEST_RATE, type LeaseRule} from "./lease-rule.js"
 
 /** Another placer may have gone by a reading that was half a second old: 2% of that, and its timers. */
 const OTHERS_READING_MS = 20
@@ -27,7 +27,7 @@
 	hasLapsed(now: number): boolean
 }
 
-export function createExecutorClock(): ExecutorClock {
+export function createExecutorClock({endMarginMs}: Pick<LeaseRule, "endMarginMs">): ExecutorClock {
 	let reading: {readonly clockMs: number; readonly at: number} | undefined
 	let leaseUntilMs = -Infinity
 	/** On our clock, since an executor that has not answered has told no reading of its own. */
@@ -40,7 +40,7 @@
 	function leasesEndAt(now: number): number {
 		const clockMs = lowest(now)
 		if (clockMs === undefined) return presumedUntil
-		const ownEndAt = now + (leaseUntilMs - clockMs) / SLOWEST_RATE + END_MARGIN_MS
+		const ownEndAt = now + (leaseUntilMs - clockMs) / SLOWEST_RATE + endMarginMs
 		return Math.max(presumedUntil, ownEndAt)
 	}
 
--- a/packages/jobs/src/place/lease-rule.ts
+++ b/packages/jobs/src/place/lease-rule.ts
@@ -9,12 +9,11 @@
  * It rests on the steady clocks of the placer and of the executor alone, each used by itself, and on the slowest rate that
  * the executor's may have.
  */
-import {err, ok, type Result} from "neverthrow"
 
 /** The slowest that an executor's clock may run; from the platform's contract (2%). */
 export const SLOWEST_RATE = 0.98
-/** What is being stopped at a lease's end takes up to 50 ms by the contract, and 10 ms for its timer there. */
-export const END_MARGIN_MS = 60
+/** An executor's timer for the end of its lease. */
+const TIMER_MS = 10
 /** Left of the time after which callers come back, for the way of their packets. */
 const CALLER_WAY_MS = 50
 /**
@@ -38,32 +37,34 @@
 	readonly longestLeaseMs: number
 	/** On this process's clock, in milliseconds: a lease of that length, asked for now, has certainly ended so much later. */
 	readonly longestEndMs: number
+	/** What runs when a lease ends goes on for so long, in milliseconds. */
+	readonly endMarginMs: number
 }
 
-/** What a lease of so many milliseconds on an executor's clock may last here, with the end of what runs under it. */
-const lastsMs = (leaseMs: number) => leaseMs / SLOWEST_RATE + END_MARGIN_MS
+/** What the platform says of its callers and executors, in milliseconds. */
+export interface LeaseBounds {
+	/** Callers come back so long after they lost their connection, or got an answer that leaves the end open. */
+	readonly resubmitMs: number
+	/** The longest lease that an executor grants. */
+	readonly maxLeaseMs: number
+	/** What is being stopped may go on for so long. */
+	readonly stopGraceMs: number
+}
 
 /** The longest lease that has certainly ended within so many milliseconds here. */
-const leaseWithinMs = (ms: number) => (ms - END_MARGIN_MS) * SLOWEST_RATE
+const leaseWithinMs = (ms: number, endMarginMs: number) => (ms - endMarginMs) * SLOWEST_RATE
 
 /**
- * The rule for callers that come back after `resubmitMs`, and executors that grant leases of `maxLeaseMs`. Refused when
- * callers come back so soon that no lease is long enough to keep a run.
+ * The rule for a platform. Where callers come back so soon that no lease ends in time, none of their runs may begin; what no
+ * caller waits for still gets the shortest lease that keeps a run.
  */
-export function leaseRuleFor({
-	resubmitMs,
-	maxLeaseMs,
-}: {
-	readonly resubmitMs: number
-	readonly maxLeaseMs: number
-}): Result<LeaseRule, string> {
+export function leaseRuleFor({resubmitMs, maxLeaseMs, stopGraceMs}: LeaseBounds): LeaseRule {
 	const endsWithinMs = resubmitMs - CALLER_WAY_MS
-	const longestLeaseMs = Math.floor(
-		Math.min(maxLeaseMs, leaseWithinMs(endsWithinMs - USUAL_AGE_MS)),
-	)
-	if (longestLeaseMs < LEAST_START_LEASE_MS)
-		return err(`callers come back after ${resubmitMs} ms: no lease ends in time before that`)
-	return ok({endsWithinMs, longestLeaseMs, longestEndMs: lastsMs(longestLeaseMs)})
+	const endMarginMs = stopGraceMs + TIMER_MS
+	const usualMs = leaseWithinMs(endsWithinMs - USUAL_AGE_MS, endMarginMs)
+	const longestLeaseMs = Math.min(maxLeaseMs, Math.max(LEAST_START_LEASE_MS, Math.floor(usualMs)))
+	const longestEndMs = longestLeaseMs / SLOWEST_RATE + endMarginMs
+	return Object.freeze({endsWithinMs, longestLeaseMs, longestEndMs, endMarginMs})
 }
 
 /** When a run whose caller was last known to want it at `confirmedAt` has certainly ended. */
@@ -81,7 +82,8 @@
  * `confirmedAt`; none below 1.
  */
 export function leaseMsFor(rule: LeaseRule, confirmedAt: number, now: number): number {
-	return Math.min(rule.longestLeaseMs, leaseWithinMs(certainEndAt(rule, confirmedAt) - now))
+	const leftMs = certainEndAt(rule, confirmedAt) - now
+	return Math.min(rule.longestLeaseMs, leaseWithinMs(leftMs, rule.endMarginMs))
 }
 
 /** A run that may begin on an executor. */
@@ -103,5 +105,6 @@
 	now: number,
 ): boolean {
 	if (leasesEndAt > certainEndAt(rule, confirmedAt)) return false
-	return leaseMsFor(rule, Math.min(confirmedAt, besideAt), now) >= LEAST_START_LEASE_MS
+	const leaseMs = leaseMsFor(rule, Math.min(confirmedAt, besideAt), now)
+	return leaseMs >= Math.min(LEAST_START_LEASE_MS, rule.longestLeaseMs)
 }
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -13,6 +13,7 @@
 	isCurrent,
 	isOwnReply,
 	hasLapsedSilent,
+	isConfirmed,
 	nextLeaseUntil,
 	noteSilence,
 	runName,
@@ -168,6 +169,8 @@
 	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
 	for (let tries = 0; tries < START_TRIES; tries++) {
 		if (!(await mayStartNow(link, run))) break
+		// It may have waited; a lease that nobody can renew is not worth a start.
+		if (tries === 0 && !isConfirmed(link, run.req)) return returnUnsent(link, run)
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
 		const sentAt = clock.now()
@@ -195,6 +198,11 @@
 	return Math.min(START_TIMEOUT_MS, link.deps.losses.timeoutMs(START_TIMEOUT_MS) * 2 ** tries)
 }
 
+function returnUnsent(link: LinkState, run: Run) {
+	const cause = "its caller was not heard of late"
+	void settleRun(link, run, {type: "returned", cause}, "never sent")
+}
+
 /** Waits for stops without an answer, beside which nothing starts; false once it is too late, or not wanted. */
 async function mayStartNow(link: LinkState, run: Run): Promise<boolean> {
 	const {clock} = link.deps
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -89,7 +89,7 @@
 }
 
 export function newLinkState(record: ExecutorRecord, deps: LinkDeps): LinkState {
-	const executorClock = createExecutorClock()
+	const executorClock = createExecutorClock(deps.leaseRule)
 	executorClock.presume(deps.leaseRule.longestEndMs, deps.clock.now())
 	return {
 		deps,
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -63,6 +63,8 @@
 	/** Takes everything once the placer has given all to a successor. */
 	successor: ((item: Waiting, from?: RunningAt) => void) | undefined
 	isWalkDue: boolean
+	/** Something waits whose caller was not heard of late; the next walk may find that it was. */
+	isHeldBack: boolean
 	isSweepDue: boolean
 	isClosed: boolean
 }
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -98,6 +98,7 @@
 		started: new Map(),
 		successor: undefined,
 		isWalkDue: false,
+		isHeldBack: false,
 		isSweepDue: false,
 		isClosed: false,
 	}
@@ -279,8 +280,7 @@
 		state.isSweepDue = false
 		for (const item of state.queue.expired(state.deps.clock.now()))
 			giveBack(state, item, "deadline")
-		// What found no room for want of a late confirmation may have one by now.
-		walkSoon(state)
+		if (state.isHeldBack) walkSoon(state)
 		sweepSoon(state)
 	})
 }
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -15,6 +15,8 @@
 const GANG_PATIENCE_MS = 400
 /** After a standstill the loop has read what lay in its connections by then: it goes round in a millisecond. */
 const NEWS_MS = 10
+/** Confirmations come every 100 ms. */
+const HEARD_LATE_MS = 200
 
 /** Several ends in one turn of the loop need one walk. */
 export function walkSoon(state: PlacerState) {
@@ -31,6 +33,7 @@
 function placeAll(state: PlacerState) {
 	state.isWalkDue = false
 	if (state.isClosed) return
+	state.isHeldBack = false
 	const groups = state.queue.inOrder(state.deps.clock.now())
 	for (const group of groups.slice(0, MAX_GROUPS_PER_WALK))
 		if (placeGroup(state, group) === "hold back") break
@@ -72,6 +75,7 @@
 			queue.take(group)
 			startOn(state, link, next)
 		} else {
+			state.isHeldBack ||= isHeardLate(state, next.req)
 			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
 			if (staysHere || !deps.handOver(next)) return
 			queue.take(group)
@@ -79,6 +83,11 @@
 	}
 }
 
+/** Whether its confirmation is older than two readings of the clock, so that a later one may make a difference. */
+function isHeardLate({deps}: PlacerState, {confirmedAt}: TaskRequest): boolean {
+	return deps.clock.now() - confirmedAt() > HEARD_LATE_MS
+}
+
 /** Most of what waits under load fits nowhere; this tells so at a tenth of the cost of weighing each executor. */
 function freestCpu(links: Links): number {
 	let most = 0
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -23,6 +23,7 @@
 	| "lease over"
 	| "replaced"
 	| "start refused"
+	| "never sent"
 	| "told by another placer"
 
 /** The fields of all lines, named once. Times are milliseconds. */
--- a/packages/jobs/test/confirmed-callers.test.ts
+++ b/packages/jobs/test/confirmed-callers.test.ts
@@ -81,7 +81,6 @@
 	let unreadMs = 0
 	const dispatcher = createDispatcher({
 		clock,
-		knownAt: () => clock.now() - unreadMs,
 		log: silentLog,
 		peers,
 		view,
@@ -115,24 +114,26 @@
 		deadlineAt: clock.now() + 2_000,
 	}
 	const setUnread = (ms: number) => void (unreadMs = ms)
-	return {clock, dispatcher, overflow, told, asked, callers, job, setUnread}
+	const readUpTo = () => clock.now() - unreadMs
+	const callHere = () => ({onCancel: ignore, madeAt: readUpTo(), confirmedAt: readUpTo})
+	return {clock, callHere, dispatcher, overflow, told, asked, callers, job, setUnread}
 }
 
 const remote = {onCancel: ignore, madeAt: 900, confirmedAt: () => HEARD_AT}
 
 describe("as of when a caller waits", () => {
 	it("is told to another instance's placer as what has been read here, again and again", async () => {
-		const {clock, dispatcher, told, job, setUnread} = createWorld(false)
-		void dispatcher.dispatch(job, QUEUE, ignore)
+		const {clock, callHere, dispatcher, told, job, setUnread} = createWorld(false)
+		void dispatcher.dispatch(job, QUEUE, callHere())
 		await clock.advance(50)
 		setUnread(30)
 		expect(told.map(({confirmedAt}) => confirmedAt())).to.eql([clock.now() - 30])
 	})
 
 	it("counts against a call's time when much may lie unread", async () => {
-		const {clock, dispatcher, told, job, setUnread} = createWorld(false)
+		const {clock, callHere, dispatcher, told, job, setUnread} = createWorld(false)
 		setUnread(500)
-		void dispatcher.dispatch(job, QUEUE, ignore)
+		void dispatcher.dispatch(job, QUEUE, callHere())
 		await clock.advance(1)
 		expect(told[0]?.message).to.deep.include({leftMs: 1_500, ageMs: 500})
 	})
--- a/packages/jobs/test/confirmed-leases.test.ts
+++ b/packages/jobs/test/confirmed-leases.test.ts
@@ -134,7 +134,7 @@
 
 describe("an executor's clock", () => {
 	it("is read as low as it may be, and takes no reading that says less than is known", () => {
-		const executorClock = createExecutorClock()
+		const executorClock = createExecutorClock(LEASE_RULE)
 		executorClock.observe(10_000, 0)
 		expect(executorClock.lowest(1_000)).to.equal(10_980)
 		executorClock.observe(10_970, 1_000)
@@ -144,7 +144,7 @@
 	})
 
 	it("tells the latest end of all leases asked for, at the slowest rate and with the time that an end takes", () => {
-		const executorClock = createExecutorClock()
+		const executorClock = createExecutorClock(LEASE_RULE)
 		executorClock.observe(10_000, 0)
 		executorClock.extend(10_980)
 		executorClock.extend(10_490)
--- a/packages/jobs/test/lease-rule.test.ts
+++ b/packages/jobs/test/lease-rule.test.ts
@@ -5,7 +5,6 @@
 import {
 	certainEndAt,
 	createExecutorClock,
-	END_MARGIN_MS,
 	leaseMsFor,
 	mayBegin,
 	SLOWEST_RATE,
@@ -43,14 +42,14 @@
 			fc.property(scene, ({rate, offset, readingAgeMs, confirmationAgeMs}) => {
 				const now = 100_000
 				const executor = executorAt(rate, offset)
-				const clock = createExecutorClock()
+				const clock = createExecutorClock(LEASE_RULE)
 				const readAt = now - readingAgeMs
 				clock.observe(Math.floor(executor.clockAt(readAt)), readAt)
 				const confirmedAt = now - confirmationAgeMs
 				const leaseMs = leaseMsFor(LEASE_RULE, confirmedAt, now)
 				if (leaseMs < 1) return
 				const untilMs = Math.floor((clock.lowest(now) ?? 0) + leaseMs)
-				const endsAt = executor.timeOf(untilMs) + END_MARGIN_MS
+				const endsAt = executor.timeOf(untilMs) + LEASE_RULE.endMarginMs
 				expect(endsAt).to.be.at.most(certainEndAt(LEASE_RULE, confirmedAt))
 			}),
 		)
@@ -61,7 +60,7 @@
 			fc.property(scene, ({rate, offset, readingAgeMs}) => {
 				const now = 100_000
 				const executor = executorAt(rate, offset)
-				const clock = createExecutorClock()
+				const clock = createExecutorClock(LEASE_RULE)
 				const readAt = now - readingAgeMs
 				clock.observe(Math.floor(executor.clockAt(readAt)), readAt)
 				const untilMs = Math.floor((clock.lowest(now) ?? 0) + LEASE_RULE.longestLeaseMs)
@@ -96,16 +95,26 @@
 		).to.equal(true)
 	})
 
-	it("is refused where callers come back too soon for any lease", () => {
-		const refused = leaseRuleFor({resubmitMs: 600, maxLeaseMs: 1_000})
-		expect(refused.isErr()).to.equal(true)
-		expect(leaseRuleFor({resubmitMs: 5_000, maxLeaseMs: 1_000})._unsafeUnwrap()).to.include({
-			longestLeaseMs: 1_000,
-		})
+	it("lets nothing of callers begin where they come back too soon for any lease", () => {
+		const rule = leaseRuleFor({resubmitMs: 480, maxLeaseMs: 1_000, stopGraceMs: 50})
+		const now = 5_000
+		const fresh = {confirmedAt: now, besideAt: Infinity, leasesEndAt: -Infinity}
+		expect(mayBegin(rule, fresh, now)).to.equal(false)
+		expect(mayBegin(rule, {...fresh, confirmedAt: Infinity}, now)).to.equal(true)
+	})
+
+	it("asks for the longest lease that executors grant where callers come back late", () => {
+		const rule = leaseRuleFor({resubmitMs: 5_000, maxLeaseMs: 1_000, stopGraceMs: 50})
+		expect(rule.longestLeaseMs).to.equal(1_000)
+	})
+
+	it("leaves more room for executors that take longer to stop what runs", () => {
+		const slow = leaseRuleFor({resubmitMs: 1_300, maxLeaseMs: 1_000, stopGraceMs: 150})
+		expect(slow.longestLeaseMs).to.be.lessThan(LEASE_RULE.longestLeaseMs)
 	})
 
 	it("goes by the later of two readings, whichever answer comes first", () => {
-		const clock = createExecutorClock()
+		const clock = createExecutorClock(LEASE_RULE)
 		clock.observe(10_000, 500)
 		clock.observe(9_900, 510)
 		expect(clock.lowest(510)).to.be.at.least(10_000)
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -36,9 +36,10 @@
 
 /** Callers that come back after 1.3 s, and executors that grant leases of one second. */
 export const LEASE_RULE: LeaseRule = leaseRuleFor({
+	stopGraceMs: 50,
 	resubmitMs: 1_300,
 	maxLeaseMs: 1_000,
-})._unsafeUnwrap()
+})
 
 /** A caller that stays, and is heard all the time. */
 export const STAYING: Caller = {
--- a/packages/wire/src/json-server.ts
+++ b/packages/wire/src/json-server.ts
@@ -22,6 +22,8 @@
 
 /** Between two readings of the clock while calls are under way: a ninth of a lease; each costs both sides a message. */
 const PULSE_MS = 100
+/** And while none is: two clocks drift apart by two milliseconds in this time at most. */
+const IDLE_PULSE_MS = 2_000
 
 /** Whoever made a call, as its handler sees it; times are steady milliseconds of this process. */
 export interface JsonCaller {
@@ -79,7 +81,7 @@
 function serveExchange(stream: ExchangeStream, handlers: Readonly<Record<string, JsonHandler>>) {
 	const underWay = new Map<number, Served>()
 	let isBroken = false
-	let isPulseDue = false
+	let timer: NodeJS.Timeout | undefined
 	const send = createFrameWriter<ServerFrame>(bytes => {
 		if (!isBroken) stream.write(bytes)
 	})
@@ -88,15 +90,16 @@
 		send({pulse: roundedDown(performance.now())})
 	}
 
-	function pulseSoon() {
-		if (isPulseDue) return
-		isPulseDue = true
-		setTimeout(() => {
-			isPulseDue = false
-			if (isBroken || underWay.size === 0) return
-			sendPulse()
-			pulseSoon()
-		}, PULSE_MS).unref()
+	/** Sends the next reading when it is due, sooner once a call is under way. */
+	function schedulePulse() {
+		clearTimeout(timer)
+		if (isBroken) return
+		timer = setTimeout(pulse, underWay.size > 0 ? PULSE_MS : IDLE_PULSE_MS).unref()
+	}
+
+	function pulse() {
+		sendPulse()
+		schedulePulse()
 	}
 
 	function cancel(id: number) {
@@ -118,9 +121,12 @@
 	function begin({id, method, message, madeAt, confirmedAt}: CallFrame) {
 		const handler = handlers[method]
 		if (!handler) return send({id, error: `no method ${method}`})
+		// Without them nobody could tell when what is asked for has certainly ended.
+		if (!Number.isFinite(madeAt) || !Number.isFinite(confirmedAt))
+			return send({id, error: "a call that does not tell its age"})
 		const served: Served = {listeners: [], confirmedAt}
 		underWay.set(id, served)
-		pulseSoon()
+		if (underWay.size === 1) schedulePulse()
 		const onCancel = (listener: () => void) => {
 			// A call that was read together with its cancelling tells of it only here.
 			if (underWay.has(id)) served.listeners.push(listener)
@@ -141,11 +147,12 @@
 	function breakOff() {
 		if (isBroken) return
 		isBroken = true
+		clearTimeout(timer)
 		for (const id of [...underWay.keys()]) cancel(id)
 	}
 
 	// The caller's side sends nothing before it has a reading: what it sends can tell its age.
-	sendPulse()
+	pulse()
 	stream.on("data", (frames: readonly CallerFrame[]) => frames.forEach(take))
 	stream.on("cancelled", breakOff)
 	stream.on("error", breakOff)
--- a/packages/wire/test/confirmation.test.ts
+++ b/packages/wire/test/confirmation.test.ts
@@ -2,6 +2,7 @@
  * As of when a call is known to be wanted, on the clock of the side that is called.
  */
 import {connectJson, listenJson, type JsonCaller} from "@cottonwood/wire/json"
+import * as grpc from "@grpc/grpc-js"
 import {expect} from "chai"
 import fc from "fast-check"
 import {createPeerClock} from "@cottonwood/wire/internals"
@@ -115,3 +116,31 @@
 		)
 	})
 })
+
+describe("a call that does not tell its age", () => {
+	it("is not begun: nobody could tell when what it asks for has certainly ended", async () => {
+		const address = await freeAddress()
+		let begun = 0
+		const count = () => {
+			begun++
+			return Promise.resolve("done")
+		}
+		const server = await listenJson("test.Service", address, {count})
+		const client = new grpc.Client(address, grpc.credentials.createInsecure())
+		const stream = client.makeBidiStreamRequest<Buffer, Buffer>(
+			"/test.Service/exchange",
+			bytes => bytes,
+			bytes => bytes,
+		)
+		const answers: string[] = []
+		stream.on("data", (bytes: Buffer) => answers.push(bytes.toString("utf8")))
+		stream.on("error", () => undefined)
+		stream.write(Buffer.from(JSON.stringify([{id: 1, method: "count", message: {}}])))
+		await sleep(200)
+		expect(begun).to.equal(0)
+		expect(answers.join()).to.include("does not tell its age")
+		stream.cancel()
+		client.close()
+		server.close()
+	})
+})
