--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -28,7 +28,7 @@
 import type {Caller, Job, JobEnd} from "./types/job.js"
 import {lifeOf, type EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
-import {watchNews} from "./utils/news.js"
+import {watchNews, type News} from "./utils/news.js"
 
 const REACH_TIMEOUT_MS = 250
 /** Executors that are asked before a foreign failure domain is taken over. */
@@ -237,7 +237,7 @@
 		canReachExecutors: domain => canReachExecutors(deps, domain),
 	})
 
-	publishFigures(clock, metrics, hosts, store, () => config.current()?.version ?? 0)
+	publishFigures(clock, metrics, hosts, store, news, () => config.current()?.version ?? 0)
 
 	return {
 		config: config.current,
@@ -324,6 +324,7 @@
 	metrics: JobMetrics,
 	hosts: Hosts,
 	store: Store,
+	news: News,
 	configVersion: () => number,
 ) {
 	metrics.gauge("tasks_waiting", () => hosts.counts().waiting)
@@ -332,6 +333,7 @@
 	metrics.gauge("claims_held", () => Object.keys(hosts.rooms()).length)
 	metrics.gauge("kept_jobs", () => hosts.counts().kept)
 	metrics.gauge("config_version", configVersion)
+	metrics.gauge("news_age_ms", () => Math.round(clock.now() - news.knownAt()))
 	metrics.gauge("store_silent_ms", () => store.silentMs())
 	probeLoop(clock, metrics)
 }
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -23,8 +23,9 @@
 /** A task from another placer that found no room is given back after this. */
 const FOREIGN_WAIT_MS = 40
 /**
- * What the placer before started on an executor that does not answer us has ended after this: it learns of
- * the new fence at another executor within a hold (400 ms), then the lease ends (1,020 ms); and a margin.
+ * For executors that nobody here can ask, since the list does not name them: the leases that the placer before asked for
+ * until it handed over are over after half of this. One that does not know that it was replaced learns it at any executor
+ * that obeys the new fence, within a hold (400 ms), and then its leases end.
  */
 const SETTLED_MS = 2_000
 /** The list has been read and executors have answered by then, also in a process that has just started. */
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -56,6 +56,7 @@
 	| "claims_held"
 	| "kept_jobs"
 	| "config_version"
+	| "news_age_ms"
 	| "store_silent_ms"
 
 const PREFIX = "cottonwood_"
