--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -3,8 +3,7 @@
  * when the whole has ended.
  */
 import type {Clock} from "@cottonwood/core"
-import type {TaskHandle} from "../place/placer.js"
-import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {TaskEnd, TaskHandle, TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Job, JobEnd, Step} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -8,9 +8,8 @@
  */
 import type {Clock} from "@cottonwood/core"
 import {longestChainMs, RETRY_MS, RUN_NUMBER_STEP} from "../coordinate/job-run.js"
-import type {TaskHandle} from "../place/placer.js"
 import type {RunningAt} from "../place/placer-state.js"
-import type {TaskEnd, TaskEnded, TaskRequest} from "../place/run.js"
+import type {TaskEnd, TaskEnded, TaskHandle, TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -3,6 +3,7 @@
  */
 import type {ExecutorRecord} from "../types/executor.js"
 import {adoptRun, holdLoop, offerOrphans} from "./link-hold.js"
+import {isConfirmed} from "./link-lease.js"
 import {inheritedRun, startRun, stopRun} from "./link-orders.js"
 import {
 	closeLink,
@@ -10,7 +11,6 @@
 	hasRoom,
 	hasRunOf,
 	isCompatible,
-	isConfirmed,
 	isIdle,
 	isPromising,
 	isUsable,
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/place/link-hold.ts
@@ -7,6 +7,7 @@
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
 import {lifeOf} from "../utils/log.js"
+import {needsLease, nextLeaseUntil} from "./link-lease.js"
 import {stopOrphan, stopRun, stopUnanswered, stopUnheard} from "./link-orders.js"
 import {
 	addRun,
@@ -18,7 +19,6 @@
 	isOwnReply,
 	isWaitedFor,
 	lostOrStopped,
-	nextLeaseUntil,
 	noteAnswering,
 	noteSilence,
 	runName,
@@ -104,17 +104,6 @@
 	else if (!link.isClosed && link.answeredAt < sentAt) await noteUnheld(link, reply)
 }
 
-/**
- * Whether the lease is to be renewed. It is not beside a run of which it is not known here whether anybody wants it: that the
- * placer before may still hand over, or that may be a kept job's once the store is read. Nor is it for runs that are being
- * stopped, or while a stop stays without an answer, at the risk of what else runs there. Where nothing runs no lease is
- * needed: a start asks for its own.
- */
-function needsLease({runs, orphans, unansweredStops}: LinkState): boolean {
-	if (unansweredStops.size + orphans.size > 0) return false
-	return [...runs.values()].some(({state}) => state !== "stopping")
-}
-
 function holdSlackMs({deps}: LinkState): number {
 	return deps.losses.isLossy() ? deps.losses.timeoutMs(HOLD_SLACK_MS) : HOLD_SLACK_MS
 }
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -13,14 +13,13 @@
 	isCurrent,
 	isOwnReply,
 	hasLapsedSilent,
-	isConfirmed,
-	nextLeaseUntil,
 	noteSilence,
 	runName,
 	settleRun,
 	type LinkState,
 } from "./link-state.js"
 import {isUnheard} from "./lease-rule.js"
+import {isConfirmed, nextLeaseUntil} from "./link-lease.js"
 import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "./run.js"
 import {stepNameOf} from "./task-queue.js"
 
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -12,7 +12,7 @@
 import type {EventLog, RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
-import {leaseMsFor, mayBegin, type LeaseRule} from "./lease-rule.js"
+import type {LeaseRule} from "./lease-rule.js"
 import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
 import type {Losses} from "./losses.js"
 import type {Tickets} from "./tickets.js"
@@ -186,25 +186,6 @@
 	return true
 }
 
-/**
- * Whether a run of the task would end in time for whoever may stop wanting it unheard, and could be kept beside what runs
- * there; see the lease rule.
- */
-export function isConfirmed(link: LinkState, {confirmedAt}: TaskRequest): boolean {
-	const {clock, leaseRule} = link.deps
-	const now = clock.now()
-	const leasesEndAt = link.executorClock.leasesEndAt(now)
-	const besideAt = oldestConfirmation(link)
-	return mayBegin(leaseRule, {confirmedAt: confirmedAt(), besideAt, leasesEndAt}, now)
-}
-
-/** As of when all runs there are known to be wanted, or were before they were stopped. */
-function oldestConfirmation({runs}: LinkState): number {
-	let oldest = Infinity
-	for (const {req} of runs.values()) oldest = Math.min(oldest, req.confirmedAt())
-	return oldest
-}
-
 /** Counts room as taken, or with -1 as free again. */
 export function occupy({used}: LinkState, {need}: TaskRequest, sign: 1 | -1) {
 	used.cpu += sign * need.cpu
@@ -261,22 +242,6 @@
 	}
 }
 
-/**
- * The end of the lease to ask for, on the executor's clock; undefined before its first answer, and while a run there has
- * not been confirmed for so long that none may be asked for.
- */
-export function nextLeaseUntil(link: LinkState): number | undefined {
-	const {clock, leaseRule} = link.deps
-	const now = clock.now()
-	const reading = link.executorClock.lowest(now)
-	if (reading === undefined) return undefined
-	const leaseMs = leaseMsFor(leaseRule, oldestConfirmation(link), now)
-	if (leaseMs < 1) return undefined
-	const untilMs = Math.floor(reading + leaseMs)
-	link.executorClock.extend(untilMs)
-	return untilMs
-}
-
 export function noteSilence(link: LinkState, cause: string) {
 	if (link.silentSince !== undefined) return
 	link.silentSince = link.deps.clock.now()
--- /dev/null
+++ b/packages/jobs/src/place/placer-links.ts
@@ -0,0 +1,61 @@
+/**
+ * The executors that a placer has links to: those of the list, and others for as long as something may run there.
+ */
+import type {ExecutorRecord} from "../types/executor.js"
+import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
+import type {PlacerState} from "./placer-state.js"
+import {walkSoon} from "./walk.js"
+
+/** Starts nothing more; what runs is left to the next fence. */
+export function closeLinks(state: PlacerState) {
+	state.isClosed = true
+	state.pulse.close()
+	for (const link of state.links.values()) link.close()
+}
+
+/** Takes over the list. */
+export function setExecutors(state: PlacerState, records: readonly ExecutorRecord[]) {
+	const listed = new Set(records.map(record => record.id))
+	for (const record of records) {
+		const link = state.links.get(record.id)
+		if (!link || (link.isClosed() && !link.isReplaced())) addLink(state, record)
+		else link.update(record)
+	}
+	for (const [id, link] of state.links) if (!listed.has(id)) retireLink(state, id, link)
+	walkSoon(state)
+}
+
+export function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
+	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced} = state.deps
+	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
+	const link = createExecutorLink(record, {
+		clock,
+		orders,
+		log,
+		metrics,
+		fence,
+		leaseRule,
+		stopGraceMs,
+		orphansWaitUntil,
+		kept: state.deps.kept,
+		tickets: state.tickets,
+		losses: state.losses,
+		onRoom: () => walkSoon(state),
+		onFenced,
+		onRunEnd: state.judgement.observe,
+	})
+	state.links.set(record.id, link)
+	const fields = {executor: record.id, address: record.address, freeCpu: record.capacity.cpu}
+	log.event("placer", "executor_added", "placer: has a new executor.", fields)
+	return link
+}
+
+function retireLink(state: PlacerState, id: string, link: ExecutorLink) {
+	link.retire()
+	if (!link.isIdle()) return
+	link.close()
+	state.links.delete(id)
+	state.judgement.forget(id)
+	const fields = {executor: id, failureDomain: state.deps.failureDomain}
+	state.deps.log.event("placer", "executor_dropped", "placer: the list has it no more.", fields)
+}
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -7,37 +7,26 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
-import {lifeOf} from "../utils/log.js"
-import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
+import type {ExecutorLink} from "./executor-link.js"
 import {createJudgement} from "./judgement.js"
-import {certainEndAt} from "./lease-rule.js"
 import {createLosses} from "./losses.js"
 import type {PlacerDeps, PlacerState, RunningAt} from "./placer-state.js"
+import {closeLinks, setExecutors} from "./placer-links.js"
 import {startPulse} from "./pulse.js"
 import {countThatFit, promisingLinks, roomFor, usableLinks, waitBeforeMs} from "./room.js"
-import type {OnTaskEnd, Run, TaskRequest} from "./run.js"
+import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
+import {adopt, giveAll, giveUp, isSettled} from "./succession.js"
 import {createTaskQueue, type Waiting} from "./task-queue.js"
 import {createTickets} from "./tickets.js"
 import {walkSoon} from "./walk.js"
 
 /** A task from another placer that found no room is given back after this. */
 const FOREIGN_WAIT_MS = 40
-/**
- * For executors that nobody here can ask, since the list does not name them: the leases that the placer before asked for
- * until it handed over are over after half of this. One that does not know that it was replaced learns it at any executor
- * that obeys the new fence, within a hold (400 ms), and then its leases end.
- */
-const SETTLED_MS = 2_000
 /** The list has been read and executors have answered by then, also in a process that has just started. */
 const BEGINNING_MS = 400
 /** Deadlines are looked at this often. */
 const SWEEP_MS = 25
 
-export interface TaskHandle {
-	/** Ends the task wherever it is; its end follows. */
-	cancel(): void
-}
-
 export interface Placer {
 	submit(req: TaskRequest, onEnd: OnTaskEnd, onStart: () => void): TaskHandle
 	/** Takes over the platform's list of this domain's executors. */
@@ -123,115 +112,13 @@
 		adopt: (req, from, onEnd) => adopt(state, req, from, onEnd),
 		giveAll: send => giveAll(state, send),
 		giveUp: () => giveUp(state),
-		close: () => close(state),
+		close: () => closeLinks(state),
 	}
 }
 
 const recordOf = (link: ExecutorLink): ExecutorRecord =>
 	link.isRetired() ? {...link.record, isLeaving: true} : link.record
 
-function close(state: PlacerState) {
-	state.isClosed = true
-	state.pulse.close()
-	for (const link of state.links.values()) link.close()
-}
-
-/** The jobs here are given up by whoever has them; what other placers handed over is known to nobody else. */
-function giveUp(state: PlacerState) {
-	close(state)
-	for (const link of state.links.values())
-		for (const {run} of link.runs()) if (run.req.isForeign) tellWhenOver(state, link, run)
-}
-
-/** Nobody renews its lease any more: neither this placer nor a successor, which knows nothing of it. */
-function tellWhenOver({deps}: PlacerState, {record}: ExecutorLink, {req, onEnd}: Run) {
-	const now = deps.clock.now()
-	const endAt = certainEndAt(deps.leaseRule, Math.min(now, req.confirmedAt()))
-	const cause = "its placer lost the domain"
-	const end = {type: "lost", executor: record.id, cause} as const
-	deps.clock.schedule(Math.max(0, endAt - now), () => void onEnd(end))
-}
-
-function adopt(
-	state: PlacerState,
-	req: TaskRequest,
-	{executor, record, isStarted, stopCause}: RunningAt,
-	onEnd: OnTaskEnd,
-): TaskHandle {
-	const known = state.links.get(executor)
-	if (known?.isReplaced()) return tellReplaced(state, executor, onEnd)
-	const link = known && !known.isClosed() ? known : record && addUnlisted(state, record)
-	if (!link) return presumeEnded(state, req, executor, onEnd)
-	let stop = () => undefined as void
-	const item: Waiting = {
-		req,
-		since: state.deps.clock.now(),
-		onEnd,
-		onStart: stopRun => void (stop = stopRun),
-	}
-	// eslint-disable-next-line prefer-const -- read by the callback before it is set
-	let adopted: Run | undefined
-	let hasEnded = false
-	const run = link.adopt(req, isStarted, end => {
-		// Its end may be known already; then it is told before the run is returned.
-		hasEnded = true
-		if (adopted) state.started.delete(adopted)
-		return onEnd(end)
-	})
-	adopted = run
-	if (!hasEnded) {
-		state.started.set(run, item)
-		if (stopCause) link.cancel(run, stopCause)
-	}
-	stop = () => link.cancel(run)
-	return {cancel: () => stop()}
-}
-
-/** An executor that the list lacks is watched for what runs there; it gets nothing new until the list has it. */
-function addUnlisted(state: PlacerState, record: ExecutorRecord): ExecutorLink {
-	const link = addLink(state, record)
-	link.retire()
-	return link
-}
-
-/** Whatever ran in the executor's life before is gone. */
-function tellReplaced({deps}: PlacerState, executor: string, onEnd: OnTaskEnd): TaskHandle {
-	deps.clock.schedule(0, () => void onEnd({type: "lost", executor, cause: "replaced"}))
-	return {cancel: () => undefined}
-}
-
-/** Nobody here can ask the executor, but its lease is over by then. */
-function presumeEnded(
-	{deps}: PlacerState,
-	{job, task, run, askedBy}: TaskRequest,
-	executor: string,
-	onEnd: OnTaskEnd,
-): TaskHandle {
-	const whose = {fence: deps.fence, askedBy: lifeOf(askedBy)}
-	const fields = {job, task, run, executor, ...whose, outcome: "executor unknown"}
-	deps.log.alarm("placer", "run_adopted", "placer: took over a run of the placer before.", fields)
-	const end = {type: "lost", executor, cause: "its executor is unknown here"} as const
-	deps.clock.schedule(SETTLED_MS, () => void onEnd(end))
-	return {cancel: () => undefined}
-}
-
-function giveAll(state: PlacerState, send: (item: Waiting, from?: RunningAt) => void) {
-	state.successor = send
-	// Kept jobs are not sent: the successor reads them from the store, and finds their runs by itself.
-	for (const group of state.queue.inOrder(state.deps.clock.now()))
-		for (let item = state.queue.take(group); item; item = state.queue.take(group))
-			if (!item.req.isKept) send(item)
-	const running = [...state.links.values()].flatMap(link =>
-		link.runs().map(({run, isStarted}) => ({run, isStarted, record: link.record})),
-	)
-	close(state)
-	for (const {run, isStarted, record} of running) {
-		const item = state.started.get(run)
-		const {stopCause} = run
-		if (item && !item.req.isKept) send(item, {executor: record.id, record, isStarted, stopCause})
-	}
-}
-
 function submit(
 	state: PlacerState,
 	req: TaskRequest,
@@ -286,63 +173,6 @@
 	})
 }
 
-function setExecutors(state: PlacerState, records: readonly ExecutorRecord[]) {
-	const listed = new Set(records.map(record => record.id))
-	for (const record of records) {
-		const link = state.links.get(record.id)
-		if (!link || (link.isClosed() && !link.isReplaced())) addLink(state, record)
-		else link.update(record)
-	}
-	for (const [id, link] of state.links) if (!listed.has(id)) retireLink(state, id, link)
-	walkSoon(state)
-}
-
-function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
-	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced} = state.deps
-	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
-	const link = createExecutorLink(record, {
-		clock,
-		orders,
-		log,
-		metrics,
-		fence,
-		leaseRule,
-		stopGraceMs,
-		orphansWaitUntil,
-		kept: state.deps.kept,
-		tickets: state.tickets,
-		losses: state.losses,
-		onRoom: () => walkSoon(state),
-		onFenced,
-		onRunEnd: state.judgement.observe,
-	})
-	state.links.set(record.id, link)
-	const fields = {executor: record.id, address: record.address, freeCpu: record.capacity.cpu}
-	log.event("placer", "executor_added", "placer: has a new executor.", fields)
-	return link
-}
-
-function retireLink(state: PlacerState, id: string, link: ExecutorLink) {
-	link.retire()
-	if (!link.isIdle()) return
-	link.close()
-	state.links.delete(id)
-	state.judgement.forget(id)
-	const fields = {executor: id, failureDomain: state.deps.failureDomain}
-	state.deps.log.event("placer", "executor_dropped", "placer: the list has it no more.", fields)
-}
-
-/**
- * A placer that was replaced and does not know it goes on renewing leases wherever the new fence was not seen, for as long as
- * that may be; so each executor that is known here must obey, or be gone. Executors that the list has
- * dropped may still run something for it, and are not asked here unless it named them.
- */
-function isSettled({links, deps, createdAt}: PlacerState): boolean {
-	const isOld = deps.clock.now() - createdAt >= SETTLED_MS
-	const areAllKnown = deps.knowsAllExecutors && links.size > 0
-	return (isOld || areAllKnown) && [...links.values()].every(link => link.isFenceTaken())
-}
-
 function isBeginning({links, deps, createdAt}: PlacerState): boolean {
 	if (deps.clock.now() - createdAt >= BEGINNING_MS) return false
 	return [...links.values()].every(link => !link.isFenceTaken())
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -56,6 +56,12 @@
 export type TaskEnded = Promise<unknown> | undefined | void
 export type OnTaskEnd = (end: TaskEnd) => TaskEnded
 
+/** A task that a placer was asked to run. */
+export interface TaskHandle {
+	/** Ends the task wherever it is; its end follows. */
+	cancel(): void
+}
+
 export type TaskEnd =
 	| {readonly type: "done"; readonly executor: string}
 	/** It ended as failed, by its own fault or the executor's. */
--- a/packages/jobs/src/utils/news.ts
+++ b/packages/jobs/src/utils/news.ts
@@ -6,7 +6,7 @@
  */
 import type {Clock} from "@cottonwood/core"
 
-/** Between two looks; half of the time between two readings of a placer's clock would be of no more use. */
+/** Between two looks; half of the time between two readings of a placer's clock, so that they make up the smaller part. */
 const LOOK_MS = 50
 /**
  * Turns of the loop after which what had arrived on open connections before them has been read and told on: one reads the
