--- a/packages/spec/src/confirmation-protocol.ts
+++ b/packages/spec/src/confirmation-protocol.ts
@@ -12,6 +12,12 @@
  * all the time, and its own caller's confirmation is always fresh. A successor has the call as the first placer had it.
  * The executor alone keeps time: it ends a run within the tick in which the lease ends.
  */
+import {
+	ALL_CONFIRMATION_GUARDS,
+	type ConfirmationEvent,
+	type ConfirmationGuards,
+	type ConfirmationState,
+} from "./confirmation-state.js"
 import type {Specification} from "./explore.js"
 
 const LEASE_TICKS = 2
@@ -22,108 +28,6 @@
 /** An age from which on a confirmation allows nothing. */
 const STALE_TICKS = BOUND_TICKS
 
-type Coordinator =
-	/** It confirms the call whenever it has read its connections. */
-	| "wants it"
-	/** It has sent the cancel on the call's stream, and goes on confirming others there. */
-	| "cancelled it"
-	/** It has lost the call's stream, or died; it, or its next life, confirms others on a new one. */
-	| "is gone"
-
-export interface ConfirmationState {
-	/** Ticks since the caller lost its connection or got an open answer; undefined while it waits. */
-	readonly brokenFor: number | undefined
-	readonly coordinator: Coordinator
-	/** Age of the latest moment as of which the coordinator knows that it wanted the call. */
-	readonly wantedAge: number
-	readonly call: "unsent" | "under way" | "read" | "cancelled"
-	/** Age of the moment that the placer takes for the call's confirmation, or that the call under way tells. */
-	readonly confirmedAge: number
-	/** Age of the moment that the confirmation under way tells; undefined when none is. */
-	readonly confirmation: number | undefined
-	readonly run: "none" | "ordered" | "running" | "ended"
-	/** Ticks that are left of the lease that the start itself asked for. */
-	readonly startLease: number
-	/** Ticks that are left of the lease at the executor. */
-	readonly lease: number
-	/** Ticks that are left of the lease that an order under way asks for; undefined when none is. */
-	readonly order: number | undefined
-	/** Ticks that are left, as the placer has it, of the longest lease asked for. */
-	readonly askedLease: number
-	/** Whether the executor obeys a successor of the first placer. */
-	readonly hasSuccessor: boolean
-	/** The run is there, and the placer knows nothing of it. */
-	readonly isOrphan: boolean
-	/** The caller has come back, and the task runs elsewhere. */
-	readonly runsAgain: boolean
-}
-
-export interface ConfirmationGuards {
-	/** A lease ends by the bound of each run on the executor, whoever it is renewed for. */
-	readonly boundByOldest: boolean
-	/** A call that arrives is as old as what it tells. */
-	readonly ageOfCall: boolean
-	/** A confirmation that arrives is as old as what it tells. */
-	readonly ageOfConfirmation: boolean
-	/** A start is ordered only where the lease asked for already ends by the run's bound. */
-	readonly lookBeforeStart: boolean
-	/** A successor takes it that the placer before has asked for the longest lease. */
-	readonly presumeLease: boolean
-	/** It takes that as of when the executor obeyed it, since the placer before may have asked until then. */
-	readonly presumeAtFence: boolean
-	/** Nothing is renewed while a run is there of which nothing is known. */
-	readonly renewNoOrphans: boolean
-	/** What is confirmed after a call's cancel does not confirm that call. */
-	readonly keepCancelled: boolean
-	/** What is confirmed on one stream does not confirm calls of another. */
-	readonly ownStream: boolean
-	/** An order tells the end of the lease, not its length. */
-	readonly absoluteEnd: boolean
-	/** A coordinator that reads a connection finds the break of it. */
-	readonly breakIsSeen: boolean
-	/** A caller comes back no earlier than the bound is past. */
-	readonly comeBackLate: boolean
-}
-
-export const ALL_CONFIRMATION_GUARDS: ConfirmationGuards = Object.freeze({
-	boundByOldest: true,
-	ageOfCall: true,
-	ageOfConfirmation: true,
-	lookBeforeStart: true,
-	presumeLease: true,
-	presumeAtFence: true,
-	renewNoOrphans: true,
-	keepCancelled: true,
-	ownStream: true,
-	absoluteEnd: true,
-	breakIsSeen: true,
-	comeBackLate: true,
-})
-
-export interface ConfirmationEvent {
-	readonly type:
-		| "connections read after a prompt pulse"
-		| "connections read after a late pulse"
-		| "call sent"
-		| "call read"
-		| "confirmation sent"
-		| "confirmation read"
-		| "confirmation of others read"
-		| "cancel read"
-		| "connection breaks"
-		| "answered open"
-		| "coordinator dies or loses its stream"
-		| "lease asked"
-		| "order arrives"
-		| "start ordered"
-		| "start arrives"
-		| "stop carried out"
-		| "successor fences"
-		| "run handed over"
-		| "caller comes back"
-		| "tick"
-}
-
 type EventType = ConfirmationEvent["type"]
 
 const INITIAL: ConfirmationState = Object.freeze({
