--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -22,7 +22,7 @@
 const BEGINNING_MS = 1_000
 /** A fraction of the shortest task. */
 const PLACER_POLL_MS = 10
-/** A call that may have lain unread for longer, four looks, counts as that old: it is no longer what its caller hopes for. */
+/** A call that may have lain unread for longer, four looks, is late by that for its objective too, not only for its deadline. */
 const UNREAD_MS = 200
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
--- a/packages/jobs/test/confirmed-leases.test.ts
+++ b/packages/jobs/test/confirmed-leases.test.ts
@@ -13,7 +13,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
-import {LeasedExecutor} from "./support/leased-executor.js"
+import {LeasedExecutor, ordersTo} from "./support/leased-executor.js"
 import {createTestPlacer} from "./support/placers.js"
 import {LEASE_RULE, taskRequest} from "./support/requests.js"
 
@@ -26,13 +26,7 @@
 	const clock = createFakeClock()
 	const executor = new LeasedExecutor(clock)
 	const ends: (TaskEnd & {readonly task: string})[] = []
-	const orders: PlacerDeps["orders"] = {
-		start: (to, order, ms) => executor.start(to, order, ms),
-		stop: (to, order, ms) => executor.stop(to, order, ms),
-		hold: (to, order, ms) => executor.hold(to, order, ms),
-		isReachable: async () => true,
-		forget: ignore,
-	}
+	const orders = ordersTo(() => executor)
 
 	function place(fence: number, extra: Partial<PlacerDeps> = {}): Placer {
 		const placer = createTestPlacer({clock, orders, fence, ...extra})
--- a/packages/jobs/test/cut-off-placer.test.ts
+++ b/packages/jobs/test/cut-off-placer.test.ts
@@ -4,11 +4,10 @@
  * successor counts two seconds from its beginning and starts the task anew. With one executor on each side of a cut the old
  * run was still there 3,000 ms after the claim, beside the successor's.
  */
-import type {PlacerDeps} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
-import {LeasedExecutor} from "./support/leased-executor.js"
+import {LeasedExecutor, ordersTo} from "./support/leased-executor.js"
 import {createTestPlacer} from "./support/placers.js"
 import {taskRequest} from "./support/requests.js"
 
@@ -21,13 +20,7 @@
 	const clock = createFakeClock()
 	const executors = {e1: new LeasedExecutor(clock), e2: new LeasedExecutor(clock)}
 	const at = (id: string) => executors[id as "e1" | "e2"]
-	const orders: PlacerDeps["orders"] = {
-		start: (executor, order, ms) => at(executor.id).start(executor, order, ms),
-		stop: (executor, order, ms) => at(executor.id).stop(executor, order, ms),
-		hold: (executor, order, ms) => at(executor.id).hold(executor, order, ms),
-		isReachable: async () => true,
-		forget: ignore,
-	}
+	const orders = ordersTo(at)
 	const running = () => Object.values(executors).filter(executor => executor.running.has(TASK))
 	return {clock, executors, orders, running}
 }
--- a/packages/jobs/test/neighbours.test.ts
+++ b/packages/jobs/test/neighbours.test.ts
@@ -3,11 +3,11 @@
  * is heard all the time was started beside a run that had last been confirmed 900 ms before: the start asked for a lease
  * of 284 ms, no hold could renew it, and the task lapsed with its neighbour though another executor was free.
  */
-import type {PlacerDeps, TaskEnd} from "@cottonwood/jobs/internals"
+import type {TaskEnd} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
-import {LeasedExecutor} from "./support/leased-executor.js"
+import {LeasedExecutor, ordersTo} from "./support/leased-executor.js"
 import {createTestPlacer} from "./support/placers.js"
 import {taskRequest} from "./support/requests.js"
 
@@ -19,13 +19,7 @@
 		const clock = createFakeClock()
 		const executors = new Map(["e1", "e2"].map(id => [id, new LeasedExecutor(clock)]))
 		const at = (id: string) => executors.get(id) as LeasedExecutor
-		const orders: PlacerDeps["orders"] = {
-			start: (executor, order, ms) => at(executor.id).start(executor, order, ms),
-			stop: (executor, order, ms) => at(executor.id).stop(executor, order, ms),
-			hold: (executor, order, ms) => at(executor.id).hold(executor, order, ms),
-			isReachable: async () => true,
-			forget: ignore,
-		}
+		const orders = ordersTo(at)
 		const placer = createTestPlacer({clock, orders})
 		placer.setExecutors([record("e1"), record("e2")])
 		await clock.advance(1_500)
--- a/packages/jobs/test/support/leased-executor.ts
+++ b/packages/jobs/test/support/leased-executor.ts
@@ -116,3 +116,14 @@
 		})
 	}
 }
+
+/** Sends each order to the executor that it names. */
+export function ordersTo(at: (id: string) => LeasedExecutor): ExecutorOrders {
+	return {
+		start: (executor, order, ms) => at(executor.id).start(executor, order, ms),
+		stop: (executor, order, ms) => at(executor.id).stop(executor, order, ms),
+		hold: (executor, order, ms) => at(executor.id).hold(executor, order, ms),
+		isReachable: async () => true,
+		forget: () => undefined,
+	}
+}
--- a/packages/jobs/test/unwanted-runs.test.ts
+++ b/packages/jobs/test/unwanted-runs.test.ts
@@ -14,7 +14,7 @@
 import {expect} from "chai"
 import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
-import {LeasedExecutor, type AnyOrder} from "./support/leased-executor.js"
+import {LeasedExecutor, ordersTo, type AnyOrder} from "./support/leased-executor.js"
 import {createTestPlacer} from "./support/placers.js"
 import {NO_KEPT_RUNS, taskRequest} from "./support/requests.js"
 
@@ -47,13 +47,7 @@
 		return [...this.executors].filter(([, {running}]) => running.has(task)).map(([id]) => id)
 	}
 
-	readonly orders: PlacerDeps["orders"] = {
-		start: (executor, order, ms) => this.at(executor.id).start(executor, order, ms),
-		stop: (executor, order, ms) => this.at(executor.id).stop(executor, order, ms),
-		hold: (executor, order, ms) => this.at(executor.id).hold(executor, order, ms),
-		isReachable: async () => true,
-		forget: ignore,
-	}
+	readonly orders = ordersTo(id => this.at(id))
 }
 
 function createWorld() {
