Tell a peer that is gone from one that was not reached in time, and read what has arrived before missing an answer

Cause: a call whose connection did not come about in time set its placer's silence to for ever, so that a busy placer, whose queue of new connections drops the opening packet, was replaced after one ping of 350 ms. And timers that are due run before connections are read, so one late turn of the loop judged twenty executors and more silent at once. Change: only a refused connection says that the process is gone (its silence ends the wait, as before); one that came to nothing in time keeps new work away until the peer is heard. Time-outs of calls let the loop go round once before they judge. Ruled out: a longer time-out of the connection, which would hold jobs up during a cut.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -2,7 +2,7 @@
  * Takes jobs from callers to placers: here, or at another instance.
  */
 import type {Clock} from "@cottonwood/core"
-import type {FleetView} from "../fleet/members.js"
+import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {JobMessage, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
@@ -117,12 +117,16 @@
 			const host = hosts.of(failureDomain)
 			return host !== undefined && (host.placer.canServe() || host.placer.isBeginning())
 		}
-		return view.silentMs(placer.session) < PLACER_QUIET_MS && !view.isLeaving(placer.session)
+		return isNear(placer) && !view.isLeaving(placer.session)
+	}
+
+	function isNear({session}: Member): boolean {
+		return view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session)
 	}
 
 	/** It has found nobody to hand over to yet, and nobody else is heard: cut off, it is all that there is. */
 	function isLeavingPlacer({placer}: Claim): boolean {
-		return view.silentMs(placer.session) < PLACER_QUIET_MS && view.isLeaving(placer.session)
+		return isNear(placer) && view.isLeaving(placer.session)
 	}
 
 	/** A placer of which nothing is known either way; a last resort, since it may be cut off. */
@@ -184,7 +188,7 @@
 		if (reply) return reply
 		if (isCancelled) return {type: "given up", kind: "cancelled", cause: "its submitter left"}
 		if (call.wasUnsent()) {
-			view.noteUnreachable(claim.placer.session)
+			noteUnsent(view, claim.placer, call)
 			return {type: "unsent"}
 		}
 		return {type: "given up", kind: "placer_lost", cause: `${claim.placer.name} is silent`}
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -38,7 +38,14 @@
 	/** The session has just answered something else than a beat. */
 	noteHeard(session: string): void
 	/** Nothing listens where the session was: it is as good as silent for ever. */
-	noteUnreachable(session: string): void
+	noteGone(session: string): void
+	/**
+	 * A call did not get there in time, which says nothing of the session's life: a busy machine drops the first packet
+	 * of a connection too. It gets no new work until it is heard again.
+	 */
+	noteUnreached(session: string): void
+	/** Whether a call got nowhere since the session was heard last. */
+	isUnreached(session: string): boolean
 	isLeaving(session: string): boolean
 	/** Whether the session told last that it cannot keep up. */
 	isStrained(session: string): boolean
@@ -49,8 +56,11 @@
 	readonly at: number
 	readonly isLeaving: boolean
 	readonly isStrained?: boolean
+	readonly isUnreached?: boolean
 }
 
+const NEVER_HEARD: Heard = {at: -Infinity, isLeaving: false}
+
 export function createFleetView(clock: Clock, onClaim: (claim: Claim) => void): FleetView {
 	const members = new Map<string, Member>()
 	const claims = new Map<string, Claim>()
@@ -106,11 +116,23 @@
 		noteHeard(session) {
 			heard.set(session, {at: clock.now(), isLeaving: false})
 		},
-		noteUnreachable(session) {
-			heard.set(session, {at: -Infinity, isLeaving: false})
+		noteGone: session => void heard.set(session, NEVER_HEARD),
+		noteUnreached(session) {
+			heard.set(session, {...(heard.get(session) ?? NEVER_HEARD), isUnreached: true})
 		},
+		isUnreached: session => heard.get(session)?.isUnreached ?? false,
 		isStrained: session => heard.get(session)?.isStrained ?? false,
 		isLeaving: session => heard.get(session)?.isLeaving ?? false,
 		roomOf: failureDomain => rooms.get(failureDomain),
 	}
 }
+
+/** Notes what an unsent call to a member says of it: that its process is gone, or only that it was not reached in time. */
+export function noteUnsent(
+	view: FleetView,
+	{session}: Member,
+	call: {wasRefused(): boolean},
+): void {
+	if (call.wasRefused()) view.noteGone(session)
+	else view.noteUnreached(session)
+}
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -100,6 +100,8 @@
 	readonly reply: Promise<T | undefined>
 	/** After an `undefined` reply: whether the peer certainly never saw the call. */
 	wasUnsent(): boolean
+	/** After an `undefined` reply: whether nothing listens at the address, so that the peer's process is gone. */
+	wasRefused(): boolean
 	cancel(): void
 }
 
@@ -152,12 +154,14 @@
 	): PeerCall<T> {
 		const sent = clientOf(address).call(method, message, timeoutMs, confirmedAt)
 		let isUnsent = false
+		let isRefused = false
 		const reply = sent.reply.then(answer => {
 			isUnsent = answer.type === "no answer" && !answer.wasSent
+			isRefused = answer.type === "no answer" && answer.wasRefused
 			metrics.count("peer_calls", `${method}_${answer.type === "answer" ? "ok" : "silent"}`)
 			return answer.type === "answer" ? (answer.value as T) : undefined
 		})
-		return {reply, wasUnsent: () => isUnsent, cancel: sent.cancel}
+		return {reply, wasUnsent: () => isUnsent, wasRefused: () => isRefused, cancel: sent.cancel}
 	}
 
 	return {
--- a/packages/jobs/src/keep/kept-front.ts
+++ b/packages/jobs/src/keep/kept-front.ts
@@ -3,7 +3,7 @@
  * reads the store where no placer can tell.
  */
 import type {Store} from "@cottonwood/core"
-import type {FleetView} from "../fleet/members.js"
+import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {KeptMessage, KeptReply, Peers} from "../fleet/peers.js"
 import type {Claim, Room} from "../types/fleet.js"
 import {
@@ -59,7 +59,9 @@
 		const call = peers.kept(claim.placer.address, message, timeoutMs)
 		const reply = await call.reply
 		if (reply) return reply
-		return {type: call.wasUnsent() ? ("unsent" as const) : ("silent" as const)}
+		if (!call.wasUnsent()) return {type: "silent" as const}
+		noteUnsent(view, claim.placer, call)
+		return {type: "unsent" as const}
 	}
 
 	async function accept(request: KeptJobRequest): Promise<AcceptReply> {
@@ -75,7 +77,6 @@
 			noteAsked(request.id, next, reply.type)
 			if (reply.type === "accepted" || reply.type === "unknown") return reply as AcceptReply
 			if (reply.type === "silent") return {type: "unknown", cause: `${next.placer.name} is silent`}
-			if (reply.type === "unsent") view.noteUnreachable(next.placer.session)
 			if (reply.type === "refused") refusal = reply as AcceptReply
 			const wanted = reply.type === "redirect" ? view.claimOf(reply.failureDomain) : undefined
 			next = wanted ?? deps.candidates().find(claim => !tried.has(claim.failureDomain))
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -57,7 +57,7 @@
 				const reply = clock
 					.sleep(Math.min(answerAfterMs, timeoutMs))
 					.then(() => (isInTime ? {isTaken} : undefined))
-				return {reply, wasUnsent: () => false, cancel: () => undefined}
+				return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
 			},
 		},
 	})
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -204,7 +204,7 @@
 				...PEERS,
 				runJob: () => ({
 					reply: Promise.resolve(reply as never),
-					wasUnsent: () => false,
+					wasUnsent: () => false, wasRefused: () => false,
 					cancel: ignore,
 				}),
 			},
@@ -285,7 +285,7 @@
 				...PEERS,
 				runTask: () => ({
 					reply: Promise.resolve(replies.shift() as never),
-					wasUnsent: () => false,
+					wasUnsent: () => false, wasRefused: () => false,
 					cancel: ignore,
 				}),
 			},
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -57,6 +57,7 @@
 				return {
 					reply,
 					wasUnsent: () => call.wasUnsent,
+					wasRefused: () => false,
 					cancel: () => void (call.isCancelled = true),
 				}
 			},
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -44,7 +44,7 @@
 			runJob(address) {
 				asked.push(address)
 				const reply = Promise.resolve<JobReply>({type: "completed"})
-				return {reply, wasUnsent: () => false, cancel: () => undefined}
+				return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
 			},
 		},
 		hosts: {
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -188,7 +188,7 @@
 				if (!isApart(from, to)) for (const listener of listeners) listener()
 			})
 		}
-		return {reply, wasUnsent: () => false, cancel}
+		return {reply, wasUnsent: () => false, wasRefused: () => false, cancel}
 	}
 
 	const domainAt = (address: string) => address.split("-")[0] as string
--- a/packages/wire/src/json-client.ts
+++ b/packages/wire/src/json-client.ts
@@ -37,14 +37,23 @@
 /** What became of a call: an answer, or nothing that can be told. */
 export type JsonReply =
 	| {readonly type: "answer"; readonly value: unknown}
-	/** `wasSent` is false when the call was never sent, so the peer cannot have seen it. */
-	| {readonly type: "no answer"; readonly cause: string; readonly wasSent: boolean}
+	/**
+	 * `wasSent` is false when the call was never sent, so the peer cannot have seen it. `wasRefused`: the machine has
+	 * answered that nothing listens there, so the process is gone; a busy one is merely not reached in time.
+	 */
+	| {
+			readonly type: "no answer"
+			readonly cause: string
+			readonly wasSent: boolean
+			readonly wasRefused: boolean
+	  }
 
 /** There is none, and an attempt has got nowhere a short while ago. */
 const NO_CONNECTION = Object.freeze({
 	type: "no answer",
 	cause: "no connection in time",
 	wasSent: false,
+	wasRefused: false,
 }) satisfies JsonReply
 
 export interface JsonCall {
@@ -83,6 +92,12 @@
 	readonly close: () => void
 }
 
+/** In the library's text for an attempt to connect that was answered by a reset. */
+const REFUSED = "ECONNREFUSED"
+
+/** Timers that are due run before what lies in the connections is read: a late process reads it first, and judges then. */
+const afterReading = (callback: () => void) => setImmediate(() => setImmediate(callback))
+
 const isWantedNow = () => Infinity
 
 /** Opens a client to an address; it connects on first use. */
@@ -115,9 +130,10 @@
 		function breakOff(cause: string) {
 			clearTimeout(timer)
 			isBroken = true
+			const wasRefused = cause.includes(REFUSED)
 			if (current === exchange) current = undefined
 			for (const {settle, isSent} of [...pending.values()])
-				settle({type: "no answer", cause, wasSent: isSent})
+				settle({type: "no answer", cause, wasSent: isSent, wasRefused})
 			pending.clear()
 		}
 
@@ -152,7 +168,7 @@
 
 		function cancel(call: Pending, cause: string) {
 			if (!pending.delete(call.id)) return
-			call.settle({type: "no answer", cause, wasSent: call.isSent})
+			call.settle({type: "no answer", cause, wasSent: call.isSent, wasRefused: false})
 			if (call.isSent) send({id: call.id, cancel: true})
 		}
 
@@ -218,7 +234,7 @@
 				const madeAt = performance.now()
 				const call = {id, method, message, madeAt, confirmedAt, settle, isSent: false}
 				giveUp = cause => exchange.cancel(call, cause)
-				const timer = setTimeout(() => giveUp("no answer in time"), timeoutMs)
+				const timer = setTimeout(() => afterReading(() => giveUp("no answer in time")), timeoutMs)
 				exchange.begin(call)
 			})
 			return {reply, cancel: () => giveUp("cancelled")}
@@ -239,6 +255,7 @@
 }
 
 function replyOf({value, error}: AnswerFrame): JsonReply {
-	if (error !== undefined) return {type: "no answer", cause: error, wasSent: true}
+	if (error !== undefined)
+		return {type: "no answer", cause: error, wasSent: true, wasRefused: false}
 	return {type: "answer", value}
 }
--- a/packages/wire/test/json-service.test.ts
+++ b/packages/wire/test/json-service.test.ts
@@ -111,7 +111,7 @@
 	it("knows that a peer to which there never was a connection has not seen a call", async () => {
 		const client = connectJson("test.Service", await freeAddress())
 		const reply = await client.call("now", {}, 1_000).reply
-		expect(reply).to.include({type: "no answer", wasSent: false})
+		expect(reply).to.include({type: "no answer", wasSent: false, wasRefused: true})
 		client.close()
 	})
 
@@ -142,7 +142,8 @@
 		const client = connectJson("test.Service", address)
 		const begunAt = performance.now()
 		const reply = await client.call("now", {}, 5_000).reply
-		expect(reply).to.include({type: "no answer", wasSent: false})
+		// The machine is there and busy, or cut off: nothing says that the process is gone.
+		expect(reply).to.include({type: "no answer", wasSent: false, wasRefused: false})
 		expect(performance.now() - begunAt).to.be.within(250, 600)
 		for (const socket of sockets) socket.destroy()
 		await new Promise(resolve => mute.close(resolve))
