Wait longer for the word of a placer that is late, and judge later where the judge is late

Beats, questions and answers were all late by the same load. Ruled out: a sign of life from the store's leases, which are renewed by the same loop and lapse with the store; the kernel's own answers, which a frozen process gives too. Tests: a placer that beats each 1.2 s and answers after 0.9 s loses its domain unless it told 300 ms of lateness, or the judge has as much; a dead one is replaced all the same. 39 tests of fleet, strain and beats pass.

--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -61,8 +61,11 @@
 	take(message: FleetDatagram): void
 	/** The room here may have changed: other placers are told soon if it has. */
 	noteRoomChange(): void
-	/** Asks a member for a sign of life; resolves with the session that answers at its address, if any does. */
-	ping(member: Member): Promise<string | undefined>
+	/**
+	 * Asks a member for a sign of life, and waits for it so much longer than usual; resolves with the session that
+	 * answers at its address, if any does.
+	 */
+	ping(member: Member, patienceMs: number): Promise<string | undefined>
 	close(): void
 }
 
@@ -178,8 +181,8 @@
 			if (isLookDue) return
 			lookSoon(Math.max(0, lastRoomAt + pacedMs(URGENT_ROOM_MS) - clock.now()))
 		},
-		async ping(member) {
-			const answer = await peers.beat(member.address, own(), PING_TIMEOUT_MS)
+		async ping(member, patienceMs) {
+			const answer = await peers.beat(member.address, own(), PING_TIMEOUT_MS + patienceMs)
 			if (answer) deps.onBeat(answer)
 			return answer?.from.session
 		},
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -50,6 +50,8 @@
 	isLeaving(session: string): boolean
 	/** Whether the session told last that it cannot keep up. */
 	isStrained(session: string): boolean
+	/** By how much the session was late when it was heard last, by its own word, in milliseconds. */
+	lateMs(session: string): number
 	roomOf(failureDomain: string): ToldRoom | undefined
 }
 
@@ -74,6 +76,7 @@
 	readonly isLeaving: boolean
 	readonly isStrained?: boolean
 	readonly isUnreached?: boolean
+	readonly lateMs?: number
 }
 
 const NEVER_HEARD: Heard = {at: -Infinity, isLeaving: false}
@@ -115,8 +118,8 @@
 		},
 		takeBeat(beat) {
 			const at = clock.now()
-			const {isLeaving, isStrained} = beat
-			heard.set(beat.from.session, {at, isLeaving, isStrained})
+			const {isLeaving, isStrained, lateMs} = beat
+			heard.set(beat.from.session, {at, isLeaving, isStrained, lateMs})
 			for (const claim of beat.claims) noteClaim(claim)
 			for (const [failureDomain, room] of Object.entries(beat.rooms)) {
 				const claim = claims.get(failureDomain)
@@ -153,6 +156,7 @@
 		},
 		isUnreached: session => heard.get(session)?.isUnreached ?? false,
 		isStrained: session => heard.get(session)?.isStrained ?? false,
+		lateMs: session => heard.get(session)?.lateMs ?? 0,
 		isLeaving: session => heard.get(session)?.isLeaving ?? false,
 		roomOf: failureDomain => rooms.get(failureDomain),
 	}
--- a/packages/jobs/src/fleet/strain.ts
+++ b/packages/jobs/src/fleet/strain.ts
@@ -17,8 +17,13 @@
 /** Work that goes elsewhere leaves timers in time, though the machine is as slow as before. */
 const LASTING_MS = 2_000
 
+/** Lateness is told for so long: the time in which a late process would have told others that it lives. */
+const LATE_TOLD_MS = 2_000
+
 export interface Strain {
 	isStrained(): boolean
+	/** By how much a timer was late at most a short while ago, in milliseconds. */
+	lateMs(): number
 	close(): void
 }
 
@@ -26,16 +31,22 @@
 	const startedAt = clock.now()
 	let lateInARow = 0
 	let strainedAt = -Infinity
+	let worst = {lateMs: 0, at: -Infinity}
 	let isClosed = false
 
 	function sample(dueAt: number) {
 		const now = clock.now()
+		noteLateness(now - dueAt, now)
 		const isLate = now - dueAt >= LATE_MS && now - startedAt >= WARM_UP_MS
 		lateInARow = isLate ? lateInARow + 1 : 0
 		if (lateInARow >= LATE_IN_A_ROW) strainedAt = now
 		next()
 	}
 
+	function noteLateness(lateMs: number, now: number) {
+		if (lateMs >= worst.lateMs || now - worst.at >= LATE_TOLD_MS) worst = {lateMs, at: now}
+	}
+
 	function next() {
 		if (isClosed) return
 		const dueAt = clock.now() + SAMPLE_MS
@@ -44,6 +55,7 @@
 
 	next()
 	return {
+		lateMs: () => worst.lateMs,
 		isStrained: () => clock.now() - strainedAt < LASTING_MS,
 		close() {
 			isClosed = true
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -19,7 +19,7 @@
 import {watchStrain} from "./fleet/strain.js"
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
-import {createExecutorList} from "./place/executor-list.js"
+import {createExecutorList, type ExecutorList} from "./place/executor-list.js"
 import type {LeaseRule} from "./place/lease-rule.js"
 import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
@@ -147,16 +147,7 @@
 		queueOf: name => config.current()?.queues.find(queue => queue.name === name),
 	})
 
-	const executors = createExecutorList({
-		clock,
-		store,
-		log,
-		prefix: deps.executorPrefix,
-		metrics,
-		decode: deps.decodeExecutor,
-		onList: records => hosts.setExecutors(servedBy(records, config.current())),
-		isNeeded: () => hosts.isPlacing(),
-	})
+	const executors = followExecutors(clock, deps, hosts, config.current)
 
 	const ownBeat = (): Beat => ({
 		from: self,
@@ -164,6 +155,7 @@
 		rooms: hosts.rooms(),
 		isLeaving,
 		isStrained: strain.isStrained(),
+		lateMs: Math.round(strain.lateMs()),
 		configVersion: config.current()?.version ?? 0,
 	})
 
@@ -241,6 +233,7 @@
 		failureDomains: () => settings.failureDomains,
 		isLeaving: () => isLeaving,
 		ping: beats.ping,
+		ownLateMs: strain.lateMs,
 		canReachExecutors: domain => canReachExecutors(deps, domain),
 	})
 
@@ -288,6 +281,25 @@
 	return {current: () => current, refresh: follower.refresh, close: follower.close}
 }
 
+/** The platform's list of executors, for the domains that are placed here. */
+function followExecutors(
+	clock: Clock,
+	{store, log, metrics, executorPrefix, decodeExecutor}: InstanceDeps,
+	hosts: Hosts,
+	config: () => FleetConfig | undefined,
+): ExecutorList {
+	return createExecutorList({
+		clock,
+		store,
+		log,
+		metrics,
+		prefix: executorPrefix,
+		decode: decodeExecutor,
+		onList: records => hosts.setExecutors(servedBy(records, config())),
+		isNeeded: () => hosts.isPlacing(),
+	})
+}
+
 /** An entry with a service that the configuration does not name is another writer's. */
 function servedBy(
 	records: readonly ExecutorRecord[],
--- a/packages/jobs/src/types/fleet.ts
+++ b/packages/jobs/src/types/fleet.ts
@@ -44,6 +44,8 @@
 	readonly isLeaving: boolean
 	/** The sender cannot keep up with what it has to do; no domain should be given to it. */
 	readonly isStrained?: boolean
+	/** By how much the sender's timers were late of late, in milliseconds: its next word may be as late, and is waited for. */
+	readonly lateMs?: number
 	readonly configVersion: number
 }
 
