Say that a job has not run when its placer loses the domain before anything of it started

Cause: all jobs of a placer that lost its domain were answered as open (502), also those of which every task still waited; unsafe calls can't be sent again after that.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -224,6 +224,13 @@
 		finish({type: "refused", kind: "overloaded", cause})
 	}
 
+	/** Only what has started may run on under the next fence; the rest may be said not to have run, and come again. */
+	function abandon(cause: string) {
+		if (firstStartAt !== undefined) finish({type: "given up", kind: "placer_lost", cause})
+		else
+			finish({type: "refused", kind: "no_capacity", cause: `${cause}; nothing of it had started`})
+	}
+
 	const patienceMs = Math.min(
 		objectiveMs * UNSTARTED_OBJECTIVES,
 		(job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE,
@@ -238,6 +245,6 @@
 	return {
 		ended,
 		cancel: () => giveUp("cancelled"),
-		abandon: cause => finish({type: "given up", kind: "placer_lost", cause}),
+		abandon,
 	}
 }
--- a/packages/jobs/test/job-run.test.ts
+++ b/packages/jobs/test/job-run.test.ts
@@ -108,6 +108,23 @@
 		expect(started.submitted[0]?.isCancelled).to.equal(true)
 	})
 
+	/*
+	 * Callers can't send an unsafe call again after an answer that leaves open whether it ran. When a placer lost its domain,
+	 * all its jobs got such an answer, also those of which every task still waited. Settled by `job_given_up` lines with
+	 * `placer_lost` for jobs without any `task_started`.
+	 */
+	it("may come again when its placer loses the domain before anything has started", async () => {
+		const unstarted = createWorld([{count: 2}])
+		unstarted.run.abandon("another claim was written")
+		await settle()
+		expect(unstarted.end()).to.deep.include({type: "refused", kind: "no_capacity"})
+		const started = createWorld([{count: 2}])
+		started.submitted[0]?.onStart()
+		started.run.abandon("another claim was written")
+		await settle()
+		expect(started.end()).to.deep.include({type: "given up", kind: "placer_lost"})
+	})
+
 	it("stops all that is left when its submitter leaves", async () => {
 		const {submitted, run} = createWorld([{count: 3}])
 		submitted[0]?.onStart()
