--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -1,22 +1,29 @@
 /**
  * Gives kept jobs that find no room in their failure domain to one that told of some.
  */
+import type {Clock} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
 import type {JobRecord} from "../types/kept-job.js"
-import type {KeeperDeps} from "./keeper.js"
 import type {KeptJob} from "./kept-job.js"
 import type {Ledger} from "./ledger.js"
 import type {OpenJobs} from "./open-jobs.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
 
 /** A job of which nothing runs moves after this; the users' limit is 3 s. */
 const IDLE_MS = 700
 /** Run numbers of two placers of one job are this far apart; more than any job's runs. */
 const RUNS_PER_FENCE = 10_000
 
-export interface MovingDeps extends Pick<
-	KeeperDeps,
-	"clock" | "log" | "metrics" | "claim" | "domainWithRoom" | "tellHome"
-> {
+export interface MovingDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly claim: Claim
+	/** A domain that told of room for so many thousandths of a core, if there is one. */
+	readonly domainWithRoom: (cpu: number) => Claim | undefined
+	/** Tells the placer of another domain that a job is its own now. */
+	readonly tellHome: (claim: Claim, id: string) => void
 	readonly jobs: OpenJobs
 	readonly ledger: Ledger
 	readonly isClosed: () => boolean
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -7,13 +7,12 @@
  * successor reads all records of its home, adopts the runs that executors list under its fence, and
  * starts the rest once nothing of the placer before can run unseen.
  */
-import type {Clock, StoreItem, TransactionalStore} from "@cottonwood/core"
+import type {StoreItem, TransactionalStore} from "@cottonwood/core"
 import {claimKey, isClaim} from "../fleet/members.js"
 import type {Placer} from "../place/placer.js"
 import type {TaskEnd, TaskEnded} from "../place/run.js"
 import type {KeptRuns} from "../place/link-state.js"
 import type {Queue} from "../types/fleet-config.js"
-import type {Claim} from "../types/fleet.js"
 import {
 	OPEN_JOBS_PREFIX,
 	openKey,
@@ -22,10 +21,8 @@
 	type JobState,
 	type KeptJobRequest,
 } from "../types/kept-job.js"
-import type {EventLog} from "../utils/log.js"
-import type {JobMetrics} from "../utils/metrics.js"
 import type {WallClock} from "../utils/wall-clock.js"
-import {beginMoving, runBaseUnder} from "./job-moves.js"
+import {beginMoving, runBaseUnder, type MovingDeps} from "./job-moves.js"
 import {startKeptJob, type KeptJob} from "./kept-job.js"
 import {createLedger, type Ledger, type LedgerDeps} from "./ledger.js"
 import {createOpenJobs} from "./open-jobs.js"
@@ -49,19 +46,11 @@
 	cause: "the store takes no writes",
 })
 
-export interface KeeperDeps {
-	readonly clock: Clock
+export interface KeeperDeps extends Omit<MovingDeps, "jobs" | "ledger" | "isClosed"> {
 	readonly wall: WallClock
 	readonly store: TransactionalStore
-	readonly log: EventLog
-	readonly metrics: JobMetrics
-	readonly claim: Claim
 	readonly spacingMs: () => number
 	readonly queueOf: (name: string) => Queue | undefined
-	/** A domain that told of room for so many thousandths of a core, if there is one. */
-	readonly domainWithRoom: (cpu: number) => Claim | undefined
-	/** Tells the placer of another domain that a job is its own now. */
-	readonly tellHome: (claim: Claim, id: string) => void
 	readonly onDeposed: () => void
 }
 
