Bound what beats remember of their readers

Cause: the fences that each session told were kept for ever, one entry for each life of each instance. Change: a thousand sessions; one that is forgotten is told all claims again. Test beside it; 8 tests of beats pass.

--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -25,6 +25,8 @@
 /** One piece of news of room with its packet's headers, for one failure domain. */
 const ROOM_NEWS_BYTES = 230
 const BYTES_PER_MS_AT_1_MBPS = 125
+/** Sessions whose fences are remembered, some 0.2 KB each; one that is forgotten is told all claims again. */
+const MAX_READERS = 1_000
 /** A sign of life that is asked for is missed after this; thirty times the longest way. */
 const PING_TIMEOUT_MS = 350
 /** A placer that was not heard for so long may have changed; everybody is told. */
@@ -164,9 +166,16 @@
 		for (const {address} of otherPlacers()) deps.send(address, news)
 	}
 
+	function noteKnownThere(session: string, fences: Fences) {
+		knownThere.delete(session)
+		knownThere.set(session, fences)
+		const [oldest] = knownThere.keys()
+		if (knownThere.size > MAX_READERS && oldest !== undefined) knownThere.delete(oldest)
+	}
+
 	function takeBeat(message: BeatMessage) {
 		const {from, fences, wantsAnswer, ...beat} = message
-		knownThere.set(from.session, fences)
+		noteKnownThere(from.session, fences)
 		deps.onBeat({...beat, from})
 		if (wantsAnswer) tell(from, false)
 	}
--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -147,6 +147,17 @@
 		expect(world.beatsSent().at(-1)).to.deep.include({claims: [], fences: {a: 1, b: 1}})
 	})
 
+	it("remembers so many sessions, and describes all claims to one that it has forgotten", async () => {
+		const world = createWorld()
+		world.beats.take(beatOfOther(world.other, {a: 1, b: 1}))
+		await world.clock.advance(200)
+		expect(world.beatsSent().at(-1)?.claims).to.eql([])
+		for (let at = 0; at < 1_000; at++)
+			world.beats.take(beatOfOther({...world.other, session: `s${at}`}, {a: 1, b: 1}))
+		await world.clock.advance(200)
+		expect(world.beatsSent().at(-1)?.claims).to.have.length(2)
+	})
+
 	it("describes a claim again until the reader tells its fence, whatever was lost", () => {
 		const world = createWorld()
 		for (let lost = 0; lost < 3; lost++) world.beats.take(beatOfOther(world.other, {b: 1}))
