--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -71,6 +71,11 @@
 	return queue.stretch * longestChainMs(job.steps) + queue.slackMs
 }
 
+/** For so long after its arrival an answer may be of use to the submitter, and is waited for, in milliseconds. */
+export function usefulForMs(job: Job, queue: Queue): number {
+	return Math.min(job.deadlineAt - job.receivedAt, objectiveMsOf(job, queue) * USELESS_OBJECTIVES)
+}
+
 /** The steady time after which a job cannot meet its objective any more. */
 export function latestUsefulStart(job: Job, queue: Queue): number {
 	return job.receivedAt + objectiveMsOf(job, queue) - longestChainMs(job.steps)
