--- a/packages/standins/test/leased.test.ts
+++ b/packages/standins/test/leased.test.ts
@@ -2,12 +2,23 @@
  * The program on the users' platform, as separate processes against a stand-in of it.
  */
 import {handIn, isReady} from "@cottonwood/standins"
-import type {EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
+import type {Edge, EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
 import {expect} from "chai"
 import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 
+/** A line is written within 100 ms; the work that is under way meanwhile takes 800. */
+const HEARD_WITHIN_MS = 500
+
+/** Waits until an instance has written a line of a kind; fails if it does not within the time. */
+async function untilSaid(edge: Edge, kind: string, withinMs: number) {
+	const until = performance.now() + withinMs
+	const isSaid = () => edge.lines.some(line => line["kind"] === kind)
+	while (!isSaid() && performance.now() < until) await sleep(5)
+	expect(isSaid()).to.equal(true)
+}
+
 let serial = 0
 const newId = () => (++serial + 0xabc000).toString(16).padStart(16, "0")
 
@@ -155,7 +166,8 @@
 		const pending = handIn(edge, newId(), {count: 2, spec: {workMs: 800}})
 		await sleep(200)
 		edge.child.kill("SIGTERM")
-		await sleep(50)
+		// Until it has had processor time to hear of the stop it answers as before: stopped for 110 ms, it said that it was ready.
+		await untilSaid(edge, "leaving", HEARD_WITHIN_MS)
 		expect(await isReady(edge)).to.equal(false)
 		expect((await pending).status).to.equal(200)
 		expect(await edge.exited).to.equal(0)
