--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -167,8 +167,8 @@
 
 	/*
 	 * On links of 2 Mbit/s a fleet of eighteen served nothing, not even on a day without trouble. Placers told each other of
-	 * room up to 66 times a second, each time with all claims and their members, over 2 KB in all: 0.7 MB a second
-	 * to five others, nearly three times what the link carries, so orders and answers waited behind it.
+	 * room up to 66 times a second, each time with all claims and their members, 1.7 KB in all: 0.57 MB a second
+	 * to five others, more than twice what the link carries, so orders and answers waited behind it.
 	 */
 	it("take no more than a small share of a narrow link, however often room changes", async () => {
 		const world = createWorld(2)
