Say in lines why the store was not heard, and how a version of the configuration was told

Five hypotheses about a version that was not in force could not be told apart by the lines: a lost watch gave neither its cause nor how long it had waited, and a version in force not whether it was listed or told, or with how many others.

The gauge config_heard_ms shows a watch that waits on a connection which says nothing: store_silent_ms stays 0 then, since other calls are answered. The following of the configuration has a file of its own. No change of logic.

--- /dev/null
+++ b/packages/jobs/src/fleet/configuration.ts
@@ -0,0 +1,77 @@
+/**
+ * The operators' configuration as this instance has it: the newest version that the store told and that could be read.
+ * The version in force only rises.
+ */
+import type {Clock, Store, StoreItem} from "@cottonwood/core"
+import type {Result} from "neverthrow"
+import type {FleetConfig} from "../types/fleet-config.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {followPrefix} from "./follow.js"
+
+export interface ConfigurationDeps {
+	readonly clock: Clock
+	readonly store: Store
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly configPrefix: string
+	readonly decodeConfig: (items: readonly StoreItem[]) => Result<FleetConfig, string> | undefined
+}
+
+export interface Configuration {
+	current(): FleetConfig | undefined
+	/** Somebody has a newer version: reads the store at once. */
+	noteNewer(version: number, peer: string): void
+	/** Reads the store at once. */
+	refresh(): void
+	/** Milliseconds since the store was last heard of the configuration; Infinity if never. */
+	heardMs(): number
+	close(): void
+}
+
+/** Follows the configuration in the store. */
+export function followConfiguration(deps: ConfigurationDeps): Configuration {
+	const {clock, store, log, metrics, configPrefix, decodeConfig} = deps
+	let current: FleetConfig | undefined
+	let newestElsewhere = 0
+
+	function noteUnreadable(cause: string) {
+		metrics.count("broken_assumptions", "config_undecodable")
+		log.alarm("config", "config_refused", "config: cannot be read; the last stays.", {cause})
+	}
+
+	function take(items: readonly StoreItem[], outcome: "listed" | "told") {
+		const decoded = decodeConfig(items)
+		if (!decoded) return
+		if (decoded.isErr()) return noteUnreadable(decoded.error)
+		if (current && decoded.value.version <= current.version) return
+		current = decoded.value
+		const {version: configVersion, queues} = current
+		const fields = {configVersion, count: queues.length, outcome, told: items.length}
+		log.alarm("config", "config_in_force", "config: a version is in force.", fields)
+	}
+
+	const follower = followPrefix({
+		clock,
+		store,
+		log,
+		prefix: configPrefix,
+		onListing: items => take(items, "listed"),
+		onChanges: items => take(items, "told"),
+	})
+	return {
+		current: () => current,
+		noteNewer(version, peer) {
+			if (version <= (current?.version ?? 0)) return
+			if (version > newestElsewhere) {
+				newestElsewhere = version
+				const fields = {configVersion: version, peer, inputAgeMs: Math.round(follower.heardMs())}
+				log.event("config", "config_behind", "config: a peer has a newer version.", fields)
+			}
+			follower.refresh()
+		},
+		refresh: follower.refresh,
+		heardMs: follower.heardMs,
+		close: follower.close,
+	}
+}
--- a/packages/jobs/src/fleet/follow.ts
+++ b/packages/jobs/src/fleet/follow.ts
@@ -23,6 +23,8 @@
 export interface Follower {
 	/** Lists now instead of waiting for the next change. */
 	refresh(): void
+	/** Milliseconds since the store last answered for the prefix; Infinity if never. */
+	heardMs(): number
 	close(): void
 }
 
@@ -32,11 +34,15 @@
 	let wake: () => void = () => undefined
 	let pauseMs = FIRST_PAUSE_MS
 	let lostSince: number | undefined
+	let heardAt = -Infinity
 
-	function noteLost() {
+	/** `outcome` is the call that was not answered, which began at `sentAt`. */
+	function noteLost(outcome: "listing" | "watch", sentAt: number) {
 		if (lostSince !== undefined) return
 		lostSince = clock.now()
-		log.event("store", "prefix_lost", "store: changes are no longer heard.", {detail: prefix})
+		const waitedMs = Math.round(lostSince - sentAt)
+		const fields = {detail: prefix, outcome, waitedMs}
+		log.event("store", "prefix_lost", "store: changes are no longer heard.", fields)
 	}
 
 	function noteHeard() {
@@ -47,15 +53,17 @@
 	}
 
 	async function list(): Promise<number | undefined> {
+		const sentAt = clock.now()
 		const listing = await store.list(prefix)
 		if (isClosed) return undefined
 		if (!listing) {
-			noteLost()
+			noteLost("listing", sentAt)
 			await clock.sleep(pauseMs)
 			pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2)
 			return undefined
 		}
 		pauseMs = FIRST_PAUSE_MS
+		heardAt = clock.now()
 		noteHeard()
 		deps.onListing(listing.items)
 		return listing.revision
@@ -66,14 +74,16 @@
 		while (!isClosed) {
 			revision ??= await list()
 			if (revision === undefined || isClosed) continue
+			const sentAt = clock.now()
 			const refreshed = new Promise<"refresh">(resolve => (wake = () => resolve("refresh")))
 			const change = await Promise.race([store.watch(prefix, revision, WATCH_MS), refreshed])
 			if (isClosed) return
 			if (change === "refresh" || change === undefined) {
-				if (change === undefined) noteLost()
+				if (change === undefined) noteLost("watch", sentAt)
 				revision = undefined
 				continue
 			}
+			heardAt = clock.now()
 			if (change.items.length + change.deleted.length > 0)
 				deps.onChanges(change.items, change.deleted)
 			revision = change.revision
@@ -83,6 +93,7 @@
 	void loop()
 	return {
 		refresh: () => wake(),
+		heardMs: () => clock.now() - heardAt,
 		close() {
 			isClosed = true
 			wake()
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -12,6 +12,7 @@
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
+import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {followPrefix} from "./fleet/follow.js"
 import {createFleetView, FLEET_PREFIX} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
@@ -97,7 +98,7 @@
 	let isLeaving = false
 	const strain = watchStrain(clock)
 	const news = watchNews(clock)
-	const config = followConfig(clock, deps)
+	const config = followConfiguration({...deps, clock})
 
 	const peers = createPeers(metrics)
 	const view = createFleetView(clock, claim => {
@@ -162,7 +163,7 @@
 	function takeBeat(beat: Beat) {
 		view.takeBeat(beat)
 		peers.noteReachable(beat.from.address)
-		if (beat.configVersion > (config.current()?.version ?? 0)) config.refresh()
+		config.noteNewer(beat.configVersion, beat.from.name)
 		if (hasRoom(beat.rooms)) hosts.walk()
 	}
 
@@ -237,7 +238,7 @@
 		canReachExecutors: domain => canReachExecutors(deps, domain),
 	})
 
-	publishFigures(clock, metrics, hosts, store, news, () => config.current()?.version ?? 0)
+	publishFigures(clock, metrics, hosts, store, news, config)
 
 	return {
 		config: config.current,
@@ -261,26 +262,6 @@
 	}
 }
 
-/** The configuration in force: the newest that was read and understood. */
-function followConfig(clock: Clock, deps: InstanceDeps) {
-	const {store, log, configPrefix, decodeConfig} = deps
-	let current: FleetConfig | undefined
-
-	function take(items: readonly StoreItem[]) {
-		const decoded = decodeConfig(items)
-		if (!decoded) return
-		if (decoded.isErr()) return noteBadConfig(deps, decoded.error)
-		if (current && decoded.value.version <= current.version) return
-		current = decoded.value
-		const fields = {configVersion: current.version, count: current.queues.length}
-		log.alarm("config", "config_in_force", "config: a version is in force.", fields)
-	}
-
-	const listeners = {onListing: take, onChanges: take}
-	const follower = followPrefix({clock, store, log, prefix: configPrefix, ...listeners})
-	return {current: () => current, refresh: follower.refresh, close: follower.close}
-}
-
 /** The platform's list of executors, for the domains that are placed here. */
 function followExecutors(
 	clock: Clock,
@@ -344,11 +325,6 @@
 	log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 }
 
-function noteBadConfig({metrics, log}: InstanceDeps, cause: string) {
-	metrics.count("broken_assumptions", "config_undecodable")
-	log.alarm("config", "config_refused", "config: cannot be read; the last stays.", {cause})
-}
-
 function noteDatagramError({metrics, log}: InstanceDeps, error: Error) {
 	metrics.count("broken_assumptions", "datagram")
 	log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
@@ -364,14 +340,15 @@
 	hosts: Hosts,
 	store: Store,
 	news: News,
-	configVersion: () => number,
+	config: Configuration,
 ) {
 	metrics.gauge("tasks_waiting", () => hosts.counts().waiting)
 	metrics.gauge("tasks_running", () => hosts.counts().running)
 	metrics.gauge("executors_usable", () => hosts.counts().usable)
 	metrics.gauge("claims_held", () => Object.keys(hosts.rooms()).length)
 	metrics.gauge("kept_jobs", () => hosts.counts().kept)
-	metrics.gauge("config_version", configVersion)
+	metrics.gauge("config_version", () => config.current()?.version ?? 0)
+	metrics.gauge("config_heard_ms", () => Math.round(config.heardMs()))
 	metrics.gauge("news_age_ms", () => Math.round(clock.now() - news.knownAt()))
 	metrics.gauge("store_silent_ms", () => store.silentMs())
 	probeLoop(clock, metrics)
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -56,6 +56,8 @@
 	readonly deadlineInMs?: number
 	readonly estimateMs?: number
 	readonly count?: number
+	/** How many items one answer of the store held. */
+	readonly told?: number
 	readonly freeCpu?: number
 	readonly needCpu?: number
 	readonly waitingTasks?: number
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -56,6 +56,7 @@
 	| "claims_held"
 	| "kept_jobs"
 	| "config_version"
+	| "config_heard_ms"
 	| "news_age_ms"
 	| "store_silent_ms"
 
--- a/packages/standins/src/fleet/link.ts
+++ b/packages/standins/src/fleet/link.ts
@@ -1,7 +1,7 @@
 /**
  * A TCP link that can fail: while cut, open connections go silent and new ones get no answer, as behind a
  * lost switch; while cut one way, what is sent arrives and no answer comes back; it can be slow, and its
- * connections can be reset.
+ * connections can be reset, or go silent for good while new ones work.
  */
 import {connect, createServer, type Socket} from "node:net"
 
@@ -14,6 +14,8 @@
 	delay(ms: number): void
 	/** Resets all open connections. */
 	reset(): void
+	/** Open connections say nothing more, to either side, and do not end; new ones work. */
+	hush(): void
 	mend(): void
 	close(): void
 }
@@ -24,11 +26,15 @@
 	let losesAnswers = false
 	let delayMs = 0
 	const sockets = new Set<Socket>()
+	const hushed = new Set<Socket>()
 
 	function track(socket: Socket) {
 		sockets.add(socket)
 		socket.on("error", () => socket.destroy())
-		socket.on("close", () => sockets.delete(socket))
+		socket.on("close", () => {
+			sockets.delete(socket)
+			hushed.delete(socket)
+		})
 	}
 
 	const server = createServer(near => {
@@ -38,13 +44,13 @@
 		track(far)
 		near.pipe(far)
 		far.on("data", (chunk: Buffer) => {
-			if (losesAnswers) return
+			if (losesAnswers || hushed.has(far)) return
 			if (delayMs === 0) near.write(chunk)
 			else setTimeout(() => near.writable && near.write(chunk), delayMs)
 		})
-		far.on("end", () => near.end())
+		far.on("end", () => !hushed.has(far) && near.end())
 		near.on("close", () => far.destroy())
-		far.on("close", () => near.destroy())
+		far.on("close", () => !hushed.has(far) && near.destroy())
 	})
 	return new Promise(resolve => {
 		server.listen(0, "127.0.0.1", () => {
@@ -67,6 +73,14 @@
 				reset() {
 					for (const socket of sockets) socket.resetAndDestroy()
 				},
+				hush() {
+					for (const socket of sockets) {
+						hushed.add(socket)
+						socket.unpipe()
+						// What is still sent is read and lost, as by a lost switch.
+						socket.resume()
+					}
+				},
 				mend() {
 					isCut = false
 					losesAnswers = false
