--- a/packages/jobs/src/fleet/configuration.ts
+++ b/packages/jobs/src/fleet/configuration.ts
@@ -21,6 +21,8 @@
 	readonly onInForce: () => void
 }
 
+/** With the patience for an answer (0.9 s) just within the bound on a new version (2 s). */
+const WATCH_MS = 1_000
 /** One key, so that listing it costs what a watch does: a change that was never told is missed for so long at most. */
 const WHOLE_MS = 5_000
 
@@ -71,6 +73,7 @@
 		store,
 		log,
 		prefix: configPrefix,
+		waitMs: WATCH_MS,
 		wholeMs: WHOLE_MS,
 		onListing: listing => takeAll(listing, "listed"),
 		onChange: change => takeAll(change, "told"),
--- a/packages/jobs/src/fleet/follow.ts
+++ b/packages/jobs/src/fleet/follow.ts
@@ -2,17 +2,12 @@
  * Follows the keys under a prefix of the store: a listing, then its changes, and a listing again whenever the changes
  * were lost, somebody asks for it, or the last one is old.
  *
- * A connection may go silent for good while the store serves others, so no watch is waited for longer than the
- * shortest bound on a change allows. A change is handed on as the store told it: its writes in their order, then what is gone.
+ * A connection may go silent for good while the store serves others, so no watch is waited for longer than the bound on a
+ * change of its prefix allows. A change is handed on as the store told it: its writes in their order, then what is gone.
  */
 import type {Clock, Store, StoreChange, StoreListing} from "@cottonwood/core"
 import type {EventLog} from "../utils/log.js"
 
-/**
- * A waiting watch is renewed after this. With the patience for its answer (0.9 s) and a listing, a watch that was lost
- * without a word is missed within the shortest bounds on a change (2 s).
- */
-const WATCH_MS = 600
 /** After a failed listing, and between two listings while watches fail; doubled up to the longest until one is answered. */
 const FIRST_PAUSE_MS = 80
 /** The store's return is noticed so much later at most; five listings within the shortest bound, should it answer those alone. */
@@ -25,6 +20,11 @@
 	readonly store: Store
 	readonly log: EventLog
 	readonly prefix: string
+	/**
+	 * A waiting watch is renewed after this, in milliseconds. One that was lost without a word is missed so much later at
+	 * most, and the patience for its answer (0.9 s); each renewal is a call.
+	 */
+	readonly waitMs: number
 	/** The whole prefix is listed this often, in milliseconds, whatever the changes said. */
 	readonly wholeMs: number
 	/** Nobody here needs the prefix while this is false; always needed by default. */
@@ -46,7 +46,7 @@
 
 /** Begins to follow at once; goes on until it is closed. */
 export function followPrefix(deps: FollowDeps): Follower {
-	const {clock, store, log, prefix, wholeMs} = deps
+	const {clock, store, log, prefix, waitMs, wholeMs} = deps
 	const isNeeded = deps.isNeeded ?? (() => true)
 	let isClosed = false
 	let isRefreshDue = false
@@ -113,7 +113,7 @@
 				resolve(undefined)
 			}
 		})
-		const answer = store.watch(prefix, revision, WATCH_MS, stop.signal)
+		const answer = store.watch(prefix, revision, waitMs, stop.signal)
 		const change = await Promise.race([answer, interrupted])
 		if (!change && !stop.signal.aborted) noteLost("watch", sentAt)
 		return change
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -35,6 +35,8 @@
 /** Executors that are asked before a foreign failure domain is taken over. */
 const REACH_SAMPLES = 3
 const LOOP_PROBE_MS = 500
+/** Claims are told by beats too, within a fifth of a second; who is a member changes seldom. */
+const FLEET_WATCH_MS = 3_000
 /** All members and claims, some 0.4 KB each as they are listed: 100 of them are 0.7 KB a second. */
 const FLEET_WHOLE_MS = 60_000
 
@@ -183,6 +185,7 @@
 		store,
 		log,
 		prefix: FLEET_PREFIX,
+		waitMs: FLEET_WATCH_MS,
 		wholeMs: FLEET_WHOLE_MS,
 		onListing({items}) {
 			view.takeListing(items)
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -392,6 +392,7 @@
 			store,
 			log: silentLog,
 			prefix: "p/",
+			waitMs: 1_000,
 			wholeMs: Infinity,
 			onListing: ({items}) => void listings.push(items.length),
 			onChange: () => undefined,
--- a/packages/jobs/test/follow.test.ts
+++ b/packages/jobs/test/follow.test.ts
@@ -26,6 +26,7 @@
 		store,
 		log: silentLog,
 		prefix: "p/",
+		waitMs: 1_000,
 		wholeMs: Infinity,
 		onListing: ({revision}) => void listed.push(revision),
 		onChange: () => undefined,
