Renew the watch of the product's own interface every 2 s

A failure domain without peers then had an old configuration, and old sessions and owners. The new test fails on the code before (version 1 after 5 s) and passes now. Worked out: half a call a second and instance more.

--- a/packages/entry/src/fleet/live-view.ts
+++ b/packages/entry/src/fleet/live-view.ts
@@ -40,7 +40,8 @@
 	readonly onChange: () => void
 }
 
-const WATCH_MS = 25_000
+/** A connection may go silent for good: a change is missed for so long at most, and the patience for an answer. */
+const WATCH_MS = 2_000
 const RETRY_BASE_MS = 100
 const RETRY_CAP_MS = 2_000
 
--- a/packages/standins/src/fleet/fleet-links.ts
+++ b/packages/standins/src/fleet/fleet-links.ts
@@ -20,6 +20,8 @@
 	/** Tells where an entry instance listens for its peers now. */
 	setPeerPort(instance: string, port: number): void
 	cut(failureDomain: string, what: readonly CutKind[]): void
+	/** Open connections to the platform go silent for good; new ones work. */
+	hushPlatform(failureDomain: string): void
 	mend(failureDomain: string): void
 	close(): void
 }
@@ -63,6 +65,7 @@
 				if (what.includes("from peers") && to === failureDomain) link.cut()
 			}
 		},
+		hushPlatform: failureDomain => platformLinks.get(failureDomain)!.hush(),
 		mend(failureDomain) {
 			platformLinks.get(failureDomain)!.mend()
 			for (const {from, to, link} of peerLinks.values()) {
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -34,6 +34,8 @@
 	restartEntry(name: string): Promise<FleetEntry>
 	/** Cuts what a failure domain sends to the platform or to peers, or gets from peers. */
 	cut(failureDomain: string, what: readonly CutKind[]): void
+	/** Open connections of a failure domain to the platform go silent for good; new ones work. */
+	hushPlatform(failureDomain: string): void
 	mend(failureDomain: string): void
 	waitReady(): Promise<void>
 	stop(): Promise<void>
@@ -184,6 +186,7 @@
 			return entry
 		},
 		cut: (failureDomain, what) => links!.cut(failureDomain, what),
+		hushPlatform: failureDomain => links!.hushPlatform(failureDomain),
 		mend: failureDomain => links!.mend(failureDomain),
 		waitReady: () =>
 			waitFor("all entry instances to be ready and all shards to be owned", () =>
--- a/packages/standins/test/promises.test.ts
+++ b/packages/standins/test/promises.test.ts
@@ -366,6 +366,20 @@
 			for (const entry of fleet.entries) expect(await versionAt(entry.url)).to.equal(2)
 		}))
 
+	/*
+	 * The watch of a failure domain that is cut off from its peers lay on a connection which went silent: a watch was waited for up
+	 * to 25 s, as long as it asks the store to wait. Settled by the time until the version was in force there.
+	 */
+	it("reaches a failure domain without peers whose connections to the platform went silent", () =>
+		withFleet({}, async fleet => {
+			fleet.cut("fd2", ["to peers", "from peers"])
+			fleet.hushPlatform("fd2")
+			const changed = await change(fleet.entries[0]!.url, 1, "ana")
+			expect(changed.status).to.equal(200)
+			await sleep(5_000)
+			for (const entry of fleet.entries) expect(await versionAt(entry.url)).to.equal(2)
+		}))
+
 	it("whose acceptance was lost is found again by reading back", () =>
 		withFleet({}, async fleet => {
 			await fleet.setFaults({loseAnswers: 0.6})
