Add tests of looking for executors of other domains, two of which fail

Five looks each 0.5 s are 250 KB a second (by arithmetic), the whole of a link of 2 Mbit/s, so that no placer is heard and the looks go on. In the tests eight rounds of five looks read the list 40 times.

The looking has a module of its own, its logic unchanged.

--- /dev/null
+++ b/packages/jobs/src/fleet/reach.ts
@@ -0,0 +1,44 @@
+/**
+ * Whether executors of a failure domain are in reach from here, which a foreign domain must be before it is taken over.
+ */
+import type {Clock, Store, StoreItem} from "@cottonwood/core"
+import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
+
+const REACH_TIMEOUT_MS = 250
+/** Executors that are asked before a foreign failure domain is taken over. */
+const REACH_SAMPLES = 3
+
+export interface ReachDeps {
+	readonly clock: Clock
+	readonly store: Store
+	readonly orders: Pick<ExecutorOrders, "isReachable">
+	readonly executorPrefix: string
+	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
+	/** The list of executors as it is followed here; undefined while it is not. */
+	readonly followed: () => readonly ExecutorRecord[] | undefined
+}
+
+export interface Reach {
+	/** Whether any of a few executors of a failure domain answers. */
+	canReachExecutors(failureDomain: string): Promise<boolean>
+}
+
+export function createReach({store, orders, executorPrefix, decodeExecutor}: ReachDeps): Reach {
+	async function listed(): Promise<readonly ExecutorRecord[]> {
+		const listing = await store.list(executorPrefix)
+		return (listing?.items ?? []).flatMap(item => decodeExecutor(item) ?? [])
+	}
+
+	return {
+		async canReachExecutors(failureDomain) {
+			const records = await listed()
+			const samples = records
+				.filter(record => record.failureDomain === failureDomain)
+				.slice(0, REACH_SAMPLES)
+			const answers = await Promise.all(
+				samples.map(record => orders.isReachable(record, REACH_TIMEOUT_MS)),
+			)
+			return answers.includes(true)
+		},
+	}
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -16,6 +16,7 @@
 import {followPrefix} from "./fleet/follow.js"
 import {createFleetView, FLEET_PREFIX} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
+import {createReach} from "./fleet/reach.js"
 import {beginRegistration} from "./fleet/registration.js"
 import {watchStrain} from "./fleet/strain.js"
 import type {KeptFront} from "./keep/kept-front.js"
@@ -31,9 +32,6 @@
 import type {JobMetrics} from "./utils/metrics.js"
 import {watchNews, type News} from "./utils/news.js"
 
-const REACH_TIMEOUT_MS = 250
-/** Executors that are asked before a foreign failure domain is taken over. */
-const REACH_SAMPLES = 3
 const LOOP_PROBE_MS = 500
 /** Claims are told by beats too, within a fifth of a second; who is a member changes seldom. */
 const FLEET_WATCH_MS = 3_000
@@ -245,7 +243,7 @@
 		isLeaving: () => isLeaving,
 		ping: beats.ping,
 		ownLateMs: strain.lateMs,
-		canReachExecutors: domain => canReachExecutors(deps, domain),
+		...createReach({...deps, clock, followed: executors.followed}),
 	})
 
 	publishFigures(clock, metrics, hosts, store, news, config)
@@ -304,22 +302,6 @@
 	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
 }
 
-/** Whether any of a few executors of a failure domain answers. */
-async function canReachExecutors(
-	{store, orders, executorPrefix, decodeExecutor}: InstanceDeps,
-	failureDomain: string,
-): Promise<boolean> {
-	const listing = await store.list(executorPrefix)
-	const records = (listing?.items ?? [])
-		.map(decodeExecutor)
-		.filter(record => record?.failureDomain === failureDomain) as ExecutorRecord[]
-	const samples = records.slice(0, REACH_SAMPLES)
-	const answers = await Promise.all(
-		samples.map(record => orders.isReachable(record, REACH_TIMEOUT_MS)),
-	)
-	return answers.includes(true)
-}
-
 function notReadyCauseOf(
 	isLeaving: boolean,
 	config: FleetConfig | undefined,
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -35,6 +35,8 @@
 }
 
 export interface ExecutorList {
+	/** All that is known; undefined while the list is not followed. */
+	followed(): readonly ExecutorRecord[] | undefined
 	recordsOf(failureDomain: string): readonly ExecutorRecord[]
 	/** Reads at once: somebody here needs the list from now on. */
 	readNow(): void
@@ -117,6 +119,7 @@
 		onAway: noteAway,
 	})
 	return {
+		followed: () => (deps.isNeeded() ? [...known.values()] : undefined),
 		recordsOf: failureDomain =>
 			[...known.values()].filter(record => record.failureDomain === failureDomain),
 		readNow: follower.refresh,
--- /dev/null
+++ b/packages/jobs/test/reach.test.ts
@@ -0,0 +1,69 @@
+/**
+ * Looking for executors of other failure domains: what it asks of the store, and of them.
+ */
+import {createReach} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {createFakeStore} from "./support/fake-store.js"
+
+const DOMAINS = ["a", "b", "c", "d", "e"]
+
+function createWorld(options: {readonly isFollowed?: boolean} = {}) {
+	const clock = createFakeClock()
+	const {fake, store} = createFakeStore()
+	const records = DOMAINS.map(domain => ({...record(`${domain}1`), failureDomain: domain}))
+	for (const one of records) fake.write(`e/${one.id}`, one.id)
+	const asked: string[] = []
+	const reach = createReach({
+		clock,
+		store,
+		orders: {
+			isReachable: one => {
+				asked.push(one.id)
+				return Promise.resolve(one.id !== "c1")
+			},
+		},
+		executorPrefix: "e/",
+		decodeExecutor: ({value}) => records.find(({id}) => id === value),
+		followed: () => (options.isFollowed ? records : undefined),
+	})
+	return {clock, fake, reach, asked}
+}
+
+describe("looking for executors of other failure domains", () => {
+	/*
+	 * An instance whose link carries 2 Mbit/s took the placers of five domains for silent and looked for their executors each 0.5 s. Each
+	 * look read the whole list of 66 executors (25 KB), all five at once: half a megabyte in two seconds, as much as the link
+	 * carries. So no placer could be heard any more, and the looks went on. Settled by 97 listings without an answer in 20 s, all at that
+	 * instance, up to five at the same millisecond.
+	 */
+	it("reads the list once for all of them, and again only after a while", async () => {
+		const {clock, fake, reach} = createWorld()
+		for (let at = 0; at < 8; at++) {
+			const answers = await Promise.all(DOMAINS.map(domain => reach.canReachExecutors(domain)))
+			expect(answers).to.eql([true, true, false, true, true])
+			await clock.advance(500)
+		}
+		expect(fake.lists).to.equal(1)
+		await clock.advance(2_000)
+		await reach.canReachExecutors("a")
+		expect(fake.lists).to.equal(2)
+	})
+
+	it("does not read the list where it is followed", async () => {
+		const {fake, reach, asked} = createWorld({isFollowed: true})
+		expect(await reach.canReachExecutors("b")).to.equal(true)
+		expect(asked).to.eql(["b1"])
+		expect(fake.lists).to.equal(0)
+	})
+
+	it("reads it again when it was not answered", async () => {
+		const {clock, fake, reach} = createWorld()
+		fake.isAway = true
+		expect(await reach.canReachExecutors("a")).to.equal(false)
+		fake.isAway = false
+		await clock.advance(500)
+		expect(await reach.canReachExecutors("a")).to.equal(true)
+	})
+})
