--- a/packages/jobs/src/fleet/reach.ts
+++ b/packages/jobs/src/fleet/reach.ts
@@ -7,6 +7,11 @@
 const REACH_TIMEOUT_MS = 250
 /** Executors that are asked before a foreign failure domain is taken over. */
 const REACH_SAMPLES = 3
+/**
+ * A list that was read serves so long for all domains: executors seldom move. Five looks each 0.5 s that read 25 KB each filled
+ * a link of 2 Mbit/s, so that no placer was heard and the looks went on.
+ */
+const LIST_MS = 5_000
 
 export interface ReachDeps {
 	readonly clock: Clock
@@ -23,15 +28,28 @@
 	canReachExecutors(failureDomain: string): Promise<boolean>
 }
 
-export function createReach({store, orders, executorPrefix, decodeExecutor}: ReachDeps): Reach {
-	async function listed(): Promise<readonly ExecutorRecord[]> {
+export function createReach(deps: ReachDeps): Reach {
+	const {clock, store, orders, executorPrefix, decodeExecutor, followed} = deps
+	let lastList: Promise<readonly ExecutorRecord[]> | undefined
+	let listedAt = -Infinity
+
+	/** The last list, which may be under way still. */
+	function listed(): Promise<readonly ExecutorRecord[]> {
+		if (lastList && clock.now() - listedAt < LIST_MS) return lastList
+		listedAt = clock.now()
+		lastList = readList()
+		return lastList
+	}
+
+	async function readList(): Promise<readonly ExecutorRecord[]> {
 		const listing = await store.list(executorPrefix)
+		if (!listing) lastList = undefined
 		return (listing?.items ?? []).flatMap(item => decodeExecutor(item) ?? [])
 	}
 
 	return {
 		async canReachExecutors(failureDomain) {
-			const records = await listed()
+			const records = followed() ?? (await listed())
 			const samples = records
 				.filter(record => record.failureDomain === failureDomain)
 				.slice(0, REACH_SAMPLES)
