--- a/packages/spec/test/protocols.test.ts
+++ b/packages/spec/test/protocols.test.ts
@@ -1,5 +1,6 @@
 import {
 	ALL_CONFIG_GUARDS,
+	ALL_FOLLOW_GUARDS,
 	ALL_GUARDS,
 	ALL_HANDOVER_GUARDS,
 	ALL_KEEPER_GUARDS,
@@ -8,6 +9,7 @@
 	configProtocol,
 	exchangeProtocol,
 	explore,
+	followProtocol,
 	handoverProtocol,
 	keeperProtocol,
 	ownerProtocol,
@@ -84,6 +86,16 @@
 	)
 })
 
+describe("specification of following a prefix of the store", () => {
+	const without = (guard: keyof typeof ALL_FOLLOW_GUARDS) =>
+		followProtocol({...ALL_FOLLOW_GUARDS, [guard]: false})
+	const differs = "a reader that heard everything knows something else"
+	holds("with all guards", followProtocol())
+	for (const guard of ["firstPage", "lastWrite", "lastChange"] as const)
+		breaks(`without ${guard}`, without(guard), differs)
+	breaks("without keepRefresh", without("keepRefresh"), "what a peer named was forgotten")
+})
+
 describe("specification of the exchange with an endpoint", () => {
 	holds("with attempt ids", exchangeProtocol())
 	breaks(
