--- a/packages/jobs/src/fleet/follow.ts
+++ b/packages/jobs/src/fleet/follow.ts
@@ -135,7 +135,7 @@
 			if (isClosed) return false
 			if (change) {
 				pauseMs = FIRST_PAUSE_MS
-				heardAt = clock.now()
+				noteHeard()
 				deps.onChange(change)
 			}
 			next = change?.revision
--- a/packages/standins/src/soak/configuration-check.ts
+++ b/packages/standins/src/soak/configuration-check.ts
@@ -3,9 +3,9 @@
  */
 import {request} from "undici"
 import {HOST} from "../leased/platform.js"
-import type {Edge, EdgeFleet} from "../leased/edges.js"
+import type {Edge} from "../leased/edges.js"
 import {probePrefixOf, putVersion} from "./connection-faults.js"
-import type {LeasedWorld} from "./leased-faults.js"
+import {newestEdges, type LeasedWorld} from "./leased-faults.js"
 
 /** From the contract: machines that were in trouble have 3 s, and a version 2 s. */
 const IN_FORCE_MS = 5_000
@@ -29,16 +29,12 @@
 	}
 }
 
-const newestLives = ({edges}: EdgeFleet) => [
-	...new Map(edges.map(edge => [edge.name, edge])).values(),
-]
-
 /** Writes one more version once all is mended, and names the instances that do not go by it in time. */
 export async function checkConfiguration(world: LeasedWorld): Promise<readonly string[]> {
 	const version = putVersion(world)
 	const until = performance.now() + IN_FORCE_MS
 	for (;;) {
-		const edges = newestLives(world.fleet)
+		const edges = [...newestEdges(world.fleet).values()]
 		const areBehind = await Promise.all(edges.map(edge => isBehind(edge, version)))
 		const behind = edges.filter((_, at) => areBehind[at]).map(({name}) => name)
 		if (behind.length === 0) return []
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -65,10 +65,15 @@
 	return items[Math.floor(random() * items.length)] as T
 }
 
+/** The newest life of each instance, by name. */
+export const newestEdges = ({edges}: EdgeFleet): ReadonlyMap<string, Edge> =>
+	new Map(edges.map(edge => [edge.name, edge]))
+
 /** The living instances: one for each name, the newest life of it. */
-export function livingEdges({edges}: EdgeFleet): readonly Edge[] {
-	const newest = new Map(edges.map(edge => [edge.name, edge]))
-	return [...newest.values()].filter(({child}) => child.exitCode === null && !child.signalCode)
+export function livingEdges(fleet: EdgeFleet): readonly Edge[] {
+	return [...newestEdges(fleet).values()].filter(
+		({child}) => child.exitCode === null && !child.signalCode,
+	)
 }
 
 /** Instances that a fault has begun to end: another may hasten that, but only one life follows. */
--- a/packages/standins/src/soak/rough-callers.ts
+++ b/packages/standins/src/soak/rough-callers.ts
@@ -5,7 +5,8 @@
 import {handIn, type Edge} from "../leased/edges.js"
 import {seededRandom} from "../utils/random.js"
 import type {CalledJob} from "./leased-callers.js"
-import {newestEdges, type RoughWorld} from "./rough-world.js"
+import {newestEdges} from "./leased-faults.js"
+import type {RoughWorld} from "./rough-world.js"
 
 interface Wish {
 	readonly workMs: number
--- a/packages/standins/src/soak/rough-faults.ts
+++ b/packages/standins/src/soak/rough-faults.ts
@@ -4,8 +4,8 @@
  */
 import type {CutScope, Mending} from "../fleet/path.js"
 import type {Edge} from "../leased/edges.js"
-import {livingEdges, replace} from "./leased-faults.js"
-import {executorsPlace, newestEdges, type RoughWorld} from "./rough-world.js"
+import {livingEdges, newestEdges, replace} from "./leased-faults.js"
+import {executorsPlace, type RoughWorld} from "./rough-world.js"
 
 export const ROUGH_FAULTS = Object.freeze([
 	"cut between instances",
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -13,13 +13,13 @@
 	runConnectionFault,
 	type PlannedConnectionFault,
 } from "./connection-faults.js"
-import {runLeasedFault} from "./leased-faults.js"
+import {newestEdges, runLeasedFault} from "./leased-faults.js"
 import {violationsOf} from "./leased-verdict.js"
 import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
 import {runRoughFault} from "./rough-faults.js"
 import {keepRun, type RecordLine} from "./rough-record.js"
 import {isRoughFault, planFaults, type PlannedFault} from "./rough-schedule.js"
-import {closeRoughWorld, newestEdges, startRoughWorld, type RoughWorld} from "./rough-world.js"
+import {closeRoughWorld, startRoughWorld, type RoughWorld} from "./rough-world.js"
 
 export interface RoughSoakPlan {
 	readonly seed: number
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -3,7 +3,7 @@
  * of executors, and executors of which some have slow clocks.
  */
 import {openLink, type Link} from "../fleet/link.js"
-import {startEdges, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {startEdges} from "../leased/edges.js"
 import {openNetwork, type Network} from "../leased/network.js"
 import {startLeasedPlatform} from "../leased/platform.js"
 import type {LeasedWorld} from "./leased-faults.js"
@@ -57,10 +57,6 @@
 /** Where a failure domain's executors are on the network. */
 export const executorsPlace = (failureDomain: string) => `executors of ${failureDomain}`
 
-/** The newest life of each instance, by name. */
-export const newestEdges = ({edges}: EdgeFleet): ReadonlyMap<string, Edge> =>
-	new Map(edges.map(edge => [edge.name, edge]))
-
 /** The second failure domain has one instance alone: when that is lost, others place there until it is back. */
 const instancesIn = (
 	{failureDomains, instancesPerDomain}: RoughWorldPlan,
