Follow evacuations of failure domains beside the configuration, and start nothing further there

Change: one follower reads all that operators write. Which domains are emptied is known as of a revision of the store; beats tell it with that revision, so the later telling counts, by whomever. A placer of such a domain starts nothing, sends no start again, hands what waits to domains with room, gives foreign tasks back at once and tells of no room; what runs keeps its lease. Callers of its instances are spread over the other domains, whose placers hear their beats meanwhile. With all emptied, jobs are refused at once and instances stay ready. An evacuation that cannot be read is counted and logged. Ruled out: cold executors; the deployment's executors are never cold (cold-start of 0 s), so cold-left-ms is not read.

--- /dev/null
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -0,0 +1,89 @@
+/**
+ * Which placers a job is offered to, and in which order: the own domain's first, none of a domain that is emptied.
+ */
+import type {FleetView} from "../fleet/members.js"
+import type {Claim, Member} from "../types/fleet.js"
+import type {Hosts} from "./hosts.js"
+
+/** A placer that said nothing for so long gets no new jobs: three beats. */
+const PLACER_QUIET_MS = 650
+
+export interface CandidatesDeps {
+	readonly view: FleetView
+	readonly self: Member
+	readonly hosts: Pick<Hosts, "of">
+	/** Whether operators are emptying a failure domain. */
+	readonly isEvacuated: (failureDomain: string) => boolean
+}
+
+export interface Candidates {
+	/** Placers in the order in which a job that comes now would ask them. */
+	candidates(): readonly Claim[]
+	/** A placer of which nothing is known either way; a last resort, since it may be cut off. */
+	isUntold(claim: Claim): boolean
+	/** Every domain that has a placer is being emptied. */
+	areAllEmptied(): boolean
+}
+
+export function createCandidates({view, self, hosts, isEvacuated}: CandidatesDeps): Candidates {
+	/** Which of several domains that suit alike is asked first. */
+	let turn = 0
+
+	const isOwn = ({placer}: Claim) => placer.session === self.session
+	const isOpen = ({failureDomain}: Claim) => !isEvacuated(failureDomain)
+	const isOwnDomainEmptied = () => isEvacuated(self.failureDomain)
+
+	function isNear({session}: Member): boolean {
+		return view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session)
+	}
+
+	function isHeard(claim: Claim): boolean {
+		if (!isOwn(claim)) return isNear(claim.placer) && !view.isLeaving(claim.placer.session)
+		const host = hosts.of(claim.failureDomain)
+		return host !== undefined && (host.placer.canServe() || host.placer.isBeginning())
+	}
+
+	/** It has found nobody to hand over to yet, and nobody else is heard: cut off, it is all that there is. */
+	function isLeavingPlacer({placer}: Claim): boolean {
+		return isNear(placer) && view.isLeaving(placer.session)
+	}
+
+	function isUntold(claim: Claim): boolean {
+		return !isOwn(claim) && view.isUnknown(claim.placer.session)
+	}
+
+	/** Until their beats come, the other domains' placers count as there for the callers of a domain that is emptied. */
+	function isRefuge(claim: Claim): boolean {
+		return isOwnDomainEmptied() && !isOwn(claim) && !view.isUnreached(claim.placer.session)
+	}
+
+	function ranked(claims: readonly Claim[]): readonly Claim[] {
+		const order = (claim: Claim) => {
+			if (claim.failureDomain === self.failureDomain) return 0
+			return isOwn(claim) ? 1 : 2
+		}
+		return [...claims].sort((a, b) => order(a) - order(b) || waitingWork(a) - waitingWork(b))
+	}
+
+	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
+
+	/** The callers of a domain that is emptied are spread over the others, each of which is asked first in its turn. */
+	function inTurn(claims: readonly Claim[]): readonly Claim[] {
+		if (!isOwnDomainEmptied()) return claims
+		turn = (turn + 1) % claims.length
+		return [...claims.slice(turn), ...claims.slice(0, turn)]
+	}
+
+	return {
+		candidates() {
+			const open = view.claims().filter(isOpen)
+			for (const isWanted of [isHeard, isLeavingPlacer, isUntold, isRefuge]) {
+				const found = open.filter(isWanted)
+				if (found.length > 0) return inTurn(ranked(found))
+			}
+			return []
+		},
+		isUntold,
+		areAllEmptied: () => view.claims().length > 0 && !view.claims().some(isOpen),
+	}
+}
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -10,10 +10,9 @@
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
+import {createCandidates} from "./candidates.js"
 import {latestUsefulStart} from "./job-run.js"
 
-/** A placer that said nothing for so long gets no new jobs: three beats. */
-const PLACER_QUIET_MS = 650
 /** Placers that are tried in turn for a job that no placer has seen yet. */
 const MAX_PLACERS_TRIED = 3
 /** A job that was refused after it had waited so long is not tried elsewhere. */
@@ -37,6 +36,8 @@
 	readonly config: () => FleetConfig | undefined
 	readonly refreshConfig: () => void
 	readonly isLeaving: () => boolean
+	/** Whether operators are emptying a failure domain. */
+	readonly isEvacuated: (failureDomain: string) => boolean
 }
 
 export interface Dispatcher {
@@ -102,6 +103,7 @@
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
 	let workCount = 0
+	const {candidates, isUntold, areAllEmptied} = createCandidates(deps)
 
 	async function counted<T>(work: Promise<T>): Promise<T> {
 		workCount++
@@ -112,50 +114,6 @@
 		}
 	}
 
-	function isHeard({failureDomain, placer}: Claim): boolean {
-		if (placer.session === self.session) {
-			const host = hosts.of(failureDomain)
-			return host !== undefined && (host.placer.canServe() || host.placer.isBeginning())
-		}
-		return isNear(placer) && !view.isLeaving(placer.session)
-	}
-
-	function isNear({session}: Member): boolean {
-		return view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session)
-	}
-
-	/** It has found nobody to hand over to yet, and nobody else is heard: cut off, it is all that there is. */
-	function isLeavingPlacer({placer}: Claim): boolean {
-		return isNear(placer) && view.isLeaving(placer.session)
-	}
-
-	/** A placer of which nothing is known either way; a last resort, since it may be cut off. */
-	function isUntold({placer}: Claim): boolean {
-		return placer.session !== self.session && view.isUnknown(placer.session)
-	}
-
-	/** The own domain's placer first, then one that is here, then the others. */
-	function candidates(): readonly Claim[] {
-		for (const isWanted of [isHeard, isLeavingPlacer, isUntold]) {
-			const found = rankedClaims(isWanted)
-			if (found.length > 0) return found
-		}
-		return []
-	}
-
-	function rankedClaims(isWanted: (claim: Claim) => boolean): readonly Claim[] {
-		const order = ({failureDomain, placer}: Claim) => {
-			if (failureDomain === self.failureDomain) return 0
-			return placer.session === self.session ? 1 : 2
-		}
-		return view
-			.claims()
-			.filter(isWanted)
-			.sort((a, b) => order(a) - order(b) || waitingWork(a) - waitingWork(b))
-	}
-
-	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
-
 	function messageOf(job: Job, queue: Queue, claim: Claim): JobMessage {
 		const {receivedAt, deadlineAt, ...rest} = job
 		const now = clock.now()
@@ -208,7 +166,7 @@
 		let refusal: JobEnd | undefined
 		while (tried.size < MAX_PLACERS_TRIED) {
 			const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
-			if (!claim && tried.size === 0 && mayWaitForPlacer(job, queue)) {
+			if (!claim && tried.size === 0 && !areAllEmptied() && mayWaitForPlacer(job, queue)) {
 				await clock.sleep(PLACER_POLL_MS)
 				continue
 			}
@@ -224,7 +182,9 @@
 			refusal = end
 			if (clock.now() - job.receivedAt > ELSEWHERE_MS) return end
 		}
-		return refusal ?? {type: "refused", kind: "no_capacity", cause: "no placer can be reached"}
+		if (refusal) return refusal
+		const cause = areAllEmptied() ? "all failure domains are emptied" : "no placer can be reached"
+		return {type: "refused", kind: "no_capacity", cause}
 	}
 
 	function noteTry(job: Job, claim: Claim, outcome: string) {
@@ -285,7 +245,8 @@
 			return counted(end)
 		},
 		candidates,
-		canPlace: () => candidates().length > 0,
+		// Callers are told at once that nothing may start; other instances could tell them no more.
+		canPlace: () => candidates().length > 0 || areAllEmptied(),
 		workCount: () => workCount,
 	}
 }
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -58,6 +58,8 @@
 	readonly createKeeper: (claim: Claim, onDeposed: () => void) => Keeper
 	/** The failure domain's executors by the last list. */
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
+	/** Whether operators are emptying the failure domain. */
+	readonly isEvacuated: (failureDomain: string) => boolean
 }
 
 export interface Hosts {
@@ -82,6 +84,8 @@
 	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
 	/** Placers elsewhere may have room now. */
 	walk(): void
+	/** Operators empty other failure domains than before. */
+	noteEvacuations(): void
 	rooms(): Readonly<Record<string, Room>>
 	isPlacing(): boolean
 	counts(): PlacerCounts & {readonly kept: number}
@@ -122,7 +126,8 @@
 		const onDeposed = () => endPlacing(failureDomain, fence, "the store has another claim")
 		const keeper = deps.createKeeper(claim, onDeposed)
 		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
-		const placer = createPlacer({...deps, ...fenced, kept: keeper})
+		const isEvacuated = () => deps.isEvacuated(failureDomain)
+		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper})
 		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
@@ -222,6 +227,9 @@
 		walk() {
 			for (const {placer} of hosts.values()) placer.walk()
 		},
+		noteEvacuations() {
+			for (const {placer} of hosts.values()) placer.noteEvacuation()
+		},
 		rooms() {
 			const rooms: Record<string, Room> = {}
 			for (const [failureDomain, {placer}] of hosts) rooms[failureDomain] = placer.room()
--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -54,6 +54,8 @@
 	readonly own: () => Beat
 	readonly onBeat: (beat: Beat) => void
 	readonly onRoomNews: (news: RoomNews) => void
+	/** Whether the own domain's callers are served by the other domains' placers now. */
+	readonly needsOthers: () => boolean
 	/** What the own link carries, in millions of bits a second. */
 	readonly linkMbps: number
 }
@@ -138,7 +140,8 @@
 		if (isClosed) return
 		const home = view.claimOf(self.failureDomain)?.placer
 		const isHomeHeard = home && view.silentMs(home.session) < HOME_QUIET_MS
-		if (isPlacer() || !isHomeHeard) for (const placer of otherPlacers()) tell(placer, true)
+		const tellsAll = isPlacer() || !isHomeHeard || deps.needsOthers()
+		if (tellsAll) for (const placer of otherPlacers()) tell(placer, true)
 		else tell(home, true)
 		clock.schedule(BEAT_MS, beatAll)
 	}
--- a/packages/jobs/src/fleet/configuration.ts
+++ b/packages/jobs/src/fleet/configuration.ts
@@ -1,12 +1,13 @@
 /**
- * The operators' configuration as this instance has it: the newest version that the store told and that could be read.
- * The version in force only rises.
+ * What operators have written, as this instance has it: the newest version of the configuration that the store told and
+ * that could be read, and the evacuations beside it. One follower serves both. The version in force only rises.
  */
 import type {Clock, Store, StoreItem, StoreListing} from "@cottonwood/core"
 import type {Result} from "neverthrow"
 import type {FleetConfig} from "../types/fleet-config.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import type {Evacuations} from "./evacuations.js"
 import {followPrefix} from "./follow.js"
 
 export interface ConfigurationDeps {
@@ -14,11 +15,15 @@
 	readonly store: Store
 	readonly log: EventLog
 	readonly metrics: JobMetrics
-	readonly configPrefix: string
+	/** What operators write lies below it. */
+	readonly operatorPrefix: string
+	readonly configKey: string
 	/** Decodes an item under the prefix; `undefined` when it is not the configuration. */
 	readonly decodeConfig: (item: StoreItem) => Result<FleetConfig, string> | undefined
 	/** Another version has come into force. */
 	readonly onInForce: () => void
+	/** Gets all that the store tells of what operators have written. */
+	readonly evacuations: Pick<Evacuations, "takeListing" | "takeChange">
 }
 
 /**
@@ -26,7 +31,7 @@
  * call is paid for: 0.6 s cost 0.004 of worth on a day of eight instances.
  */
 const WATCH_MS = 1_500
-/** One key, so that listing it costs what a watch does: a change that was never told is missed for so long at most. */
+/** Few keys, so that listing them costs what a watch does: a change that was never told is missed for so long at most. */
 const WHOLE_MS = 10_000
 
 type Told = Pick<StoreListing, "items" | "unreadable">
@@ -44,7 +49,7 @@
 
 /** Follows the configuration in the store. */
 export function followConfiguration(deps: ConfigurationDeps): Configuration {
-	const {clock, store, log, metrics, configPrefix, decodeConfig} = deps
+	const {clock, store, log, metrics, configKey, decodeConfig, evacuations} = deps
 	let current: FleetConfig | undefined
 	let newestElsewhere = 0
 
@@ -56,7 +61,7 @@
 	/** Every version that an answer tells, in the order in which they were written. */
 	function takeAll({items, unreadable = []}: Told, outcome: "listed" | "told") {
 		for (const item of items) take(item, outcome, items.length)
-		if (unreadable.includes(configPrefix)) noteUnreadable("its bytes cannot be read")
+		if (unreadable.includes(configKey)) noteUnreadable("its bytes cannot be read")
 	}
 
 	function take(item: StoreItem, outcome: "listed" | "told", told: number) {
@@ -75,11 +80,17 @@
 		clock,
 		store,
 		log,
-		prefix: configPrefix,
+		prefix: deps.operatorPrefix,
 		waitMs: WATCH_MS,
 		wholeMs: WHOLE_MS,
-		onListing: listing => takeAll(listing, "listed"),
-		onChange: change => takeAll(change, "told"),
+		onListing(listing) {
+			takeAll(listing, "listed")
+			evacuations.takeListing(listing)
+		},
+		onChange(change) {
+			takeAll(change, "told")
+			evacuations.takeChange(change)
+		},
 	})
 	return {
 		current: () => current,
--- /dev/null
+++ b/packages/jobs/src/fleet/evacuations.ts
@@ -0,0 +1,126 @@
+/**
+ * The failure domains that operators are emptying: nothing further is sent to their executors until that is taken back.
+ *
+ * What is under way is known as of a revision of the store, so of two tellings the later one counts, whoever told it: the
+ * store itself, or a peer that heard the store when this instance could not.
+ */
+import type {StoreChange, StoreItem, StoreListing} from "@cottonwood/core"
+import type {Result} from "neverthrow"
+import type {EvacuationNews} from "../types/fleet.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+export interface EvacuationsDeps {
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	/** The failure domain that an item asks to empty; `undefined` when it is about something else. */
+	readonly decodeEvacuation: (item: StoreItem) => Result<string, string> | undefined
+	/** Called when a domain is emptied from now on, or is taken back. */
+	readonly onChange: () => void
+}
+
+export interface Evacuations {
+	/** Whether nothing new may start in the failure domain. */
+	isUnderWay(failureDomain: string): boolean
+	/** What peers are told; undefined while none was ever known here. */
+	news(): EvacuationNews | undefined
+	takeListing(listing: StoreListing): void
+	takeChange(change: StoreChange): void
+	/** Takes what a peer told. */
+	takeNews(news: EvacuationNews, peer: string): void
+}
+
+/** What the store said itself: by key, since a removal names the key alone. */
+interface Told {
+	readonly revision: number
+	readonly byKey: ReadonlyMap<string, string>
+}
+
+export function createEvacuations(deps: EvacuationsDeps): Evacuations {
+	const {log, metrics, decodeEvacuation, onChange} = deps
+	let told: Told = {revision: -Infinity, byKey: new Map()}
+	let current: EvacuationNews | undefined
+
+	function noteUnreadable(key: string, cause: string) {
+		metrics.count("broken_assumptions", "evacuation_undecodable")
+		const fields = {detail: key, cause}
+		const message = "config: an evacuation cannot be read; what was in force stays."
+		log.alarm("config", "evacuation_refused", message, fields)
+	}
+
+	/** Adds what an item asks for; one that cannot be read changes nothing. */
+	function takeItem(byKey: Map<string, string>, item: StoreItem) {
+		const decoded = decodeEvacuation(item)
+		if (!decoded) return
+		if (decoded.isOk()) return void byKey.set(item.key, decoded.value)
+		noteUnreadable(item.key, decoded.error)
+		keepKnown(byKey, item.key)
+	}
+
+	function keepKnown(byKey: Map<string, string>, key: string) {
+		const known = told.byKey.get(key)
+		if (known !== undefined) byKey.set(key, known)
+	}
+
+	/** Whether the key of an item whose bytes cannot be read would be an evacuation's. */
+	function isEvacuationKey(key: string): boolean {
+		return decodeEvacuation({key, value: undefined, revision: 0}) !== undefined
+	}
+
+	function noteUnreadableKeys(byKey: Map<string, string>, keys: readonly string[] = []) {
+		for (const key of keys.filter(isEvacuationKey)) {
+			noteUnreadable(key, "its bytes cannot be read")
+			keepKnown(byKey, key)
+		}
+	}
+
+	/** What the store says counts, unless a peer has told of something later. */
+	function adopt(next: Told) {
+		told = next
+		if (current && current.revision > next.revision) return
+		takeInForce({revision: next.revision, failureDomains: [...new Set(next.byKey.values())]})
+	}
+
+	function takeInForce(next: EvacuationNews, peer?: string) {
+		const before = current?.failureDomains ?? []
+		// A fleet that never knew of any says nothing of them in its beats.
+		if (!current && next.failureDomains.length === 0) return
+		current = next
+		const {failureDomains} = next
+		const begun = failureDomains.filter(domain => !before.includes(domain))
+		const over = before.filter(domain => !failureDomains.includes(domain))
+		for (const failureDomain of begun)
+			log.alarm("config", "evacuation_begun", "config: nothing new starts in a failure domain.", {
+				failureDomain,
+				peer,
+			})
+		for (const failureDomain of over)
+			log.alarm("config", "evacuation_over", "config: a failure domain is used again.", {
+				failureDomain,
+				peer,
+			})
+		if (begun.length + over.length > 0) onChange()
+	}
+
+	return {
+		isUnderWay: failureDomain => current?.failureDomains.includes(failureDomain) ?? false,
+		news: () => current,
+		takeListing({items, unreadable, revision}) {
+			const byKey = new Map<string, string>()
+			for (const item of items) takeItem(byKey, item)
+			noteUnreadableKeys(byKey, unreadable)
+			adopt({revision, byKey})
+		},
+		takeChange({items, deleted, unreadable = [], revision}) {
+			const byKey = new Map(told.byKey)
+			for (const item of items) takeItem(byKey, item)
+			for (const key of deleted) if (!unreadable.includes(key)) byKey.delete(key)
+			noteUnreadableKeys(byKey, unreadable)
+			adopt({revision, byKey})
+		},
+		takeNews(news, peer) {
+			if (news.revision > Math.max(told.revision, current?.revision ?? -Infinity))
+				takeInForce(news, peer)
+		},
+	}
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -13,8 +13,9 @@
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
-import {followPrefix} from "./fleet/follow.js"
-import {createFleetView, FLEET_PREFIX} from "./fleet/members.js"
+import {createEvacuations} from "./fleet/evacuations.js"
+import {followPrefix, type Follower} from "./fleet/follow.js"
+import {createFleetView, FLEET_PREFIX, type FleetView} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
 import {createReach} from "./fleet/reach.js"
 import {beginRegistration} from "./fleet/registration.js"
@@ -65,8 +66,12 @@
 	readonly advisor: Advisor
 	readonly log: EventLog
 	readonly metrics: JobMetrics
-	readonly configPrefix: string
+	/** What operators write lies below it. */
+	readonly operatorPrefix: string
+	readonly configKey: string
 	readonly decodeConfig: (item: StoreItem) => Result<FleetConfig, string> | undefined
+	/** The failure domain that an item asks to empty; `undefined` when it is about something else. */
+	readonly decodeEvacuation: (item: StoreItem) => Result<string, string> | undefined
 	readonly executorPrefix: string
 	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
 }
@@ -100,10 +105,12 @@
 	let isLeaving = false
 	const strain = watchStrain(clock)
 	const news = watchNews(clock)
+	const evacuations = createEvacuations({...deps, onChange: () => hosts.noteEvacuations()})
 	const config = followConfiguration({
 		...deps,
 		clock,
 		onInForce: () => executors.tellAgain(),
+		evacuations,
 	})
 
 	const peers = createPeers(metrics)
@@ -128,6 +135,7 @@
 		onRoomChange: () => beats.noteRoomChange(),
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
+		isEvacuated: evacuations.isUnderWay,
 	})
 	const dispatcher = createDispatcher({
 		clock,
@@ -139,6 +147,7 @@
 		config: config.current,
 		refreshConfig: config.refresh,
 		isLeaving: () => isLeaving,
+		isEvacuated: evacuations.isUnderWay,
 	})
 
 	const keptParts = createKeptParts({
@@ -164,12 +173,14 @@
 		isStrained: strain.isStrained(),
 		lateMs: Math.round(strain.lateMs()),
 		configVersion: config.current()?.version ?? 0,
+		evacuations: evacuations.news(),
 	})
 
 	function takeBeat(beat: Beat) {
 		view.takeBeat(beat)
 		peers.noteReachable(beat.from.address)
 		config.noteNewer(beat.configVersion, beat.from.name)
+		if (beat.evacuations) evacuations.takeNews(beat.evacuations, beat.from.name)
 		if (hasRoom(beat.rooms)) hosts.walk()
 	}
 
@@ -178,19 +189,7 @@
 		if (hasRoom(news.rooms)) hosts.walk()
 	}
 
-	const fleetFollower = followPrefix({
-		clock,
-		store,
-		log,
-		prefix: FLEET_PREFIX,
-		waitMs: FLEET_WATCH_MS,
-		wholeMs: FLEET_WHOLE_MS,
-		onListing({items}) {
-			view.takeListing(items)
-			claims.lookNow()
-		},
-		onChange: ({items, deleted}) => view.takeChanges(items, deleted),
-	})
+	const fleetFollower = followFleet(clock, deps, view, () => claims.lookNow())
 	const server = await listenPeers(self.address, {
 		beat(beat) {
 			takeBeat(beat)
@@ -215,6 +214,7 @@
 		own: ownBeat,
 		onBeat: takeBeat,
 		onRoomNews: takeRoomNews,
+		needsOthers: () => evacuations.isUnderWay(self.failureDomain),
 		linkMbps: settings.linkMbps,
 	})
 	const registration = beginRegistration(self, {clock, store, log})
@@ -270,6 +270,28 @@
 	}
 }
 
+/** Members and claims in the store. */
+function followFleet(
+	clock: Clock,
+	{store, log}: InstanceDeps,
+	view: FleetView,
+	onListed: () => void,
+): Follower {
+	return followPrefix({
+		clock,
+		store,
+		log,
+		prefix: FLEET_PREFIX,
+		waitMs: FLEET_WATCH_MS,
+		wholeMs: FLEET_WHOLE_MS,
+		onListing({items}) {
+			view.takeListing(items)
+			onListed()
+		},
+		onChange: ({items, deleted}) => view.takeChanges(items, deleted),
+	})
+}
+
 /** The platform's list of executors, for the domains that are placed here. */
 function followExecutors(
 	clock: Clock,
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -168,8 +168,10 @@
 	const ticket = run.req.advice && link.deps.tickets.ticketOf(stepNameOf(task), link.record.id)
 	for (let tries = 0; tries < START_TRIES; tries++) {
 		if (!(await mayStartNow(link, run))) break
+		if (link.deps.isEvacuated()) return stopEvacuated(link, run)
 		// It may have waited; a lease that nobody can renew is not worth a start.
-		if (tries === 0 && !isConfirmed(link, run.req)) return returnUnsent(link, run)
+		if (tries === 0 && !isConfirmed(link, run.req))
+			return returnUnsent(link, run, "its caller was not heard of late")
 		const leaseUntilMs = nextLeaseUntil(link)
 		if (leaseUntilMs === undefined) break
 		const sentAt = clock.now()
@@ -197,8 +199,13 @@
 	return Math.min(START_TIMEOUT_MS, link.deps.losses.timeoutMs(START_TIMEOUT_MS) * 2 ** tries)
 }
 
-function returnUnsent(link: LinkState, run: Run) {
-	const cause = "its caller was not heard of late"
+/** Nothing further is sent there; what may have arrived already is stopped, since it may be carried out late. */
+function stopEvacuated(link: LinkState, run: Run) {
+	if (run.hasSilentStart) stopRun(link, run, "uncertain")
+	else returnUnsent(link, run, "its failure domain is emptied")
+}
+
+function returnUnsent(link: LinkState, run: Run, cause: string) {
 	void settleRun(link, run, {type: "returned", cause}, "never sent")
 }
 
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -41,6 +41,8 @@
 	readonly leaseRule: LeaseRule
 	/** What is being stopped may go on for this long, in milliseconds, listed or not. */
 	readonly stopGraceMs: number
+	/** Whether operators are emptying the failure domain: nothing further starts there. */
+	readonly isEvacuated: () => boolean
 	/** Runs that nobody here started are left alone until then: the placer before hands them over. */
 	readonly orphansWaitUntil: number
 	/** Called when room appeared or an executor became usable. */
@@ -121,6 +123,7 @@
 	const now = link.deps.clock.now()
 	return (
 		link.isFenceTaken &&
+		!link.deps.isEvacuated() &&
 		!link.isRetired &&
 		!link.isClosed &&
 		!link.record.isLeaving &&
@@ -137,6 +140,7 @@
 export function isPromising(link: LinkState): boolean {
 	const {silentSince, deps, record} = link
 	if (!link.isFenceTaken || link.isRetired || link.isClosed || record.isLeaving) return false
+	if (deps.isEvacuated()) return false
 	return silentSince === undefined || deps.clock.now() - silentSince < PROMISING_MS
 }
 
--- a/packages/jobs/src/place/placer-links.ts
+++ b/packages/jobs/src/place/placer-links.ts
@@ -26,7 +26,8 @@
 }
 
 export function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
-	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced} = state.deps
+	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced, isEvacuated} =
+		state.deps
 	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
 		clock,
@@ -36,6 +37,7 @@
 		fence,
 		leaseRule,
 		stopGraceMs,
+		isEvacuated,
 		orphansWaitUntil,
 		kept: state.deps.kept,
 		tickets: state.tickets,
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -26,6 +26,8 @@
 	readonly fence: number
 	readonly leaseRule: LeaseRule
 	readonly stopGraceMs: number
+	/** Whether operators are emptying the failure domain: nothing further starts there. */
+	readonly isEvacuated: () => boolean
 	/** Runs left by the placer before wait this long to be handed over. */
 	readonly orphansWaitMs: number
 	/** Whether no run of a placer before can be on an executor that is not linked here. */
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -52,6 +52,8 @@
 	offerOrphans(): void
 	/** Tries the queue again soon: room may have appeared elsewhere. */
 	walk(): void
+	/** Nothing further may start here from now on, or it may again. */
+	noteEvacuation(): void
 	/** Takes over a run that the placer before had on an executor. */
 	adopt(
 		req: TaskRequest,
@@ -109,6 +111,10 @@
 		walk() {
 			if (state.queue.size() > 0) walkSoon(state)
 		},
+		noteEvacuation() {
+			returnForeign(state)
+			walkSoon(state)
+		},
 		adopt: (req, from, onEnd) => adopt(state, req, from, onEnd),
 		giveAll: send => giveAll(state, send),
 		giveUp: () => giveUp(state),
@@ -152,10 +158,17 @@
 	state.queue.push(item)
 	sweepSoon(state)
 	if (req.isForeign) clock.schedule(FOREIGN_WAIT_MS, () => giveBack(state, item, "no room"))
+	if (state.deps.isEvacuated()) clock.schedule(0, () => returnForeign(state))
 	walkSoon(state)
 	return handle
 }
 
+/** What other placers handed over finds nothing here while the domain is emptied, and goes elsewhere at once. */
+function returnForeign(state: PlacerState) {
+	if (!state.deps.isEvacuated()) return
+	for (const item of state.queue.all()) if (item.req.isForeign) giveBack(state, item, "evacuated")
+}
+
 function giveBack({queue}: PlacerState, item: Waiting, cause: string) {
 	if (queue.remove(item)) item.onEnd({type: "returned", cause})
 }
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -36,6 +36,7 @@
 	inOrder(now: number): readonly Group[]
 	/** Takes the first of a group out of the queue. */
 	take(group: Group): Waiting | undefined
+	all(): readonly Waiting[]
 	size(): number
 	/** Thousandths of a core that the smallest task asks for; Infinity while nothing waits. */
 	leastCpu(): number
@@ -116,6 +117,7 @@
 			if (group.waiting.length === 0) groups.delete(group.key)
 			return item
 		},
+		all: () => [...groups.values()].flatMap(({waiting}) => waiting),
 		size: () => size,
 		leastCpu() {
 			let least = Infinity
--- a/packages/jobs/src/types/fleet.ts
+++ b/packages/jobs/src/types/fleet.ts
@@ -34,6 +34,12 @@
 	readonly labels: readonly string[]
 }
 
+/** The failure domains that operators are emptying, as of a revision of the store. */
+export interface EvacuationNews {
+	readonly revision: number
+	readonly failureDomains: readonly string[]
+}
+
 /** What instances tell each other; each answer to a beat is a beat of the other side. */
 export interface Beat {
 	readonly from: Member
@@ -47,6 +53,8 @@
 	/** By how much the sender's timers were late of late, in milliseconds: its next word may be as late, and is waited for. */
 	readonly lateMs?: number
 	readonly configVersion: number
+	/** Absent while the sender has never known of any. */
+	readonly evacuations?: EvacuationNews
 }
 
 /** The highest fence that somebody knows of each failure domain. */
--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -60,6 +60,7 @@
 		},
 		onBeat: () => undefined,
 		onRoomNews: () => undefined,
+		needsOthers: () => false,
 		linkMbps,
 	})
 	return {
--- a/packages/jobs/test/caller-deadline.test.ts
+++ b/packages/jobs/test/caller-deadline.test.ts
@@ -57,6 +57,7 @@
 		config: () => undefined,
 		refreshConfig: () => undefined,
 		isLeaving: () => false,
+		isEvacuated: () => false,
 	})
 	const receivedAt = clock.now()
 	const job: Job = {
--- a/packages/jobs/test/confirmed-callers.test.ts
+++ b/packages/jobs/test/confirmed-callers.test.ts
@@ -100,6 +100,7 @@
 		config: () => undefined,
 		refreshConfig: ignore,
 		isLeaving: () => false,
+		isEvacuated: () => false,
 	})
 	const overflow = createOverflow({
 		clock,
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -45,6 +45,7 @@
 		config: () => own,
 		refreshConfig: () => void refreshed++,
 		isLeaving: () => false,
+		isEvacuated: () => false,
 	})
 	const caller = {...STAYING, madeAt: clock.now()}
 	const claim = () => view.noteClaim({failureDomain: "a", fence: 1, placer: self})
--- a/packages/jobs/test/ended-placing.test.ts
+++ b/packages/jobs/test/ended-placing.test.ts
@@ -35,6 +35,7 @@
 			onRoomChange: ignore,
 			createKeeper: () => keeper as unknown as Keeper,
 			executorsOf: () => [record("a1")],
+			isEvacuated: () => false,
 		})
 		hosts.noteClaim(claimOf(1, self.session))
 		await clock.advance(50)
--- a/packages/jobs/test/hosts.test.ts
+++ b/packages/jobs/test/hosts.test.ts
@@ -35,6 +35,7 @@
 		handOver: () => false,
 		onRoomChange: () => undefined,
 		createKeeper: () => keeper,
+		isEvacuated: () => false,
 		executorsOf: domain => listed.filter(({failureDomain}) => failureDomain === domain),
 	})
 	return {clock, hosts}
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -219,6 +219,7 @@
 			config: () => undefined,
 			refreshConfig: ignore,
 			isLeaving: () => false,
+			isEvacuated: () => false,
 		})
 		const steps = [{count: 1, need: taskRequest(TASK).need, estimateMs: 100, after: []}]
 		const job = {id: "j", queue: "orders", spec: "", steps, receivedAt: 0, deadlineAt: 9_000}
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -54,6 +54,7 @@
 		config: () => undefined,
 		refreshConfig: () => undefined,
 		isLeaving: () => false,
+		isEvacuated: () => false,
 	})
 	const claimOf = (placer: Member, fence: number): Claim => ({failureDomain: "a", fence, placer})
 	const beatOf = (from: Member, isLeaving: boolean): Beat => ({
--- a/packages/jobs/test/support/placers.ts
+++ b/packages/jobs/test/support/placers.ts
@@ -15,6 +15,7 @@
 		orphansWaitMs: 0,
 		knowsAllExecutors: true,
 		stopGraceMs: 50,
+		isEvacuated: () => false,
 		handOver: () => false,
 		kept: NO_KEPT_RUNS,
 		advisor: NO_ADVISOR,
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -246,6 +246,7 @@
 			onRoomChange: () => beats?.noteRoomChange(),
 			createKeeper: () => keeper,
 			executorsOf: recordsOf,
+			isEvacuated: () => false,
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
@@ -270,6 +271,7 @@
 			}),
 			refreshConfig: () => undefined,
 			isLeaving: () => false,
+			isEvacuated: () => false,
 		})
 		for (const other of failureDomains) {
 			const placer: Member = {
@@ -297,6 +299,7 @@
 				if (Object.values(news.rooms).some(({freeCpu}) => freeCpu.length > 0)) hosts.walk()
 			},
 			linkMbps: 1_000,
+			needsOthers: () => false,
 		})
 		instances.set(failureDomain, {self, hosts, beats, dispatcher})
 	}
