Tell a run that ended with its executor's life from one that was lost, and give up a task that crashes its executors

Change: nothing listens at an address, or another life answers there: the executor has crashed under all that may have begun on it. After the first crash a task is kept apart as far as there is room; after the second it runs alone or waits; two crashes, the last one under the task alone, fail its job. Kept jobs have the count in their record. A silent executor may have been cut off: that is held against nobody, but five such ends are enough. A leaving executor's end is no crash. Stand-ins: executors that a task crashes and that come back with another life, rooms that shrink and grow under running work. Tests: 8 in memory; on processes a task that crashes each executor beside 24 sound jobs (with the limits out: answered 502 after 12 runs), and executors whose room shrinks from 64 to 30 cores (nothing starts over it, nothing that runs is lost; it held before this change too). Ruled out: settling runs at once when nothing listens any more; a listener may close before its process ends. Open: a crash that looks like a cut (no reset) is not held against a task of a kept job.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -3,6 +3,16 @@
  * when the whole has ended.
  */
 import type {Clock} from "@cottonwood/core"
+import {
+	countCrash,
+	isCulprit,
+	isolationOf,
+	isTooRisky,
+	noteCrash,
+	NO_CRASHES,
+	type Crash,
+	type CrashCount,
+} from "../place/crashes.js"
 import type {TaskEnd, TaskHandle, TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Job, JobEnd, Step} from "../types/job.js"
@@ -51,6 +61,7 @@
 	run: number
 	runs: number
 	failures: number
+	crashes: CrashCount
 	readonly avoid: string[]
 	handle: TaskHandle | undefined
 	isOver: boolean
@@ -135,6 +146,7 @@
 			rack: step.rack,
 			maxPerExecutor: step.maxPerExecutor,
 			avoid: [...task.avoid],
+			isolation: isolationOf(task.crashes),
 			askedBy: job.askedBy,
 			isForeign: false,
 			advice: queue.advice,
@@ -179,12 +191,27 @@
 		noteStart()
 		task.run++
 		task.avoid.push(end.executor)
-		if (end.type === "lost") return retry(task, "lost", end.cause)
+		if (end.type === "lost") {
+			if (end.crash) takeCrash(task, end.executor, end.crash)
+			return isOver ? undefined : retry(task, "lost", end.cause)
+		}
 		task.failures++
 		if (task.failures < queue.maxAttempts) return retry(task, "failed", end.cause)
 		finish({type: "failed", cause: `${task.name} failed ${task.failures} times`})
 	}
 
+	/** An executor has ended under the task: by its fault for certain, perhaps, or by chance. */
+	function takeCrash(task: TaskState, executor: string, crash: Crash) {
+		task.crashes = countCrash(task.crashes, crash)
+		noteCrash(deps, {job: job.id, task: task.name, run: task.run, executor, outcome: crash})
+		const {known} = task.crashes
+		if (isCulprit(task.crashes, crash))
+			return finish({type: "failed", cause: `${known} executors crashed under ${task.name}`})
+		if (!isTooRisky(task.crashes)) return
+		const cause = `too many executors were lost under ${task.name}`
+		finish({type: "given up", kind: "placer_lost", cause})
+	}
+
 	function noteDone(task: TaskState) {
 		task.isOver = true
 		const left = (remaining[task.step] as number) - 1
@@ -206,6 +233,7 @@
 					run: 1,
 					runs: 0,
 					failures: 0,
+					crashes: NO_CRASHES,
 					avoid: [],
 					handle: undefined,
 					isOver: false,
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -86,6 +86,7 @@
 			adopt: (req, from, onEnd) => deps.placer().adopt(req, from, onEnd),
 			noteDone: tasks => save({done: [...record.done, ...tasks]}),
 			noteFailure: task => noteFailure(task),
+			noteCrash: (task, known) => save({crashes: {...record.crashes, [task]: known}}),
 			onStart: () => void (hasStarted = true),
 			onEnd: (state, cause) => noteRunEnd(time, state, cause),
 		})
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -9,6 +9,14 @@
 import type {Clock} from "@cottonwood/core"
 import {longestChainMs, RETRY_MS, RUN_NUMBER_STEP} from "../coordinate/job-run.js"
 import type {RunningAt} from "../place/placer-state.js"
+import {
+	countCrash,
+	isCulprit,
+	isolationOf,
+	noteCrash,
+	type Crash,
+	type CrashCount,
+} from "../place/crashes.js"
 import type {TaskEnd, TaskEnded, TaskHandle, TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
@@ -44,6 +52,8 @@
 	readonly noteDone: (tasks: readonly string[]) => Promise<void>
 	/** Notes a failed attempt; resolves when the store has it, with their number. */
 	readonly noteFailure: (task: string) => {readonly count: number; readonly noted: Promise<void>}
+	/** Notes how many executors are known to have crashed under a task; resolves when the store has it. */
+	readonly noteCrash: (task: string, known: number) => Promise<void>
 	readonly onStart: () => void
 	/** All steps are done, or a task has failed for good. */
 	readonly onEnd: (state: "completed" | "failed", cause: string) => void
@@ -71,6 +81,7 @@
 	/** Runs that ended without a result, since the last long one. */
 	ends: number
 	startedAt: number
+	crashes: CrashCount
 	readonly avoid: string[]
 	handle: TaskHandle | undefined
 	isStarted: boolean
@@ -96,35 +107,9 @@
 	let hasBegun = false
 	let isOver = false
 
-	function requestOf(task: TaskState): TaskRequest {
-		const step = stepOf(task)
-		return {
-			job: record.id,
-			task: task.name,
-			run: task.run,
-			spec: record.spec,
-			service: queue.service,
-			need: step.need,
-			estimateMs: step.estimateMs,
-			startBy: dueAt + slackMs - step.estimateMs,
-			uselessAt: Infinity,
-			deadlineAt: Infinity,
-			confirmedAt: () => Infinity,
-			isBegun: task.ends > 0,
-			priority: queue.priority,
-			label: step.label,
-			rack: step.rack,
-			maxPerExecutor: step.maxPerExecutor,
-			avoid: [...task.avoid],
-			isForeign: false,
-			isKept: true,
-			advice: queue.advice,
-			isLasting: step.isLasting,
-			isFilling: step.isFilling,
-			isServing: step.isServing,
-			...(step.isGang && {gang: {size: step.count, wantsOneRack: step.wantsOneRack ?? false}}),
-		}
-	}
+	const slackOf = ({estimateMs}: Step) => slackMs - estimateMs
+	const requestOf = (task: TaskState) =>
+		requestFor(task, record, queue, dueAt + slackOf(stepOf(task)))
 
 	function submitTask(task: TaskState) {
 		if (isOver || task.isDone || task.handle) return
@@ -153,14 +138,25 @@
 		task.run += end.type === "outnumbered" ? RUN_NUMBER_STEP : 1
 		if (end.type === "done" && !step.isLasting) return noteTaskDone(task)
 		if ("executor" in end && end.type !== "done") avoid(task, end.executor)
-		const noted = end.type === "failed" && !step.isLasting ? noteTaskFailed(task) : undefined
+		const noted = noteWithoutResult(task, end)
 		if (!isOver) retry(task, end)
 		return noted
 	}
 
-	function avoid({avoid: avoided}: TaskState, executor: string) {
-		avoided.push(executor)
-		if (avoided.length > MAX_AVOIDED) avoided.shift()
+	function noteWithoutResult(task: TaskState, end: TaskEnd): TaskEnded {
+		if (end.type === "failed" && !stepOf(task).isLasting) return noteTaskFailed(task)
+		return end.type === "lost" && end.crash ? noteTaskCrashed(task, end.crash) : undefined
+	}
+
+	/** Whoever places next must know of a crash, or would start the task as often again. */
+	function noteTaskCrashed(task: TaskState, crash: Crash): TaskEnded {
+		task.crashes = countCrash(task.crashes, crash)
+		noteCrash(deps, {job: record.id, task: task.name, run: task.run, outcome: crash})
+		const {known} = task.crashes
+		const noted = crash === "possible" ? undefined : deps.noteCrash(shortName(task.name), known)
+		if (isCulprit(task.crashes, crash))
+			finish("failed", `${known} executors crashed under ${task.name}`)
+		return noted
 	}
 
 	function retry(task: TaskState, end: TaskEnd) {
@@ -264,12 +260,54 @@
 			isOver = true
 		},
 	}
+}
 
-	function lastingPauseMs({ends}: TaskState): number {
-		return Math.min(LONGEST_LASTING_RETRY_MS, LASTING_RETRY_MS * 2 ** Math.min(ends, 6))
+/** Asks for a task's next run; `startBy` in steady milliseconds. */
+function requestFor(
+	task: TaskState,
+	record: JobRecord,
+	queue: Queue,
+	startBy: number,
+): TaskRequest {
+	const step = record.steps[task.step] as Step
+	return {
+		job: record.id,
+		task: task.name,
+		run: task.run,
+		spec: record.spec,
+		service: queue.service,
+		need: step.need,
+		estimateMs: step.estimateMs,
+		startBy,
+		uselessAt: Infinity,
+		deadlineAt: Infinity,
+		confirmedAt: () => Infinity,
+		isBegun: task.ends > 0,
+		priority: queue.priority,
+		label: step.label,
+		rack: step.rack,
+		maxPerExecutor: step.maxPerExecutor,
+		avoid: [...task.avoid],
+		isolation: isolationOf(task.crashes),
+		isForeign: false,
+		isKept: true,
+		advice: queue.advice,
+		isLasting: step.isLasting,
+		isFilling: step.isFilling,
+		isServing: step.isServing,
+		...(step.isGang && {gang: {size: step.count, wantsOneRack: step.wantsOneRack ?? false}}),
 	}
 }
 
+function avoid({avoid: avoided}: TaskState, executor: string) {
+	avoided.push(executor)
+	if (avoided.length > MAX_AVOIDED) avoided.shift()
+}
+
+function lastingPauseMs({ends}: TaskState): number {
+	return Math.min(LONGEST_LASTING_RETRY_MS, LASTING_RETRY_MS * 2 ** Math.min(ends, 6))
+}
+
 function newTasks(record: JobRecord, time: number, step: number, runBase: number): TaskState[] {
 	const {count, isGang} = record.steps[step] as Step
 	const shared: string[] = []
@@ -281,6 +319,7 @@
 			run: runBase + 1,
 			ends: 0,
 			startedAt: -Infinity,
+			crashes: {known: record.crashes?.[shortName(name)] ?? 0, possible: 0},
 			// A gang is placed as a whole, so its members pass over the same executors.
 			avoid: isGang ? shared : [],
 			handle: undefined,
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -13,6 +13,7 @@
 	isCompatible,
 	isIdle,
 	isPromising,
+	isShared,
 	isUsable,
 	newLinkState,
 	occupy,
@@ -36,6 +37,8 @@
 	hasRoom(req: Pick<TaskRequest, "need">): boolean
 	/** Whether what runs there and the task may share the executor. */
 	isCompatible(req: TaskRequest): boolean
+	/** Whether one of them should run alone, and would not. */
+	isShared(req: TaskRequest): boolean
 	/** Whether the task's caller is known to want it so lately that a run may begin there. */
 	isConfirmed(req: TaskRequest): boolean
 	/** Counts a task's room as taken, or as free again, while a gang is tried. */
@@ -86,6 +89,7 @@
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
 		isCompatible: req => isCompatible(link, req),
+		isShared: req => isShared(link, req),
 		isConfirmed: req => isConfirmed(link, req),
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -51,6 +51,7 @@
 		state: "starting",
 		listedFrom: undefined,
 		hasSilentStart: false,
+		mayHaveBegun: false,
 		stopCause: undefined,
 		percent: -1,
 		progressAt: now,
@@ -74,6 +75,7 @@
 export function inheritedRun(link: LinkState, req: TaskRequest, onEnd: OnTaskEnd): Run {
 	const run = newRun(link, req, onEnd)
 	run.state = "running"
+	run.mayHaveBegun = true
 	run.listedFrom = link.deps.clock.now()
 	return run
 }
@@ -181,6 +183,7 @@
 		metrics.observe("start_order_ms", tookMs)
 		if (reply.type !== "silent") link.deps.losses.noteAnswer(tookMs)
 		if (!isCurrent(link, run)) return
+		if (reply.type !== "silent" || !reply.isRefused) run.mayHaveBegun = true
 		if (isOwnReply(link, reply, "start")) return noteStartReply(link, run, reply, tries > 0)
 		if (link.isClosed) return
 		run.hasSilentStart = true
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -11,6 +11,7 @@
 } from "../types/executor.js"
 import type {EventLog, RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import type {Crash} from "./crashes.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {LeaseRule} from "./lease-rule.js"
 import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
@@ -81,6 +82,8 @@
 	/** Another life answered: whatever ran in this one is gone. */
 	isReplaced: boolean
 	silentSince: number | undefined
+	/** Nothing has listened at its address since it fell silent: its process is gone. */
+	wasRefused: boolean
 	/** When any order was answered last. */
 	answeredAt: number
 	/** Whether a second hold is under way, since orders get lost. */
@@ -111,6 +114,7 @@
 		isClosed: false,
 		isReplaced: false,
 		silentSince: undefined,
+		wasRefused: false,
 		answeredAt: -Infinity,
 		hasSpareHold: false,
 		unhealthyUntil: -Infinity,
@@ -182,8 +186,26 @@
 	)
 }
 
+/** Whether anything runs there that may crash the executor, and has to run alone. */
+function hasLoner({runs}: LinkState): boolean {
+	for (const {req} of runs.values()) if (req.isolation === "required") return true
+	return false
+}
+
+/** Whether a task that should run alone would share the executor, or another one would share it with such a task. */
+export function isShared({runs}: LinkState, {isolation}: TaskRequest): boolean {
+	if (isolation) return runs.size > 0
+	for (const {req} of runs.values()) if (req.isolation) return true
+	return false
+}
+
 /** Filling tasks disturb serving ones, by amounts that nobody tells; so they never share an executor. */
-export function isCompatible({runs}: LinkState, {isFilling, isServing}: TaskRequest): boolean {
+export function isCompatible(
+	link: LinkState,
+	{isFilling, isServing, isolation}: TaskRequest,
+): boolean {
+	const {runs} = link
+	if (hasLoner(link) || (isolation === "required" && runs.size > 0)) return false
 	if (!isFilling && !isServing) return true
 	for (const {req} of runs.values())
 		if ((isFilling && req.isServing) || (isServing && req.isFilling)) return false
@@ -239,13 +261,24 @@
 }
 
 export function settleAllLost(link: LinkState, cause: string, proof: RunProof) {
+	const crash = crashOf(link)
 	for (const run of [...link.runs.values()]) {
 		const {task, run: number} = run.req
 		if (run.hasSilentStart) link.unanswered.push({task, run: number})
-		settleRun(link, run, lostOrStopped(link, run, cause), proof)
+		const end = lostOrStopped(link, run, cause)
+		const isCrash = end.type === "lost" && run.mayHaveBegun && crash !== undefined
+		settleRun(link, run, isCrash ? {...end, crash} : end, proof)
 	}
 }
 
+/** What the executor's end says of all that ran there; a planned end is nothing that its tasks have done. */
+function crashOf({record, isReplaced, wasRefused, runs, orphans}: LinkState): Crash | undefined {
+	if (record.isLeaving) return undefined
+	if (!isReplaced && !wasRefused) return "possible"
+	const begun = [...runs.values()].filter(({mayHaveBegun}) => mayHaveBegun).length
+	return begun + orphans.size > 1 ? "beside others" : "alone"
+}
+
 export function noteSilence(link: LinkState, cause: string) {
 	if (link.silentSince !== undefined) return
 	link.silentSince = link.deps.clock.now()
@@ -258,6 +291,7 @@
 	if (link.silentSince === undefined) return
 	const inputAgeMs = Math.round(link.deps.clock.now() - link.silentSince)
 	link.silentSince = undefined
+	link.wasRefused = false
 	const fields = {executor: link.record.id, inputAgeMs}
 	link.deps.log.event("executor", "executor_answers", "executor: answers again.", fields)
 }
@@ -314,6 +348,7 @@
 			return false
 		case "silent":
 			link.deps.metrics.count("executor_orders_silent", order)
+			if ("isRefused" in reply && reply.isRefused) link.wasRefused = true
 			// One that is silent already is dead or cut off; nothing is lost on the way to the others.
 			if (link.silentSince === undefined) link.deps.losses.noteLost()
 			return false
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -3,6 +3,7 @@
  */
 import type {AdviceTiming} from "../types/fleet-config.js"
 import type {TaskNeed} from "../types/job.js"
+import type {Crash, Isolation} from "./crashes.js"
 
 /** Asks a placer to run a task once to an end. */
 export interface TaskRequest {
@@ -34,6 +35,8 @@
 	readonly maxPerExecutor?: number
 	/** Executors where it failed or was lost before. */
 	readonly avoid: readonly string[]
+	/** Executors have crashed under it: it should run where nothing else does. */
+	readonly isolation?: Isolation
 	/** The session of the instance that handed it, or its job, to the placer here; absent when this one did. */
 	readonly askedBy?: string
 	/** It came from another placer and is not handed on again. */
@@ -66,8 +69,13 @@
 	| {readonly type: "done"; readonly executor: string}
 	/** It ended as failed, by its own fault or the executor's. */
 	| {readonly type: "failed"; readonly executor: string; readonly cause: string}
-	/** It certainly runs no more, without a result. */
-	| {readonly type: "lost"; readonly executor: string; readonly cause: string}
+	/** It certainly runs no more, without a result; `crash` when its executor's life ended, or may have. */
+	| {
+			readonly type: "lost"
+			readonly executor: string
+			readonly cause: string
+			readonly crash?: Crash
+	  }
 	/** It has not started here and will not. */
 	| {readonly type: "returned"; readonly cause: string}
 	/** A run with this number or a higher one has been there; a higher one is needed. */
@@ -92,6 +100,8 @@
 	listedFrom: number | undefined
 	/** A start order for it has stayed without an answer, and none was answered since. */
 	hasSilentStart: boolean
+	/** A start order may have been carried out. */
+	mayHaveBegun: boolean
 	/** Why it is being stopped; undefined while nobody wants that. */
 	stopCause: StopCause | undefined
 	percent: number
--- a/packages/jobs/src/place/selection.ts
+++ b/packages/jobs/src/place/selection.ts
@@ -10,6 +10,8 @@
 const SLOWNESS_WEIGHT = 1
 const LEFTOVER_WEIGHT = 0.3
 const OFF_RACK_PENALTY = 3
+/** A task under which an executor has crashed would take others with it; more than any difference in speed. */
+const SHARED_PENALTY = 5
 /** How much one run moves the smoothed speed of its executor. */
 const SPEED_STEP = 0.15
 /** One run counts as at most this many times slower than its estimate. */
@@ -40,6 +42,7 @@
 	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
 	let cost = SLOWNESS_WEIGHT * speeds.of(id) + LEFTOVER_WEIGHT * left
 	if (req.rack !== undefined && !labels.includes(req.rack)) cost += OFF_RACK_PENALTY
+	if (link.isShared(req)) cost += SHARED_PENALTY
 	return cost
 }
 
--- a/packages/jobs/src/types/executor.ts
+++ b/packages/jobs/src/types/executor.ts
@@ -36,8 +36,11 @@
 	| {readonly type: "fenced"}
 	/** Another life of the executor answered; the one that was meant is gone with all its runs. */
 	| {readonly type: "replaced"}
-	/** No answer: the order may have been done, or may be done later. */
-	| {readonly type: "silent"; readonly cause: string}
+	/**
+	 * No answer: the order may have been done, or may be done later. `isRefused`: nothing listens at the address, so the
+	 * process that was there is gone, and this order was not done.
+	 */
+	| {readonly type: "silent"; readonly cause: string; readonly isRefused?: boolean}
 
 export type StartReply = Reply<
 	| {readonly type: "started"; readonly clockMs: number}
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -36,6 +36,8 @@
 	readonly done: readonly string[]
 	/** Attempts that ended as failed, by task. */
 	readonly failures: Readonly<Record<string, number>>
+	/** Executors that are known to have crashed under a task, by task; absent in records of earlier writers. */
+	readonly crashes?: Readonly<Record<string, number>>
 	readonly isCancelled: boolean
 	/** Who wrote this, and its count: recognises a write whose answer was lost. */
 	readonly writer: string
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -33,6 +33,7 @@
 	claims: "Failure domains claimed, by outcome",
 	fences_lost: "Orders refused since a higher fence was seen, by order",
 	peer_calls: "Calls to peers, by call and outcome",
+	crashed_runs: "Runs under which an executor ended, by what is known of it",
 	suspensions: "Times that the machine was suspended",
 	broken_assumptions: "Things that should not happen, by name",
 	orphan_runs: "Runs found on executors that nobody here started, by outcome",
--- a/packages/standins/src/leased/platform.ts
+++ b/packages/standins/src/leased/platform.ts
@@ -44,6 +44,8 @@
 	putConfig(version: number, changes?: object): void
 	/** The executor's process dies; another life begins at the same address. */
 	restart(hosted: HostedExecutor): void
+	/** The executor's room shrinks or grows while it runs; it says so at once. */
+	resize(hosted: HostedExecutor, cpu: number): void
 	close(): Promise<void>
 }
 
@@ -52,6 +54,9 @@
 export const QUEUE = "orders"
 const SERVICE = "svc"
 const BEAT_MS = 500
+/** An executor that a task has crashed is back after this; its entry lapses before. */
+const CRASHED_MS = 2_000
+const LAPSES_AFTER_MS = 3 * BEAT_MS
 /** Where instances note themselves and their claims. */
 const FLEET_PREFIX = "fleet/"
 
@@ -86,6 +91,7 @@
 /** Watches all executors for two runs of one task at once; `settle` ends what is over by their clocks. */
 function createJudge(
 	settle: () => void,
+	onCrash: (executor: string) => void,
 	record: (line: Readonly<Record<string, unknown>>) => void,
 ) {
 	const violations: string[] = []
@@ -111,6 +117,7 @@
 			record({kind: "end", executor, task, run, how})
 		},
 		onBroken: rule => void violations.push(rule),
+		onCrash,
 		onOrder: (executor, order) => record({kind: "order", executor, ...order}),
 	}
 	return {violations, starts, dones, events}
@@ -124,7 +131,8 @@
 	const settle = () => executors.forEach(({executor}) => executor.settle())
 	const record = (line: Readonly<Record<string, unknown>>) =>
 		options.onRecord?.({timestamp: new Date().toISOString(), ...line})
-	const judge = createJudge(settle, record)
+	const judge = createJudge(settle, crash, record)
+	const crashed = new Set<WireExecutor>()
 	store.onWrite = (key, value) => {
 		if (key.startsWith(FLEET_PREFIX)) record({kind: "store", key, value})
 	}
@@ -148,13 +156,29 @@
 			version: "v1",
 			slots: 8,
 			state: "ready",
-			capacity: {cpu: capacityCpu, "mem-mb": 131_072, gpu: 0},
+			capacity: {cpu: executor.capacityCpu(), "mem-mb": 131_072, gpu: 0},
 			labels: ["a", `r-${failureDomain}`],
 			"clock-ms": executor.clock(),
 			seq: serial,
 		})
 	}
 
+	/** Nothing listens at its address until it is back, with a new life and another entry. */
+	function crash(id: string) {
+		const hosted = executors.find(({executor}) => executor.id === id)
+		if (!hosted || crashed.has(hosted.executor)) return
+		const {executor, server, address} = hosted
+		crashed.add(executor)
+		executor.crash()
+		server.close()
+		server.closeAllConnections()
+		setTimeout(() => store.remove(`servers/${id}`), LAPSES_AFTER_MS)
+		setTimeout(() => {
+			hosted.executor = newExecutor(hosted.name)
+			server.listen(Number(address.split(":")[1]), "127.0.0.1", () => beat(hosted))
+		}, CRASHED_MS)
+	}
+
 	const executorsOf = options.executorsOf ?? (() => options.executorsPerDomain)
 	for (const failureDomain of options.failureDomains)
 		for (let at = 0; at < executorsOf(failureDomain); at++) {
@@ -169,7 +193,8 @@
 			beat(hosted)
 		}
 	const beats = setInterval(() => {
-		if (store.faults.down === undefined) for (const hosted of executors) beat(hosted)
+		if (store.faults.down !== undefined) return
+		for (const hosted of executors) if (!crashed.has(hosted.executor)) beat(hosted)
 	}, BEAT_MS)
 
 	return {
@@ -189,6 +214,10 @@
 			hosted.executor = newExecutor(hosted.name)
 			beat(hosted)
 		},
+		resize(hosted, cpu) {
+			hosted.executor.resize(cpu)
+			beat(hosted)
+		},
 		async close() {
 			clearInterval(beats)
 			store.close()
--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -41,6 +41,8 @@
 	onStart(executor: string, task: string, run: number, fence: number): void
 	onEnd(executor: string, task: string, run: number, how: string): void
 	onBroken(rule: string): void
+	/** A task has crashed the executor's process. */
+	onCrash(executor: string): void
 	/** An order was carried out, or refused by its status. */
 	onOrder(executor: string, order: CarriedOut): void
 }
@@ -61,6 +63,8 @@
 	readonly workMs: number
 	readonly cpu: number
 	readonly fails?: boolean
+	/** The executor that starts it dies of it. */
+	readonly crashes?: boolean
 }
 
 interface Order {
@@ -77,6 +81,10 @@
 const STOP_MS = 5
 /** Between two looks at the lease. */
 const LEASE_LOOK_MS = 2
+/** Between the start of a task that crashes its executor and the crash; the start's answer is on its way. */
+const CRASHES_AFTER_MS = 20
+/** A room that has shrunk is told with the next beat, and counts 3 s after that. */
+const SHRUNK_COUNTS_AFTER_MS = 3_500
 
 export class WireExecutor {
 	readonly faults: ExecutorFaults = {}
@@ -90,16 +98,33 @@
 	private highestFence = 0
 	private leaseUntil = 0
 	private isGone = false
+	private roomCpu: number
+	/** The room that starts are judged by: the larger one for a while after it has shrunk. */
+	private judgedCpu: number
 	private readonly leaseTimer = setInterval(() => this.settle(), LEASE_LOOK_MS)
 	private readonly waiting = new Set<() => void>()
 
 	constructor(
 		readonly id: string,
-		private readonly capacityCpu: number,
+		capacityCpu: number,
 		private readonly events: ExecutorEvents,
 		/** What its clock counts in one millisecond. */
 		private readonly clockRate = 1,
-	) {}
+	) {
+		this.roomCpu = capacityCpu
+		this.judgedCpu = capacityCpu
+	}
+
+	capacityCpu(): number {
+		return this.roomCpu
+	}
+
+	/** Its room shrinks or grows while it runs. */
+	resize(cpu: number) {
+		this.roomCpu = cpu
+		this.judgedCpu = Math.max(this.judgedCpu, cpu)
+		setTimeout(() => (this.judgedCpu = this.roomCpu), SHRUNK_COUNTS_AFTER_MS)
+	}
 
 	clock(): number {
 		return Math.floor(performance.now() * this.clockRate + this.clockOffset)
@@ -190,7 +215,7 @@
 	}
 
 	private begin({task, run, spec, fence}: Order) {
-		const {workMs, cpu, fails} = JSON.parse(spec) as StandInSpec
+		const {workMs, cpu, fails, crashes} = JSON.parse(spec) as StandInSpec
 		this.lastRun.set(task, run)
 		this.starts++
 		const takesMs = workMs * (this.faults.slowness ?? 1)
@@ -201,9 +226,10 @@
 		const progress = {startedAt: this.clock(), workMs: takesMs, ends: isHanging ? undefined : ends}
 		this.running.set(task, {task, run, cpu, ...progress, cancel})
 		this.events.onStart(this.id, task, run, fence)
+		if (crashes) setTimeout(() => this.events.onCrash(this.id), CRASHES_AFTER_MS)
 		let used = 0
 		for (const running of this.running.values()) used += running.cpu
-		if (used > this.capacityCpu) this.events.onBroken(`LIMIT at ${this.id}: ${used}`)
+		if (used > this.judgedCpu) this.events.onBroken(`LIMIT at ${this.id}: ${used}`)
 	}
 
 	private stopTask({task, run}: Order): [number, object] {
