--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -4,7 +4,8 @@
 import {seededRandom} from "@cottonwood/standins"
 import {createReplayClock} from "./replay-clock.js"
 import type {ReplayExecutor} from "./replay-executor.js"
-import {drawJobs, type ReplayJob, type ReplayKind} from "./replay-load.js"
+import {drawJobs, type ReplayJob} from "./replay-load.js"
+import {EARLIER_WORK, type ReplayKind, type ReplayWork} from "./replay-work.js"
 import {createReplayWorld, type ReplayWorld} from "./replay-world.js"
 
 export type ReplayTrouble = {
@@ -23,9 +24,12 @@
 		| {readonly type: "late orders"; readonly share: number}
 		| {readonly type: "failing"; readonly share: number}
 		| {readonly type: "cut"; readonly failureDomain: string}
+		| {readonly type: "evacuation"; readonly failureDomain: string}
 	)
 
 export interface ReplayDay {
+	/** The earlier work by default. */
+	readonly work?: ReplayWork
 	readonly failureDomains?: readonly string[]
 	readonly executorsPerDomain?: number
 	readonly jobsPerSecond: number
@@ -163,6 +167,11 @@
 			return struck(1, {lateShare: trouble.share})
 		case "failing":
 			return struck(trouble.share, {failShare: 1})
+		case "evacuation":
+			return during(() => {
+				world.setEvacuated(trouble.failureDomain, true)
+				return () => world.setEvacuated(trouble.failureDomain, false)
+			})
 		case "cut":
 			return during(() => {
 				world.setCut(trouble.failureDomain, true)
@@ -184,9 +193,10 @@
 /** Replays one seed of a day; the same seed gives the same jobs and troubles under any policy. */
 export async function replay(day: ReplayDay, seed: number): Promise<ReplayFigures> {
 	const clock = createReplayClock()
-	const failureDomains = day.failureDomains ?? ["a", "b", "c"]
+	const {work = EARLIER_WORK, failureDomains = ["a", "b", "c"]} = day
 	const jobs = drawJobs(
 		{
+			work,
 			failureDomains,
 			jobsPerSecond: day.jobsPerSecond,
 			lengthMs: day.lengthMs,
@@ -195,6 +205,7 @@
 		seededRandom(seed),
 	)
 	const world = createReplayWorld({
+		work,
 		failureDomains,
 		executorsPerDomain: day.executorsPerDomain ?? 11,
 		clock,
--- a/packages/jobs/test/support/replay/replay-load.ts
+++ b/packages/jobs/test/support/replay/replay-load.ts
@@ -3,19 +3,7 @@
  */
 import type {Step} from "@cottonwood/jobs"
 import type {ReplaySpec} from "./replay-executor.js"
-
-export interface ReplayKind {
-	readonly name: string
-	readonly priority: number
-	/** Share of arrivals. */
-	readonly weight: number
-	/** Tasks of a job, on average. */
-	readonly width: number
-	/** Run time of a task, on average. */
-	readonly workMs: number
-	/** What a job of average work earns when it is in time. */
-	readonly worth: number
-}
+import type {ReplayKind, ReplayWork} from "./replay-work.js"
 
 export interface ReplayJob {
 	readonly id: string
@@ -29,20 +17,12 @@
 	readonly worth: number
 }
 
-/** Many short tasks, a few long ones, two of middle length: a third of the worth each. */
-export const KINDS: readonly ReplayKind[] = [
-	{name: "short", priority: 0, weight: 0.245, width: 8, workMs: 60, worth: 0.0291},
-	{name: "long", priority: 2, weight: 0.044, width: 4, workMs: 900, worth: 0.16},
-	{name: "middle", priority: 1, weight: 0.711, width: 2, workMs: 200, worth: 0.01},
-]
 export const STRETCH = 1.6
 export const SLACK_MS = 60
 const WIDTH_SPREAD = 0.4
 const WORK_SPREAD = 0.4
 const TASK_SPREAD = 0.15
 const ESTIMATE_SPREAD = 0.4
-const MEAN_CPU = 27_000
-const MAX_CPU = 41_000
 const CPU_SPREAD = 0.2
 
 /** A normal deviate, from two even ones. */
@@ -59,6 +39,7 @@
 
 function jobOf(
 	serial: number,
+	{meanCpu, maxCpu}: ReplayWork,
 	kind: ReplayKind,
 	failureDomain: string,
 	at: number,
@@ -66,10 +47,10 @@
 ): ReplayJob {
 	const count = Math.max(1, Math.round(spread(random, kind.width, WIDTH_SPREAD)))
 	const workMs = Math.min(kind.workMs * 4, spread(random, kind.workMs, WORK_SPREAD))
-	const cpu = Math.min(MAX_CPU, Math.round(spread(random, MEAN_CPU, CPU_SPREAD)))
+	const cpu = Math.min(maxCpu, Math.round(spread(random, meanCpu, CPU_SPREAD)))
 	const tasks = Array.from({length: count}, () => spread(random, workMs, TASK_SPREAD))
 	const spec: ReplaySpec = {cpu, memoryMb: 64, workMs: tasks}
-	const work = (count * workMs * cpu) / (kind.width * kind.workMs * MEAN_CPU)
+	const work = (count * workMs * cpu) / (kind.width * kind.workMs * meanCpu)
 	return {
 		id: idOf(serial),
 		kind,
@@ -90,6 +71,7 @@
 }
 
 export interface Arrivals {
+	readonly work: ReplayWork
 	readonly failureDomains: readonly string[]
 	readonly jobsPerSecond: number
 	readonly lengthMs: number
@@ -97,18 +79,25 @@
 	readonly surge: (at: number, kind: ReplayKind) => number
 }
 
-/** Arrivals at even rates that surge now and then, in order. */
+/** The rate in a domain at a time, by its mean; each domain's wave has its own phase. */
+function waveOf({swing, swingPeriodMs}: ReplayWork, phase: number): (at: number) => number {
+	return at => 1 + swing * Math.sin(2 * Math.PI * (at / swingPeriodMs + phase))
+}
+
+/** Arrivals at rates that swing, and surge now and then, in order. */
 export function drawJobs(arrivals: Arrivals, random: () => number): readonly ReplayJob[] {
-	const {failureDomains, jobsPerSecond, lengthMs, surge} = arrivals
+	const {work, failureDomains, jobsPerSecond, lengthMs, surge} = arrivals
 	const jobs: ReplayJob[] = []
 	let serial = 0
-	for (const failureDomain of failureDomains)
-		for (const kind of KINDS) {
+	failureDomains.forEach((failureDomain, domain) => {
+		const wave = waveOf(work, domain / failureDomains.length)
+		for (const kind of work.kinds) {
 			const perMs = (jobsPerSecond * kind.weight) / failureDomains.length / 1_000
 			for (let at = 0; at < lengthMs;) {
-				at += -Math.log(1 - random()) / (perMs * surge(at, kind))
-				jobs.push(jobOf(++serial, kind, failureDomain, at, random))
+				at += -Math.log(1 - random()) / (perMs * wave(at) * surge(at, kind))
+				jobs.push(jobOf(++serial, work, kind, failureDomain, at, random))
 			}
 		}
+	})
 	return jobs.sort((a, b) => a.at - b.at)
 }
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -33,7 +33,8 @@
 import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, STAYING} from "../requests.js"
 import type {ReplayClock} from "./replay-clock.js"
 import {createReplayOrders, ReplayExecutor} from "./replay-executor.js"
-import {KINDS, SLACK_MS, STRETCH, type ReplayJob} from "./replay-load.js"
+import {SLACK_MS, STRETCH, type ReplayJob} from "./replay-load.js"
+import type {ReplayWork} from "./replay-work.js"
 
 /** One way between two instances, and what both sides do with a message. */
 const PEER_WAY_MS = 1.2
@@ -45,6 +46,7 @@
 const CONFIG_VERSION = 1
 
 export interface ReplayWorldOptions {
+	readonly work: ReplayWork
 	readonly failureDomains: readonly string[]
 	readonly executorsPerDomain: number
 	readonly clock: ReplayClock
@@ -57,6 +59,8 @@
 	submit(job: ReplayJob): Promise<{readonly end: JobEnd; readonly tookMs: number}>
 	/** Links between this domain and the others carry nothing. */
 	setCut(failureDomain: string, isCut: boolean): void
+	/** Operators empty a domain, or take it back. */
+	setEvacuated(failureDomain: string, isEvacuated: boolean): void
 	/** A domain's executors by the list: what is dead is missing after a while. */
 	setListed(executor: ReplayExecutor, isListed: boolean): void
 	/** Another life of an executor at the same place. */
@@ -73,24 +77,24 @@
 	readonly dispatcher: Dispatcher
 }
 
-const queues: readonly Queue[] = KINDS.map(({name, priority}) => ({
-	name,
-	host: "jobs.example",
-	pathPrefix: `/${name}/`,
-	service: "svc",
-	priority,
-	maxAttempts: 3,
-	stretch: STRETCH,
-	slackMs: SLACK_MS,
-}))
-const queueOf = (name: string) => queues.find(queue => queue.name === name) as Queue
-
-/** Executors of two sizes: two of three take two tasks at once, the third takes three and is slower. */
-const KIND_SIZES = [64_000, 64_000, 96_000]
-const KIND_SLOWNESS = [1, 1, 1.15]
+function queuesOf({kinds}: ReplayWork): readonly Queue[] {
+	return kinds.map(({name, priority}) => ({
+		name,
+		host: "jobs.example",
+		pathPrefix: `/${name}/`,
+		service: "svc",
+		priority,
+		maxAttempts: 3,
+		stretch: STRETCH,
+		slackMs: SLACK_MS,
+	}))
+}
 
 export function createReplayWorld(options: ReplayWorldOptions): ReplayWorld {
-	const {clock, failureDomains, random} = options
+	const {clock, failureDomains, random, work} = options
+	const queues = queuesOf(work)
+	const queueOf = (name: string) => queues.find(queue => queue.name === name) as Queue
+	const evacuated = new Set<string>()
 	const metrics = createJobMetrics()
 	const running = new Map<string, number>()
 	const doubled: string[] = []
@@ -117,13 +121,13 @@
 			service: "svc",
 			address: `e${serial}:1`,
 			failureDomain,
-			capacity: {cpu: KIND_SIZES[kind] as number, memoryMb: 1e6, accelerators: 0},
+			capacity: {cpu: work.roomCpu[kind] as number, memoryMb: 1e6, accelerators: 0},
 			labels: [],
 			rack: undefined,
 			isLeaving: false,
 		}
 		const executor = new ReplayExecutor(record, clock, random, judge)
-		executor.setFault({slowness: KIND_SLOWNESS[kind]})
+		executor.setFault({slowness: work.slowness[kind]})
 		executors.push(executor)
 		byId.set(record.id, executor)
 		listed.add(executor)
@@ -131,7 +135,7 @@
 	}
 	failureDomains.forEach((failureDomain, domain) => {
 		for (let at = 0; at < options.executorsPerDomain; at++)
-			addExecutor(failureDomain, (at + domain) % KIND_SIZES.length)
+			addExecutor(failureDomain, (at + domain) % work.roomCpu.length)
 	})
 
 	const recordsOf = (failureDomain: string) =>
@@ -246,7 +250,7 @@
 			onRoomChange: () => beats?.noteRoomChange(),
 			createKeeper: () => keeper,
 			executorsOf: recordsOf,
-			isEvacuated: () => false,
+			isEvacuated: domain => evacuated.has(domain),
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
@@ -271,7 +275,7 @@
 			}),
 			refreshConfig: () => undefined,
 			isLeaving: () => false,
-			isEvacuated: () => false,
+			isEvacuated: domain => evacuated.has(domain),
 		})
 		for (const other of failureDomains) {
 			const placer: Member = {
@@ -332,6 +336,11 @@
 			if (isCut) cut.add(failureDomain)
 			else cut.delete(failureDomain)
 		},
+		setEvacuated(failureDomain, isEvacuated) {
+			if (isEvacuated) evacuated.add(failureDomain)
+			else evacuated.delete(failureDomain)
+			for (const {hosts} of instances.values()) hosts.noteEvacuations()
+		},
 		setListed(executor, isListed) {
 			if (isListed) listed.add(executor)
 			else listed.delete(executor)
@@ -339,7 +348,7 @@
 		},
 		replace(executor) {
 			listed.delete(executor)
-			const kind = KIND_SIZES.indexOf(executor.record.capacity.cpu)
+			const kind = work.roomCpu.indexOf(executor.record.capacity.cpu)
 			const next = addExecutor(executor.record.failureDomain, kind)
 			tellList(executor.record.failureDomain)
 			return next
