Send new jobs elsewhere once a placer with calls under way has said nothing for 0.3 s

Change: a stream tells for how long nothing was read while calls were under way (readings come each 0.1 s); after 0.3 s, and the patience that lateness asks for, the placer is passed over; from 0.15 s on the other placers are asked for signs of life. Tests: one in memory that fails before, one of the stream. Ruled out: an acknowledgement before each start (a message more for each job, processor time is dear); running such jobs anew at the successor (their runs are certainly over 1.25 s after the last confirmation, when no kind's answer is in time).

--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -2,16 +2,26 @@
  * Which placers a job is offered to, and in which order: the own domain's first, none of a domain that is emptied.
  */
 import type {FleetView} from "../fleet/members.js"
+import {patienceMs} from "../fleet/patience.js"
+import type {Peers} from "../fleet/peers.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Hosts} from "./hosts.js"
 
 /** A placer that said nothing for so long gets no new jobs: three beats. */
 const PLACER_QUIET_MS = 650
+/**
+ * With calls under way it is heard ten times a second; without three of these words new jobs go elsewhere. When a placer's
+ * machine is gone its domain's callers send it some 100 jobs a second, which may not be tried again.
+ */
+const STREAM_QUIET_MS = 300
 
 export interface CandidatesDeps {
 	readonly view: FleetView
 	readonly self: Member
 	readonly hosts: Pick<Hosts, "of">
+	readonly peers: Pick<Peers, "quietMs">
+	/** By how much this instance's own timers were late of late, in milliseconds. */
+	readonly ownLateMs: () => number
 	/** Whether operators are emptying a failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
 }
@@ -25,7 +35,8 @@
 	areAllEmptied(): boolean
 }
 
-export function createCandidates({view, self, hosts, isEvacuated}: CandidatesDeps): Candidates {
+export function createCandidates(deps: CandidatesDeps): Candidates {
+	const {view, self, hosts, peers, isEvacuated} = deps
 	/** Which of several domains that suit alike is asked first. */
 	let turn = 0
 
@@ -33,8 +44,16 @@
 	const isOpen = ({failureDomain}: Claim) => !isEvacuated(failureDomain)
 	const isOwnDomainEmptied = () => isEvacuated(self.failureDomain)
 
-	function isNear({session}: Member): boolean {
-		return view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session)
+	function isNear(member: Member): boolean {
+		const {session} = member
+		return (
+			view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session) && isAnswering(member)
+		)
+	}
+
+	function isAnswering(member: Member): boolean {
+		const quietMs = peers.quietMs(member.address)
+		return quietMs < STREAM_QUIET_MS || quietMs < STREAM_QUIET_MS + patienceMs(deps, member)
 	}
 
 	function isHeard(claim: Claim): boolean {
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -36,6 +36,8 @@
 	readonly config: () => FleetConfig | undefined
 	readonly refreshConfig: () => void
 	readonly isLeaving: () => boolean
+	/** By how much this instance's own timers were late of late, in milliseconds. */
+	readonly ownLateMs: () => number
 	/** Whether operators are emptying a failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
 }
--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -54,7 +54,7 @@
 	readonly own: () => Beat
 	readonly onBeat: (beat: Beat) => void
 	readonly onRoomNews: (news: RoomNews) => void
-	/** Whether the own domain's callers are served by the other domains' placers now. */
+	/** Whether the own domain's callers are, or may soon be, served by the other domains' placers. */
 	readonly needsOthers: () => boolean
 	/** What the own link carries, in millions of bits a second. */
 	readonly linkMbps: number
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -123,6 +123,8 @@
 	): PeerCall<TaskReply>
 	takeOver(address: string, message: TakeOverMessage, timeoutMs: number): PeerCall<TakeOverReply>
 	kept(address: string, message: KeptMessage, timeoutMs: number): PeerCall<KeptReply>
+	/** For how long nothing was read of a peer while calls to it were under way, in milliseconds. */
+	quietMs(address: string): number
 	/** A datagram came from there. */
 	noteReachable(address: string): void
 	close(): void
@@ -172,6 +174,7 @@
 			call(address, "runTask", message, timeoutMs, confirmedAt),
 		takeOver: (address, message, timeoutMs) => call(address, "takeOver", message, timeoutMs),
 		kept: (address, message, timeoutMs) => call(address, "kept", message, timeoutMs),
+		quietMs: address => clients.get(address)?.quietMs() ?? 0,
 		noteReachable: address => clients.get(address)?.noteReachable(),
 		close() {
 			for (const client of clients.values()) client.close()
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -34,6 +34,8 @@
 import {watchNews, type News} from "./utils/news.js"
 
 const LOOP_PROBE_MS = 500
+/** A reading of the home placer's clock is overdue by half; other placers are heard by the time when they may be needed. */
+const HOME_OVERDUE_MS = 150
 /** Claims are told by beats too, within a fifth of a second; who is a member changes seldom. */
 const FLEET_WATCH_MS = 5_000
 /** All members and claims, some 0.4 KB each as they are listed: 100 of them are 0.7 KB a second. */
@@ -147,6 +149,7 @@
 		config: config.current,
 		refreshConfig: config.refresh,
 		isLeaving: () => isLeaving,
+		ownLateMs: strain.lateMs,
 		isEvacuated: evacuations.isUnderWay,
 	})
 
@@ -214,9 +217,14 @@
 		own: ownBeat,
 		onBeat: takeBeat,
 		onRoomNews: takeRoomNews,
-		needsOthers: () => evacuations.isUnderWay(self.failureDomain),
+		needsOthers: () => evacuations.isUnderWay(self.failureDomain) || isHomeQuiet(),
 		linkMbps: settings.linkMbps,
 	})
+	function isHomeQuiet(): boolean {
+		const home = view.claimOf(self.failureDomain)?.placer
+		return home !== undefined && peers.quietMs(home.address) > HOME_OVERDUE_MS
+	}
+
 	const registration = beginRegistration(self, {clock, store, log})
 
 	const handover = createHandover({
--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -44,6 +44,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: unused,
 		},
 		send: (_address, message) => void sent.push(message),
--- a/packages/jobs/test/caller-deadline.test.ts
+++ b/packages/jobs/test/caller-deadline.test.ts
@@ -40,6 +40,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: unused,
 			runJob(_address, message, _timeoutMs, confirmedAt) {
 				sent.push({message, confirmedAt})
@@ -58,6 +59,7 @@
 		refreshConfig: () => undefined,
 		isLeaving: () => false,
 		isEvacuated: () => false,
+		ownLateMs: () => 0,
 	})
 	const receivedAt = clock.now()
 	const job: Job = {
--- a/packages/jobs/test/confirmed-callers.test.ts
+++ b/packages/jobs/test/confirmed-callers.test.ts
@@ -71,6 +71,7 @@
 		takeOver: unused,
 		kept: unused,
 		noteReachable: ignore,
+		quietMs: () => 0,
 		close: ignore,
 	}
 	const asked: TaskRequest[] = []
@@ -101,6 +102,7 @@
 		refreshConfig: ignore,
 		isLeaving: () => false,
 		isEvacuated: () => false,
+		ownLateMs: () => 0,
 	})
 	const overflow = createOverflow({
 		clock,
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -30,6 +30,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: unused,
 		},
 		view,
@@ -46,6 +47,7 @@
 		refreshConfig: () => void refreshed++,
 		isLeaving: () => false,
 		isEvacuated: () => false,
+		ownLateMs: () => 0,
 	})
 	const caller = {...STAYING, madeAt: clock.now()}
 	const claim = () => view.noteClaim({failureDomain: "a", fence: 1, placer: self})
--- a/packages/jobs/test/evacuations.test.ts
+++ b/packages/jobs/test/evacuations.test.ts
@@ -236,6 +236,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: unused,
 			runJob(address) {
 				asked.push(address)
@@ -247,6 +248,7 @@
 		config: () => undefined,
 		refreshConfig: () => undefined,
 		isLeaving: () => false,
+		ownLateMs: () => 0,
 		isEvacuated: domain => evacuated.includes(domain),
 	})
 	for (const domain of ["a", "b", "c"]) {
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -50,6 +50,7 @@
 			runTask: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: () => undefined,
 			takeOver(address, _message, timeoutMs) {
 				asked.push(address)
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -175,6 +175,7 @@
 	takeOver: unused,
 	kept: unused,
 	noteReachable: ignore,
+	quietMs: () => 0,
 	close: unused,
 }
 const OWN = memberOf("a-1", "a", "11111111-own")
@@ -220,6 +221,7 @@
 			refreshConfig: ignore,
 			isLeaving: () => false,
 			isEvacuated: () => false,
+			ownLateMs: () => 0,
 		})
 		const steps = [{count: 1, need: taskRequest(TASK).need, estimateMs: 100, after: []}]
 		const job = {id: "j", queue: "orders", spec: "", steps, receivedAt: 0, deadlineAt: 9_000}
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -48,6 +48,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: () => undefined,
 			runTask() {
 				let answer: (reply: TaskReply | undefined) => void = () => undefined
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -25,6 +25,7 @@
 	const clock = createFakeClock()
 	const view = createFleetView(clock, () => undefined)
 	const asked: string[] = []
+	const quiet = new Map<string, number>()
 	const hosted: {of?: {readonly placer: object}} = {}
 	const unused = () => {
 		throw new Error("not used")
@@ -40,6 +41,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: address => quiet.get(address) ?? 0,
 			close: unused,
 			runJob(address) {
 				asked.push(address)
@@ -55,6 +57,7 @@
 		refreshConfig: () => undefined,
 		isLeaving: () => false,
 		isEvacuated: () => false,
+		ownLateMs: () => 0,
 	})
 	const claimOf = (placer: Member, fence: number): Claim => ({failureDomain: "a", fence, placer})
 	const beatOf = (from: Member, isLeaving: boolean): Beat => ({
@@ -78,7 +81,7 @@
 		void end.then(() => (settledAt = clock.now()))
 		return {end, settledAt: () => settledAt}
 	}
-	return {clock, view, asked, hosted, claimOf, beatOf, dispatch}
+	return {clock, view, asked, quiet, hosted, claimOf, beatOf, dispatch}
 }
 
 describe("placers at hand", () => {
@@ -126,4 +129,35 @@
 		expect((await end).type).to.equal("completed")
 		expect(asked).to.eql(["a-2:1"])
 	})
+
+	/*
+	 * A placer's machine was gone for good. Its beats had come until then, so for 0.6 s its domain's instances sent it their
+	 * callers' jobs, which may not be tried again: 87 answers of 502 to jobs that had reached no executor. Settled by
+	 * `placer_asked` lines with "given up" for jobs that had come after its last line, from 3.0 to 3.6 s of that day.
+	 */
+	it("do not include one that has calls under way and says nothing", async () => {
+		const {view, claimOf, beatOf, asked, quiet, dispatch} = createWorld()
+		const far = {...member("b-1"), failureDomain: "b"}
+		view.noteClaim(claimOf(other, 2))
+		view.noteClaim({failureDomain: "b", fence: 1, placer: far})
+		for (const placer of [other, far]) view.takeBeat(beatOf(placer, false))
+		await (
+			await dispatch(500)
+		).end
+		quiet.set(other.address, 250)
+		await (
+			await dispatch(500)
+		).end
+		quiet.set(other.address, 320)
+		await (
+			await dispatch(500)
+		).end
+		expect(asked).to.eql(["a-2:1", "a-2:1", "b-1:1"])
+		// By its own word it is late by so much that this is no sign of anything.
+		view.takeBeat({...beatOf(other, false), lateMs: 60})
+		await (
+			await dispatch(500)
+		).end
+		expect(asked.at(-1)).to.equal("a-2:1")
+	})
 })
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -229,6 +229,7 @@
 			takeOver: unused,
 			kept: unused,
 			noteReachable: () => undefined,
+			quietMs: () => 0,
 			close: () => undefined,
 		}
 		const view = createFleetView(clock, claim => hosts.noteClaim(claim))
@@ -275,6 +276,7 @@
 			}),
 			refreshConfig: () => undefined,
 			isLeaving: () => false,
+			ownLateMs: () => 0,
 			isEvacuated: domain => evacuated.has(domain),
 		})
 		for (const other of failureDomains) {
--- a/packages/wire/src/json-client.ts
+++ b/packages/wire/src/json-client.ts
@@ -68,6 +68,11 @@
 	 * it a call is wanted until it is cancelled.
 	 */
 	call(method: string, message: unknown, timeoutMs: number, confirmedAt?: () => number): JsonCall
+	/**
+	 * For how long nothing was read of the peer while calls to it were under way, in milliseconds; 0 while none is. A peer that
+	 * has read a call sends a reading each 100 ms.
+	 */
+	quietMs(): number
 	/** The peer was heard by other means: an attempt to connect that is under way in vain is replaced. */
 	noteReachable(): void
 	close(): void
@@ -81,13 +86,15 @@
 	readonly madeAt: number
 	readonly confirmedAt: () => number
 	readonly settle: (reply: JsonReply) => void
-	isSent: boolean
+	/** Steady milliseconds; undefined until it was sent. */
+	sentAt: number | undefined
 }
 
 /** Calls under way on one stream, and the stream. */
 interface Exchange {
 	readonly begin: (call: Pending) => void
 	readonly cancel: (call: Pending, cause: string) => void
+	readonly quietMs: () => number
 	/** Begins another attempt, unless there is a connection. */
 	readonly connectAnew: () => void
 	readonly close: () => void
@@ -123,18 +130,20 @@
 		let wasConnected = false
 		let isBroken = false
 		let isConfirmDue = false
+		let readAt = -Infinity
 		const send = createFrameWriter<CallerFrame>(bytes => {
 			if (!isBroken) stream.write(bytes)
 		})
-		const exchange: Exchange = {begin, cancel, connectAnew, close: () => stream.cancel()}
+		const close = () => stream.cancel()
+		const exchange: Exchange = {begin, cancel, connectAnew, quietMs, close}
 
 		function breakOff(cause: string) {
 			clearTimeout(timer)
 			isBroken = true
 			const wasRefused = cause.includes(REFUSED)
 			if (current === exchange) current = undefined
-			for (const {settle, isSent} of [...pending.values()])
-				settle({type: "no answer", cause, wasSent: isSent, wasRefused})
+			for (const {settle, sentAt} of [...pending.values()])
+				settle({type: "no answer", cause, wasSent: sentAt !== undefined, wasRefused})
 			pending.clear()
 		}
 
@@ -162,15 +171,23 @@
 
 		function sendCall(call: Pending) {
 			const {id, method, message} = call
-			call.isSent = true
+			call.sentAt = systemClock.now()
 			const madeAt = roundedDown(peerClock.toPeer(call.madeAt))
 			send({id, method, message, madeAt, confirmedAt: confirmedAtOf(call)})
 		}
 
 		function cancel(call: Pending, cause: string) {
 			if (!pending.delete(call.id)) return
-			call.settle({type: "no answer", cause, wasSent: call.isSent, wasRefused: false})
-			if (call.isSent) send({id: call.id, cancel: true})
+			const wasSent = call.sentAt !== undefined
+			call.settle({type: "no answer", cause, wasSent, wasRefused: false})
+			if (wasSent) send({id: call.id, cancel: true})
+		}
+
+		/** Calls are sent in order, so the first that is under way has waited longest. */
+		function quietMs(): number {
+			const [oldest] = pending.values()
+			if (oldest?.sentAt === undefined) return 0
+			return systemClock.now() - Math.max(readAt, oldest.sentAt)
 		}
 
 		/** One frame tells of all calls: most are wanted as of the same time. */
@@ -214,7 +231,10 @@
 		const patienceMs = Math.min(LONGEST_ESTABLISH_MS, ESTABLISH_MS * 2 ** failedAttempts)
 		const timer = setTimeout(connectAnew, patienceMs)
 		client.waitForReady(Date.now() + patienceMs, err => (wasConnected ||= !err))
-		stream.on("data", (frames: readonly ServerFrame[]) => frames.forEach(take))
+		stream.on("data", (frames: readonly ServerFrame[]) => {
+			readAt = systemClock.now()
+			frames.forEach(take)
+		})
 		stream.on("error", (err: grpc.ServiceError) => breakOff(err.details || err.message))
 		stream.on("end", () => breakOff("the stream ended"))
 		return exchange
@@ -233,13 +253,14 @@
 				}
 				const id = ++serial
 				const madeAt = systemClock.now()
-				const call = {id, method, message, madeAt, confirmedAt, settle, isSent: false}
+				const call = {id, method, message, madeAt, confirmedAt, settle, sentAt: undefined}
 				giveUp = cause => exchange.cancel(call, cause)
 				const timer = setTimeout(() => afterReading(() => giveUp("no answer in time")), timeoutMs)
 				exchange.begin(call)
 			})
 			return {reply, cancel: () => giveUp("cancelled")}
 		},
+		quietMs: () => current?.quietMs() ?? 0,
 		noteReachable() {
 			const now = systemClock.now()
 			const wasSilent = now - heardAt >= SILENCE_MS
--- a/packages/wire/test/json-service.test.ts
+++ b/packages/wire/test/json-service.test.ts
@@ -65,6 +65,28 @@
 		close()
 	})
 
+	it("is heard while calls are under way, and quiet once the other side says nothing", async () => {
+		const {client, close} = await createWorld({wait: () => sleep(400)})
+		expect(client.quietMs()).to.equal(0)
+		const call = client.call("wait", "", 2_000)
+		await sleep(350)
+		// Readings come each 100 ms; this machine may be late.
+		expect(client.quietMs()).to.be.lessThan(200)
+		await call.reply
+		expect(client.quietMs()).to.equal(0)
+		close()
+		const silent = createServer(() => undefined)
+		await new Promise<void>(resolve => silent.listen(0, "127.0.0.1", resolve))
+		const {port} = silent.address() as AddressInfo
+		const unanswered = connectJson("test.Service", `127.0.0.1:${port}`)
+		unanswered.call("wait", "", 250)
+		await sleep(150)
+		// What was never sent cannot have been passed over.
+		expect(unanswered.quietMs()).to.equal(0)
+		unanswered.close()
+		silent.close()
+	})
+
 	it("gives up after a call's time-out and tells the handler", async () => {
 		let isCancelled = false
 		const {client, close} = await createWorld({
