Empty a failure domain by the product's own interface and command

Change: the configuration names the domains that are emptied; their targets count as leaving, jobs that only such workers could run are refused at once, and cottonwoodctl evacuate DOMAIN [--finish] changes the list, also when another change comes between. Test: on real processes, by the command, both calls refused and then served again. Ruled out: a key of its own beside the configuration; a version that never reverts and is learnt from peers is what is needed.

--- a/packages/core/src/core/config.ts
+++ b/packages/core/src/core/config.ts
@@ -42,6 +42,8 @@
 			defaultDeadlineMs: z.int().positive().max(3_600_000).default(60_000),
 		})
 		.prefault({}),
+	/** Failure domains that operators are emptying: nothing further is sent to their targets. */
+	evacuated: z.array(z.string().min(1)).default([]),
 	limits: z
 		.strictObject({
 			maxQueuedPerInstance: z.int().positive().default(20_000),
--- a/packages/ctl/src/bin.ts
+++ b/packages/ctl/src/bin.ts
@@ -4,7 +4,7 @@
  */
 import meow from "meow"
 import type {Command} from "./commands/command.js"
-import {config, drain, endpoints, instances, workers} from "./commands/operators.js"
+import {config, drain, endpoints, evacuate, instances, workers} from "./commands/operators.js"
 import {cancel, explain, jobs, status, submit} from "./commands/submissions.js"
 import {trace} from "./commands/trace.js"
 import {EXIT} from "./output.js"
@@ -19,6 +19,7 @@
 	instances,
 	endpoints,
 	workers,
+	evacuate,
 	drain,
 	trace,
 })
@@ -39,6 +40,7 @@
 	  config diff FILE     what a file would change
 	  config history       all versions, with author and time
 	  instances | endpoints | workers
+	  evacuate [DOMAIN]    send nothing further to a failure domain's targets; --finish takes it back
 	  trace ID [FILE...]   a job's timeline from the instances' log lines (or standard input)
 	  drain                stop the instance at --url without cutting a request
 
@@ -49,6 +51,7 @@
 	  --deadline-ms N      how long the caller can use the answer
 	  --if-version N       the version that a change replaces
 	  --author NAME        who changes the configuration
+	  --finish             with evacuate: use the failure domain again
 	  --limit N            how many submissions to list
 	  --json               print JSON
 
@@ -72,6 +75,7 @@
 			ifVersion: {type: "number"},
 			author: {type: "string", default: process.env.USER ?? "unknown"},
 			limit: {type: "number", default: 50},
+			finish: {type: "boolean", default: false},
 		},
 	},
 )
@@ -83,12 +87,12 @@
 		process.stderr.write(name === "" ? cli.help : `unknown command "${name}"; see --help\n`)
 		return EXIT.usage
 	}
-	const {url, caller, json, id, deadlineMs, ifVersion, author, limit} = cli.flags
+	const {url, caller, json, id, deadlineMs, ifVersion, author, limit, finish} = cli.flags
 	const code = await command({
 		connection: {url, caller},
 		words,
 		asJson: json,
-		flags: {id, deadlineMs, version: ifVersion, author, limit},
+		flags: {id, deadlineMs, version: ifVersion, author, limit, finish},
 	})
 	if (code === EXIT.usage) process.stderr.write(`usage of "${name}": see --help\n`)
 	return code
--- a/packages/ctl/src/commands/command.ts
+++ b/packages/ctl/src/commands/command.ts
@@ -14,6 +14,8 @@
 		readonly version?: number
 		readonly author: string
 		readonly limit: number
+		/** Takes an evacuated failure domain back. */
+		readonly finish: boolean
 	}
 }
 
--- a/packages/ctl/src/commands/operators.ts
+++ b/packages/ctl/src/commands/operators.ts
@@ -99,6 +99,48 @@
 	return EXIT.ok
 }
 
+interface EvacuatedConfig {
+	readonly evacuated?: readonly string[]
+}
+
+/** Other changes of the configuration may come between the reading and the writing. */
+const EVACUATE_TRIES = 5
+
+/** Empties a failure domain, or takes it back; without one, lists those that are emptied. */
+export const evacuate: Command = async invocation => {
+	const [domain] = invocation.words
+	for (let tries = 1; ; tries++) {
+		const current = await readConfig(invocation)
+		if (current.isErr()) return reportFailure(current.error, invocation.asJson)
+		const before = (current.value.config as EvacuatedConfig).evacuated ?? []
+		if (domain === undefined) return printEvacuated(invocation, before)
+		const others = before.filter(name => name !== domain)
+		const evacuated = invocation.flags.finish ? others : [...others, domain]
+		const result = await callEntry<VersionedConfig>(invocation.connection, "/v1/config", {
+			method: "PUT",
+			body: JSON.stringify({...(current.value.config as object), evacuated}),
+			headers: {
+				"if-match": String(current.value.version),
+				"cottonwood-author": invocation.flags.author,
+			},
+		})
+		if (result.isOk()) return printEvacuated(invocation, evacuated)
+		const isOvertaken = result.error.kind === "config_conflict"
+		if (!isOvertaken || tries === EVACUATE_TRIES)
+			return reportFailure(result.error, invocation.asJson)
+	}
+}
+
+function printEvacuated({asJson}: Invocation, evacuated: readonly string[]): number {
+	if (asJson) printJson({evacuated})
+	else
+		printTable(
+			["evacuated domain"],
+			evacuated.map(name => [name]),
+		)
+	return EXIT.ok
+}
+
 export const config: Command = async invocation => {
 	const [verb, file] = invocation.words
 	if (verb === "get") return getConfig(invocation)
--- a/packages/entry/src/core/dispatch-parts.ts
+++ b/packages/entry/src/core/dispatch-parts.ts
@@ -190,6 +190,7 @@
 		metrics,
 		everyMs: settings.timings.listMs,
 		isDraining: () => state.draining,
+		isEvacuated: domain => configNow()?.evacuated.includes(domain) ?? false,
 		livePeersIn: peers.liveIn,
 		livePeers: peers.live,
 		scheduler,
--- a/packages/entry/src/dispatch/plans.ts
+++ b/packages/entry/src/dispatch/plans.ts
@@ -123,6 +123,8 @@
 	if (matching.length === 0) {
 		return fail("cannot_run", `task ${index}: no worker matches its selector`)
 	}
+	if (!matching.some(worker => worker.state === "live"))
+		return noCapacity(`task ${index}: every worker that matches is leaving`)
 	if (matching.some(worker => isLargeEnough(worker, plan.need))) return ok(undefined)
 	const {cpu, memoryMb, accelerators} = plan.need
 	const need = `${cpu} processors, ${memoryMb} MiB, ${accelerators} accelerators`
--- a/packages/entry/src/dispatch/targets.ts
+++ b/packages/entry/src/dispatch/targets.ts
@@ -11,7 +11,7 @@
 	stop(): void
 	/** All listed targets of all failure domains. */
 	all(): readonly Target[]
-	/** Computes anew which targets are placed here; called when the members changed. */
+	/** Computes anew which targets are placed here, and how; called when the members or the configuration changed. */
 	assign(): void
 	placerOf(target: Target): string | undefined
 }
@@ -25,6 +25,8 @@
 	readonly metrics: Metrics
 	readonly everyMs: number
 	readonly isDraining: () => boolean
+	/** Whether operators are emptying a failure domain. */
+	readonly isEvacuated: (failureDomain: string) => boolean
 	readonly livePeersIn: (failureDomain: string) => readonly string[]
 	readonly livePeers: () => readonly string[]
 	readonly scheduler: Scheduler
@@ -51,6 +53,11 @@
 		return near.length > 0 ? near : [...deps.livePeers(), ...self]
 	}
 
+	/** A target of a domain that is emptied counts as leaving: what runs there ends in peace, and nothing new comes. */
+	function asUsed(target: Target): Target {
+		return deps.isEvacuated(target.failureDomain) ? {...target, state: "leaving"} : target
+	}
+
 	/** Assigns the targets of each failure domain and pool evenly to its placers. */
 	function assignAll(): ReadonlyMap<string, string> {
 		const groups = new Map<string, Target[]>()
@@ -70,7 +77,7 @@
 	function assign() {
 		placers = assignAll()
 		const mine = targets.filter(target => placers.get(target.id) === deps.instance)
-		deps.scheduler.setTargets(mine)
+		deps.scheduler.setTargets(mine.map(asUsed))
 		deps.metrics.gauge("targets.placed", mine.length)
 	}
 
@@ -109,7 +116,7 @@
 	return {
 		start: () => void loop(),
 		stop: () => void (isStopped = true),
-		all: () => targets,
+		all: () => targets.map(asUsed),
 		assign,
 		placerOf: target => placers.get(target.id),
 	}
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -65,7 +65,10 @@
 		rooms: () => dispatch.scheduler.rooms(),
 		onMembers: () => dispatch.board.assign(),
 		onRoom: (peer, pool) => dispatch.scheduler.notePeerRoom(peer, pool),
-		onConfig: () => dispatch.scheduler.pump(),
+		onConfig() {
+			dispatch.board.assign()
+			dispatch.scheduler.pump()
+		},
 	})
 	const dispatch: DispatchParts = createDispatchParts(base, fleet)
 	const {state} = base
--- a/packages/standins/test/product.test.ts
+++ b/packages/standins/test/product.test.ts
@@ -267,6 +267,25 @@
 		expect(refused.stderr).to.match(/teams.x.weight/)
 	})
 
+	it("has a command that empties a failure domain, and takes it back", async () => {
+		const stateOf = () =>
+			(JSON.parse(ctl("endpoints", "--json").stdout) as {state: string}[]).map(({state}) => state)
+		expect(ctl("evacuate", "fd1").stdout).to.contain("fd1")
+		expect(ctl("evacuate").stdout).to.contain("fd1")
+		expect(stateOf()).to.eql(["leaving"])
+		const refused = await submitRequest(url, JSON.stringify(ok))
+		expect(refused.status).to.equal(503)
+		const job = writeJson("refused.json", {tasks: [{payload: {ms: 5}}]})
+		expect(ctl("submit", job, "--json").status, "not run").to.equal(3)
+		expect(ctl("evacuate", "fd1", "--finish").status).to.equal(0)
+		expect(stateOf()).to.eql(["live"])
+		expect((await submitRequest(url, JSON.stringify(ok))).status).to.equal(200)
+		// A domain that no target has changes nothing.
+		expect(ctl("evacuate", "nowhere").status).to.equal(0)
+		expect((await submitRequest(url, JSON.stringify(ok))).status).to.equal(200)
+		expect(ctl("evacuate", "nowhere", "--finish").status).to.equal(0)
+	})
+
 	it("does not start on a port in use", async () => {
 		const settings = {
 			instance: "late",
