Soak with domains that are emptied, rooms that shrink, tasks that crash executors and machines that are suspended

A row of faults of its own, so that the faults of older seeds stay what they were; after each soak a domain is emptied and must get nothing new, and no crashing task may have been started more than five times. Executors that a task has crashed listen again at their own port, not at that of a link before them (a first run ended with that port in use).

--- a/packages/standins/src/leased/platform.ts
+++ b/packages/standins/src/leased/platform.ts
@@ -56,6 +56,7 @@
 const BEAT_MS = 500
 /** An executor that a task has crashed is back after this; its entry lapses before. */
 const CRASHED_MS = 2_000
+const LISTEN_RETRY_MS = 100
 const LAPSES_AFTER_MS = 3 * BEAT_MS
 /** Where instances note themselves and their claims. */
 const FLEET_PREFIX = "fleet/"
@@ -88,6 +89,18 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`
 }
 
+/** An outgoing connection may have taken the port meanwhile, for a while. */
+async function listenAgain(server: Server, port: number) {
+	for (;;) {
+		const isListening = await new Promise<boolean>(resolve => {
+			server.once("error", () => resolve(false))
+			server.listen(port, "127.0.0.1", () => resolve(true))
+		})
+		if (isListening) return
+		await new Promise(resolve => setTimeout(resolve, LISTEN_RETRY_MS))
+	}
+}
+
 /** Watches all executors for two runs of one task at once; `settle` ends what is over by their clocks. */
 function createJudge(
 	settle: () => void,
@@ -167,16 +180,19 @@
 	function crash(id: string) {
 		const hosted = executors.find(({executor}) => executor.id === id)
 		if (!hosted || crashed.has(hosted.executor)) return
-		const {executor, server, address} = hosted
+		const {executor, server} = hosted
+		// Not the address that instances are told, where a link may listen.
+		const {port} = server.address() as AddressInfo
 		crashed.add(executor)
 		executor.crash()
 		server.close()
 		server.closeAllConnections()
 		setTimeout(() => store.remove(`servers/${id}`), LAPSES_AFTER_MS)
-		setTimeout(() => {
+		const begin = () => {
 			hosted.executor = newExecutor(hosted.name)
-			server.listen(Number(address.split(":")[1]), "127.0.0.1", () => beat(hosted))
-		}, CRASHED_MS)
+			beat(hosted)
+		}
+		setTimeout(() => void listenAgain(server, port).then(begin), CRASHED_MS)
 	}
 
 	const executorsOf = options.executorsOf ?? (() => options.executorsPerDomain)
@@ -209,6 +225,7 @@
 			store.write("op/config", {version, routes: routesFor([]), services, ...changes})
 		},
 		restart(hosted) {
+			if (crashed.has(hosted.executor)) return
 			store.remove(`servers/${hosted.executor.id}`)
 			hosted.executor.crash()
 			hosted.executor = newExecutor(hosted.name)
--- a/packages/standins/src/soak/connection-faults.ts
+++ b/packages/standins/src/soak/connection-faults.ts
@@ -4,6 +4,7 @@
  */
 import {routesFor} from "../leased/platform.js"
 import {seededRandom} from "../utils/random.js"
+import {pick, planRow, type PlannedFaultOf} from "./fault-row.js"
 import type {LeasedWorld} from "./leased-faults.js"
 
 export const CONNECTION_FAULTS = Object.freeze([
@@ -15,15 +16,9 @@
 ] as const)
 export type ConnectionFault = (typeof CONNECTION_FAULTS)[number]
 
-export interface PlannedConnectionFault {
-	readonly atMs: number
-	readonly name: ConnectionFault
-	/** What the fault itself draws comes from a row of its own. */
-	readonly seed: number
-}
+export type PlannedConnectionFault = PlannedFaultOf<ConnectionFault>
 
 const PLAN_SEED = 3_000_017
-const SEED_RANGE = 2 ** 31
 /** Between two of them at most: four times as long as between the other faults. */
 const LONGEST_PAUSE_MS = 5_000
 const MOST_VERSIONS = 4
@@ -31,22 +26,10 @@
 const LONGEST_VERSION_PAUSE_MS = 300
 
 const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
-const pick = <T>(items: readonly T[], random: () => number) =>
-	items[Math.floor(random() * items.length)] as T
 
 /** Draws so many faults. */
-export function planConnectionFaults(
-	seed: number,
-	count: number,
-): readonly PlannedConnectionFault[] {
-	const random = seededRandom(seed + PLAN_SEED)
-	let atMs = 0
-	return Array.from({length: count}, () => {
-		atMs += Math.round(random() * LONGEST_PAUSE_MS)
-		const name = pick(CONNECTION_FAULTS, random)
-		return {atMs, name, seed: Math.floor(random() * SEED_RANGE)}
-	})
-}
+export const planConnectionFaults = (seed: number, count: number) =>
+	planRow(seed + PLAN_SEED, CONNECTION_FAULTS, count, LONGEST_PAUSE_MS)
 
 export const isConnectionFault = (fault: {
 	readonly name: string
--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -6,10 +6,10 @@
 import {startEdges, type EdgeFleet} from "../leased/edges.js"
 import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
 import {seededRandom} from "../utils/random.js"
-import {checkConfiguration} from "./configuration-check.js"
 import {planConnectionFaults, runConnectionFault} from "./connection-faults.js"
 import {runLeasedCallers, untilEnded, type CalledJob} from "./leased-callers.js"
 import {violationsOf} from "./leased-verdict.js"
+import {checkOperators, planMachineFaults, runMachineFault, SUSPENDABLE} from "./machine-faults.js"
 import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
 
 export interface LeasedSoakPlan {
@@ -24,6 +24,8 @@
 	readonly callers: number
 	/** Of connections and versions, beside the others. */
 	readonly connectionFaults: number
+	/** Of failure domains that are emptied, executors and machines, beside the others. */
+	readonly machineFaults: number
 	readonly onFault: (text: string) => void
 }
 
@@ -37,6 +39,7 @@
 	executorsPerDomain: 3,
 	callers: 6,
 	connectionFaults: 0,
+	machineFaults: 0,
 	onFault: () => undefined,
 })
 
@@ -76,7 +79,10 @@
 	for (const [name] of names)
 		storeLinks.set(name, await openLink(() => portOf(platform.storeAddress)))
 	const storeAddressOf = (name: string) => `127.0.0.1:${storeLinks.get(name)?.port}`
-	const fleet = await startEdges(platform, names, {storeAddressOf})
+	const fleet = await startEdges(platform, names, {
+		storeAddressOf,
+		nodeArgs: ["--import", SUSPENDABLE],
+	})
 	const {faultMs: lastsMs} = plan
 	const links = {executorLinks, storeLinks}
 	return {
@@ -112,6 +118,19 @@
 	}
 }
 
+async function runMachineFaults(
+	world: LeasedWorld,
+	{seed, machineFaults, onFault}: LeasedSoakPlan,
+) {
+	const began = performance.now()
+	const underWay: Promise<void>[] = []
+	for (const fault of planMachineFaults(seed, machineFaults)) {
+		await sleep(began + fault.atMs - performance.now())
+		underWay.push(runMachineFault(world, fault, onFault))
+	}
+	await Promise.all(underWay)
+}
+
 function judge(
 	jobs: readonly CalledJob[],
 	platform: LeasedPlatform,
@@ -145,8 +164,14 @@
 	const world = await startWorld(plan, random)
 	try {
 		let isNeeded = true
-		const faults = Promise.all([runFaults(world, plan), runConnectionFaults(world, plan)])
-		const checked = faults.finally(() => (isNeeded = false)).then(() => checkConfiguration(world))
+		const faults = Promise.all([
+			runFaults(world, plan),
+			runConnectionFaults(world, plan),
+			runMachineFaults(world, plan),
+		])
+		const checked = faults
+			.finally(() => (isNeeded = false))
+			.then(() => checkOperators(world, plan.seed, plan.machineFaults))
 		const jobs = await runLeasedCallers(world.fleet, {
 			random: seededRandom(plan.seed + 1_000_003),
 			isNeeded: () => isNeeded,
--- /dev/null
+++ b/packages/standins/src/soak/machine-faults.ts
@@ -0,0 +1,154 @@
+/**
+ * Failure domains that operators empty, executors whose room shrinks or that a task crashes, machines that are suspended:
+ * a row of faults of their own, beside the others.
+ */
+import {handIn} from "../leased/edges.js"
+import {seededRandom} from "../utils/random.js"
+import {checkConfiguration} from "./configuration-check.js"
+import {pick, planRow, type PlannedFaultOf} from "./fault-row.js"
+import {livingEdges, type LeasedWorld} from "./leased-faults.js"
+
+export const MACHINE_FAULTS = Object.freeze([
+	"empty failure domain",
+	"shrink executors",
+	"suspend instance",
+	"tasks that crash executors",
+] as const)
+export type MachineFault = (typeof MACHINE_FAULTS)[number]
+export type PlannedMachineFault = PlannedFaultOf<MachineFault>
+
+/** Loaded into instances that may be suspended, before the program. */
+export const SUSPENDABLE = new URL("../leased/suspendable.js", import.meta.url).href
+
+const PLAN_SEED = 4_000_037
+const LONGEST_PAUSE_MS = 5_000
+const SHORTEST_MS = 500
+const LONGEST_MS = 4_000
+/** The room that is left; one task of the callers fits. */
+const SHRUNK_CPU = 30_000
+const ROOM_CPU = 64_000
+const SHARE_SHRUNK = 0.4
+const MOST_SUSPENSIONS = 3
+const SUSPENSION_APART_MS = 900
+const CRASHING_JOBS = 2
+/** From the contract: two more starts after three executors have crashed. */
+const MOST_CRASHING_STARTS = 5
+/** A change is heard within this once all is mended; the users' bound is 5 s. */
+const HEARD_MS = 2_500
+const PROBES = 6
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+const lasting = (random: () => number) => SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS)
+const evacuationKey = (domain: string) => `op/evacuate/${domain}`
+const domainsOf = ({platform}: LeasedWorld) => [
+	...new Set(platform.executors.map(({failureDomain}) => failureDomain)),
+]
+
+/** Draws so many faults. */
+export const planMachineFaults = (seed: number, count: number) =>
+	planRow(seed + PLAN_SEED, MACHINE_FAULTS, count, LONGEST_PAUSE_MS)
+
+export const isMachineFault = (fault: {readonly name: string}): fault is PlannedMachineFault =>
+	(MACHINE_FAULTS as readonly string[]).includes(fault.name)
+
+async function emptyDomain({platform}: LeasedWorld, domain: string, random: () => number) {
+	platform.store.write(evacuationKey(domain), {})
+	await sleep(lasting(random))
+	platform.store.remove(evacuationKey(domain))
+}
+
+async function shrink({platform}: LeasedWorld, random: () => number) {
+	const shrunk = platform.executors.filter(() => random() < SHARE_SHRUNK)
+	for (const hosted of shrunk) platform.resize(hosted, SHRUNK_CPU)
+	await sleep(lasting(random))
+	for (const hosted of shrunk) platform.resize(hosted, ROOM_CPU)
+}
+
+async function suspend(world: LeasedWorld, random: () => number) {
+	const edge = pick(livingEdges(world.fleet), random)
+	const times = 1 + Math.floor(random() * MOST_SUSPENSIONS)
+	for (let at = 0; at < times; at++) {
+		edge?.child.kill("SIGUSR2")
+		await sleep(SUSPENSION_APART_MS)
+	}
+}
+
+const idOf = (seed: number, at: number) =>
+	(seed * CRASHING_JOBS + at).toString(16).padStart(16, "c")
+
+async function crashExecutors(world: LeasedWorld, seed: number, random: () => number) {
+	const spec = {workMs: 300, crashes: true}
+	const calls = Array.from({length: CRASHING_JOBS}, (_, at) => {
+		const edge = pick(livingEdges(world.fleet), random)
+		return edge && handIn(edge, idOf(seed, at), {spec}).catch(() => undefined)
+	})
+	await Promise.all(calls)
+}
+
+/** Brings about one fault and mends it; says which it was. */
+export async function runMachineFault(
+	world: LeasedWorld,
+	{name, seed}: PlannedMachineFault,
+	onFault: (text: string) => void,
+): Promise<void> {
+	const random = seededRandom(seed)
+	onFault(name)
+	switch (name) {
+		case "empty failure domain":
+			return emptyDomain(world, pick(domainsOf(world), random), random)
+		case "shrink executors":
+			return shrink(world, random)
+		case "suspend instance":
+			return suspend(world, random)
+		case "tasks that crash executors":
+			return crashExecutors(world, seed, random)
+	}
+}
+
+/** What operators write is in force once all is mended, and no task was started too often. */
+export async function checkOperators(
+	world: LeasedWorld,
+	seed: number,
+	machineFaults: number,
+): Promise<readonly string[]> {
+	const behind = await checkConfiguration(world)
+	if (machineFaults === 0) return behind
+	const late = await checkEvacuation(world)
+	return [...behind, ...late, ...crashedTooOften(world, planMachineFaults(seed, machineFaults))]
+}
+
+/** Tasks that crash executors and were started more often than the contract allows. */
+function crashedTooOften(
+	{platform}: LeasedWorld,
+	faults: readonly PlannedMachineFault[],
+): readonly string[] {
+	const crashing = faults.filter(({name}) => name === "tasks that crash executors")
+	const tasks = crashing.flatMap(({seed}) =>
+		Array.from({length: CRASHING_JOBS}, (_, at) => `${idOf(seed, at)}.0.0.0`),
+	)
+	return tasks
+		.filter(task => platform.startsOf(task) > MOST_CRASHING_STARTS)
+		.map(task => `BUDGET: ${task} was started ${platform.startsOf(task)} times`)
+}
+
+/** Once all is mended, a domain that is emptied gets nothing new, whoever is asked. */
+async function checkEvacuation(world: LeasedWorld): Promise<readonly string[]> {
+	const {platform} = world
+	const [domain = ""] = domainsOf(world)
+	const startsThere = () =>
+		platform.executors
+			.filter(({failureDomain}) => failureDomain === domain)
+			.reduce((sum, {executor}) => sum + executor.starts, 0)
+	platform.store.write(evacuationKey(domain), {})
+	await sleep(HEARD_MS)
+	const before = startsThere()
+	const edges = livingEdges(world.fleet)
+	const probes = Array.from({length: PROBES}, (_, at) => {
+		const edge = edges[at % edges.length]
+		return edge && handIn(edge, idOf(1, at + CRASHING_JOBS)).catch(() => undefined)
+	})
+	await Promise.all(probes)
+	const later = startsThere() - before
+	platform.store.remove(evacuationKey(domain))
+	return later > 0 ? [`EVAC: ${later} starts in ${domain} after ${HEARD_MS} ms`] : []
+}
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -23,6 +23,9 @@
 	--connections N  so many faults beside the others in which connections go silent, or versions of the configuration
 	               come in quick succession; a quarter of --faults by default, none where --fault names some
 
+	--machines N   so many faults beside the others in which failure domains are emptied, executors shrink or are
+	               crashed by tasks, and machines are suspended; as many as --connections by default
+
 	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
@@ -40,6 +43,7 @@
 			program: {type: "string"},
 			keep: {type: "string"},
 			connections: {type: "number"},
+			machines: {type: "number"},
 			seed: {type: "number", default: 1},
 			runs: {type: "number", default: 1},
 			rounds: {type: "number", default: 1},
@@ -63,11 +67,14 @@
 	return flags.connections ?? (flags.fault.length > 0 ? 0 : Math.ceil(count / 4))
 }
 
+const machineFaultsBeside = (count: number) => flags.machines ?? connectionFaultsBeside(count)
+
 function soakPlatform(seed: number, onFault: (text: string) => void) {
 	const faults = flags.fault.length > 0 ? (flags.fault as LeasedFault[]) : LEASED_FAULTS
 	const {faults: count = LEASED_SOAK_DEFAULTS.count, callers = LEASED_SOAK_DEFAULTS.callers} = flags
 	const connectionFaults = connectionFaultsBeside(count)
-	return runLeasedSoak({seed, faults, count, callers, connectionFaults, onFault})
+	const machineFaults = machineFaultsBeside(count)
+	return runLeasedSoak({seed, faults, count, callers, connectionFaults, machineFaults, onFault})
 }
 
 function soakRough(seed: number, onFault: (text: string) => void) {
@@ -78,6 +85,7 @@
 		callers,
 		faults: flags.fault,
 		connectionFaults: connectionFaultsBeside(count),
+		machineFaults: machineFaultsBeside(count),
 		domains: flags.domains,
 		instancesPerDomain: flags.instances,
 		executorsPerDomain: flags.executors,
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -6,7 +6,6 @@
 import {isReady} from "../leased/edges.js"
 import {seededRandom} from "../utils/random.js"
 import {untilEnded} from "./leased-callers.js"
-import {checkConfiguration} from "./configuration-check.js"
 import {
 	isConnectionFault,
 	planConnectionFaults,
@@ -14,6 +13,13 @@
 	type PlannedConnectionFault,
 } from "./connection-faults.js"
 import {newestEdges, runLeasedFault} from "./leased-faults.js"
+import {
+	checkOperators,
+	isMachineFault,
+	planMachineFaults,
+	runMachineFault,
+	type PlannedMachineFault,
+} from "./machine-faults.js"
 import {violationsOf} from "./leased-verdict.js"
 import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
 import {runRoughFault} from "./rough-faults.js"
@@ -33,6 +39,8 @@
 	readonly callers: number
 	/** Of connections and versions, beside the others. */
 	readonly connectionFaults: number
+	/** Of failure domains that are emptied, executors and machines, beside the others. */
+	readonly machineFaults: number
 	/** Of callers that close their connection when they stop waiting. */
 	readonly shareClosing: number
 	/** Another build of the program. */
@@ -53,6 +61,7 @@
 	executorsPerDomain: 3,
 	callers: 70,
 	connectionFaults: 0,
+	machineFaults: 0,
 	shareClosing: 0.5,
 	program: undefined,
 	keepIn: undefined,
@@ -91,10 +100,11 @@
 
 async function runFault(
 	world: RoughWorld,
-	fault: PlannedFault | PlannedConnectionFault,
+	fault: PlannedFault | PlannedConnectionFault | PlannedMachineFault,
 	note: (text: string) => void,
 ) {
 	if (isConnectionFault(fault)) return runConnectionFault(world, fault, note)
+	if (isMachineFault(fault)) return runMachineFault(world, fault, note)
 	const random = seededRandom(fault.seed)
 	if (isRoughFault(fault.name)) return runRoughFault(world, fault.name, random, note)
 	const lastsMs = 500 + random() * 2_000
@@ -104,11 +114,12 @@
 	world.configVersion += own.configVersion - before
 }
 
-/** Both rows of faults, in the order of their times. */
-function planAll({seed, count, faults, connectionFaults}: RoughSoakPlan) {
+/** All rows of faults, in the order of their times. */
+function planAll({seed, count, faults, connectionFaults, machineFaults}: RoughSoakPlan) {
 	const others = planFaults(seed, count, faults)
 	const ofConnections = planConnectionFaults(seed, connectionFaults)
-	return [...others, ...ofConnections].sort((a, b) => a.atMs - b.atMs)
+	const ofMachines = planMachineFaults(seed, machineFaults)
+	return [...others, ...ofConnections, ...ofMachines].sort((a, b) => a.atMs - b.atMs)
 }
 
 async function runFaults(world: RoughWorld, plan: RoughSoakPlan, faults: RecordLine[]) {
@@ -168,7 +179,7 @@
 		let isNeeded = true
 		const ended = runFaults(world, plan, faults)
 			.finally(() => (isNeeded = false))
-			.then(() => checkConfiguration(world))
+			.then(() => checkOperators(world, seed, plan.machineFaults))
 		const jobs = await runRoughCallers(world, {
 			seed: seed + CALLERS_SEED,
 			callers,
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -7,6 +7,7 @@
 import {openNetwork, type Network} from "../leased/network.js"
 import {startLeasedPlatform} from "../leased/platform.js"
 import type {LeasedWorld} from "./leased-faults.js"
+import {SUSPENDABLE} from "./machine-faults.js"
 
 export interface RoughWorld extends LeasedWorld {
 	readonly network: Network
@@ -110,7 +111,7 @@
 		cpuShareOf: name => shares.get(name) ?? 1,
 		ipOf: name => ips.get(name) ?? "127.0.0.1",
 		envOf: name => ({COTTONWOOD_ROUTES: JSON.stringify(network.routesOf(name))}),
-		nodeArgs: ["--import", PRELOAD],
+		nodeArgs: ["--import", PRELOAD, "--import", SUSPENDABLE],
 		program: plan.program,
 		readyMs: READY_MS,
 		onLaunch: edge => void peers.set(edge.name, edge.peers),
--- a/packages/standins/test/leased-soak.test.ts
+++ b/packages/standins/test/leased-soak.test.ts
@@ -39,6 +39,22 @@
 		expect(verdict.completed).to.be.greaterThan(0)
 	}).timeout(120_000)
 
+	it("breaks no promise while domains are emptied, executors shrink or crash, and machines are suspended", async () => {
+		const faults: string[] = []
+		const verdict = await runRoughSoak({
+			seed: 34,
+			count: 8,
+			machineFaults: 10,
+			keepIn: KEPT_RUNS,
+			onFault: text => void faults.push(text),
+		})
+		console.log(`        ${faults.join("; ")}`)
+		console.log(`        ${JSON.stringify(verdict)}`)
+		expect(verdict.violations).to.eql([])
+		expect(verdict.unready).to.eql([])
+		expect(verdict.completed).to.be.greaterThan(0)
+	}).timeout(120_000)
+
 	it("runs no task twice while machines are lost without a word and placers lose sight of executors", async () => {
 		const verdict = await runRoughSoak({
 			seed: 501,
