--- a/packages/jobs/test/replayed-load.test.ts
+++ b/packages/jobs/test/replayed-load.test.ts
@@ -5,6 +5,7 @@
  */
 import {expect} from "chai"
 import {replay, type ReplayDay, type ReplayFigures} from "./support/replay/replay-day.js"
+import {PAIRED_WORK} from "./support/replay/replay-work.js"
 
 const SEEDS = [1, 2, 3, 4, 5, 6]
 
@@ -92,4 +93,32 @@
 		print("a domain cut off", all)
 		expect(mean(all, ({domains}) => domains["a"] ?? 0)).to.be.greaterThan(0.88)
 	})
+
+	/** No kind of request and no failure domain earns less of its credit than this: the aim for the work that has shifted. */
+	const LEAST_SHARE = 0.85
+	const paired = {
+		work: PAIRED_WORK,
+		failureDomains: ["a", "b", "c", "d"],
+		executorsPerDomain: 15,
+		lengthMs: 8_000,
+	}
+	const leastOf = (shares: Readonly<Record<string, number>>) => Math.min(...Object.values(shares))
+
+	it("of pairs that fill an executor, in waves that move from domain to domain, is served", async () => {
+		const all = await replayAll({...paired, jobsPerSecond: 150, troubles: []})
+		print("pairs in waves", all)
+		expect(mean(all, ({kinds}) => leastOf(kinds))).to.be.greaterThan(LEAST_SHARE)
+		expect(mean(all, ({domains}) => leastOf(domains))).to.be.greaterThan(LEAST_SHARE)
+	})
+
+	it("of a domain that is emptied is served by the others", async () => {
+		const all = await replayAll({
+			...paired,
+			jobsPerSecond: 110,
+			troubles: [{type: "evacuation", at: 1_500, forMs: 5_000, failureDomain: "a"}],
+		})
+		print("a domain emptied", all)
+		expect(mean(all, ({kinds}) => leastOf(kinds))).to.be.greaterThan(LEAST_SHARE)
+		expect(mean(all, ({domains}) => leastOf(domains))).to.be.greaterThan(LEAST_SHARE)
+	})
 })
