Let a watch that heard nothing prove nothing of evacuations; fire late timers in their order

Found while reading the change: an instance whose watch had missed a change and then heard nothing told a later revision in its beats than one that had heard the change, and would have taken the evacuation back there. A test in memory fails before. Timers that fell due during a suspension fire in the order in which they were due.

--- a/packages/core/src/utils/clock.ts
+++ b/packages/core/src/utils/clock.ts
@@ -41,7 +41,8 @@
 	/** The runtime's timers stand still during a suspension; what fell due meanwhile fires as after a standstill. */
 	function fireDue() {
 		const at = now()
-		for (const timer of [...timers]) if (timer.dueAt <= at) timer.fire()
+		const due = [...timers].filter(({dueAt}) => dueAt <= at)
+		for (const timer of due.sort((a, b) => a.dueAt - b.dueAt)) timer.fire()
 	}
 
 	function schedule(ms: number, callback: () => void): () => void {
--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -52,8 +52,7 @@
 	}
 
 	function isAnswering(member: Member): boolean {
-		const quietMs = peers.quietMs(member.address)
-		return quietMs < STREAM_QUIET_MS || quietMs < STREAM_QUIET_MS + patienceMs(deps, member)
+		return peers.quietMs(member.address) < STREAM_QUIET_MS + patienceMs(deps, member)
 	}
 
 	function isHeard(claim: Claim): boolean {
--- a/packages/jobs/src/fleet/evacuations.ts
+++ b/packages/jobs/src/fleet/evacuations.ts
@@ -112,6 +112,8 @@
 			adopt({revision, byKey})
 		},
 		takeChange({items, deleted, unreadable = [], revision}) {
+			// A watch that heard nothing proves less than a peer that heard something: it may have missed a change.
+			if (items.length + deleted.length === 0) return
 			const byKey = new Map(told.byKey)
 			for (const item of items) takeItem(byKey, item)
 			for (const key of deleted) if (!unreadable.includes(key)) byKey.delete(key)
--- a/packages/jobs/test/evacuations.test.ts
+++ b/packages/jobs/test/evacuations.test.ts
@@ -92,6 +92,21 @@
 		expect(underWay()).to.eql(["b", "c"])
 	})
 
+	it("are not taken back by the word of an instance whose watch heard nothing", () => {
+		const deaf = createKnown()
+		deaf.evacuations.takeListing({items: [item("b")], revision: 5})
+		deaf.evacuations.takeChange({items: [], deleted: [], revision: 30})
+		const hearing = createKnown()
+		hearing.evacuations.takeListing({items: [item("a"), item("b")], revision: 20})
+		const [told, heard] = [deaf.evacuations.news(), hearing.evacuations.news()]
+		if (told) hearing.evacuations.takeNews(told, "deaf")
+		if (heard) deaf.evacuations.takeNews(heard, "hearing")
+		expect([hearing.underWay(), deaf.underWay()]).to.eql([
+			["a", "b"],
+			["a", "b"],
+		])
+	})
+
 	it("are told in no beat before there was one", () => {
 		const {evacuations} = createKnown()
 		evacuations.takeListing({items: [], revision: 5})
