--- /dev/null
+++ b/packages/jobs/src/followers.ts
@@ -0,0 +1,76 @@
+/**
+ * What an instance follows in the store besides what operators write: the fleet, and where it places, the executors.
+ */
+import type {Clock, Store, StoreItem} from "@cottonwood/core"
+import type {Hosts} from "./coordinate/hosts.js"
+import {followPrefix, type Follower} from "./fleet/follow.js"
+import {FLEET_PREFIX, type FleetView} from "./fleet/members.js"
+import {createExecutorList, type ExecutorList} from "./place/executor-list.js"
+import type {ExecutorRecord} from "./types/executor.js"
+import type {FleetConfig} from "./types/fleet-config.js"
+import type {EventLog} from "./utils/log.js"
+import type {JobMetrics} from "./utils/metrics.js"
+
+/** Claims are told by beats too, within a fifth of a second; who is a member changes seldom. */
+const FLEET_WATCH_MS = 5_000
+/** All members and claims, some 0.4 KB each as they are listed: 100 of them are 0.7 KB a second. */
+const FLEET_WHOLE_MS = 60_000
+
+/** Where it is followed, and how what is found is read. */
+interface Followed {
+	readonly store: Store
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly executorPrefix: string
+	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
+}
+
+/** Members and claims in the store. */
+export function followFleet(
+	clock: Clock,
+	{store, log}: Followed,
+	view: FleetView,
+	onListed: () => void,
+): Follower {
+	return followPrefix({
+		clock,
+		store,
+		log,
+		prefix: FLEET_PREFIX,
+		waitMs: FLEET_WATCH_MS,
+		wholeMs: FLEET_WHOLE_MS,
+		onListing({items}) {
+			view.takeListing(items)
+			onListed()
+		},
+		onChange: ({items, deleted}) => view.takeChanges(items, deleted),
+	})
+}
+
+/** The platform's list of executors, for the domains that are placed here. */
+export function followExecutors(
+	clock: Clock,
+	{store, log, metrics, executorPrefix, decodeExecutor}: Followed,
+	hosts: Hosts,
+	config: () => FleetConfig | undefined,
+): ExecutorList {
+	return createExecutorList({
+		clock,
+		store,
+		log,
+		metrics,
+		prefix: executorPrefix,
+		decode: decodeExecutor,
+		onList: records => hosts.setExecutors(servedBy(records, config())),
+		isNeeded: () => hosts.isPlacing(),
+	})
+}
+
+/** An entry with a service that the configuration does not name is another writer's. */
+export function servedBy(
+	records: readonly ExecutorRecord[],
+	config: FleetConfig | undefined,
+): readonly ExecutorRecord[] {
+	if (!config) return records
+	return records.filter(({service}) => config.services.some(({name}) => name === service))
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -2,7 +2,7 @@
  * An instance of the job fleet: joins the store, the peers, the executors and the callers.
  */
 import {randomUUID} from "node:crypto"
-import type {Clock, Store, StoreItem, TransactionalStore} from "@cottonwood/core"
+import type {StoreItem, TransactionalStore} from "@cottonwood/core"
 import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
@@ -12,17 +12,17 @@
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
-import {followConfiguration, type Configuration} from "./fleet/configuration.js"
+import {followConfiguration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
-import {followPrefix, type Follower} from "./fleet/follow.js"
-import {createFleetView, FLEET_PREFIX, type FleetView} from "./fleet/members.js"
+import {createFleetView} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
 import {createReach} from "./fleet/reach.js"
 import {beginRegistration} from "./fleet/registration.js"
 import {watchStrain} from "./fleet/strain.js"
+import {publishFigures} from "./figures.js"
+import {followExecutors, followFleet, servedBy} from "./followers.js"
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
-import {createExecutorList, type ExecutorList} from "./place/executor-list.js"
 import type {LeaseRule} from "./place/lease-rule.js"
 import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
@@ -31,15 +31,10 @@
 import type {Caller, Job, JobEnd} from "./types/job.js"
 import {lifeOf, type EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
-import {watchNews, type News} from "./utils/news.js"
+import {watchNews} from "./utils/news.js"
 
-const LOOP_PROBE_MS = 500
 /** A reading of the home placer's clock is overdue by half; other placers are heard by the time when they may be needed. */
 const HOME_OVERDUE_MS = 150
-/** Claims are told by beats too, within a fifth of a second; who is a member changes seldom. */
-const FLEET_WATCH_MS = 5_000
-/** All members and claims, some 0.4 KB each as they are listed: 100 of them are 0.7 KB a second. */
-const FLEET_WHOLE_MS = 60_000
 
 export interface InstanceSettings {
 	readonly name: string
@@ -278,56 +273,6 @@
 	}
 }
 
-/** Members and claims in the store. */
-function followFleet(
-	clock: Clock,
-	{store, log}: InstanceDeps,
-	view: FleetView,
-	onListed: () => void,
-): Follower {
-	return followPrefix({
-		clock,
-		store,
-		log,
-		prefix: FLEET_PREFIX,
-		waitMs: FLEET_WATCH_MS,
-		wholeMs: FLEET_WHOLE_MS,
-		onListing({items}) {
-			view.takeListing(items)
-			onListed()
-		},
-		onChange: ({items, deleted}) => view.takeChanges(items, deleted),
-	})
-}
-
-/** The platform's list of executors, for the domains that are placed here. */
-function followExecutors(
-	clock: Clock,
-	{store, log, metrics, executorPrefix, decodeExecutor}: InstanceDeps,
-	hosts: Hosts,
-	config: () => FleetConfig | undefined,
-): ExecutorList {
-	return createExecutorList({
-		clock,
-		store,
-		log,
-		metrics,
-		prefix: executorPrefix,
-		decode: decodeExecutor,
-		onList: records => hosts.setExecutors(servedBy(records, config())),
-		isNeeded: () => hosts.isPlacing(),
-	})
-}
-
-/** An entry with a service that the configuration does not name is another writer's. */
-function servedBy(
-	records: readonly ExecutorRecord[],
-	config: FleetConfig | undefined,
-): readonly ExecutorRecord[] {
-	if (!config) return records
-	return records.filter(({service}) => config.services.some(({name}) => name === service))
-}
-
 function newMember({name, failureDomain, peerAddress, cpuShare}: InstanceSettings): Member {
 	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
 }
@@ -355,32 +300,3 @@
 function noteLeaving(log: EventLog, count: number) {
 	log.alarm("instance", "leaving", "instance: finishes what is under way.", {count})
 }
-
-function publishFigures(
-	clock: Clock,
-	metrics: JobMetrics,
-	hosts: Hosts,
-	store: Store,
-	news: News,
-	config: Configuration,
-) {
-	metrics.gauge("tasks_waiting", () => hosts.counts().waiting)
-	metrics.gauge("tasks_running", () => hosts.counts().running)
-	metrics.gauge("executors_usable", () => hosts.counts().usable)
-	metrics.gauge("claims_held", () => Object.keys(hosts.rooms()).length)
-	metrics.gauge("kept_jobs", () => hosts.counts().kept)
-	metrics.gauge("config_version", () => config.current()?.version ?? 0)
-	metrics.gauge("config_heard_ms", () => Math.round(config.heardMs()))
-	metrics.gauge("news_age_ms", () => Math.round(clock.now() - news.knownAt()))
-	metrics.gauge("store_silent_ms", () => store.silentMs())
-	probeLoop(clock, metrics)
-}
-
-/** How late timers fire: what a slow or overloaded machine looks like from inside. */
-function probeLoop(clock: Clock, metrics: JobMetrics) {
-	const due = clock.now() + LOOP_PROBE_MS
-	clock.schedule(LOOP_PROBE_MS, () => {
-		metrics.observe("loop_delay_ms", clock.now() - due)
-		probeLoop(clock, metrics)
-	})
-}
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/place/executor-link.ts
@@ -5,18 +5,14 @@
 import {adoptRun, holdLoop, offerOrphans} from "./link-hold.js"
 import {isConfirmed} from "./link-lease.js"
 import {inheritedRun, startRun, stopRun} from "./link-orders.js"
+import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./link-room.js"
 import {
 	closeLink,
-	freeCpu,
-	hasRoom,
 	hasRunOf,
-	isCompatible,
 	isIdle,
 	isPromising,
-	isShared,
 	isUsable,
 	newLinkState,
-	occupy,
 	type LinkDeps,
 } from "./link-state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "./run.js"
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/place/link-orders.ts
@@ -9,7 +9,6 @@
 import {lifeOf} from "../utils/log.js"
 import {
 	addRun,
-	freeCpu,
 	isCurrent,
 	isOwnReply,
 	hasLapsedSilent,
@@ -18,6 +17,7 @@
 	settleRun,
 	type LinkState,
 } from "./link-state.js"
+import {freeCpu} from "./link-room.js"
 import {isUnheard} from "./lease-rule.js"
 import {isConfirmed, nextLeaseUntil} from "./link-lease.js"
 import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "./run.js"
--- /dev/null
+++ b/packages/jobs/src/place/link-room.ts
@@ -0,0 +1,58 @@
+/**
+ * The room of one executor: what its runs take, what still fits, and who may share it.
+ */
+import type {ExecutorRecord} from "../types/executor.js"
+import type {Run, TaskRequest} from "./run.js"
+
+/** What of a link says how much room is taken, and by whom. */
+export interface LinkRoom {
+	readonly record: ExecutorRecord
+	readonly runs: ReadonlyMap<string, Run>
+	readonly used: {cpu: number; memoryMb: number; accelerators: number}
+}
+
+export function freeCpu({record, used}: LinkRoom): number {
+	return record.capacity.cpu - used.cpu
+}
+
+export function hasRoom({record, used}: LinkRoom, {need}: Pick<TaskRequest, "need">): boolean {
+	const {capacity} = record
+	return (
+		used.cpu + need.cpu <= capacity.cpu &&
+		used.memoryMb + need.memoryMb <= capacity.memoryMb &&
+		used.accelerators + need.accelerators <= capacity.accelerators
+	)
+}
+
+/** Whether anything runs there that may crash the executor, and has to run alone. */
+function hasLoner({runs}: LinkRoom): boolean {
+	for (const {req} of runs.values()) if (req.isolation === "required") return true
+	return false
+}
+
+/** Whether a task that should run alone would share the executor, or another one would share it with such a task. */
+export function isShared({runs}: LinkRoom, {isolation}: TaskRequest): boolean {
+	if (isolation) return runs.size > 0
+	for (const {req} of runs.values()) if (req.isolation) return true
+	return false
+}
+
+/** Filling tasks disturb serving ones, by amounts that nobody tells; so they never share an executor. */
+export function isCompatible(
+	link: LinkRoom,
+	{isFilling, isServing, isolation}: TaskRequest,
+): boolean {
+	const {runs} = link
+	if (hasLoner(link) || (isolation === "required" && runs.size > 0)) return false
+	if (!isFilling && !isServing) return true
+	for (const {req} of runs.values())
+		if ((isFilling && req.isServing) || (isServing && req.isFilling)) return false
+	return true
+}
+
+/** Counts room as taken, or with -1 as free again. */
+export function occupy({used}: LinkRoom, {need}: TaskRequest, sign: 1 | -1) {
+	used.cpu += sign * need.cpu
+	used.memoryMb += sign * need.memoryMb
+	used.accelerators += sign * need.accelerators
+}
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -14,7 +14,8 @@
 import type {Crash} from "./crashes.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {LeaseRule} from "./lease-rule.js"
-import type {Run, TaskEnd, TaskEnded, TaskRequest} from "./run.js"
+import {occupy} from "./link-room.js"
+import type {Run, TaskEnd, TaskEnded} from "./run.js"
 import type {Losses} from "./losses.js"
 import type {Tickets} from "./tickets.js"
 
@@ -173,52 +174,6 @@
 	return [...orphans, ...stoppingOrphans].some(isOfTask)
 }
 
-export function freeCpu({record, used}: LinkState): number {
-	return record.capacity.cpu - used.cpu
-}
-
-export function hasRoom({record, used}: LinkState, {need}: Pick<TaskRequest, "need">): boolean {
-	const {capacity} = record
-	return (
-		used.cpu + need.cpu <= capacity.cpu &&
-		used.memoryMb + need.memoryMb <= capacity.memoryMb &&
-		used.accelerators + need.accelerators <= capacity.accelerators
-	)
-}
-
-/** Whether anything runs there that may crash the executor, and has to run alone. */
-function hasLoner({runs}: LinkState): boolean {
-	for (const {req} of runs.values()) if (req.isolation === "required") return true
-	return false
-}
-
-/** Whether a task that should run alone would share the executor, or another one would share it with such a task. */
-export function isShared({runs}: LinkState, {isolation}: TaskRequest): boolean {
-	if (isolation) return runs.size > 0
-	for (const {req} of runs.values()) if (req.isolation) return true
-	return false
-}
-
-/** Filling tasks disturb serving ones, by amounts that nobody tells; so they never share an executor. */
-export function isCompatible(
-	link: LinkState,
-	{isFilling, isServing, isolation}: TaskRequest,
-): boolean {
-	const {runs} = link
-	if (hasLoner(link) || (isolation === "required" && runs.size > 0)) return false
-	if (!isFilling && !isServing) return true
-	for (const {req} of runs.values())
-		if ((isFilling && req.isServing) || (isServing && req.isFilling)) return false
-	return true
-}
-
-/** Counts room as taken, or with -1 as free again. */
-export function occupy({used}: LinkState, {need}: TaskRequest, sign: 1 | -1) {
-	used.cpu += sign * need.cpu
-	used.memoryMb += sign * need.memoryMb
-	used.accelerators += sign * need.accelerators
-}
-
 export function isCurrent(link: LinkState, run: Run): boolean {
 	return link.runs.get(run.req.task) === run
 }
--- a/packages/jobs/test/confirmed-leases.test.ts
+++ b/packages/jobs/test/confirmed-leases.test.ts
@@ -120,7 +120,14 @@
 		give(first, second, [TASK])
 		while (ends.length === 0) await clock.advance(10)
 		expect(ends).to.eql([
-			{type: "lost", executor: "e1", cause: "its lease ended while silent", task: TASK},
+			{
+				type: "lost",
+				executor: "e1",
+				cause: "its lease ended while silent",
+				// It may have crashed, for all that is known here.
+				crash: "possible",
+				task: TASK,
+			},
 		])
 		expect(isThere(TASK)).to.equal(false)
 	})
