--- a/packages/jobs/test/support/replay/replay-load.ts
+++ b/packages/jobs/test/support/replay/replay-load.ts
@@ -3,7 +3,7 @@
  */
 import type {Step} from "@cottonwood/jobs"
 import type {ReplaySpec} from "./replay-executor.js"
-import type {ReplayKind, ReplayWork} from "./replay-work.js"
+import {SLACK_MS, STRETCH, type ReplayKind, type ReplayWork} from "./replay-work.js"
 
 export interface ReplayJob {
 	readonly id: string
@@ -17,8 +17,6 @@
 	readonly worth: number
 }
 
-export const STRETCH = 1.6
-export const SLACK_MS = 60
 const WIDTH_SPREAD = 0.4
 const WORK_SPREAD = 0.4
 const TASK_SPREAD = 0.15
--- a/packages/jobs/test/support/replay/replay-work.ts
+++ b/packages/jobs/test/support/replay/replay-work.ts
@@ -1,6 +1,11 @@
 /**
  * The work and the executors of a replayed deployment: kinds of request, sizes of tasks and of executors, waves.
  */
+import type {Queue} from "@cottonwood/jobs"
+
+/** An objective is this many times a job's longest chain of work, and this much more. */
+export const STRETCH = 1.6
+export const SLACK_MS = 60
 
 export interface ReplayKind {
 	readonly name: string
@@ -57,3 +62,17 @@
 	swing: 0.27,
 	swingPeriodMs: 11_000,
 }
+
+/** One queue for each kind of request. */
+export function queuesOf({kinds}: ReplayWork): readonly Queue[] {
+	return kinds.map(({name, priority}) => ({
+		name,
+		host: "jobs.example",
+		pathPrefix: `/${name}/`,
+		service: "svc",
+		priority,
+		maxAttempts: 3,
+		stretch: STRETCH,
+		slackMs: SLACK_MS,
+	}))
+}
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -33,8 +33,8 @@
 import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, STAYING} from "../requests.js"
 import type {ReplayClock} from "./replay-clock.js"
 import {createReplayOrders, ReplayExecutor} from "./replay-executor.js"
-import {SLACK_MS, STRETCH, type ReplayJob} from "./replay-load.js"
-import type {ReplayWork} from "./replay-work.js"
+import type {ReplayJob} from "./replay-load.js"
+import {queuesOf, type ReplayWork} from "./replay-work.js"
 
 /** One way between two instances, and what both sides do with a message. */
 const PEER_WAY_MS = 1.2
@@ -77,19 +77,6 @@
 	readonly dispatcher: Dispatcher
 }
 
-function queuesOf({kinds}: ReplayWork): readonly Queue[] {
-	return kinds.map(({name, priority}) => ({
-		name,
-		host: "jobs.example",
-		pathPrefix: `/${name}/`,
-		service: "svc",
-		priority,
-		maxAttempts: 3,
-		stretch: STRETCH,
-		slackMs: SLACK_MS,
-	}))
-}
-
 export function createReplayWorld(options: ReplayWorldOptions): ReplayWorld {
 	const {clock, failureDomains, random, work} = options
 	const queues = queuesOf(work)
