Prefer placers that answer, and pass over a quiet one only for another that is heard

An instance that places nothing hears its home placer alone as a rule, so a late one left it nobody to ask, just when all are late after a loss of all. Change: a quiet placer is asked after those that answer, and before none at all.

--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -10,8 +10,8 @@
 /** A placer that said nothing for so long gets no new jobs: three beats. */
 const PLACER_QUIET_MS = 650
 /**
- * With calls under way it is heard ten times a second; without three of these words new jobs go elsewhere. When a placer's
- * machine is gone its domain's callers send it some 100 jobs a second, which may not be tried again.
+ * With calls under way it is heard ten times a second; without three of these words new jobs go to others that are heard. When a
+ * placer's machine is gone its domain's callers send it some 100 jobs a second, which may not be tried again.
  */
 const STREAM_QUIET_MS = 300
 
@@ -44,15 +44,8 @@
 	const isOpen = ({failureDomain}: Claim) => !isEvacuated(failureDomain)
 	const isOwnDomainEmptied = () => isEvacuated(self.failureDomain)
 
-	function isNear(member: Member): boolean {
-		const {session} = member
-		return (
-			view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session) && isAnswering(member)
-		)
-	}
-
-	function isAnswering(member: Member): boolean {
-		return peers.quietMs(member.address) < STREAM_QUIET_MS + patienceMs(deps, member)
+	function isNear({session}: Member): boolean {
+		return view.silentMs(session) < PLACER_QUIET_MS && !view.isUnreached(session)
 	}
 
 	function isHeard(claim: Claim): boolean {
@@ -61,6 +54,14 @@
 		return host !== undefined && (host.placer.canServe() || host.placer.isBeginning())
 	}
 
+	/** Nothing says that its machine is gone, though its beats may still count. */
+	function isAnswering(claim: Claim): boolean {
+		const {placer} = claim
+		if (isOwn(claim)) return isHeard(claim)
+		const isQuiet = peers.quietMs(placer.address) >= STREAM_QUIET_MS + patienceMs(deps, placer)
+		return isHeard(claim) && !isQuiet
+	}
+
 	/** It has found nobody to hand over to yet, and nobody else is heard: cut off, it is all that there is. */
 	function isLeavingPlacer({placer}: Claim): boolean {
 		return isNear(placer) && view.isLeaving(placer.session)
@@ -95,7 +96,7 @@
 	return {
 		candidates() {
 			const open = view.claims().filter(isOpen)
-			for (const isWanted of [isHeard, isLeavingPlacer, isUntold, isRefuge]) {
+			for (const isWanted of [isAnswering, isHeard, isLeavingPlacer, isUntold, isRefuge]) {
 				const found = open.filter(isWanted)
 				if (found.length > 0) return inTurn(ranked(found))
 			}
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -153,6 +153,13 @@
 			await dispatch(500)
 		).end
 		expect(asked).to.eql(["a-2:1", "a-2:1", "b-1:1"])
+		// With nobody else in sight it is better than a refusal.
+		view.noteUnreached(far.session)
+		await (
+			await dispatch(500)
+		).end
+		expect(asked.at(-1)).to.equal("a-2:1")
+		view.takeBeat(beatOf(far, false))
 		// By its own word it is late by so much that this is no sign of anything.
 		view.takeBeat({...beatOf(other, false), lateMs: 60})
 		await (
