Settle a domain without executors whose next lives answered before they took its placer's fence

Their new home's placer had begun with two executors that a task had crashed; another life answered there before the fence was taken, so the placer was never settled, and jobs that its keeper had not accepted itself waited for good. Change: a replaced executor counts as settled, and is dropped with the list. Test: in memory, fails before.

--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/place/link-state.ts
@@ -157,6 +157,7 @@
 /** Whether nothing that anybody may want can be there: no run, and no end that is not noted yet. */
 export function isIdle(link: LinkState): boolean {
 	const {runs, unnoted, orphans} = link
+	if (link.isReplaced) return true
 	if (runs.size > 0 || unnoted.size > 0 || (orphans.size > 0 && isWaitedFor(link))) return false
 	return link.isFenceTaken || hasLapsedSilent(link)
 }
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -126,5 +126,7 @@
 export function isSettled({links, deps, createdAt}: PlacerState): boolean {
 	const isOld = deps.clock.now() - createdAt >= SETTLED_MS
 	const areAllKnown = deps.knowsAllExecutors && links.size > 0
-	return (isOld || areAllKnown) && [...links.values()].every(link => link.isFenceTaken())
+	// Whatever ran under the placer before in a life that another one has followed is over.
+	const obeys = (link: ExecutorLink) => link.isFenceTaken() || link.isReplaced()
+	return (isOld || areAllKnown) && [...links.values()].every(obeys)
 }
--- a/packages/jobs/test/placer.test.ts
+++ b/packages/jobs/test/placer.test.ts
@@ -144,6 +144,24 @@
 		expect(ends.map(({type}) => type)).to.eql(["lost"])
 	})
 
+	/*
+	 * Two kept jobs were pending for half a minute though their domain had room. Its placer had begun with two executors that a
+	 * task had crashed; their next lives answered in their place before they could take its fence. So it waited for them for
+	 * good, and what its keeper had not accepted itself with it. Settled by `executor_replaced` without `fence_taken` for both,
+	 * no `executor_dropped`, and `home_told` with "fetched" as the last line of both jobs.
+	 */
+	it("does not wait for executors whose next lives answered before they took its fence", async () => {
+		const {clock, orders, placer} = createWorld()
+		orders.isReplaced = true
+		placer.setExecutors([record("e1")])
+		await clock.advance(20)
+		orders.isReplaced = false
+		placer.setExecutors([record("e2")])
+		await clock.advance(20)
+		expect(placer.isSettled()).to.equal(true)
+		expect(placer.executors().map(({id}) => id)).to.eql(["e2"])
+	})
+
 	it("starts nothing on a leaving executor", async () => {
 		const {clock, orders, placer, submit} = createWorld()
 		placer.setExecutors([record("e1")])
