Fire no timer that another one has cancelled once a suspension is over

Cause: after a suspension all timers that fell due meanwhile were fired from one list, so one that an earlier of them had just cancelled fired all the same, which the runtime's own timers never do (an answer's time-out after the answer). Found by reading; no run is known in which it did harm.

Change: a timer fires while it is still known. The test fails without that: ["sooner", "later"] instead of ["sooner"]. The process's clock can be created by tests now.

--- a/packages/core/src/utils/clock.ts
+++ b/packages/core/src/utils/clock.ts
@@ -29,7 +29,7 @@
 }
 
 /** Creates the clock of the process. */
-function createSystemClock(): SystemClock {
+export function createSystemClock(): SystemClock {
 	let count: SuspensionCount | undefined
 	const timers = new Set<Timer>()
 
@@ -42,7 +42,8 @@
 	function fireDue() {
 		const at = now()
 		const due = [...timers].filter(({dueAt}) => dueAt <= at)
-		for (const timer of due.sort((a, b) => a.dueAt - b.dueAt)) timer.fire()
+		// One that fires may cancel another that is due as well.
+		for (const timer of due.sort((a, b) => a.dueAt - b.dueAt)) if (timers.has(timer)) timer.fire()
 	}
 
 	function schedule(ms: number, callback: () => void): () => void {
--- a/packages/core/test/suspension.test.ts
+++ b/packages/core/test/suspension.test.ts
@@ -1,6 +1,7 @@
 /**
  * The time for which a machine was suspended counts on the process's clock; a jump of the time of day does not.
  */
+import {createSystemClock} from "../src/utils/clock.js"
 import {createSuspensionCount} from "../src/utils/suspension-count.js"
 import {expect} from "chai"
 
@@ -71,3 +72,30 @@
 		expect(suspendedMs()).to.equal(0)
 	})
 })
+
+describe("timers that fell due during a suspension", () => {
+	/*
+	 * All that were due were fired from one list, so a timer that another one had just cancelled fired all the same, which the
+	 * runtime's own timers never do: an answer's time-out, say, after the answer.
+	 */
+	it("do not fire once another one has cancelled them", async () => {
+		const clock = createSystemClock()
+		let asleepMs = 0
+		clock.countSuspensions(
+			() => performance.now() + asleepMs,
+			() => undefined,
+		)
+		const fired: string[] = []
+		let cancelLater: () => void = () => undefined
+		clock.schedule(50_000, () => {
+			fired.push("sooner")
+			cancelLater()
+		})
+		cancelLater = clock.schedule(50_001, () => void fired.push("later"))
+		asleepMs = 60_000
+		await new Promise(resolve => setTimeout(resolve, 100))
+		clock.now()
+		await new Promise(resolve => setTimeout(resolve, 20))
+		expect(fired).to.eql(["sooner"])
+	})
+})
