Share the tests' stand-in of peers, and keep the tests of following together

Each new call between peers was added to nine copies of one object; they use one now (support/peers.ts), in which a call that a test does not set throws. The test that stood in fleet.test.ts stands with the others of its topic. No assertion differs.

--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -11,6 +11,7 @@
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
+import {fakePeers} from "./support/peers.js"
 
 function createWorld(linkMbps = 1_000) {
 	const clock = createFakeClock()
@@ -30,23 +31,11 @@
 	const sent: FleetDatagram[] = []
 	let freeCpu: number[] = []
 	let workedOut = 0
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const beats = createBeats({
 		clock,
 		view,
 		self,
-		peers: {
-			beat: unused,
-			runJob: unused,
-			runTask: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: unused,
-		},
+		peers: fakePeers(),
 		send: (_address, message) => void sent.push(message),
 		own(): Beat {
 			workedOut++
--- a/packages/jobs/test/caller-deadline.test.ts
+++ b/packages/jobs/test/caller-deadline.test.ts
@@ -9,6 +9,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {QUEUE} from "./support/requests.js"
+import {fakePeers, unused} from "./support/peers.js"
 
 const DEADLINE_MS = 1_500
 const member = (name: string, failureDomain: string) => ({
@@ -28,20 +29,10 @@
 	const beat = {claims: [claim], rooms: {}, isLeaving: false, configVersion: 1}
 	view.takeBeat({...beat, from: placer})
 	const sent: {readonly message: JobMessage; readonly confirmedAt: () => number}[] = []
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const dispatcher = createDispatcher({
 		clock,
 		log: silentLog,
-		peers: {
-			beat: unused,
-			runTask: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: unused,
+		peers: fakePeers({
 			runJob(_address, message, _timeoutMs, confirmedAt) {
 				sent.push({message, confirmedAt})
 				return {
@@ -51,7 +42,7 @@
 					cancel: unused,
 				}
 			},
-		},
+		}),
 		view,
 		self: member("a-1", "a"),
 		hosts: {of: () => undefined} as never,
--- a/packages/jobs/test/confirmed-callers.test.ts
+++ b/packages/jobs/test/confirmed-callers.test.ts
@@ -15,6 +15,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {LEASE_RULE, QUEUE, taskRequest} from "./support/requests.js"
+import {fakePeers} from "./support/peers.js"
 
 const HEARD_AT = 777
 const member = (name: string, failureDomain: string) => ({
@@ -28,9 +29,6 @@
 const other = member("b-1", "b")
 const claim: Claim = {failureDomain: "b", fence: 1, placer: other}
 const ignore = () => undefined
-const unused = () => {
-	throw new Error("not used")
-}
 
 interface Told {
 	readonly message: JobMessage | TaskMessage
@@ -64,16 +62,7 @@
 			cancel: ignore,
 		}
 	}
-	const peers = {
-		beat: unused,
-		runJob: tell<JobMessage>,
-		runTask: tell<TaskMessage>,
-		takeOver: unused,
-		kept: unused,
-		noteReachable: ignore,
-		quietMs: () => 0,
-		close: ignore,
-	}
+	const peers = fakePeers({runJob: tell<JobMessage>, runTask: tell<TaskMessage>})
 	const asked: TaskRequest[] = []
 	const callers: {readonly confirmedAt: () => number}[] = []
 	const host = {
--- a/packages/jobs/test/dispatcher.test.ts
+++ b/packages/jobs/test/dispatcher.test.ts
@@ -6,10 +6,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {QUEUE, STAYING} from "./support/requests.js"
-
-const unused = () => {
-	throw new Error("not used")
-}
+import {fakePeers} from "./support/peers.js"
 
 function createWorld(own: FleetConfig | undefined) {
 	const clock = createFakeClock()
@@ -23,16 +20,7 @@
 	const dispatcher = createDispatcher({
 		clock,
 		log: silentLog,
-		peers: {
-			beat: unused,
-			runJob: unused,
-			runTask: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: unused,
-		},
+		peers: fakePeers(),
 		view,
 		self,
 		hosts: {
--- a/packages/jobs/test/evacuations.test.ts
+++ b/packages/jobs/test/evacuations.test.ts
@@ -24,6 +24,7 @@
 import {FakeExecutors, record} from "./support/fake-executors.js"
 import {createTestPlacer} from "./support/placers.js"
 import {QUEUE, STAYING, taskRequest} from "./support/requests.js"
+import {fakePeers} from "./support/peers.js"
 
 const PREFIX = "empty/"
 const item = (domain: string, value: unknown = {}): StoreItem => ({
@@ -237,28 +238,18 @@
 		address: `${domain}-1:1`,
 		cpuShare: 1,
 	})
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const dispatcher = createDispatcher({
 		clock,
 		log: silentLog,
 		view,
 		self: {...member("a"), name: "a-2", session: "a-2-s", address: "a-2:1"},
-		peers: {
-			beat: unused,
-			runTask: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: unused,
+		peers: fakePeers({
 			runJob(address) {
 				asked.push(address)
 				const reply = Promise.resolve<JobReply>({type: "completed"})
 				return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
 			},
-		},
+		}),
 		hosts: {of: () => undefined} as unknown as Hosts,
 		config: () => undefined,
 		refreshConfig: () => undefined,
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -7,7 +7,6 @@
 	createClaimsLoop,
 	createExecutorList,
 	createFleetView,
-	followPrefix,
 	nodeKey,
 	type ClaimsDeps,
 } from "@cottonwood/jobs/internals"
@@ -375,36 +374,6 @@
 	})
 })
 
-describe("following a prefix", () => {
-	it("lists again when the changes were lost", async () => {
-		const clock = createFakeClock()
-		const {fake, store} = createFakeStore()
-		fake.write("p/1", 1)
-		let turns = 0
-		fake.watch = async () => {
-			await clock.sleep(50)
-			turns++
-			return turns === 1 ? undefined : new Promise(() => undefined)
-		}
-		const listings: number[] = []
-		const follower = followPrefix({
-			clock,
-			store,
-			log: silentLog,
-			prefix: "p/",
-			waitMs: 1_000,
-			wholeMs: Infinity,
-			onListing: ({items}) => void listings.push(items.length),
-			onChange: () => undefined,
-		})
-		await clock.advance(20)
-		fake.write("p/2", 2)
-		await clock.advance(300)
-		expect(listings).to.eql([1, 2])
-		follower.close()
-	})
-})
-
 /** A list of the executors whose ids stand in a fake store. */
 function createList() {
 	const clock = createFakeClock()
--- a/packages/jobs/test/follow.test.ts
+++ b/packages/jobs/test/follow.test.ts
@@ -3,11 +3,24 @@
  */
 import {silentLog, type Member} from "@cottonwood/jobs"
 import {createFleetView, followPrefix, nodeKey} from "@cottonwood/jobs/internals"
-import type {StoreChange, StoreListing} from "@cottonwood/core"
+import type {Clock, Store, StoreChange, StoreListing} from "@cottonwood/core"
 import {expect} from "chai"
 import {createFakeClock, settle} from "./support/fake-clock.js"
 import {createFakeStore} from "./support/fake-store.js"
 
+function follow(clock: Clock, store: Store, onListing: (listing: StoreListing) => void) {
+	return followPrefix({
+		clock,
+		store,
+		log: silentLog,
+		prefix: "p/",
+		waitMs: 1_000,
+		wholeMs: Infinity,
+		onListing,
+		onChange: () => undefined,
+	})
+}
+
 /** A follower whose watches and listings answer when a test says so. */
 function createWorld() {
 	const clock = createFakeClock()
@@ -21,16 +34,7 @@
 	fake.watch = (_prefix, _after, _waitMs, signal) =>
 		new Promise(resolve => watches.push({resolve, signal}))
 	store.list = () => new Promise(resolve => listings.push(resolve))
-	const follower = followPrefix({
-		clock,
-		store,
-		log: silentLog,
-		prefix: "p/",
-		waitMs: 1_000,
-		wholeMs: Infinity,
-		onListing: ({revision}) => void listed.push(revision),
-		onChange: () => undefined,
-	})
+	const follower = follow(clock, store, ({revision}) => void listed.push(revision))
 	return {
 		clock,
 		follower,
@@ -145,3 +149,24 @@
 		expect(view.members()).to.eql([])
 	})
 })
+
+describe("following a prefix", () => {
+	it("lists again when the changes were lost", async () => {
+		const clock = createFakeClock()
+		const {fake, store} = createFakeStore()
+		fake.write("p/1", 1)
+		let turns = 0
+		fake.watch = async () => {
+			await clock.sleep(50)
+			turns++
+			return turns === 1 ? undefined : new Promise(() => undefined)
+		}
+		const listings: number[] = []
+		const follower = follow(clock, store, ({items}) => void listings.push(items.length))
+		await clock.advance(20)
+		fake.write("p/2", 2)
+		await clock.advance(300)
+		expect(listings).to.eql([1, 2])
+		follower.close()
+	})
+})
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -5,6 +5,7 @@
 import {createFleetView, createHandover, nodeKey, type Hosts} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
+import {fakePeers, unused} from "./support/peers.js"
 
 const member = (name: string, cpuShare = 0.675): Member => ({
 	name,
@@ -30,9 +31,6 @@
 		withdrawHandover: () => undefined,
 		giveTo: (successor: Claim) => void given.push(`${successor.placer.name}/${successor.fence}`),
 	} as unknown as Hosts
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const handover = createHandover({
 		clock,
 		log: silentLog,
@@ -44,14 +42,7 @@
 		placedDomains: () => (view.claimOf("a")?.placer === self ? ["a"] : []),
 		isLeaving: () => false,
 		isStrained: () => strain.isStrained,
-		peers: {
-			beat: unused,
-			runJob: unused,
-			runTask: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: () => undefined,
+		peers: fakePeers({
 			takeOver(address, _message, timeoutMs) {
 				asked.push(address)
 				const isInTime = answerAfterMs <= timeoutMs
@@ -60,7 +51,7 @@
 					.then(() => (isInTime ? {isTaken} : undefined))
 				return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
 			},
-		},
+		}),
 	})
 	return {clock, handover, view, asked, given, strain}
 }
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -23,6 +23,7 @@
 import {LeasedExecutor} from "./support/leased-executor.js"
 import {createTestPlacer} from "./support/placers.js"
 import {LEASE_RULE, QUEUE, STAYING, taskRequest} from "./support/requests.js"
+import {fakePeers} from "./support/peers.js"
 
 const TASK = "j.0.0.0"
 const CALLER = "0a1b2c3d-0000-4000-8000-000000000000"
@@ -165,19 +166,7 @@
 	cpuShare: 1,
 })
 
-const unused = () => {
-	throw new Error("not used")
-}
-const PEERS = {
-	beat: unused,
-	runJob: unused,
-	runTask: unused,
-	takeOver: unused,
-	kept: unused,
-	noteReachable: ignore,
-	quietMs: () => 0,
-	close: unused,
-}
+const PEERS = fakePeers()
 const OWN = memberOf("a-1", "a", "11111111-own")
 const OTHER = memberOf("b-1", "b", "22222222-other")
 
--- a/packages/jobs/test/overflow.test.ts
+++ b/packages/jobs/test/overflow.test.ts
@@ -12,6 +12,7 @@
 import {expect} from "chai"
 import {createFakeClock, settle} from "./support/fake-clock.js"
 import {LEASE_RULE, taskRequest} from "./support/requests.js"
+import {fakePeers} from "./support/peers.js"
 
 const member = (name: string, failureDomain: string): Member => ({
 	name,
@@ -32,9 +33,6 @@
 		isCancelled: boolean
 		wasUnsent: boolean
 	}[] = []
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const overflow = createOverflow({
 		clock,
 		leaseRule: LEASE_RULE,
@@ -42,14 +40,7 @@
 		self,
 		log: silentLog,
 		metrics: createJobMetrics(),
-		peers: {
-			beat: unused,
-			runJob: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
-			quietMs: () => 0,
-			close: () => undefined,
+		peers: fakePeers({
 			runTask() {
 				let answer: (reply: TaskReply | undefined) => void = () => undefined
 				const reply = new Promise<TaskReply | undefined>(resolve => (answer = resolve))
@@ -62,7 +53,7 @@
 					cancel: () => void (call.isCancelled = true),
 				}
 			},
-		},
+		}),
 	})
 	function tellRoom(freeCpu: readonly number[]) {
 		const room = {freeCpu, totalCpu: 64_000, waitingWork: 0, labels: ["r1"]}
--- a/packages/jobs/test/placers-at-hand.test.ts
+++ b/packages/jobs/test/placers-at-hand.test.ts
@@ -11,6 +11,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {QUEUE, STAYING} from "./support/requests.js"
+import {fakePeers} from "./support/peers.js"
 
 const member = (name: string): Member => ({
 	name,
@@ -27,28 +28,19 @@
 	const asked: string[] = []
 	const quiet = new Map<string, number>()
 	const hosted: {of?: {readonly placer: object}} = {}
-	const unused = () => {
-		throw new Error("not used")
-	}
 	const dispatcher = createDispatcher({
 		clock,
 		log: silentLog,
 		view,
 		self,
-		peers: {
-			beat: unused,
-			runTask: unused,
-			takeOver: unused,
-			kept: unused,
-			noteReachable: () => undefined,
+		peers: fakePeers({
 			quietMs: address => quiet.get(address) ?? 0,
-			close: unused,
 			runJob(address) {
 				asked.push(address)
 				const reply = Promise.resolve<JobReply>({type: "completed"})
 				return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
 			},
-		},
+		}),
 		hosts: {
 			of: () => hosted.of,
 			run: () => Promise.resolve({type: "completed"}),
--- /dev/null
+++ b/packages/jobs/test/support/peers.ts
@@ -0,0 +1,20 @@
+/** Peers for tests: nobody is quiet, and what a test does not set must not be called. */
+import type {Peers} from "@cottonwood/jobs/internals"
+
+export function unused(): never {
+	throw new Error("not used")
+}
+
+export function fakePeers(changes: Partial<Peers> = {}): Peers {
+	return {
+		beat: unused,
+		runJob: unused,
+		runTask: unused,
+		takeOver: unused,
+		kept: unused,
+		noteReachable: () => undefined,
+		quietMs: () => 0,
+		close: unused,
+		...changes,
+	}
+}
