Spread an emptied domain's callers by their jobs alone, not by questions of readiness

Cause: which of the other domains is asked first moved on with each look at the candidates, and the platform's question whether an instance may be sent callers is such a look. The question also sorted what it only counted.

Change: whether there is anybody is a question of its own, without a turn and without an order. The test fails on the code before.

--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -29,6 +29,8 @@
 export interface Candidates {
 	/** Placers in the order in which a job that comes now would ask them. */
 	candidates(): readonly Claim[]
+	/** Whether there is any; asking takes nobody's turn. */
+	hasCandidates(): boolean
 	/** A placer of which nothing is known either way; a last resort, since it may be cut off. */
 	isUntold(claim: Claim): boolean
 	/** Every domain that has a placer is being emptied. */
@@ -86,22 +88,26 @@
 
 	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
 
+	/** Those of the best kind that there is. */
+	function bestClaims(): readonly Claim[] {
+		const open = view.claims().filter(isOpen)
+		for (const isWanted of [isAnswering, isHeard, isLeavingPlacer, isUntold, isRefuge]) {
+			const found = open.filter(isWanted)
+			if (found.length > 0) return found
+		}
+		return []
+	}
+
 	/** The callers of a domain that is emptied are spread over the others, each of which is asked first in its turn. */
 	function inTurn(claims: readonly Claim[]): readonly Claim[] {
-		if (!isOwnDomainEmptied()) return claims
+		if (claims.length === 0 || !isOwnDomainEmptied()) return claims
 		turn = (turn + 1) % claims.length
 		return [...claims.slice(turn), ...claims.slice(0, turn)]
 	}
 
 	return {
-		candidates() {
-			const open = view.claims().filter(isOpen)
-			for (const isWanted of [isAnswering, isHeard, isLeavingPlacer, isUntold, isRefuge]) {
-				const found = open.filter(isWanted)
-				if (found.length > 0) return inTurn(ranked(found))
-			}
-			return []
-		},
+		candidates: () => inTurn(ranked(bestClaims())),
+		hasCandidates: () => bestClaims().length > 0,
 		isUntold,
 		areAllEmptied: () => view.claims().length > 0 && !view.claims().some(isOpen),
 	}
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -105,7 +105,7 @@
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
 	let workCount = 0
-	const {candidates, isUntold, areAllEmptied} = createCandidates(deps)
+	const {candidates, hasCandidates, isUntold, areAllEmptied} = createCandidates(deps)
 
 	async function counted<T>(work: Promise<T>): Promise<T> {
 		workCount++
@@ -248,7 +248,7 @@
 		},
 		candidates,
 		// Callers are told at once that nothing may start; other instances could tell them no more.
-		canPlace: () => candidates().length > 0 || areAllEmptied(),
+		canPlace: () => hasCandidates() || areAllEmptied(),
 		workCount: () => workCount,
 	}
 }
--- a/packages/jobs/test/evacuations.test.ts
+++ b/packages/jobs/test/evacuations.test.ts
@@ -280,6 +280,19 @@
 		expect([...asked].sort()).to.eql(["b-1:1", "b-1:1", "c-1:1", "c-1:1"])
 	})
 
+	/*
+	 * The question whether an instance may be sent callers, which the platform asks every few hundred milliseconds, moved the turn
+	 * as a job does. With two other domains and a question between two jobs, all went to one of them.
+	 */
+	it("are spread alike, however often it is asked whether they may come", async () => {
+		const {asked, dispatch, dispatcher} = createCaller(["a"])
+		for (let at = 0; at < 4; at++) {
+			await dispatch()
+			dispatcher.canPlace()
+		}
+		expect([...asked].sort()).to.eql(["b-1:1", "b-1:1", "c-1:1", "c-1:1"])
+	})
+
 	it("are served by the one that is left of three", async () => {
 		const {asked, dispatch} = createCaller(["a", "c"])
 		for (let at = 0; at < 2; at++) await dispatch()
