Build the requests of callers' jobs and of kept ones in one place

What a request takes from its step, its queue and its task's runs stood twice, and each field since had to be added to both, `isolation` last. Behaviour is the same; the jobs' tests pass unchanged.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -6,7 +6,6 @@
 import {
 	countCrash,
 	isCulprit,
-	isolationOf,
 	isTooRisky,
 	noteCrash,
 	NO_CRASHES,
@@ -14,6 +13,7 @@
 	type CrashCount,
 } from "../place/crashes.js"
 import type {TaskEnd, TaskHandle, TaskRequest} from "../place/run.js"
+import {requestBaseOf} from "./task-request.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Job, JobEnd, Step} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
@@ -129,27 +129,13 @@
 	function requestOf(task: TaskState): TaskRequest {
 		const step = job.steps[task.step] as Step
 		return {
-			job: job.id,
-			task: task.name,
-			run: task.run,
-			spec: job.spec,
-			service: queue.service,
-			need: step.need,
-			estimateMs: step.estimateMs,
+			...requestBaseOf(job, task, step, queue),
 			startBy: dueAt - step.estimateMs - chainAfterMs(task.step),
 			uselessAt: job.receivedAt + objectiveMs * USELESS_OBJECTIVES,
 			deadlineAt: job.deadlineAt,
 			confirmedAt,
 			isBegun: firstStartAt !== undefined,
-			priority: queue.priority,
-			label: step.label,
-			rack: step.rack,
-			maxPerExecutor: step.maxPerExecutor,
-			avoid: [...task.avoid],
-			isolation: isolationOf(task.crashes),
 			askedBy: job.askedBy,
-			isForeign: false,
-			advice: queue.advice,
 		}
 	}
 
--- /dev/null
+++ b/packages/jobs/src/coordinate/task-request.ts
@@ -0,0 +1,46 @@
+/**
+ * What is asked of a placer for a task's next run, alike for jobs of callers and kept ones.
+ */
+import {isolationOf, type CrashCount} from "../place/crashes.js"
+import type {TaskRequest} from "../place/run.js"
+import type {Queue} from "../types/fleet-config.js"
+import type {Step} from "../types/job.js"
+
+/** What a task's runs so far have told. */
+interface TaskSoFar {
+	readonly name: string
+	readonly run: number
+	readonly crashes: CrashCount
+	readonly avoid: readonly string[]
+}
+
+type RequestBase = Omit<
+	TaskRequest,
+	"startBy" | "uselessAt" | "deadlineAt" | "confirmedAt" | "isBegun"
+>
+
+/** All of a request but its times, and how far its job is. */
+export function requestBaseOf(
+	{id, spec}: {readonly id: string; readonly spec: string},
+	{name, run, crashes, avoid}: TaskSoFar,
+	step: Step,
+	{service, priority, advice}: Queue,
+): RequestBase {
+	return {
+		job: id,
+		task: name,
+		run,
+		spec,
+		service,
+		need: step.need,
+		estimateMs: step.estimateMs,
+		priority,
+		label: step.label,
+		rack: step.rack,
+		maxPerExecutor: step.maxPerExecutor,
+		avoid: [...avoid],
+		isolation: isolationOf(crashes),
+		isForeign: false,
+		advice,
+	}
+}
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -9,15 +9,9 @@
 import type {Clock} from "@cottonwood/core"
 import {longestChainMs, RETRY_MS, RUN_NUMBER_STEP} from "../coordinate/job-run.js"
 import type {RunningAt} from "../place/placer-state.js"
-import {
-	countCrash,
-	isCulprit,
-	isolationOf,
-	noteCrash,
-	type Crash,
-	type CrashCount,
-} from "../place/crashes.js"
+import {countCrash, isCulprit, noteCrash, type Crash, type CrashCount} from "../place/crashes.js"
 import type {TaskEnd, TaskEnded, TaskHandle, TaskRequest} from "../place/run.js"
+import {requestBaseOf} from "../coordinate/task-request.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
@@ -271,27 +265,13 @@
 ): TaskRequest {
 	const step = record.steps[task.step] as Step
 	return {
-		job: record.id,
-		task: task.name,
-		run: task.run,
-		spec: record.spec,
-		service: queue.service,
-		need: step.need,
-		estimateMs: step.estimateMs,
+		...requestBaseOf(record, task, step, queue),
 		startBy,
 		uselessAt: Infinity,
 		deadlineAt: Infinity,
 		confirmedAt: () => Infinity,
 		isBegun: task.ends > 0,
-		priority: queue.priority,
-		label: step.label,
-		rack: step.rack,
-		maxPerExecutor: step.maxPerExecutor,
-		avoid: [...task.avoid],
-		isolation: isolationOf(task.crashes),
-		isForeign: false,
 		isKept: true,
-		advice: queue.advice,
 		isLasting: step.isLasting,
 		isFilling: step.isFilling,
 		isServing: step.isServing,
