Give the decisions and the executor links folders of their own

The decisions under load lay beside the links, the queue and the list, 25 files on one floor. decide/ holds what is judged without a clock or a socket (which executor, what room, when a lease ends, who crashed whom), link/ what a placer keeps of one executor and says to it.

--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -11,7 +11,7 @@
 	NO_CRASHES,
 	type Crash,
 	type CrashCount,
-} from "../place/crashes.js"
+} from "../decide/crashes.js"
 import type {TaskEnd, TaskHandle, TaskRequest} from "../place/run.js"
 import {requestBaseOf} from "./task-request.js"
 import type {Queue} from "../types/fleet-config.js"
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -6,7 +6,7 @@
 import type {Clock} from "@cottonwood/core"
 import type {FleetView, ToldRoom} from "../fleet/members.js"
 import type {Peers, TaskMessage} from "../fleet/peers.js"
-import {certainEndAt, type LeaseRule} from "../place/lease-rule.js"
+import {certainEndAt, type LeaseRule} from "../decide/lease-rule.js"
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {Waiting} from "../place/task-queue.js"
--- a/packages/jobs/src/coordinate/task-request.ts
+++ b/packages/jobs/src/coordinate/task-request.ts
@@ -1,7 +1,7 @@
 /**
  * What is asked of a placer for a task's next run, alike for jobs of callers and kept ones.
  */
-import {isolationOf, type CrashCount} from "../place/crashes.js"
+import {isolationOf, type CrashCount} from "../decide/crashes.js"
 import type {TaskRequest} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
--- a/packages/jobs/src/place/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -4,8 +4,8 @@
 import type {Health} from "@cottonwood/core"
 import type {Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
-import type {ExecutorLink} from "./executor-link.js"
-import type {TaskQueue} from "./task-queue.js"
+import type {ExecutorLink} from "../link/executor-link.js"
+import type {TaskQueue} from "../place/task-queue.js"
 
 /** Whole tasks fill about this share of executors of two or three times their size; measured on the sheets. */
 const PACKED_SHARE = 0.8
--- a/packages/jobs/src/place/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -2,9 +2,9 @@
  * Which executor a task should start on: the fastest that has room, packed tightly.
  */
 import type {Health} from "@cottonwood/core"
-import type {ExecutorLink} from "./executor-link.js"
-import type {TaskRequest} from "./run.js"
-import {stepNameOf} from "./task-queue.js"
+import type {ExecutorLink} from "../link/executor-link.js"
+import type {TaskRequest} from "../place/run.js"
+import {stepNameOf} from "../place/task-queue.js"
 
 /** Weights of what speaks against an executor: how slow it has been, and how much room would be left. */
 const SLOWNESS_WEIGHT = 1
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -11,7 +11,7 @@
 import {claimKey, isClaim} from "../fleet/members.js"
 import type {Placer} from "../place/placer.js"
 import type {TaskEnd, TaskEnded} from "../place/run.js"
-import type {KeptRuns} from "../place/link-state.js"
+import type {KeptRuns} from "../link/state.js"
 import type {Queue} from "../types/fleet-config.js"
 import {
 	OPEN_JOBS_PREFIX,
--- a/packages/jobs/src/keep/kept-run.ts
+++ b/packages/jobs/src/keep/kept-run.ts
@@ -9,7 +9,7 @@
 import type {Clock} from "@cottonwood/core"
 import {longestChainMs, RETRY_MS, RUN_NUMBER_STEP} from "../coordinate/job-run.js"
 import type {RunningAt} from "../place/placer-state.js"
-import {countCrash, isCulprit, noteCrash, type Crash, type CrashCount} from "../place/crashes.js"
+import {countCrash, isCulprit, noteCrash, type Crash, type CrashCount} from "../decide/crashes.js"
 import type {TaskEnd, TaskEnded, TaskHandle, TaskRequest} from "../place/run.js"
 import {requestBaseOf} from "../coordinate/task-request.js"
 import type {Queue} from "../types/fleet-config.js"
--- a/packages/jobs/src/place/executor-clock.ts
+++ b/packages/jobs/src/link/executor-clock.ts
@@ -5,7 +5,7 @@
  * by the lowest reading possible: no lease lasts longer than was meant. A lease that another placer asked for is
  * not known here, so the longest one is presumed.
  */
-import {SLOWEST_RATE, type LeaseRule} from "./lease-rule.js"
+import {SLOWEST_RATE, type LeaseRule} from "../decide/lease-rule.js"
 
 /** Another placer may have gone by a reading that was half a second old: 2% of that, and its timers. */
 const OTHERS_READING_MS = 20
--- a/packages/jobs/src/place/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -2,10 +2,10 @@
  * The placer's link to one executor, as the placer uses it.
  */
 import type {ExecutorRecord} from "../types/executor.js"
-import {adoptRun, holdLoop, offerOrphans} from "./link-hold.js"
-import {isConfirmed} from "./link-lease.js"
-import {inheritedRun, startRun, stopRun} from "./link-orders.js"
-import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./link-room.js"
+import {adoptRun, holdLoop, offerOrphans} from "./hold.js"
+import {isConfirmed} from "./lease.js"
+import {inheritedRun, startRun, stopRun} from "./orders.js"
+import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./room.js"
 import {
 	closeLink,
 	hasRunOf,
@@ -14,9 +14,9 @@
 	isUsable,
 	newLinkState,
 	type LinkDeps,
-} from "./link-state.js"
-import type {OnTaskEnd, Run, StopCause, TaskRequest} from "./run.js"
-import {stepNameOf} from "./task-queue.js"
+} from "./state.js"
+import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
+import {stepNameOf} from "../place/task-queue.js"
 
 export interface ExecutorLink {
 	readonly record: ExecutorRecord
--- a/packages/jobs/src/place/link-hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -7,8 +7,8 @@
  */
 import type {HoldReply, RunEnd, RunningRow} from "../types/executor.js"
 import {lifeOf} from "../utils/log.js"
-import {needsLease, nextLeaseUntil} from "./link-lease.js"
-import {stopOrphan, stopRun, stopUnanswered, stopUnheard} from "./link-orders.js"
+import {needsLease, nextLeaseUntil} from "./lease.js"
+import {stopOrphan, stopRun, stopUnanswered, stopUnheard} from "./orders.js"
 import {
 	addRun,
 	closeLink,
@@ -25,8 +25,8 @@
 	settleAllLost,
 	settleRun,
 	type LinkState,
-} from "./link-state.js"
-import type {Run, TaskEnd, TaskEnded} from "./run.js"
+} from "./state.js"
+import type {Run, TaskEnd, TaskEnded} from "../place/run.js"
 
 /**
  * A hold's answer waits this long for an end while something runs there: answers get lost on bad days,
--- a/packages/jobs/src/place/link-lease.ts
+++ b/packages/jobs/src/link/lease.ts
@@ -1,9 +1,9 @@
 /**
  * The lease of one executor: what may be asked for, by the lease rule, for all that runs there.
  */
-import {leaseMsFor, mayBegin} from "./lease-rule.js"
-import type {LinkState} from "./link-state.js"
-import type {TaskRequest} from "./run.js"
+import {leaseMsFor, mayBegin} from "../decide/lease-rule.js"
+import type {LinkState} from "./state.js"
+import type {TaskRequest} from "../place/run.js"
 
 /**
  * Whether a run of the task would end in time for whoever may stop wanting it unheard, and could be kept beside what runs
--- a/packages/jobs/src/place/link-orders.ts
+++ b/packages/jobs/src/link/orders.ts
@@ -16,12 +16,12 @@
 	runName,
 	settleRun,
 	type LinkState,
-} from "./link-state.js"
-import {freeCpu} from "./link-room.js"
-import {isUnheard} from "./lease-rule.js"
-import {isConfirmed, nextLeaseUntil} from "./link-lease.js"
-import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "./run.js"
-import {stepNameOf} from "./task-queue.js"
+} from "./state.js"
+import {freeCpu} from "./room.js"
+import {isUnheard} from "../decide/lease-rule.js"
+import {isConfirmed, nextLeaseUntil} from "./lease.js"
+import type {OnTaskEnd, Run, StopCause, TaskEnd, TaskRequest} from "../place/run.js"
+import {stepNameOf} from "../place/task-queue.js"
 
 /** A start's answer is missed after this at the latest: slower instances need tens of milliseconds. */
 const START_TIMEOUT_MS = 90
--- a/packages/jobs/src/place/link-room.ts
+++ b/packages/jobs/src/link/room.ts
@@ -2,7 +2,7 @@
  * The room of one executor: what its runs take, what still fits, and who may share it.
  */
 import type {ExecutorRecord} from "../types/executor.js"
-import type {Run, TaskRequest} from "./run.js"
+import type {Run, TaskRequest} from "../place/run.js"
 
 /** What of a link says how much room is taken, and by whom. */
 export interface LinkRoom {
--- a/packages/jobs/src/place/link-state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -11,13 +11,13 @@
 } from "../types/executor.js"
 import type {EventLog, RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
-import type {Crash} from "./crashes.js"
+import type {Crash} from "../decide/crashes.js"
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
-import type {LeaseRule} from "./lease-rule.js"
-import {occupy} from "./link-room.js"
-import type {Run, TaskEnd, TaskEnded} from "./run.js"
+import type {LeaseRule} from "../decide/lease-rule.js"
+import {occupy} from "./room.js"
+import type {Run, TaskEnd, TaskEnded} from "../place/run.js"
 import type {Losses} from "./losses.js"
-import type {Tickets} from "./tickets.js"
+import type {Tickets} from "../place/tickets.js"
 
 /** An answer that was lost, or a slow machine of ours, is over by then; a dead executor is not. */
 const PROMISING_MS = 500
--- a/packages/jobs/src/place/gang.ts
+++ b/packages/jobs/src/place/gang.ts
@@ -1,10 +1,10 @@
 /**
  * Room for tasks that work only together: a place for every member, or none.
  */
-import type {ExecutorLink} from "./executor-link.js"
+import type {ExecutorLink} from "../link/executor-link.js"
 import type {Judgement} from "./judgement.js"
 import type {TaskRequest} from "./run.js"
-import {chooseExecutor} from "./selection.js"
+import {chooseExecutor} from "../decide/selection.js"
 import {stepNameOf, type Waiting} from "./task-queue.js"
 
 type Links = ReadonlyMap<string, ExecutorLink>
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -6,7 +6,7 @@
 import {lifeOf, type EventLog, type RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {Run, TaskEnd} from "./run.js"
-import {createSpeeds, type Speeds} from "./selection.js"
+import {createSpeeds, type Speeds} from "../decide/selection.js"
 
 /** At most this share of the executors is set aside. */
 const MAX_ASIDE_SHARE = 0.4
--- a/packages/jobs/src/place/placer-links.ts
+++ b/packages/jobs/src/place/placer-links.ts
@@ -2,7 +2,7 @@
  * The executors that a placer has links to: those of the list, and others for as long as something may run there.
  */
 import type {ExecutorRecord} from "../types/executor.js"
-import {createExecutorLink, type ExecutorLink} from "./executor-link.js"
+import {createExecutorLink, type ExecutorLink} from "../link/executor-link.js"
 import type {PlacerState} from "./placer-state.js"
 import {walkSoon} from "./walk.js"
 
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -3,7 +3,7 @@
  */
 import type {AdviceTiming} from "../types/fleet-config.js"
 import type {TaskNeed} from "../types/job.js"
-import type {Crash, Isolation} from "./crashes.js"
+import type {Crash, Isolation} from "../decide/crashes.js"
 
 /** Asks a placer to run a task once to an end. */
 export interface TaskRequest {
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -4,8 +4,8 @@
  */
 import type {ExecutorRecord} from "../types/executor.js"
 import {lifeOf} from "../utils/log.js"
-import type {ExecutorLink} from "./executor-link.js"
-import {certainEndAt} from "./lease-rule.js"
+import type {ExecutorLink} from "../link/executor-link.js"
+import {certainEndAt} from "../decide/lease-rule.js"
 import {addLink, closeLinks} from "./placer-links.js"
 import type {PlacerState, RunningAt} from "./placer-state.js"
 import type {OnTaskEnd, Run, TaskHandle, TaskRequest} from "./run.js"
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -2,11 +2,11 @@
  * Walks a placer's queue in order and starts what finds room, here or at another domain's placer.
  */
 import {lifeOf} from "../utils/log.js"
-import type {ExecutorLink} from "./executor-link.js"
+import type {ExecutorLink} from "../link/executor-link.js"
 import {chooseGang, wouldFitEmpty} from "./gang.js"
 import type {Links, PlacerState} from "./placer-state.js"
 import type {TaskRequest} from "./run.js"
-import {chooseExecutor} from "./selection.js"
+import {chooseExecutor} from "../decide/selection.js"
 import {stepNameOf, type Group, type Waiting} from "./task-queue.js"
 
 /** Groups that are tried in one walk; what stands further behind finds no room either as a rule. */
