--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -29,6 +29,7 @@
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
 import type {Beat, Claim, Member, RoomNews} from "./types/fleet.js"
 import type {Caller, Job, JobEnd} from "./types/job.js"
+import type {PlacingSettings} from "./types/placing.js"
 import {lifeOf, type EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
 import {watchNews} from "./utils/news.js"
@@ -54,6 +55,7 @@
 	readonly storeWritesPerSecond: number
 	/** For so long the state of an ended job can be asked for, in milliseconds. */
 	readonly endedStateMs: number
+	readonly placing: PlacingSettings
 }
 
 /** What the surroundings offer; implemented for each platform. */
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -8,6 +8,7 @@
 import {write} from "node:fs"
 import winston from "winston"
 import Transport from "winston-transport"
+import type {PlacingSettings} from "../types/placing.js"
 
 /** The fixed prefixes, one for each part. */
 export type LogPart =
@@ -63,6 +64,8 @@
 	readonly waitingTasks?: number
 	readonly waitingWork?: number
 	readonly address?: string
+	/** What of placing is switched on here. */
+	readonly placing?: PlacingSettings
 	readonly detail?: string
 }
 
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -201,6 +201,8 @@
 	readonly cpuShareOf?: (name: string) => number
 	/** What its environment has besides ours. */
 	readonly envOf?: (name: string) => Readonly<Record<string, string>>
+	/** What of placing is switched on; by default nothing. */
+	readonly placing?: Readonly<Record<string, unknown>>
 	/** Another build of the program. */
 	readonly program?: string
 	/** How long the first instances may take until they are ready. */
@@ -218,6 +220,8 @@
 	const edges: Edge[] = []
 
 	const program = options.program ?? PROGRAM
+	const placingFile = join(folder, "placing.json")
+	writeFileSync(placingFile, JSON.stringify(options.placing ?? {}))
 	const shareOf = options.cpuShareOf ?? (() => 1)
 	const ipOf = options.ipOf ?? (() => "127.0.0.1")
 
@@ -229,7 +233,8 @@
 			file,
 			JSON.stringify(settingsOf(name, failureDomain, platform, {ip, ports}, store, shareOf(name))),
 		)
-		const env = {...process.env, COTTONWOOD_CONFIG: file, ...options.envOf?.(name)}
+		const ours = {COTTONWOOD_CONFIG: file, COTTONWOOD_PLACING: placingFile}
+		const env = {...process.env, ...ours, ...options.envOf?.(name)}
 		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), program, "edge"], {
 			env,
 			stdio: ["ignore", "pipe", "inherit"],
