Look at each executor once in a walk, and work room out in one pass

By profile of a placer at 140 jobs a second on 60 executors 19% of its time went into walks and 6% into the room that is told: each waiting group asked every link anew for the freest executor and for runs of its task, and room was filtered, mapped and sorted for each look at it, with the claims of a whole beat beside it. Now the freest executor is known until something starts, runs are counted by task over all links, room is one pass that keeps the six largest, and a look at room works out nothing else.

Ruled out: holds that wait 300 ms and 700 ms at idle executors in place of 200 and 400. Eleven tests fail that promise by when a lost run is known; reverted. 290 tests of the package pass.

--- a/packages/jobs/src/decide/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -32,14 +32,26 @@
 
 /** What others are told; what anything that waits here could use is not free for them. */
 export function roomFor(links: Links, queue: TaskQueue, health: Health): Room {
-	const open = usableLinks(links).filter(link => health.isUsable(link.record.id))
-	const free = open.map(link => link.freeCpu()).sort((a, b) => b - a)
-	return {
-		freeCpu: free.filter(cpu => cpu < queue.leastCpu()).slice(0, ROOM_ENTRIES),
-		totalCpu: open.reduce((sum, link) => sum + link.record.capacity.cpu, 0),
-		waitingWork: Math.round(queue.work()),
-		labels: [...new Set(open.flatMap(link => link.record.labels))],
+	const leastCpu = queue.leastCpu()
+	const freeCpu: number[] = []
+	const labels = new Set<string>()
+	let totalCpu = 0
+	for (const link of links.values()) {
+		if (!link.isUsable() || !health.isUsable(link.record.id)) continue
+		totalCpu += link.record.capacity.cpu
+		for (const label of link.record.labels) labels.add(label)
+		const free = link.freeCpu()
+		if (free < leastCpu) keepLargest(freeCpu, free)
 	}
+	return {freeCpu, totalCpu, waitingWork: Math.round(queue.work()), labels: [...labels]}
+}
+
+/** Adds an entry to the largest ones, which stand in falling order, if it is one of them. */
+function keepLargest(largest: number[], value: number) {
+	if (largest.length === ROOM_ENTRIES && value <= (largest.at(-1) ?? 0)) return
+	const at = largest.findIndex(entry => entry < value)
+	largest.splice(at < 0 ? largest.length : at, 0, value)
+	if (largest.length > ROOM_ENTRIES) largest.pop()
 }
 
 /** How long the work that goes before a start will take, in milliseconds; Infinity without executors. */
--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -52,6 +52,8 @@
 	readonly view: FleetView
 	readonly self: Member
 	readonly own: () => Beat
+	/** The room of the failure domains that are placed here, by name. */
+	readonly rooms: () => Readonly<Record<string, Room>>
 	readonly onBeat: (beat: Beat) => void
 	readonly onRoomNews: (news: RoomNews) => void
 	/** Whether the own domain's callers are, or may soon be, served by the other domains' placers. */
@@ -156,7 +158,7 @@
 	}
 
 	function lookAtRoom() {
-		const {rooms} = own()
+		const rooms = deps.rooms()
 		const digest = digestOf(rooms)
 		if (digest === lastTold) return
 		const sinceLast = clock.now() - lastRoomAt
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -212,6 +212,7 @@
 		view,
 		self,
 		own: ownBeat,
+		rooms: hosts.rooms,
 		onBeat: takeBeat,
 		onRoomNews: takeRoomNews,
 		needsOthers: () => evacuations.isUnderWay(self.failureDomain) || isHomeQuiet(),
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -8,7 +8,7 @@
 import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./room.js"
 import {
 	closeLink,
-	hasRunOf,
+	hasOrphanOf,
 	isIdle,
 	isPromising,
 	isUsable,
@@ -41,8 +41,8 @@
 	reserve(req: TaskRequest): void
 	unreserve(req: TaskRequest): void
 	runCount(): number
-	/** Whether a run of the task is there, or is still being stopped. */
-	hasRunOf(task: string): boolean
+	/** Whether a run of the task that nobody here started is there, or is still being stopped. */
+	hasOrphanOf(task: string): boolean
 	/** Whether nothing more is asked of it. */
 	isClosed(): boolean
 	/** Whether another life has answered in its place. */
@@ -90,7 +90,7 @@
 		reserve: req => occupy(link, req, 1),
 		unreserve: req => occupy(link, req, -1),
 		runCount: () => link.runs.size,
-		hasRunOf: task => hasRunOf(link, task),
+		hasOrphanOf: task => hasOrphanOf(link, task),
 		isClosed: () => link.isClosed,
 		isReplaced: () => link.isReplaced,
 		isRetired: () => link.isRetired,
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -55,6 +55,8 @@
 	readonly kept: KeptRuns
 	readonly tickets: Tickets
 	readonly losses: Losses
+	/** How many runs of each task the placer has, over all its links. */
+	readonly runCounts: Map<string, number>
 }
 
 export interface LinkState {
@@ -125,20 +127,18 @@
 
 /** Whether new work may go there. */
 export function isUsable(link: LinkState): boolean {
-	const now = link.deps.clock.now()
-	return (
-		link.isFenceTaken &&
-		!link.deps.isEvacuated() &&
-		!link.isRetired &&
-		!link.isClosed &&
-		!link.record.isLeaving &&
-		link.silentSince === undefined &&
-		link.orphans.size === 0 &&
-		// A start would renew the lease of what is not known to be stopping yet.
-		link.unansweredStops.size === 0 &&
-		now >= link.stoppingUntil &&
-		now >= link.unhealthyUntil
-	)
+	if (!link.isFenceTaken || link.isRetired || link.isClosed || link.record.isLeaving) return false
+	if (link.silentSince !== undefined || link.orphans.size > 0) return false
+	// A start would renew the lease of what is not known to be stopping yet.
+	if (link.unansweredStops.size > 0 || link.deps.isEvacuated()) return false
+	return hasNoPause(link)
+}
+
+/** Nothing that was stopped there holds its room unlisted, and it has not said a moment ago that it is unhealthy. */
+function hasNoPause({stoppingUntil, unhealthyUntil, deps}: LinkState): boolean {
+	// Most have never had a pause; reading the clock is the dearest of all these questions.
+	const until = Math.max(stoppingUntil, unhealthyUntil)
+	return until === -Infinity || deps.clock.now() >= until
 }
 
 /** Whether it is likely to take work within a moment, if not now. */
@@ -167,9 +167,8 @@
 	return silentSince !== undefined && executorClock.hasLapsed(deps.clock.now())
 }
 
-/** Whether a run of the task is there, or is still being stopped. */
-export function hasRunOf({runs, orphans, stoppingOrphans}: LinkState, task: string): boolean {
-	if (runs.has(task)) return true
+/** Whether a run of the task that nobody here started is there, or is still being stopped. */
+export function hasOrphanOf({orphans, stoppingOrphans}: LinkState, task: string): boolean {
 	if (orphans.size + stoppingOrphans.size === 0) return false
 	const isOfTask = (name: string) => name.startsWith(`${task}/`)
 	return [...orphans, ...stoppingOrphans].some(isOfTask)
@@ -179,7 +178,14 @@
 	return link.runs.get(run.req.task) === run
 }
 
+function countRun({deps: {runCounts}}: LinkState, {req: {task}}: Run, by: 1 | -1) {
+	const count = (runCounts.get(task) ?? 0) + by
+	if (count > 0) runCounts.set(task, count)
+	else runCounts.delete(task)
+}
+
 export function addRun(link: LinkState, run: Run) {
+	if (!link.runs.has(run.req.task)) countRun(link, run, 1)
 	link.runs.set(run.req.task, run)
 	occupy(link, run.req, 1)
 }
@@ -188,6 +194,7 @@
 export function settleRun(link: LinkState, run: Run, end: TaskEnd, proof: RunProof): TaskEnded {
 	if (!isCurrent(link, run)) return undefined
 	link.runs.delete(run.req.task)
+	countRun(link, run, -1)
 	occupy(link, run.req, -1)
 	link.deps.metrics.count("task_ends", end.type)
 	link.deps.onRunEnd(link.record.id, run, end, proof)
--- a/packages/jobs/src/place/placer-links.ts
+++ b/packages/jobs/src/place/placer-links.ts
@@ -42,6 +42,7 @@
 		kept: state.deps.kept,
 		tickets: state.tickets,
 		losses: state.losses,
+		runCounts: state.runCounts,
 		onRoom: () => walkSoon(state),
 		onFenced,
 		onRunEnd: state.judgement.observe,
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -60,6 +60,8 @@
 	readonly tickets: Tickets
 	readonly losses: Losses
 	readonly pulse: Pulse
+	/** How many runs of each task there are, over all links. */
+	readonly runCounts: Map<string, number>
 	/** What runs, by run; kept to be able to hand it over. */
 	readonly started: Map<Run, Waiting>
 	/** Takes everything once the placer has given all to a successor. */
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -87,6 +87,7 @@
 		losses: createLosses(deps.clock),
 		tickets: createTickets({...deps, onTickets: () => walkSoon(state)}),
 		pulse: startPulse(deps.clock),
+		runCounts: new Map(),
 		started: new Map(),
 		successor: undefined,
 		isWalkDue: false,
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -34,10 +34,15 @@
 	state.isWalkDue = false
 	if (state.isClosed) return
 	state.isHeldBack = false
+	if (state.queue.size() > 0) placeInOrder(state)
+	state.deps.onRoomChange()
+}
+
+function placeInOrder(state: PlacerState) {
 	const groups = state.queue.inOrder(state.deps.clock.now())
+	const freest = createFreest(state.links)
 	for (const group of groups.slice(0, MAX_GROUPS_PER_WALK))
-		if (placeGroup(state, group) === "hold back") break
-	state.deps.onRoomChange()
+		if (placeGroup(state, group, freest) === "hold back") break
 }
 
 /** The executors that may run a group's step; where advice is needed and missing, it is asked for. */
@@ -60,20 +65,24 @@
 }
 
 /** Starts what it can of a group; `hold back` asks to leave the room to it that others would take. */
-function placeGroup(state: PlacerState, group: Group): "hold back" | undefined {
+function placeGroup(state: PlacerState, group: Group, freest: Freest): "hold back" | undefined {
 	const {queue, judgement, deps} = state
 	const links = allowedLinks(state, group)
-	if (group.waiting[0]?.req.gang) return placeGang(state, group, links)
+	if (group.waiting[0]?.req.gang) {
+		freest.noteStart()
+		return placeGang(state, group, links)
+	}
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
 		// The same task may come anew while its run before is being stopped, and must not run beside it.
 		if (hasRunOf(state, next.req.task)) return
-		const mayFit = next.req.need.cpu <= freestCpu(links)
+		const mayFit = next.req.need.cpu <= freest.cpu()
 		const link = mayFit && chooseExecutor(links, next.req, judgement.health, judgement.speeds)
 		if (link) {
 			queue.take(group)
 			startOn(state, link, next)
+			freest.noteStart()
 		} else {
 			state.isHeldBack ||= isHeardLate(state, next.req)
 			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
@@ -88,15 +97,33 @@
 	return deps.clock.now() - confirmedAt() > HEARD_LATE_MS
 }
 
-/** Most of what waits under load fits nowhere; this tells so at a tenth of the cost of weighing each executor. */
+/** The most room that one executor has, for as long as nothing starts. */
+interface Freest {
+	/** Thousandths of a core. */
+	cpu(): number
+	noteStart(): void
+}
+
+/** Most of what waits under load fits nowhere; this tells so without weighing each executor for each group. */
+function createFreest(links: Links): Freest {
+	let known: number | undefined
+	return {
+		cpu: () => (known ??= freestCpu(links)),
+		noteStart() {
+			known = undefined
+		},
+	}
+}
+
 function freestCpu(links: Links): number {
 	let most = 0
 	for (const link of links.values()) most = Math.max(most, link.freeCpu())
 	return most
 }
 
-function hasRunOf({links}: PlacerState, task: string): boolean {
-	for (const link of links.values()) if (link.hasRunOf(task)) return true
+function hasRunOf({links, runCounts}: PlacerState, task: string): boolean {
+	if (runCounts.has(task)) return true
+	for (const link of links.values()) if (link.hasOrphanOf(task)) return true
 	return false
 }
 
--- a/packages/jobs/test/beats.test.ts
+++ b/packages/jobs/test/beats.test.ts
@@ -31,23 +31,24 @@
 	const sent: FleetDatagram[] = []
 	let freeCpu: number[] = []
 	let workedOut = 0
+	function rooms() {
+		workedOut++
+		return {a: {freeCpu, totalCpu: 64_000, waitingWork: 0, labels: []}}
+	}
 	const beats = createBeats({
 		clock,
 		view,
 		self,
 		peers: fakePeers(),
 		send: (_address, message) => void sent.push(message),
-		own(): Beat {
-			workedOut++
-			const room = {freeCpu, totalCpu: 64_000, waitingWork: 0, labels: []}
-			return {
-				from: self,
-				claims: view.claims(),
-				rooms: {a: room},
-				isLeaving: false,
-				configVersion: 1,
-			}
-		},
+		own: (): Beat => ({
+			from: self,
+			claims: view.claims(),
+			rooms: rooms(),
+			isLeaving: false,
+			configVersion: 1,
+		}),
+		rooms,
 		onBeat: () => undefined,
 		onRoomNews: () => undefined,
 		needsOthers: () => false,
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -286,6 +286,7 @@
 				})
 			},
 			own: ownBeat,
+			rooms: hosts.rooms,
 			onBeat: takeBeat,
 			onRoomNews(news) {
 				view.takeRoomNews(news)
