Build the fields of frequent lines only when they are written, and count without the library's labels

The lines of starts, ends and asked placers are sampled above 200 a second, one in twenty; their fields were built for all of them. Counters went through the metrics library's label tables at each step; counts are kept plainly now and handed to the library when figures are asked for.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -192,12 +192,12 @@
 	function noteTry(job: Job, claim: Claim, outcome: string) {
 		// Whoever was asked may have the job all the same.
 		const write = outcome === "given up" || outcome === "unsent" ? log.alarm : log.event
-		write("job", "placer_asked", "job: a placer answered.", {
+		write("job", "placer_asked", "job: a placer answered.", () => ({
 			job: job.id,
 			...whoIsAsked(deps, claim),
 			outcome,
 			tookMs: Math.round(clock.now() - job.receivedAt),
-		})
+		}))
 	}
 
 	/**
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -51,7 +51,7 @@
 		const {job, task, run: number, estimateMs, askedBy} = run.req
 		// What ended without a result may be run again elsewhere; such lines are never sampled.
 		const write = end.type === "lost" || end.type === "stopped" ? log.alarm : log.event
-		write("placer", "run_ended", "placer: a run ended.", {
+		write("placer", "run_ended", "placer: a run ended.", () => ({
 			job,
 			task,
 			run: number,
@@ -63,7 +63,7 @@
 			proof,
 			fence,
 			askedBy: lifeOf(askedBy),
-		})
+		}))
 	}
 
 	/** A stuck run is the executor's doing, while a failed one may be the task's. */
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -154,7 +154,7 @@
 	metrics.observe("queue_wait_ms", waitedMs)
 	// What is tried again may still run where it was: such lines are never sampled.
 	const write = number > 1 ? log.alarm : log.event
-	write("placer", "task_started", "placer: starts a task.", {
+	write("placer", "task_started", "placer: starts a task.", () => ({
 		job,
 		task,
 		run: number,
@@ -165,7 +165,7 @@
 		needCpu: need.cpu,
 		waitedMs: Math.round(waitedMs),
 		waitingTasks: state.queue.size(),
-	})
+	}))
 	state.judgement.health.beginProbe(executor)
 	const run = link.start(item.req, end => {
 		state.started.delete(run)
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -69,13 +69,20 @@
 	readonly detail?: string
 }
 
+/** Fields, or what makes them once a line is to be written. */
+export type LazyFields = LogFields | (() => LogFields)
+
 export interface EventLog {
 	/** Writes one line. `kind` groups lines for sampling and search. */
-	event(part: LogPart, kind: string, message: string, fields?: LogFields): void
+	event(part: LogPart, kind: string, message: string, fields?: LazyFields): void
 	/** Like `event`, and never sampled away. */
-	alarm(part: LogPart, kind: string, message: string, fields?: LogFields): void
+	alarm(part: LogPart, kind: string, message: string, fields?: LazyFields): void
 }
 
+/** The fields themselves. */
+export const fieldsOf = (fields: LazyFields): LogFields =>
+	typeof fields === "function" ? fields() : fields
+
 /** Enough of a session to tell the lives of a fleet's instances apart. */
 const LIFE_SIGNS = 8
 
@@ -223,9 +230,10 @@
 			if (!rate) return
 			const sampledOut = rate.skipped > 0 ? {sampledOut: rate.skipped} : {}
 			rate.skipped = 0
-			write("info", message, {part, kind, ...fields, ...sampledOut})
+			write("info", message, {part, kind, ...fieldsOf(fields), ...sampledOut})
 		},
-		alarm: (part, kind, message, fields = {}) => write("warn", message, {part, kind, ...fields}),
+		alarm: (part, kind, message, fields = {}) =>
+			write("warn", message, {part, kind, ...fieldsOf(fields)}),
 	}
 }
 
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -66,12 +66,32 @@
 /** Around the objectives of sub-second tasks. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000]
 
+/** The library works out a label's place at each step of its counters; here it does when figures are asked for. */
+function tellCounts(
+	registry: Registry,
+	{name, help}: {readonly name: string; readonly help: string},
+	counts: ReadonlyMap<string, number>,
+) {
+	const options = {
+		name,
+		help,
+		labelNames: ["reason"],
+		registers: [registry],
+		collect(this: Counter) {
+			this.reset()
+			for (const [reason, count] of counts) this.inc({reason}, count)
+		},
+	}
+	new Counter(options)
+}
+
 export function createJobMetrics(): JobMetrics {
 	const registry = new Registry()
-	const counters = new Map<string, Counter>()
+	const counters = new Map<string, Map<string, number>>()
 	for (const [name, help] of Object.entries(COUNTERS)) {
-		const options = {name: PREFIX + name, help, labelNames: ["reason"], registers: [registry]}
-		counters.set(name, new Counter(options))
+		const counts = new Map<string, number>()
+		counters.set(name, counts)
+		tellCounts(registry, {name: PREFIX + name, help}, counts)
 	}
 	const timings = new Map<string, Histogram>()
 	for (const [name, help] of Object.entries(TIMINGS)) {
@@ -79,7 +99,10 @@
 		timings.set(name, new Histogram(options))
 	}
 	return {
-		count: (name, reason = "all", by = 1) => counters.get(name)?.inc({reason}, by),
+		count(name, reason = "all", by = 1) {
+			const counts = counters.get(name)
+			counts?.set(reason, (counts.get(reason) ?? 0) + by)
+		},
 		observe: (name, ms) => timings.get(name)?.observe(ms),
 		gauge(name, read) {
 			const options = {
--- a/packages/jobs/test/lines.test.ts
+++ b/packages/jobs/test/lines.test.ts
@@ -14,6 +14,7 @@
 	createDispatcher,
 	createFleetView,
 	createOverflow,
+	fieldsOf,
 	type PlacerDeps,
 	type TaskReply,
 } from "@cottonwood/jobs/internals"
@@ -38,8 +39,10 @@
 function createLines() {
 	const lines: Line[] = []
 	const log: EventLog = {
-		event: (_part, kind, _message, fields) => void lines.push({kind, isSampled: true, ...fields}),
-		alarm: (_part, kind, _message, fields) => void lines.push({kind, isSampled: false, ...fields}),
+		event: (_part, kind, _message, fields = {}) =>
+			void lines.push({kind, isSampled: true, ...fieldsOf(fields)}),
+		alarm: (_part, kind, _message, fields = {}) =>
+			void lines.push({kind, isSampled: false, ...fieldsOf(fields)}),
 	}
 	const lineOf = (kind: string) => lines.find(line => line.kind === kind)
 	return {lines, log, lineOf}
--- a/packages/jobs/test/succession.test.ts
+++ b/packages/jobs/test/succession.test.ts
@@ -12,7 +12,7 @@
  * `outcome=lost`, `cause=its lease ended while silent` 110 ms after `run_adopted` with no `inputAgeMs`.
  */
 import type {EventLog, LogFields} from "@cottonwood/jobs"
-import type {PlacerDeps, TaskEnd} from "@cottonwood/jobs/internals"
+import {fieldsOf, type PlacerDeps, type TaskEnd} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
@@ -34,7 +34,7 @@
 	const lines: Line[] = []
 	const log: EventLog = {
 		event: () => undefined,
-		alarm: (_part, kind, _message, fields) => void lines.push({kind, ...fields}),
+		alarm: (_part, kind, _message, fields = {}) => void lines.push({kind, ...fieldsOf(fields)}),
 	}
 	const ends: (TaskEnd & {readonly isRunning: boolean})[] = []
 	const onEnd = (end: TaskEnd) => void ends.push({...end, isRunning: executor.running.has(TASK)})
