--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -88,10 +88,18 @@
 
 	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
 
+	/** Claims that jobs may be offered to, the best kind first. */
+	const kinds = [isAnswering, isHeard, isLeavingPlacer, isUntold, isRefuge]
+
+	function hasCandidates(): boolean {
+		const open = view.claims().filter(isOpen)
+		return kinds.some(isWanted => open.some(isWanted))
+	}
+
 	/** Those of the best kind that there is. */
 	function bestClaims(): readonly Claim[] {
 		const open = view.claims().filter(isOpen)
-		for (const isWanted of [isAnswering, isHeard, isLeavingPlacer, isUntold, isRefuge]) {
+		for (const isWanted of kinds) {
 			const found = open.filter(isWanted)
 			if (found.length > 0) return found
 		}
@@ -107,7 +115,7 @@
 
 	return {
 		candidates: () => inTurn(ranked(bestClaims())),
-		hasCandidates: () => bestClaims().length > 0,
+		hasCandidates,
 		isUntold,
 		areAllEmptied: () => view.claims().length > 0 && !view.claims().some(isOpen),
 	}
