--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -10,6 +10,7 @@
 import type {Claim, Member, Room} from "../types/fleet.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf} from "../utils/log.js"
+import type {SpeedKeeper} from "../fleet/speed-keeper.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
@@ -40,6 +41,7 @@
 	readonly keeper: Keeper
 	readonly placer: Placer
 	readonly jobs: Set<JobRun>
+	readonly speedKeeper?: SpeedKeeper
 }
 
 export interface HostsDeps extends Pick<
@@ -60,6 +62,8 @@
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 	/** Whether operators are emptying the failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** Begins to keep what is learnt of a domain's executors; absent where each placer learns for itself. */
+	readonly keepSpeeds?: (claim: Claim) => SpeedKeeper
 }
 
 export interface Hosts {
@@ -127,8 +131,10 @@
 		const keeper = deps.createKeeper(claim, onDeposed)
 		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
-		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper})
-		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
+		const speedKeeper = deps.keepSpeeds?.(claim)
+		const {speeds} = speedKeeper ?? {}
+		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper, speeds})
+		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set(), speedKeeper})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence, outcome: handover ? "handed over" : "taken"}
@@ -148,6 +154,7 @@
 		if (givenUp.has(failureDomain)) return void givenUp.set(failureDomain, cause)
 		hosts.delete(failureDomain)
 		host.keeper.close()
+		host.speedKeeper?.close()
 		host.placer.giveUp()
 		const fields = {failureDomain, fence, cause, count: host.jobs.size}
 		log.alarm("placer", "placing_ended", "placer: no longer places a failure domain.", fields)
@@ -198,6 +205,7 @@
 			if (!host) return
 			hosts.delete(failureDomain)
 			host.keeper.close()
+			host.speedKeeper?.close()
 			const count = host.placer.counts().running
 			host.placer.giveAll((item, from) => overflow.sendTo(successor, item, from))
 			const {name, session} = successor.placer
@@ -248,8 +256,9 @@
 			return sum
 		},
 		close() {
-			for (const {placer, keeper} of hosts.values()) {
+			for (const {placer, keeper, speedKeeper} of hosts.values()) {
 				keeper.close()
+				speedKeeper?.close()
 				placer.close()
 			}
 		},
--- a/packages/jobs/src/decide/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -1,10 +1,11 @@
 /**
  * How much room a placer's executors have: now, for others, and in the near future.
  */
-import type {Health} from "@cottonwood/core"
 import type {Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
 import type {ExecutorLink} from "../link/executor-link.js"
+import type {Judgement} from "../place/judgement.js"
+import type {Speeds} from "../place/learnt-speeds.js"
 import type {TaskQueue} from "../place/task-queue.js"
 
 /** Whole tasks fill about this share of executors of two or three times their size; measured on the sheets. */
@@ -30,21 +31,32 @@
 		.reduce((sum, link) => sum + Math.floor(link.freeCpu() / Math.max(1, need.cpu)), 0)
 }
 
+/** Thousandths of a core as work counts them: an executor that takes twice as long does half as much. */
+function paceOf(links: readonly ExecutorLink[], speeds: Speeds): number {
+	return links.reduce((sum, {record}) => sum + record.capacity.cpu / speeds.factorOf(record.id), 0)
+}
+
 /** What others are told; what anything that waits here could use is not free for them. */
-export function roomFor(links: Links, queue: TaskQueue, health: Health): Room {
+export function roomFor(links: Links, queue: TaskQueue, {health, speeds}: Judgement): Room {
 	const open = usableLinks(links).filter(link => health.isUsable(link.record.id))
 	const free = open.map(link => link.freeCpu()).sort((a, b) => b - a)
 	return {
 		freeCpu: free.filter(cpu => cpu < queue.leastCpu()).slice(0, ROOM_ENTRIES),
-		totalCpu: open.reduce((sum, link) => sum + link.record.capacity.cpu, 0),
+		totalCpu: Math.round(paceOf(open, speeds)),
 		waitingWork: Math.round(queue.work()),
 		labels: [...new Set(open.flatMap(link => link.record.labels))],
 	}
 }
 
 /** How long the work that goes before a start will take, in milliseconds; Infinity without executors. */
-export function waitBeforeMs(links: Links, queue: TaskQueue, startBy: number, now: number): number {
-	const cpu = promisingLinks(links).reduce((sum, link) => sum + link.record.capacity.cpu, 0)
+export function waitBeforeMs(
+	links: Links,
+	queue: TaskQueue,
+	speeds: Speeds,
+	startBy: number,
+	now: number,
+): number {
+	const cpu = paceOf(promisingLinks(links), speeds)
 	if (cpu === 0) return Infinity
 	return queue.workBefore(startBy, now) / ((cpu / MILLICORES) * PACKED_SHARE)
 }
--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -3,44 +3,19 @@
  */
 import type {Health} from "@cottonwood/core"
 import type {ExecutorLink} from "../link/executor-link.js"
+import type {Speeds} from "../place/learnt-speeds.js"
 import type {TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
 
-/** Weights of what speaks against an executor: how slow it has been, and how much room would be left. */
-const SLOWNESS_WEIGHT = 1
+/** How much the room that would be left speaks against an executor, beside its speed. */
 const LEFTOVER_WEIGHT = 0.3
 const OFF_RACK_PENALTY = 3
 /** A task under which an executor has crashed would take others with it; more than any difference in speed. */
 const SHARED_PENALTY = 5
-/** How much one run moves the smoothed speed of its executor. */
-const SPEED_STEP = 0.15
-/** One run counts as at most this many times slower than its estimate. */
-const MAX_SLOWNESS = 4
-
-export interface Speeds {
-	/** Notes a run's time over its estimate. */
-	observe(executor: string, slowness: number): void
-	/** Smoothed time over estimate; 1 for an unknown executor. */
-	of(executor: string): number
-	forget(executor: string): void
-}
-
-export function createSpeeds(): Speeds {
-	const speeds = new Map<string, number>()
-	return {
-		observe(executor, slowness) {
-			const speed = speeds.get(executor) ?? 1
-			speeds.set(executor, speed + SPEED_STEP * (Math.min(MAX_SLOWNESS, slowness) - speed))
-		},
-		of: executor => speeds.get(executor) ?? 1,
-		forget: executor => void speeds.delete(executor),
-	}
-}
-
 function costOf(link: ExecutorLink, req: TaskRequest, speeds: Speeds): number {
 	const {id, capacity, labels} = link.record
 	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
-	let cost = SLOWNESS_WEIGHT * speeds.of(id) + LEFTOVER_WEIGHT * left
+	let cost = speeds.costOf(id, req) + LEFTOVER_WEIGHT * left
 	if (req.rack !== undefined && !labels.includes(req.rack)) cost += OFF_RACK_PENALTY
 	if (link.isShared(req)) cost += SHARED_PENALTY
 	return cost
--- /dev/null
+++ b/packages/jobs/src/fleet/speed-keeper.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps what a placer learns of its executors' speeds in the store, for whoever places the failure domain after it.
+ *
+ * Read once when placing begins, beside the list of executors; written now and then, when there is something to tell, without a
+ * lease and without a condition: a record that is lost or old costs a little speed and nothing else. Nobody waits for either.
+ */
+import type {Clock, Store} from "@cottonwood/core"
+import {createKeptSpeeds, type KeptSpeeds} from "../place/kept-speeds.js"
+import type {Claim} from "../types/fleet.js"
+import type {PlacingSettings} from "../types/placing.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {decodeSpeeds, encodeSpeeds, isNews, speedKey, type SpeedRecord} from "./speed-record.js"
+
+/** Between two looks at what there is to tell, and the least between two writes; a domain costs half a write a second at most. */
+const WRITE_MS = 2_000
+/** After a reading that was not answered. */
+const READ_AGAIN_MS = 400
+/** Executors that were told of are listed and met by then. */
+const MEET_MS = 5_000
+
+export interface SpeedKeepingDeps {
+	readonly clock: Clock
+	readonly store: Store
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+}
+
+export interface SpeedKeeper {
+	readonly speeds: KeptSpeeds
+	/** Writes nothing more. */
+	close(): void
+}
+
+export interface SpeedKeeping {
+	/** Begins to keep the speeds of a domain that is placed here from now on. */
+	keep(claim: Claim): SpeedKeeper
+}
+
+const NOTHING_TOLD: Pick<SpeedRecord, "executors"> = {executors: {}}
+
+/** One keeper for each domain that is placed here, and their figures together. */
+export function createSpeedKeeping(deps: SpeedKeepingDeps): SpeedKeeping {
+	const keepers = new Set<SpeedKeeper>()
+	const figures = () => [...keepers].map(({speeds}) => speeds.figures())
+	deps.metrics.gauge("speeds_known", () => figures().reduce((sum, {known}) => sum + known, 0))
+	deps.metrics.gauge("speeds_spread", () => Math.max(1, ...figures().map(({spread}) => spread)))
+	return {
+		keep(claim) {
+			const keeper = keepSpeeds(deps, claim, () => keepers.delete(keeper))
+			keepers.add(keeper)
+			return keeper
+		},
+	}
+}
+
+/** What begins to keep a domain's speeds where that is switched on. */
+export function speedKeepingFor(
+	{speeds}: Pick<PlacingSettings, "speeds">,
+	deps: SpeedKeepingDeps,
+): SpeedKeeping["keep"] | undefined {
+	return speeds === "kept" ? createSpeedKeeping(deps).keep : undefined
+}
+
+function keepSpeeds(
+	{clock, store, log, metrics}: SpeedKeepingDeps,
+	{failureDomain, fence}: Claim,
+	onClose: () => void,
+): SpeedKeeper {
+	const key = speedKey(failureDomain)
+	const speeds = createKeptSpeeds(() => clock.now())
+	const beganAt = clock.now()
+	let told = NOTHING_TOLD
+	let isClosed = false
+
+	async function read() {
+		for (;;) {
+			const item = await store.get(key)
+			if (isClosed) return
+			if (item !== undefined) return takeOver(item?.value)
+			await clock.sleep(READ_AGAIN_MS)
+			if (isClosed) return
+		}
+	}
+
+	function takeOver(value: unknown) {
+		const {
+			executors,
+			labels,
+			dropped,
+			fence: from,
+		} = decodeSpeeds(value ?? {executors: {}, labels: {}})
+		if (dropped > 0) metrics.count("broken_assumptions", "speed_entry", dropped)
+		speeds.inherit({executors, labels})
+		const waitedMs = Math.round(clock.now() - beganAt)
+		const outcome = value === undefined ? "none" : dropped > 0 ? `${dropped} dropped` : "whole"
+		const detail = from === undefined ? undefined : `by fence ${from}`
+		const fields = {failureDomain, fence, count: executors.size, waitedMs, outcome, detail}
+		log.event("placer", "speeds_taken_over", "placer: knows speeds of its executors.", fields)
+		clock.schedule(MEET_MS, dropUnmet)
+		clock.schedule(WRITE_MS, writeNews)
+	}
+
+	function dropUnmet() {
+		if (isClosed) return
+		const count = speeds.dropUnmet()
+		if (count > 0) metrics.count("speeds_dropped", "not listed", count)
+	}
+
+	async function writeNews() {
+		if (isClosed) return
+		const record = encodeSpeeds(speeds.known(), fence)
+		if (isNews(told, record)) await write(record)
+		if (!isClosed) clock.schedule(WRITE_MS, () => void writeNews())
+	}
+
+	async function write(record: SpeedRecord) {
+		const {type} = await store.put(key, record)
+		metrics.count("speed_writes", type)
+		if (type === "done") told = record
+	}
+
+	void read()
+	return {
+		speeds,
+		close() {
+			isClosed = true
+			onClose()
+		},
+	}
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -18,6 +18,7 @@
 import {createPeers, listenPeers} from "./fleet/peers.js"
 import {createReach} from "./fleet/reach.js"
 import {beginRegistration} from "./fleet/registration.js"
+import {speedKeepingFor} from "./fleet/speed-keeper.js"
 import {watchStrain} from "./fleet/strain.js"
 import {publishFigures} from "./figures.js"
 import {followExecutors, followFleet, servedBy} from "./followers.js"
@@ -135,6 +136,7 @@
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
 		isEvacuated: evacuations.isUnderWay,
+		keepSpeeds: speedKeepingFor(settings.placing, {...deps, clock}),
 	})
 	const dispatcher = createDispatcher({
 		clock,
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -296,10 +296,12 @@
 	if (percent > run.percent) {
 		run.percent = percent
 		run.progressAt = now
+		link.deps.onProgress(link.record.id, run)
 		return
 	}
-	const limitMs = Math.max(STUCK_MS, run.req.estimateMs * STUCK_ESTIMATES)
 	if (run.state !== "running" || run.req.isLasting || run.req.gang) return
+	const expectedMs = run.req.estimateMs * link.deps.slownessOf(link.record.id)
+	const limitMs = Math.max(STUCK_MS, expectedMs * STUCK_ESTIMATES)
 	if (now - run.progressAt < limitMs) return
 	const {job, task, run: number, estimateMs} = run.req
 	const inputAgeMs = Math.round(now - run.progressAt)
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -55,6 +55,10 @@
 	readonly kept: KeptRuns
 	readonly tickets: Tickets
 	readonly losses: Losses
+	/** Called when a list says that a run goes on. */
+	readonly onProgress: (executor: string, run: Run) => void
+	/** How many times its estimates work is known to take on an executor. */
+	readonly slownessOf: (executor: string) => number
 }
 
 export interface LinkState {
--- a/packages/jobs/src/place/judgement.ts
+++ b/packages/jobs/src/place/judgement.ts
@@ -6,7 +6,7 @@
 import {lifeOf, type EventLog, type RunProof} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {Run, TaskEnd} from "./run.js"
-import {createSpeeds, type Speeds} from "../decide/selection.js"
+import {createSpeeds, type Speeds} from "./learnt-speeds.js"
 
 /** At most this share of the executors is set aside. */
 const MAX_ASIDE_SHARE = 0.4
@@ -16,6 +16,7 @@
 const STUCK_WEIGHT = 3
 /** Two waits of a busy executor's hold: an end that was not told within it was told late. */
 const LATE_NEWS_MS = 320
+const WHOLE_PERCENT = 100
 
 export interface JudgementDeps {
 	readonly clock: Clock
@@ -23,6 +24,8 @@
 	readonly metrics: JobMetrics
 	readonly failureDomain: string
 	readonly fence: number
+	/** How fast the executors are, where that outlasts the placer; by default it learns it for itself. */
+	readonly speeds?: Speeds
 }
 
 export interface Judgement {
@@ -30,12 +33,14 @@
 	readonly speeds: Speeds
 	/** Notes how a run ended. */
 	observe(executor: string, run: Run, end: TaskEnd, proof: RunProof): void
+	/** Notes that a run goes on, with the progress that it has made. */
+	noteProgress(executor: string, run: Run): void
 	forget(executor: string): void
 }
 
 export function createJudgement(deps: JudgementDeps): Judgement {
 	const {clock, log, metrics, failureDomain, fence} = deps
-	const speeds = createSpeeds()
+	const speeds = deps.speeds ?? createSpeeds()
 	const health = createHealth({
 		now: () => clock.now(),
 		maxAsideShare: () => MAX_ASIDE_SHARE,
@@ -66,6 +71,19 @@
 		})
 	}
 
+	/** Runs whose speed is known by their progress: their ends tell nothing more. */
+	const foreseen = new WeakSet<Run>()
+
+	/** How a run goes on shows a speed that has changed long before the first slow run ends. */
+	function noteProgress(executor: string, run: Run) {
+		const {estimateMs, isLasting, gang} = run.req
+		const ranEstimates = (clock.now() - run.startedAt) / Math.max(1, estimateMs)
+		if (run.percent === 0 || isLasting || gang || foreseen.has(run)) return
+		if (!speeds.isOverdue(executor, ranEstimates)) return
+		foreseen.add(run)
+		speeds.observe(executor, (ranEstimates * WHOLE_PERCENT) / run.percent)
+	}
+
 	/** A stuck run is the executor's doing, while a failed one may be the task's. */
 	function observeStuck(target: string, slowness: number) {
 		for (let times = 0; times < STUCK_WEIGHT; times++)
@@ -85,11 +103,13 @@
 			const slowness = ranMs / Math.max(1, run.req.estimateMs)
 			if (run.stopCause === "stuck") return observeStuck(executor, slowness)
 			if (end.type !== "done" && end.type !== "failed") return health.endProbe(executor)
-			health.observe({target: executor, failed: end.type === "failed", slowness})
+			const judged = speeds.judged(executor, slowness)
+			health.observe({target: executor, failed: end.type === "failed", slowness: judged})
 			if (end.type === "failed") return
 			metrics.observe("run_ms", tookMs)
-			if (!isLateNews) speeds.observe(executor, slowness)
+			if (!isLateNews && !foreseen.has(run)) speeds.observe(executor, slowness)
 		},
+		noteProgress,
 		forget(executor) {
 			health.forget(executor)
 			speeds.forget(executor)
--- /dev/null
+++ b/packages/jobs/src/place/kept-speeds.ts
@@ -0,0 +1,127 @@
+/**
+ * How fast a placer's executors are, as state of the fleet: learnt by executor and by label, told to successors.
+ */
+import {
+	expectedOf,
+	isOverdue,
+	learnLabelRun,
+	learnRun,
+	mergeSpeeds,
+	slownessOf,
+	withoutTail,
+	type Speed,
+} from "../decide/speeds.js"
+import {speedCost} from "../decide/speed-cost.js"
+import type {Speeds} from "./learnt-speeds.js"
+
+/** What is known, by executor and by label. */
+export interface KnownSpeeds {
+	readonly executors: ReadonlyMap<string, Speed>
+	readonly labels: ReadonlyMap<string, Speed>
+}
+
+export interface SpeedFigures {
+	/** Executors of which a run is known. */
+	readonly known: number
+	/** The slowest of them over the fastest; 1 while fewer than two are known. */
+	readonly spread: number
+}
+
+export interface KeptSpeeds extends Speeds {
+	/** What is worth telling: the executors that are here. */
+	known(): KnownSpeeds
+	/** Takes over what a placer before has learnt; what was learnt here meanwhile is joined with it. */
+	inherit(known: KnownSpeeds): void
+	/** Forgets what was told of executors that are not here; returns how many there were. */
+	dropUnmet(): number
+	figures(): SpeedFigures
+}
+
+interface Entry {
+	readonly label: string | undefined
+	speed: Speed | undefined
+	/** Kept at hand: it is read for each start and executor. */
+	slowness: number
+}
+
+export function createKeptSpeeds(now: () => number): KeptSpeeds {
+	const entries = new Map<string, Entry>()
+	const labels = new Map<string, Speed>()
+	/** What was told of executors that have not been met here yet. */
+	const told = new Map<string, Speed>()
+
+	const expectedFor = ({label}: Entry) => (label === undefined ? 0 : expectedOf(labels.get(label)))
+
+	function setSpeed(entry: Entry, speed: Speed) {
+		entry.speed = speed
+		entry.slowness = slownessOf(speed, expectedFor(entry))
+	}
+
+	function takeTold(id: string, entry: Entry) {
+		const before = told.get(id)
+		if (!told.delete(id) || !before) return
+		setSpeed(entry, entry.speed ? mergeSpeeds(before, entry.speed) : before)
+	}
+
+	function entryOf(id: string, label?: string): Entry {
+		let entry = entries.get(id)
+		if (!entry) entries.set(id, (entry = {label, speed: undefined, slowness: 1}))
+		return entry
+	}
+
+	function factorOf(executor: string): number {
+		const entry = entries.get(executor)
+		if (!entry) return 1
+		// What is expected by its label alone changes with others' runs.
+		return entry.speed ? entry.slowness : slownessOf(undefined, expectedFor(entry))
+	}
+
+	return {
+		meet({id, labels: [label]}) {
+			if (!entries.has(id)) takeTold(id, entryOf(id, label))
+		},
+		observe(executor, slowness) {
+			const entry = entryOf(executor)
+			setSpeed(entry, learnRun(entry.speed, expectedFor(entry), slowness))
+			const {label} = entry
+			if (label !== undefined) labels.set(label, learnLabelRun(labels.get(label), slowness))
+		},
+		isOverdue: (executor, ranEstimates) => isOverdue(ranEstimates, factorOf(executor)),
+		judged: (executor, slowness) =>
+			withoutTail(slowness, factorOf(executor), entries.get(executor)?.speed),
+		costOf: (executor, req) => speedCost(factorOf(executor), req, now()),
+		factorOf,
+		forget: executor => void entries.delete(executor),
+		known() {
+			const executors = new Map<string, Speed>()
+			for (const [id, {speed}] of entries) if (speed) executors.set(id, speed)
+			return {executors, labels}
+		},
+		inherit(known) {
+			for (const [label, speed] of known.labels)
+				labels.set(label, mergeSpeeds(speed, labels.get(label) ?? {mean: 0, weight: 0, odd: 0}))
+			for (const [id, speed] of known.executors) {
+				told.set(id, speed)
+				const entry = entries.get(id)
+				if (entry) takeTold(id, entry)
+			}
+		},
+		dropUnmet() {
+			const count = told.size
+			told.clear()
+			return count
+		},
+		figures() {
+			let known = 0
+			let least = Infinity
+			let most = 0
+			for (const {speed, slowness} of entries.values()) {
+				if (!speed) continue
+				known++
+				least = Math.min(least, slowness)
+				most = Math.max(most, slowness)
+			}
+			return {known, spread: known > 1 ? most / least : 1}
+		},
+	}
+}
--- a/packages/jobs/src/place/placer-links.ts
+++ b/packages/jobs/src/place/placer-links.ts
@@ -28,6 +28,8 @@
 export function addLink(state: PlacerState, record: ExecutorRecord): ExecutorLink {
 	const {clock, orders, log, metrics, fence, leaseRule, stopGraceMs, onFenced, isEvacuated} =
 		state.deps
+	const {speeds} = state.judgement
+	speeds.meet(record)
 	const orphansWaitUntil = state.createdAt + state.deps.orphansWaitMs
 	const link = createExecutorLink(record, {
 		clock,
@@ -45,6 +47,8 @@
 		onRoom: () => walkSoon(state),
 		onFenced,
 		onRunEnd: state.judgement.observe,
+		onProgress: state.judgement.noteProgress,
+		slownessOf: speeds.factorOf,
 	})
 	state.links.set(record.id, link)
 	const fields = {executor: record.id, address: record.address, freeCpu: record.capacity.cpu}
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -11,6 +11,7 @@
 import type {LeaseRule} from "../decide/lease-rule.js"
 import type {KeptRuns} from "../link/state.js"
 import type {Losses} from "../link/losses.js"
+import type {Speeds} from "./learnt-speeds.js"
 import type {Pulse} from "./pulse.js"
 import type {Run, StopCause} from "./run.js"
 import type {TaskQueue, Waiting} from "./task-queue.js"
@@ -33,6 +34,8 @@
 	/** Whether no run of a placer before can be on an executor that is not linked here. */
 	readonly knowsAllExecutors: boolean
 	readonly kept: KeptRuns
+	/** How fast the executors are, where that outlasts the placer. */
+	readonly speeds?: Speeds
 	/** Hands a task to another domain's placer; false when none has room. */
 	readonly handOver: (item: Waiting) => boolean
 	readonly onFenced: () => void
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -98,12 +98,13 @@
 		submit: (req, onEnd, onStart) => submit(state, req, onEnd, onStart),
 		setExecutors: records => setExecutors(state, records),
 		executors: () => [...state.links.values()].filter(link => !link.isClosed()).map(recordOf),
-		room: () => roomFor(state.links, state.queue, state.judgement.health),
+		room: () => roomFor(state.links, state.queue, state.judgement),
 		counts: () => countsOf(state),
 		canServe: () => promisingLinks(state.links).length > 0,
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
-		expectedWaitMs: startBy => waitBeforeMs(state.links, state.queue, startBy, deps.clock.now()),
+		expectedWaitMs: startBy =>
+			waitBeforeMs(state.links, state.queue, state.judgement.speeds, startBy, deps.clock.now()),
 		hasRoomFor: (step, service) => hasRoomFor(state, step, service),
 		offerOrphans() {
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
--- a/packages/jobs/src/place/walk.ts
+++ b/packages/jobs/src/place/walk.ts
@@ -121,7 +121,7 @@
 
 function startOn(state: PlacerState, link: ExecutorLink, item: Waiting) {
 	const {clock, metrics, log, fence} = state.deps
-	const {job, task, run: number, need} = item.req
+	const {job, task, run: number, need, estimateMs} = item.req
 	const waitedMs = clock.now() - item.since
 	const executor = link.record.id
 	metrics.observe("queue_wait_ms", waitedMs)
@@ -136,6 +136,8 @@
 		askedBy: lifeOf(item.req.askedBy),
 		freeCpu: link.freeCpu(),
 		needCpu: need.cpu,
+		estimateMs,
+		slowness: Math.round(100 * state.judgement.speeds.factorOf(executor)) / 100,
 		waitedMs: Math.round(waitedMs),
 		waitingTasks: state.queue.size(),
 	})
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -56,6 +56,8 @@
 	readonly waitedMs?: number
 	readonly deadlineInMs?: number
 	readonly estimateMs?: number
+	/** How many times its estimate a run is expected to take where it goes; 1 where that is not kept. */
+	readonly slowness?: number
 	readonly count?: number
 	/** How many items one answer of the store held. */
 	readonly told?: number
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -36,6 +36,8 @@
 	crashed_runs: "Runs under which an executor ended, by what is known of it",
 	suspensions: "Times that the machine was suspended",
 	broken_assumptions: "Things that should not happen, by name",
+	speed_writes: "Records of executors' speeds written to the store, by outcome",
+	speeds_dropped: "Speeds told of executors that are not used, by cause",
 	orphan_runs: "Runs found on executors that nobody here started, by outcome",
 } as const)
 export type CounterName = keyof typeof COUNTERS
@@ -61,6 +63,8 @@
 	| "config_heard_ms"
 	| "news_age_ms"
 	| "store_silent_ms"
+	| "speeds_known"
+	| "speeds_spread"
 
 const PREFIX = "cottonwood_"
 /** Around the objectives of sub-second tasks. */
--- /dev/null
+++ b/packages/jobs/test/speed-keeping.test.ts
@@ -0,0 +1,204 @@
+/**
+ * Speeds as state of the fleet: what is written to the store, who reads it when, and what a bad record does.
+ */
+import {createJobMetrics, silentLog, type Claim} from "@cottonwood/jobs"
+import {
+	createSpeedKeeping,
+	decodeSpeeds,
+	encodeSpeeds,
+	speedKey,
+	SPEED_PREFIX,
+	FLEET_PREFIX,
+	type KnownSpeeds,
+	type Speed,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
+import {createFakeStore} from "./support/fake-store.js"
+
+const placer = {name: "a-1", session: "s1", failureDomain: "a", address: "a-1:1", cpuShare: 1}
+const claimOf = (fence: number): Claim => ({failureDomain: "a", fence, placer})
+
+/** An instance: what it knows is lost with it. */
+function createKeeping(clock: FakeClock, store: ReturnType<typeof createFakeStore>["store"]) {
+	const metrics = createJobMetrics()
+	return {metrics, keeping: createSpeedKeeping({clock, store, log: silentLog, metrics})}
+}
+
+function createWorld() {
+	const clock = createFakeClock()
+	const {fake, store} = createFakeStore()
+	return {clock, fake, store, begin: () => createKeeping(clock, store)}
+}
+
+const speed = (slowness: number, weight = 9): Speed => ({mean: Math.log(slowness), weight, odd: 0})
+
+/** Names of the platform's form. */
+const idOf = (at: number) => `i-${at.toString(16).padStart(10, "0")}`
+
+function fleetOf(size: number): KnownSpeeds {
+	const executors = new Map<string, Speed>()
+	for (let at = 0; at < size; at++) executors.set(idOf(at), speed(1 / 32, 20))
+	return {executors, labels: new Map([["a", speed(1)]])}
+}
+
+function learn(keeper: ReturnType<ReturnType<typeof createSpeedKeeping>["keep"]>, runs = 20) {
+	for (const [id, slowness] of [
+		["fast", 0.6],
+		["slow", 1.6],
+	] as const) {
+		keeper.speeds.meet({id, labels: ["a"]})
+		for (let run = 0; run < runs; run++) keeper.speeds.observe(id, slowness)
+	}
+}
+
+describe("the record of speeds", () => {
+	it("is small, also of a large domain", () => {
+		expect(JSON.stringify(encodeSpeeds(fleetOf(120), 4)).length).to.be.lessThan(4_000)
+		expect(JSON.stringify(encodeSpeeds(fleetOf(700), 4)).length).to.be.lessThan(17_000)
+	})
+
+	it("lies apart from what all instances follow", () => {
+		// Each change of a followed key is an answer at every instance, and a call that follows it.
+		expect(speedKey("a").startsWith(FLEET_PREFIX)).to.equal(false)
+		expect(speedKey("a").startsWith(SPEED_PREFIX)).to.equal(true)
+	})
+
+	it("tells what was known, in steps finer than anybody is sure of", () => {
+		const known = {executors: new Map([["e", speed(1.6)]]), labels: new Map([["a", speed(0.7)]])}
+		const {executors, labels, dropped} = decodeSpeeds(
+			JSON.parse(JSON.stringify(encodeSpeeds(known, 1))),
+		)
+		expect(Math.exp(executors.get("e")!.mean)).to.be.closeTo(1.6, 0.05)
+		expect(Math.exp(labels.get("a")!.mean)).to.be.closeTo(0.7, 0.03)
+		expect(dropped).to.equal(0)
+	})
+
+	it("of another writer is dropped entry by entry", () => {
+		const bad: readonly unknown[] = [
+			null,
+			"x",
+			5,
+			{},
+			[1],
+			[1, 2, 3],
+			[Number.NaN, 5],
+			[null, 5],
+			["1", 5],
+			[0.5, 5],
+			[1e9, 5],
+			[-1e9, 5],
+			[1, -5],
+			[1, 0],
+			[1, 1e9],
+		]
+		const executors: Record<string, unknown> = {good: [9, 5], ["x".repeat(1_000)]: [9, 5]}
+		bad.forEach((entry, at) => (executors[`bad${at}`] = entry))
+		const read = decodeSpeeds({fence: "x", executors, labels: {a: [2, 4]}})
+		expect([...read.executors.keys()]).to.eql(["good"])
+		expect([...read.labels.keys()]).to.eql(["a"])
+		expect(read.dropped).to.equal(bad.length + 1)
+		for (const value of [undefined, null, 7, "x", [], {}, {executors: []}])
+			expect(decodeSpeeds(value).executors.size).to.equal(0)
+	})
+
+	it("with more entries than any domain has costs no more than a large one", () => {
+		const executors: Record<string, unknown> = {}
+		for (let at = 0; at < 5_000; at++) executors[idOf(at)] = [1, 5]
+		expect(decodeSpeeds({executors, labels: {}}).executors.size).to.equal(2_000)
+	})
+})
+
+describe("keeping speeds", () => {
+	it("lets a successor begin with what its predecessor knew", async () => {
+		// A placer has learnt two speeds; another instance takes the domain over.
+		const {clock, begin} = createWorld()
+		const first = begin().keeping.keep(claimOf(1))
+		await clock.advance(10)
+		learn(first)
+		await clock.advance(2_000)
+		first.close()
+		const second = begin().keeping.keep(claimOf(2))
+		second.speeds.meet({id: "fast", labels: ["a"]})
+		second.speeds.meet({id: "slow", labels: ["a"]})
+		await clock.advance(10)
+		expect(second.speeds.factorOf("fast")).to.be.lessThan(0.75)
+		expect(second.speeds.factorOf("slow")).to.be.greaterThan(1.4)
+		// After twenty runs what it sees itself counts for more than what it was told.
+		for (let run = 0; run < 20; run++) second.speeds.observe("fast", 1.5)
+		expect(second.speeds.factorOf("fast")).to.be.greaterThan(Math.sqrt(0.6 * 1.5))
+	})
+
+	it("has speeds after a loss of all instances as soon as the store answers once", async () => {
+		// All instances lose power at once, half a second after the last write; only the store is left.
+		const {clock, begin} = createWorld()
+		const before = begin().keeping.keep(claimOf(1))
+		await clock.advance(10)
+		learn(before)
+		await clock.advance(2_500)
+		before.close()
+		await clock.advance(560)
+		const after = begin().keeping.keep(claimOf(2))
+		await clock.advance(1)
+		after.speeds.meet({id: "slow", labels: ["a"]})
+		expect(after.speeds.factorOf("slow")).to.be.greaterThan(1.4)
+		// A new life of an executor begins from its label.
+		after.speeds.meet({id: "new", labels: ["a"]})
+		expect(after.speeds.factorOf("new")).to.not.equal(after.speeds.factorOf("slow"))
+	})
+
+	it("places on while the store is away, asks again, and joins what it learnt meanwhile", async () => {
+		const {clock, fake, begin} = createWorld()
+		fake.write(speedKey("a"), {fence: 1, executors: {slow: [9, 9], fast: [-10, 9]}, labels: {}})
+		fake.isAway = true
+		const keeper = begin().keeping.keep(claimOf(2))
+		await clock.advance(3_000)
+		learn(keeper, 1)
+		await clock.advance(3_000)
+		// Nothing is written before it is known what is there: what others have learnt would be lost.
+		expect(fake.puts).to.equal(0)
+		fake.isAway = false
+		await clock.advance(500)
+		expect(keeper.speeds.factorOf("slow")).to.be.greaterThan(1.4)
+		expect(keeper.speeds.factorOf("fast")).to.be.lessThan(0.75)
+	})
+
+	it("writes when there is something to tell, and tells it again when the store did not take it", async () => {
+		const {clock, fake, begin} = createWorld()
+		const keeper = begin().keeping.keep(claimOf(1))
+		await clock.advance(5_000)
+		expect(fake.puts, "nothing is known").to.equal(0)
+		learn(keeper)
+		fake.isAway = true
+		await clock.advance(4_000)
+		expect(fake.puts, "lost, and tried again").to.equal(2)
+		fake.isAway = false
+		await clock.advance(10_000)
+		expect(fake.puts, "told once").to.equal(3)
+		// Noise is no news; a slowdown is.
+		keeper.speeds.observe("slow", 1.4)
+		await clock.advance(4_000)
+		expect(fake.puts).to.equal(3)
+		for (let run = 0; run < 8; run++) keeper.speeds.observe("slow", 9)
+		await clock.advance(2_000)
+		expect(fake.puts).to.equal(4)
+		keeper.close()
+		for (let run = 0; run < 8; run++) keeper.speeds.observe("slow", 1)
+		await clock.advance(5_000)
+		expect(fake.puts, "somebody else places now").to.equal(4)
+	})
+
+	it("counts what a record holds that is no speed, or is of no executor here, and goes on", async () => {
+		const {clock, fake, begin} = createWorld()
+		fake.write(speedKey("a"), {executors: {slow: [9, 9], gone: [9, 9], bad: ["x", 1]}, labels: 7})
+		const {metrics, keeping} = begin()
+		const keeper = keeping.keep(claimOf(2))
+		keeper.speeds.meet({id: "slow", labels: []})
+		await clock.advance(6_000)
+		expect(keeper.speeds.factorOf("slow")).to.be.greaterThan(1.3)
+		const text = await metrics.text()
+		expect(text).to.include('cottonwood_broken_assumptions{reason="speed_entry"} 2')
+		expect(text).to.include('cottonwood_speeds_dropped{reason="not listed"} 1')
+		expect(text).to.include("cottonwood_speeds_known 1")
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/speeds.test.ts
@@ -0,0 +1,141 @@
+/**
+ * What is learnt of executors' speeds from runs whose estimates are off by 40% a job, of which 3% take seven times as long.
+ */
+import {seededRandom} from "@cottonwood/standins"
+import {expect} from "chai"
+import {
+	createKeptSpeeds,
+	createSpeeds,
+	expectedOf,
+	learnRun,
+	mergeSpeeds,
+	slownessOf,
+	withoutTail,
+	type Speed,
+} from "@cottonwood/jobs/internals"
+
+const ESTIMATE_SPREAD = 0.4
+const TAIL_SHARE = 0.03
+const TAIL_TIMES = 7
+
+/** Run times over estimates on an executor that takes `slowness` times as long as meant. */
+function drawRuns(seed: number, slowness: () => number): () => number {
+	const random = seededRandom(seed)
+	return () => {
+		const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random())
+		const tail = random() < TAIL_SHARE ? TAIL_TIMES : 1
+		return slowness() * tail * Math.exp(ESTIMATE_SPREAD * normal)
+	}
+}
+
+function learnMany(count: number, draw: () => number, speed?: Speed): Speed | undefined {
+	for (let at = 0; at < count; at++) speed = learnRun(speed, 0, draw())
+	return speed
+}
+
+describe("what is learnt of speeds", () => {
+	it("is within a fifth of the truth after twenty noisy runs for most executors, and stays there", () => {
+		// Forty executors of each speed. One run says little; the mean of many does, and tails do not shift it.
+		for (const truth of [0.6, 1, 1.6]) {
+			for (const count of [20, 100, 300]) {
+				const errors = Array.from({length: 40}, (_, seed) =>
+					Math.abs(
+						Math.log(
+							slownessOf(
+								learnMany(
+									count,
+									drawRuns(seed, () => truth),
+								),
+							) / truth,
+						),
+					),
+				)
+				const near = errors.filter(error => error < 0.2).length
+				expect(near, `speed ${truth} after ${count} runs`).to.be.at.least(32)
+			}
+		}
+	})
+
+	it("is shrunk towards an ordinary speed while few runs are known", () => {
+		const one = learnRun(undefined, 0, 2)
+		expect(slownessOf(one)).to.be.closeTo(Math.sqrt(2), 1e-9)
+		expect(slownessOf(learnMany(20, () => 2))).to.be.within(1.85, 2)
+		expect(slownessOf()).to.equal(1)
+	})
+
+	it("is not moved by a tail, nor is an executor's health judged by it", () => {
+		const known = learnMany(20, () => 1.6)
+		const before = slownessOf(known)
+		const after = learnRun(known, 0, 1.6 * TAIL_TIMES)
+		expect(slownessOf(after) / before).to.be.lessThan(1.06)
+		// Smoothed by an eighth, one raw tail on an executor of this speed would pass for a standstill: over three times its estimates.
+		expect(withoutTail(1.6 * TAIL_TIMES, before, known)).to.be.lessThan(4)
+	})
+
+	it("follows an executor that turns slow by five within ten runs, and back", () => {
+		let isSlow = false
+		const followed = [0, 0]
+		for (let seed = 0; seed < 20; seed++) {
+			isSlow = false
+			const draw = drawRuns(seed, () => (isSlow ? 5 : 1))
+			const before = learnMany(60, draw)
+			isSlow = true
+			const slow = learnMany(10, draw, before)
+			isSlow = false
+			const back = learnMany(10, draw, slow)
+			if (slownessOf(slow) > 3) followed[0]!++
+			if (slownessOf(back) < 1.7) followed[1]!++
+		}
+		expect(Math.min(...followed)).to.be.at.least(17)
+		// A step that is always the same is slow to believe it, or noisy for ever.
+		const learnt = createSpeeds()
+		for (let run = 0; run < 10; run++) learnt.observe("e", 5)
+		expect(learnt.factorOf("e")).to.equal(1)
+	})
+
+	it("of a label tells of executors with it that have run nothing", () => {
+		const speeds = createKeptSpeeds(() => 0)
+		for (let at = 0; at < 12; at++) {
+			speeds.meet({id: `b${at}`, labels: ["b", `r${at}`]})
+			for (let run = 0; run < 5; run++) speeds.observe(`b${at}`, 1.6)
+		}
+		speeds.meet({id: "new-b", labels: ["b", "r1"]})
+		speeds.meet({id: "new-a", labels: ["a", "r1"]})
+		expect(speeds.factorOf("new-b")).to.be.within(1.45, 1.6)
+		expect(speeds.factorOf("new-a")).to.equal(1)
+		// Its own runs soon count for more.
+		for (let run = 0; run < 12; run++) speeds.observe("new-b", 0.6)
+		expect(speeds.factorOf("new-b")).to.be.lessThan(0.75)
+	})
+
+	it("of one life of an executor ends with it", () => {
+		const speeds = createKeptSpeeds(() => 0)
+		speeds.meet({id: "e1", labels: ["a"]})
+		for (let run = 0; run < 20; run++) speeds.observe("e1", 3)
+		speeds.forget("e1")
+		speeds.meet({id: "e2", labels: ["c"]})
+		expect(speeds.factorOf("e1")).to.equal(1)
+		expect(speeds.factorOf("e2")).to.equal(1)
+	})
+
+	it("by two placers is joined by what each rests on", () => {
+		const before = {mean: Math.log(2), weight: 9, odd: 0}
+		const now = {mean: Math.log(1), weight: 1, odd: 0}
+		expect(Math.exp(mergeSpeeds(before, now).mean)).to.be.within(1.8, 1.9)
+		expect(mergeSpeeds({...before, weight: 0}, {...now, weight: 0}).weight).to.equal(0)
+		expect(expectedOf()).to.equal(0)
+	})
+
+	it("by a placer for itself is smoothed as ever", () => {
+		// Kept to the digit where nothing else is switched on: a step of 0.15 from 1 on, runs cut at 4.
+		const speeds = createSpeeds()
+		const any = {} as Parameters<typeof speeds.costOf>[1]
+		expect(speeds.costOf("e", any)).to.equal(1)
+		speeds.observe("e", 2)
+		expect(speeds.costOf("e", any)).to.equal(1 + 0.15 * (2 - 1))
+		speeds.observe("e", 9)
+		expect(speeds.costOf("e", any)).to.equal(1.15 + 0.15 * (4 - 1.15))
+		expect(speeds.judged("e", 9)).to.equal(9)
+		expect(speeds.isOverdue("e", 100)).to.equal(false)
+	})
+})
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -38,6 +38,8 @@
 	isReplaced = false
 	/** What is being stopped is no longer listed as running, and ends so much later. */
 	stopTakesMs = 0
+	/** How far everything that runs is listed to be. */
+	percent = 50
 	startReplies: (StartReply | "silent but done")[] = []
 	/** Holds are answered without the ends, as from before them. */
 	isListingLate = false
@@ -113,7 +115,7 @@
 		if (this.ends.length === 0 && order.waitMs > 0) await this.nextEnd(order.waitMs)
 		// A hold without a wait is answered after a moment, so that no loop runs at one instant.
 		else await this.clock.sleep(1)
-		const running = [...this.running].map(([task, run]) => ({task, run, percent: 50}))
+		const running = [...this.running].map(([task, run]) => ({task, run, percent: this.percent}))
 		if (this.isListingLate) {
 			await this.clock.sleep(timeoutMs)
 			return SILENT
--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -6,7 +6,7 @@
 import type {ReplayExecutor} from "./replay-executor.js"
 import {drawJobs, type ReplayJob} from "./replay-load.js"
 import {EARLIER_WORK, type ReplayKind, type ReplayWork} from "./replay-work.js"
-import {createReplayWorld, type ReplayWorld} from "./replay-world.js"
+import {createReplayWorld, type ReplayWorld, type ReplayWorldOptions} from "./replay-world.js"
 
 export type ReplayTrouble = {
 	readonly at: number
@@ -35,6 +35,8 @@
 	readonly jobsPerSecond: number
 	readonly lengthMs: number
 	readonly troubles: readonly ReplayTrouble[]
+	/** How a domain's placer knows speeds; by default it learns them for itself. */
+	readonly keepSpeeds?: ReplayWorldOptions["keepSpeeds"]
 }
 
 /** Credit earned of credit owed; a late answer earns a fifth. */
@@ -210,6 +212,7 @@
 		executorsPerDomain: day.executorsPerDomain ?? 11,
 		clock,
 		random: seededRandom(seed + 1_000_003),
+		keepSpeeds: day.keepSpeeds,
 	})
 	await clock.runUntil(LEAD_MS)
 	const luck = seededRandom(seed + 2_000_003)
--- a/packages/jobs/test/support/replay/replay-load.ts
+++ b/packages/jobs/test/support/replay/replay-load.ts
@@ -37,7 +37,7 @@
 
 function jobOf(
 	serial: number,
-	{meanCpu, maxCpu}: ReplayWork,
+	{meanCpu, maxCpu, tails}: ReplayWork,
 	kind: ReplayKind,
 	failureDomain: string,
 	at: number,
@@ -47,7 +47,8 @@
 	const workMs = Math.min(kind.workMs * 4, spread(random, kind.workMs, WORK_SPREAD))
 	const cpu = Math.min(maxCpu, Math.round(spread(random, meanCpu, CPU_SPREAD)))
 	const tasks = Array.from({length: count}, () => spread(random, workMs, TASK_SPREAD))
-	const spec: ReplaySpec = {cpu, memoryMb: 64, workMs: tasks}
+	const ran = tails ? tasks.map(ms => (random() < tails.share ? ms * tails.times : ms)) : tasks
+	const spec: ReplaySpec = {cpu, memoryMb: 64, workMs: ran}
 	const work = (count * workMs * cpu) / (kind.width * kind.workMs * meanCpu)
 	return {
 		id: idOf(serial),
@@ -63,7 +64,7 @@
 				after: [],
 			},
 		],
-		objectiveMs: STRETCH * Math.max(...tasks) + SLACK_MS,
+		objectiveMs: STRETCH * Math.max(...ran) + SLACK_MS,
 		worth: kind.worth * Math.min(4, 0.3 + 0.7 * work),
 	}
 }
--- a/packages/jobs/test/support/replay/replay-work.ts
+++ b/packages/jobs/test/support/replay/replay-work.ts
@@ -31,6 +31,8 @@
 	/** The rate of arrivals swings by this share around its mean, with a phase of its own in each domain. */
 	readonly swing: number
 	readonly swingPeriodMs: number
+	/** This share of tasks takes so many times as long as its job's work says; none by default. */
+	readonly tails?: {readonly share: number; readonly times: number}
 }
 
 /** Many short tasks, a few long ones, two of middle length: a third of the worth each. Two or three fit an executor. */
@@ -63,6 +65,22 @@
 	swingPeriodMs: 11_000,
 }
 
+/** Executors of three speeds and two sizes, in waves, with long tails. */
+export const UNEVEN_WORK: ReplayWork = {
+	kinds: [
+		{name: "short", priority: 0, weight: 0.244, width: 8, workMs: 51, worth: 0.00485},
+		{name: "long", priority: 2, weight: 0.0444, width: 4, workMs: 760, worth: 0.0267},
+		{name: "middle", priority: 1, weight: 0.7116, width: 2, workMs: 170, worth: 0.00167},
+	],
+	meanCpu: 16_000,
+	maxCpu: 32_000,
+	roomCpu: [32_000, 32_000, 48_000, 32_000, 32_000, 48_000, 32_000, 32_000, 48_000],
+	slowness: [0.6, 1, 1.6, 1, 1.6, 0.6, 1.6, 0.6, 1],
+	swing: 0.55,
+	swingPeriodMs: 11_000,
+	tails: {share: 0.03, times: 7},
+}
+
 /** One queue for each kind of request. */
 export function queuesOf({kinds}: ReplayWork): readonly Queue[] {
 	return kinds.map(({name, priority}) => ({
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -28,6 +28,7 @@
 	type Keeper,
 	type PeerCall,
 	type Peers,
+	type SpeedKeeper,
 	type TaskReply,
 } from "@cottonwood/jobs/internals"
 import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, STAYING} from "../requests.js"
@@ -51,6 +52,8 @@
 	readonly executorsPerDomain: number
 	readonly clock: ReplayClock
 	readonly random: () => number
+	/** Makes what keeps the speeds of a domain's executors; without it each placer learns for itself. */
+	readonly keepSpeeds?: (clock: ReplayClock, executors: readonly ReplayExecutor[]) => SpeedKeeper
 }
 
 export interface ReplayWorld {
@@ -78,7 +81,7 @@
 }
 
 export function createReplayWorld(options: ReplayWorldOptions): ReplayWorld {
-	const {clock, failureDomains, random, work} = options
+	const {clock, failureDomains, random, work, keepSpeeds} = options
 	const queues = queuesOf(work)
 	const queueOf = (name: string) => queues.find(queue => queue.name === name) as Queue
 	const evacuated = new Set<string>()
@@ -239,6 +242,7 @@
 			createKeeper: () => keeper,
 			executorsOf: recordsOf,
 			isEvacuated: domain => evacuated.has(domain),
+			keepSpeeds: keepSpeeds && (() => keepSpeeds(clock, executors)),
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
--- /dev/null
+++ b/packages/jobs/test/uneven-executors.test.ts
@@ -0,0 +1,148 @@
+/**
+ * Executors of three speeds: where a placer sends what, what it makes of its room, and what it is worth to know them from the start.
+ */
+import {
+	createKeptSpeeds,
+	speedCost,
+	type KeptSpeeds,
+	type TaskRequest,
+} from "@cottonwood/jobs/internals"
+import type {ExecutorRecord} from "@cottonwood/jobs"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {FakeExecutors, record} from "./support/fake-executors.js"
+import {createTestPlacer} from "./support/placers.js"
+import {replay, type ReplayDay, type ReplayFigures} from "./support/replay/replay-day.js"
+import {UNEVEN_WORK} from "./support/replay/replay-work.js"
+import {taskRequest} from "./support/requests.js"
+
+const speedOf = (slowness: number) => ({mean: Math.log(slowness), weight: 9, odd: 0})
+
+function inherit(speeds: KeptSpeeds, slowness: Readonly<Record<string, number>>) {
+	const executors = new Map(Object.entries(slowness).map(([id, times]) => [id, speedOf(times)]))
+	speeds.inherit({executors, labels: new Map()})
+}
+
+/** A placer whose executors' speeds a predecessor has learnt. */
+async function createWorld(
+	slowness: Readonly<Record<string, number>>,
+	capacity: ExecutorRecord["capacity"] = {cpu: 32_000, memoryMb: 1_000, accelerators: 0},
+) {
+	const clock = createFakeClock()
+	const orders = new FakeExecutors(clock)
+	const speeds = createKeptSpeeds(() => clock.now())
+	inherit(speeds, slowness)
+	const placer = createTestPlacer({clock, orders, speeds})
+	placer.setExecutors(Object.keys(slowness).map(id => record(id, {capacity})))
+	await clock.advance(10)
+	async function place(task: string, extra: Partial<TaskRequest>) {
+		const now = clock.now()
+		const startBy = now + (extra.startBy ?? 0)
+		placer.submit(
+			taskRequest(task, {...extra, startBy, need: {cpu: 16_000, memoryMb: 1, accelerators: 0}}),
+			() => undefined,
+			() => undefined,
+		)
+		await clock.advance(10)
+		return orders.starts.find(start => start.task === task)?.executor
+	}
+	return {clock, orders, speeds, placer, place}
+}
+
+describe("uneven executors", () => {
+	it("get urgent work at the fast ones, and work with time to spare where it does no harm", async () => {
+		// The first task has 160 ms for its 100 and ends in time on the fast executor alone. The second has time for any of them,
+		// so it goes where it fills up an executor that runs something already.
+		const {place} = await createWorld({slow: 1.6, fast: 0.6, plain: 1})
+		expect(await place("j.0.0.0", {estimateMs: 100, startBy: 60})).to.equal("fast")
+		const {place: placeIdle, speeds} = await createWorld({slow: 1.6, fast: 0.6})
+		expect(await placeIdle("k.0.0.0", {estimateMs: 100, startBy: 2_000})).to.equal("slow")
+		expect(speeds.factorOf("slow")).to.be.greaterThan(1.4)
+		expect(await placeIdle("l.0.0.0", {estimateMs: 100, startBy: 40})).to.equal("fast")
+	})
+
+	it("are chosen by speed where nothing would be in time", async () => {
+		const {place} = await createWorld({slow: 1.6, fast: 0.6})
+		expect(await place("j.0.0.0", {estimateMs: 100, startBy: -300})).to.equal("fast")
+	})
+
+	it("cost nothing while a task ends in time there, and more the later it would be", () => {
+		const due = {estimateMs: 100, startBy: 100}
+		expect(speedCost(1.3, due, 0)).to.equal(0)
+		expect(speedCost(1.6, due, 0)).to.be.greaterThan(0)
+		expect(speedCost(1.6, due, 50)).to.be.greaterThan(speedCost(1.6, due, 0))
+		expect(speedCost(30, due, 0)).to.be.lessThan(5)
+	})
+
+	it("take work at their pace: what waits before a start is counted in time, not in cores", async () => {
+		// Two domains of the same cores; in one of them the executors take twice as long.
+		const full = {estimateMs: 1_000, startBy: 5_000}
+		const waits: number[] = []
+		const told: number[] = []
+		for (const slowness of [1, 2]) {
+			const {place, placer} = await createWorld({e1: slowness, e2: slowness})
+			for (let at = 0; at < 8; at++) await place(`j.0.0.${at}`, full)
+			waits.push(placer.expectedWaitMs(Infinity))
+			told.push(placer.room().totalCpu)
+		}
+		expect(waits[1]! / waits[0]!).to.be.within(1.7, 2.1)
+		expect(told[0]! / told[1]!).to.be.within(1.7, 2.1)
+	})
+
+	it("show that they have turned slow by runs that go on", async () => {
+		// Three tasks have run for longer than their estimates, and their executor lists them as some hundredths done. That says
+		// more than their ends would, and long before these.
+		const {clock, orders, speeds, place} = await createWorld(
+			{e1: 1},
+			{cpu: 64_000, memoryMb: 1_000, accelerators: 0},
+		)
+		for (let at = 0; at < 3; at++)
+			await place(`j.0.0.${at}`, {estimateMs: 200, startBy: 5_000, uselessAt: 60_000})
+		for (orders.percent = 1; orders.percent < 10; orders.percent++) await clock.advance(50)
+		expect(speeds.factorOf("e1")).to.be.greaterThan(4)
+	})
+
+	/** The first second after a loss of all, at a crest: placers that know nothing, and placers that were told. */
+	const CREST: ReplayDay = {
+		work: UNEVEN_WORK,
+		executorsPerDomain: 18,
+		jobsPerSecond: 230,
+		lengthMs: 1_000,
+		troubles: [],
+	}
+	const toldSpeeds: ReplayDay["keepSpeeds"] = (clock, executors) => {
+		const speeds = createKeptSpeeds(() => clock.now())
+		const pairs = executors.map(({record: {id}, faults}) => [id, faults.slowness] as const)
+		inherit(speeds, Object.fromEntries(pairs))
+		return {speeds, close: () => undefined}
+	}
+	const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
+
+	async function replayAll(day: ReplayDay): Promise<readonly ReplayFigures[]> {
+		const all: ReplayFigures[] = []
+		for (const seed of SEEDS) all.push(await replay(day, seed))
+		for (const {doubled, overfilled} of all)
+			expect({doubled, overfilled}).to.eql({doubled: 0, overfilled: 0})
+		return all
+	}
+
+	const sumOf = (all: readonly ReplayFigures[], figure: (one: ReplayFigures) => number) =>
+		all.reduce((sum, one) => sum + figure(one), 0)
+
+	it("serve more jobs in time from the first second on when their speeds are known", async () => {
+		const learnt = await replayAll(CREST)
+		const told = await replayAll({...CREST, keepSpeeds: toldSpeeds})
+		for (const [name, all] of [
+			["learnt anew", learnt],
+			["told", told],
+		] as const) {
+			const text = (figure: (one: ReplayFigures) => number) =>
+				(sumOf(all, figure) / all.length).toFixed(3)
+			const credit = text(({whole}) => whole)
+			const shares = `in time ${text(({inTime}) => inTime)}, late ${text(({late}) => late)}`
+			console.log(`        ${name}: credit ${credit}, ${shares}`)
+		}
+		expect(sumOf(told, ({inTime}) => inTime)).to.be.greaterThan(sumOf(learnt, ({inTime}) => inTime))
+		expect(sumOf(told, ({whole}) => whole)).to.be.greaterThan(sumOf(learnt, ({whole}) => whole))
+	})
+})
