--- a/packages/jobs/src/place/kept-speeds.ts
+++ b/packages/jobs/src/place/kept-speeds.ts
@@ -63,12 +63,6 @@
 		setSpeed(entry, entry.speed ? mergeSpeeds(before, entry.speed) : before)
 	}
 
-	function entryOf(id: string, label?: string): Entry {
-		let entry = entries.get(id)
-		if (!entry) entries.set(id, (entry = {label, speed: undefined, slowness: 1}))
-		return entry
-	}
-
 	function factorOf(executor: string): number {
 		const entry = entries.get(executor)
 		if (!entry) return 1
@@ -78,10 +72,14 @@
 
 	return {
 		meet({id, labels: [label]}) {
-			if (!entries.has(id)) takeTold(id, entryOf(id, label))
+			if (entries.has(id)) return
+			const entry: Entry = {label, speed: undefined, slowness: 1}
+			entries.set(id, entry)
+			takeTold(id, entry)
 		},
 		observe(executor, slowness) {
-			const entry = entryOf(executor)
+			const entry = entries.get(executor)
+			if (!entry) return
 			setSpeed(entry, learnRun(entry.speed, expectedFor(entry), slowness))
 			const {label} = entry
 			if (label !== undefined) labels.set(label, learnLabelRun(labels.get(label), slowness))
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -174,6 +174,10 @@
 		for (const executor of this.all()) executor.isSilent = isSilent
 	}
 
+	set percent(percent: number) {
+		for (const executor of this.all()) executor.percent = percent
+	}
+
 	/** Another life answers in an executor's place from its next order on. */
 	replace(id: string) {
 		const executor = this.fleet.get(id)
