Tell on speeds of executors that have not been met yet

A placer that wrote its record before its list was whole dropped what it had been told of the others; had it been lost then, its successor would have begun from their labels.

--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -1,5 +1,5 @@
 /**
- * Which executor a task should start on: the fastest that has room, packed tightly.
+ * Which executor a task should start on: the one whose speed speaks least against it (see the speeds in force), packed tightly.
  */
 import type {Health} from "@cottonwood/core"
 import type {ExecutorLink} from "../link/executor-link.js"
@@ -12,6 +12,7 @@
 const OFF_RACK_PENALTY = 3
 /** A task under which an executor has crashed would take others with it; more than any difference in speed. */
 const SHARED_PENALTY = 5
+
 function costOf(link: ExecutorLink, req: TaskRequest, speeds: Speeds): number {
 	const {id, capacity, labels} = link.record
 	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
--- a/packages/jobs/src/place/kept-speeds.ts
+++ b/packages/jobs/src/place/kept-speeds.ts
@@ -28,7 +28,7 @@
 }
 
 export interface KeptSpeeds extends Speeds {
-	/** What is worth telling: the executors that are here. */
+	/** What is worth telling: of the executors that are here, or may be any moment. */
 	known(): KnownSpeeds
 	/** Takes over what a placer before has learnt; what was learnt here meanwhile is joined with it. */
 	inherit(known: KnownSpeeds): void
@@ -91,7 +91,8 @@
 		factorOf,
 		forget: executor => void entries.delete(executor),
 		known() {
-			const executors = new Map<string, Speed>()
+			// What was told of executors that are not listed yet would be lost with this placer.
+			const executors = new Map(told)
 			for (const [id, {speed}] of entries) if (speed) executors.set(id, speed)
 			return {executors, labels}
 		},
--- a/packages/jobs/src/place/learnt-speeds.ts
+++ b/packages/jobs/src/place/learnt-speeds.ts
@@ -4,7 +4,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {TaskRequest} from "./run.js"
 
-/** How much what an executor's slowness speaks against it. */
+/** How much an executor's slowness speaks against it. */
 const SLOWNESS_WEIGHT = 1
 /** How much one run moves the smoothed speed of its executor. */
 const SPEED_STEP = 0.15
--- a/packages/jobs/test/speed-keeping.test.ts
+++ b/packages/jobs/test/speed-keeping.test.ts
@@ -188,6 +188,18 @@
 		expect(fake.puts, "somebody else places now").to.equal(4)
 	})
 
+	it("tells on what it was told of executors that it has not met yet", async () => {
+		// The list comes in late, or in part: a placer that is lost meanwhile must not take the others' speeds with it.
+		const {clock, fake, begin} = createWorld()
+		fake.write(speedKey("a"), {fence: 1, executors: {late: [9, 9]}, labels: {}})
+		const keeper = begin().keeping.keep(claimOf(2))
+		await clock.advance(10)
+		learn(keeper)
+		await clock.advance(2_500)
+		const {executors} = decodeSpeeds(fake.items.get(speedKey("a"))?.value)
+		expect([...executors.keys()].sort()).to.eql(["fast", "late", "slow"])
+	})
+
 	it("counts what a record holds that is no speed, or is of no executor here, and goes on", async () => {
 		const {clock, fake, begin} = createWorld()
 		fake.write(speedKey("a"), {executors: {slow: [9, 9], gone: [9, 9], bad: ["x", 1]}, labels: 7})
