--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -57,6 +57,10 @@
 	readonly losses: Losses
 	/** How many runs of each task the placer has, over all its links. */
 	readonly runCounts: Map<string, number>
+	/** Called when a list says that a run goes on. */
+	readonly onProgress: (executor: string, run: Run) => void
+	/** How many times its estimates work is known to take on an executor. */
+	readonly slownessOf: (executor: string) => number
 }
 
 export interface LinkState {
