--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -1,6 +1,8 @@
 /**
  * Which placers a job is offered to, and in which order: the own domain's first, none of a domain that is emptied.
+ * Where the own domain is divided, its callers' jobs are spread over its slices.
  */
+import {failureDomainOf} from "../decide/slices.js"
 import type {FleetView} from "../fleet/members.js"
 import {patienceMs} from "../fleet/patience.js"
 import type {Peers} from "../fleet/peers.js"
@@ -18,7 +20,7 @@
 export interface CandidatesDeps {
 	readonly view: FleetView
 	readonly self: Member
-	readonly hosts: Pick<Hosts, "of">
+	readonly hosts: Pick<Hosts, "of" | "toldRoomOf">
 	readonly peers: Pick<Peers, "quietMs">
 	/** By how much this instance's own timers were late of late, in milliseconds. */
 	readonly ownLateMs: () => number
@@ -41,6 +43,8 @@
 	const {view, self, hosts, peers, isEvacuated} = deps
 	/** Which of several domains that suit alike is asked first. */
 	let turn = 0
+	/** Which two slices of the own domain are weighed next. */
+	let sliceTurn = 0
 
 	const isOwn = ({placer}: Claim) => placer.session === self.session
 	const isOpen = ({failureDomain}: Claim) => !isEvacuated(failureDomain)
@@ -80,12 +84,29 @@
 
 	function ranked(claims: readonly Claim[]): readonly Claim[] {
 		const order = (claim: Claim) => {
-			if (claim.failureDomain === self.failureDomain) return 0
+			if (isHome(claim)) return 0
 			return isOwn(claim) ? 1 : 2
 		}
 		return [...claims].sort((a, b) => order(a) - order(b) || waitingWork(a) - waitingWork(b))
 	}
 
+	const isHome = ({failureDomain}: Claim) => failureDomainOf(failureDomain) === self.failureDomain
+
+	/** Of the own domain's slices two in their turn are weighed: if all went to the least busy one, it would be that no more. */
+	function sliceFirst(claims: readonly Claim[]): readonly Claim[] {
+		const slices = claims.filter(isHome)
+		const [one, two] = [slices[sliceTurn % slices.length], slices[(sliceTurn + 1) % slices.length]]
+		if (!one || !two || one === two) return ranked(claims)
+		sliceTurn++
+		const first = sliceWork(two) < sliceWork(one) ? two : one
+		return [first, ...ranked(claims.filter(claim => claim !== first))]
+	}
+
+	function sliceWork(claim: Claim): number {
+		if (!isOwn(claim)) return waitingWork(claim)
+		return hosts.toldRoomOf(claim.failureDomain)?.waitingWork ?? 0
+	}
+
 	const waitingWork = ({failureDomain}: Claim) => view.roomOf(failureDomain)?.room.waitingWork ?? 0
 
 	/** Those of the best kind that there is. */
@@ -106,7 +127,7 @@
 	}
 
 	return {
-		candidates: () => inTurn(ranked(bestClaims())),
+		candidates: () => inTurn(sliceFirst(bestClaims())),
 		hasCandidates: () => bestClaims().length > 0,
 		isUntold,
 		areAllEmptied: () => view.claims().length > 0 && !view.claims().some(isOpen),
--- /dev/null
+++ b/packages/jobs/src/coordinate/division.ts
@@ -0,0 +1,131 @@
+/**
+ * Divides a failure domain that has more executors than one placer should have: its first slice's placer asks an instance to
+ * place the next slice.
+ *
+ * Slices are added one at a time, and only while the placers of all those before are heard: each of them has to hand over what
+ * runs on the executors that leave it. A slice is never taken away, since an executor would go back to a placer with a lower
+ * fence; where instances are too few one of them places several slices.
+ */
+import type {Clock} from "@cottonwood/core"
+import {
+	executorsOfSlice,
+	fenceFloorOf,
+	placersFor,
+	sliceName,
+	sliceNames,
+	wantedSlices,
+} from "../decide/slices.js"
+import type {FleetView} from "../fleet/members.js"
+import type {Peers, TakeOverMessage} from "../fleet/peers.js"
+import type {ExecutorRecord} from "../types/executor.js"
+import type {Claim, Member} from "../types/fleet.js"
+import {lifeOf, type EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+/** Five slices are there within two seconds, with the claims' writes in between. */
+const LOOK_MS = 250
+/** A claim is written within this though the store is slow; until then no other instance is asked. */
+const TAKE_TIMEOUT_MS = 1_800
+/** Three beats. */
+const PLACER_QUIET_MS = 650
+
+export interface DivisionDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly peers: Pick<Peers, "takeOver">
+	readonly view: FleetView
+	readonly self: Member
+	/** Undefined: no domain is ever divided. */
+	readonly executorsPerPlacer: number | undefined
+	/** Whether this instance places the failure domain's first slice. */
+	readonly isPlacing: (failureDomain: string) => boolean
+	/** All executors of a failure domain by the last list. */
+	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
+	readonly isLeaving: () => boolean
+}
+
+export interface Division {
+	close(): void
+}
+
+export function createDivision(deps: DivisionDeps): Division {
+	const {clock, log, metrics, peers, view, self, executorsPerPlacer} = deps
+	let isClosed = false
+
+	const isStaying = ({session}: Member) => !view.isLeaving(session) && !view.isStrained(session)
+
+	function isHeard(claim: Claim | undefined): boolean {
+		if (!claim) return false
+		const {session} = claim.placer
+		if (session === self.session) return true
+		return view.silentMs(session) < PLACER_QUIET_MS && !view.isLeaving(session)
+	}
+
+	function isPlacing({session}: Member): boolean {
+		return view.claims().some(({placer}) => placer.session === session)
+	}
+
+	/** The largest instance of the domain that places nothing yet. */
+	function placerForNext(failureDomain: string): Member | undefined {
+		const able = placersFor(view.membersOf(failureDomain))
+		return able.find(member => isStaying(member) && !isPlacing(member))
+	}
+
+	function isTooFew(failureDomain: string, perPlacer: number): boolean {
+		const slices = view.sliceCount(failureDomain)
+		const wanted = wantedSlices({
+			executors: deps.executorsOf(failureDomain).length,
+			executorsPerPlacer: perPlacer,
+			instances: placersFor(view.membersOf(failureDomain)).length,
+			slices,
+		})
+		const areAllHeard = sliceNames(failureDomain, slices).every(name => isHeard(view.claimOf(name)))
+		return slices < wanted && areAllHeard
+	}
+
+	async function add(failureDomain: string, member: Member) {
+		const count = view.sliceCount(failureDomain)
+		const name = sliceName(failureDomain, count)
+		const all = deps.executorsOf(failureDomain)
+		const fence = fenceFloorOf(name)
+		const executors = executorsOfSlice(name, count + 1, all)
+		const message: TakeOverMessage = {failureDomain: name, fence, executors, from: self.session}
+		const reply = await peers.takeOver(member.address, message, TAKE_TIMEOUT_MS).reply
+		const outcome = reply?.isTaken ? "taken" : reply ? "declined" : "silent"
+		metrics.count("slices_added", outcome)
+		const cause = `${all.length} executors`
+		log.alarm("placer", "slice_added", "placer: asked an instance to place one more slice.", {
+			failureDomain: name,
+			peer: member.name,
+			session: lifeOf(member.session),
+			count: count + 1,
+			cause,
+			outcome,
+		})
+		if (!reply?.isTaken) return
+		view.noteHeard(member.session)
+		view.noteClaim({failureDomain: name, fence: fence + 1, placer: member})
+	}
+
+	async function look(perPlacer: number) {
+		const {failureDomain} = self
+		if (!deps.isPlacing(failureDomain) || !isTooFew(failureDomain, perPlacer)) return
+		const member = placerForNext(failureDomain)
+		if (member) await add(failureDomain, member)
+	}
+
+	async function loop(perPlacer: number) {
+		while (!isClosed) {
+			await clock.sleep(LOOK_MS)
+			if (!isClosed && !deps.isLeaving()) await look(perPlacer)
+		}
+	}
+
+	if (executorsPerPlacer !== undefined) void loop(executorsPerPlacer)
+	return {
+		close() {
+			isClosed = true
+		},
+	}
+}
--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -8,6 +8,7 @@
  * began.
  */
 import type {Clock} from "@cottonwood/core"
+import {failureDomainOf, sliceIndexOf} from "../decide/slices.js"
 import type {ClaimsLoop} from "../fleet/claims.js"
 import type {FleetView} from "../fleet/members.js"
 import type {Peers, TakeOverMessage, TakeOverReply} from "../fleet/peers.js"
@@ -73,16 +74,22 @@
 		const others = view.members().filter(({session}) => session !== self.session)
 		const staying = others.filter(({session}) => !view.isLeaving(session))
 		const rank = (member: Member) => {
-			const isNative = member.failureDomain === failureDomain
+			const isNative = member.failureDomain === failureDomainOf(failureDomain)
 			if (isMuchSmaller(member)) return isNative ? 3 : 4
-			if (isNative) return 0
-			return view.claims().some(({placer}) => placer.session === member.session) ? 2 : 1
+			if (isNative) return isDivided(failureDomain) && isPlacing(member) ? 0.5 : 0
+			return isPlacing(member) ? 2 : 1
 		}
 		return [...staying]
 			.sort((a, b) => rank(a) - rank(b) || b.cpuShare - a.cpuShare)
 			.slice(0, MAX_ASKED)
 	}
 
+	const isDivided = (failureDomain: string) => view.sliceCount(failureDomain) > 1
+
+	function isPlacing({session}: Member): boolean {
+		return view.claims().some(({placer}) => placer.session === session)
+	}
+
 	/** It would not keep up with what is placed here. */
 	const isMuchSmaller = ({cpuShare}: Member) => cpuShare * MUCH_LARGER < self.cpuShare
 
@@ -135,13 +142,21 @@
 		log.alarm("placer", "handover_failed", "placer: nobody takes the domain over.", fields)
 	}
 
+	/** Another slice of the domain is placed here too, which an instance without any could do. */
+	function isOneTooMany(failureDomain: string): boolean {
+		return sliceIndexOf(failureDomain) > 0 && deps.placedDomains().length > 1
+	}
+
 	/** An instance of the domain itself that should place it rather than this one. */
 	function betterPlacer(failureDomain: string): Member | undefined {
-		const isNativeHere = failureDomain === self.failureDomain
-		return view
+		const isNativeHere = failureDomainOf(failureDomain) === self.failureDomain
+		const others = view
 			.membersOf(failureDomain)
 			.filter(({session}) => session !== self.session && !view.isLeaving(session))
 			.filter(({session}) => !view.isStrained(session))
+			.filter(member => !isDivided(failureDomain) || !isPlacing(member))
+		if (isOneTooMany(failureDomain)) return others.find(member => !isMuchSmaller(member))
+		return others
 			.filter(({cpuShare}) => !isNativeHere || cpuShare > self.cpuShare * MUCH_LARGER)
 			.sort((a, b) => b.cpuShare - a.cpuShare || (a.name < b.name ? -1 : 1))[0]
 	}
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -5,6 +5,7 @@
 import type {PlacerDeps} from "../place/placer-state.js"
 import {createPlacer} from "../place/placer.js"
 import type {TaskRequest} from "../place/run.js"
+import {failureDomainOf, sliceIndexOf} from "../decide/slices.js"
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
@@ -12,6 +13,7 @@
 import {lifeOf} from "../utils/log.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
+import type {HostSlices} from "./slices.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
@@ -33,6 +35,8 @@
 const CLAIM_WAIT_MS = 2_000
 /** Of the first claim that a failure domain ever has: nobody placed there before. */
 const FIRST_FENCE = 1
+/** The claim of a new slice is known everywhere within three beats, or nobody hears of it. */
+const SLICE_NEWS_MS = 650
 
 export interface Host {
 	readonly claim: Claim
@@ -40,6 +44,8 @@
 	readonly keeper: Keeper
 	readonly placer: Placer
 	readonly jobs: Set<JobRun>
+	/** Executors that obey a higher fence, perhaps of a slice of which nothing has been heard yet. */
+	readonly fenced: Set<string>
 }
 
 export interface HostsDeps extends Pick<
@@ -60,6 +66,8 @@
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 	/** Whether operators are emptying the failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** Undefined: no failure domain is divided. */
+	readonly slices?: HostSlices
 }
 
 export interface Hosts {
@@ -87,6 +95,8 @@
 	/** Operators empty other failure domains than before. */
 	noteEvacuations(): void
 	rooms(): Readonly<Record<string, Room>>
+	/** What others were told of a hosted domain's room last; costs nothing. */
+	toldRoomOf(failureDomain: string): Room | undefined
 	isPlacing(): boolean
 	counts(): PlacerCounts & {readonly kept: number}
 	close(): void
@@ -110,16 +120,17 @@
 }
 
 export function createHosts(deps: HostsDeps): Hosts {
-	const {clock, log, metrics, self} = deps
+	const {clock, log, metrics, self, slices} = deps
 	const hosts = new Map<string, Host>()
 	/** Domains that the placer before hands over, until when the claim is waited for, and what it has there. */
 	const expected = new Map<string, Expected>()
 	/** Domains whose placing ends by a handover: another claim is expected. With what came of it meanwhile. */
 	const givenUp = new Map<string, string | undefined>()
+	let toldRooms: Readonly<Record<string, Room>> = {}
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
-		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
+		const onFenced = (executor: ExecutorRecord) => noteFenced(claim, executor)
 		const handover = expectedAt(claim)
 		const orphansWaitMs = handover ? HANDOVER_WAIT_MS : 0
 		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
@@ -128,7 +139,7 @@
 		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
 		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper})
-		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
+		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set(), fenced: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence, outcome: handover ? "handed over" : "taken"}
@@ -154,6 +165,41 @@
 		for (const job of host.jobs) job.abandon(cause)
 	}
 
+	/** In a divided domain it may be a new slice's fence, which is the matter of that executor alone. */
+	function noteFenced({failureDomain, fence}: Claim, {id}: ExecutorRecord) {
+		const host = hosts.get(failureDomain)
+		if (host?.claim.fence !== fence || !slices?.mayBeDivided(failureDomain))
+			return endPlacing(failureDomain, fence, "a higher fence was seen")
+		host.fenced.add(id)
+		clock.schedule(SLICE_NEWS_MS, () => giveExecutors(failureDomain, record => record.id === id))
+	}
+
+	/** Hands executors that have another placer by now to that one, with what runs there. */
+	function giveExecutors(failureDomain: string, isGiven: (record: ExecutorRecord) => boolean) {
+		const host = hosts.get(failureDomain)
+		if (!host) return
+		const count = host.placer.giveExecutors(isGiven, (item, from) =>
+			slices?.sendOn(failureDomain, item, from),
+		)
+		if (count === 0) return
+		const fields = {failureDomain, fence: host.claim.fence, count}
+		log.alarm("placer", "executors_given", "placer: gave executors to another slice.", fields)
+	}
+
+	/** Executors that a new slice has taken from those that are placed here. */
+	function noteSlice({failureDomain: name}: Claim) {
+		const failureDomain = failureDomainOf(name)
+		for (const placed of [...hosts.keys()]) {
+			if (placed === name || failureDomainOf(placed) !== failureDomain) continue
+			giveExecutors(placed, record => ownOf(placed, [record]).length === 0)
+		}
+	}
+
+	function ownOf(failureDomain: string, records: readonly ExecutorRecord[]) {
+		if (slices) return slices.ownOf(failureDomain, records)
+		return records.filter(record => record.failureDomain === failureDomain)
+	}
+
 	/** A job that cannot start in time here is refused while another may still take it. */
 	function refusalOf(job: Job, queue: Queue, placer: Placer): JobEnd | undefined {
 		// Within a moment it has executors; what can start in time then is worth the wait.
@@ -177,6 +223,7 @@
 				endPlacing(claim.failureDomain, host.claim.fence, "another claim was written")
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
+			if (slices && sliceIndexOf(claim.failureDomain) > 0) noteSlice(claim)
 		},
 		expectHandover({failureDomain, fence}, executors) {
 			expected.set(failureDomain, {fence, until: clock.now() + CLAIM_WAIT_MS, executors})
@@ -205,8 +252,10 @@
 			log.alarm("placer", "handed_over", "placer: gave its domain to a successor.", fields)
 		},
 		setExecutors(records) {
-			for (const [failureDomain, {placer}] of hosts)
-				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
+			for (const [failureDomain, {placer, fenced}] of hosts) {
+				const own = ownOf(failureDomain, records)
+				placer.setExecutors(fenced.size > 0 ? own.filter(({id}) => !fenced.has(id)) : own)
+			}
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, {onCancel, confirmedAt}) {
@@ -233,8 +282,10 @@
 		rooms() {
 			const rooms: Record<string, Room> = {}
 			for (const [failureDomain, {placer}] of hosts) rooms[failureDomain] = placer.room()
+			toldRooms = rooms
 			return rooms
 		},
+		toldRoomOf: failureDomain => toldRooms[failureDomain],
 		isPlacing: () => hosts.size > 0,
 		counts() {
 			const sum = {waiting: 0, running: 0, usable: 0, kept: 0}
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -6,6 +6,7 @@
 import type {Clock} from "@cottonwood/core"
 import type {FleetView, ToldRoom} from "../fleet/members.js"
 import type {Peers, TaskMessage} from "../fleet/peers.js"
+import {failureDomainOf} from "../decide/slices.js"
 import {certainEndAt, type LeaseRule} from "../decide/lease-rule.js"
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
@@ -41,6 +42,11 @@
 	readonly freeCpu: number[]
 }
 
+interface Target {
+	readonly claim: Claim
+	readonly room: Counted
+}
+
 export function createOverflow(deps: OverflowDeps): Overflow {
 	const {clock, leaseRule, peers, view, self, log, metrics} = deps
 	const counted = new Map<string, Counted | undefined>()
@@ -64,13 +70,21 @@
 		(label === undefined || told.room.labels.includes(label)) &&
 		(rack === undefined || told.room.labels.includes(rack))
 
-	function choose(req: TaskRequest): {readonly claim: Claim; readonly room: Counted} | undefined {
-		let best: {readonly claim: Claim; readonly room: Counted} | undefined
+	const isHome = ({failureDomain}: Claim) => failureDomainOf(failureDomain) === self.failureDomain
+
+	/** The own domain's other slices before other domains, and of these the one with the freest executor. */
+	function isBetter(one: Target, best: Target): boolean {
+		if (isHome(one.claim) !== isHome(best.claim)) return isHome(one.claim)
+		return (one.room.freeCpu[0] ?? 0) > (best.room.freeCpu[0] ?? 0)
+	}
+
+	function choose(req: TaskRequest): Target | undefined {
+		let best: Target | undefined
 		for (const claim of view.claims()) {
 			if (claim.placer.session === self.session || view.isLeaving(claim.placer.session)) continue
 			const room = roomOf(claim.failureDomain)
 			if (!room || (room.freeCpu[0] ?? 0) < req.need.cpu || !isLabelled(room, req)) continue
-			if (!best || (room.freeCpu[0] ?? 0) > (best.room.freeCpu[0] ?? 0)) best = {claim, room}
+			if (!best || isBetter({claim, room}, best)) best = {claim, room}
 		}
 		return best
 	}
--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -10,6 +10,7 @@
  * as seldom as a share of the link asks for.
  */
 import type {Clock} from "@cottonwood/core"
+import {sliceNames} from "../decide/slices.js"
 import type {Beat, Claim, Fences, Member, Room, RoomNews} from "../types/fleet.js"
 import type {FleetView} from "./members.js"
 import type {Peers} from "./peers.js"
@@ -136,13 +137,21 @@
 		return view.claims().some(({placer}) => placer.session === self.session)
 	}
 
+	/** The placers of all slices of the own domain. */
+	function homePlacers(): readonly (Member | undefined)[] {
+		const {failureDomain} = self
+		return sliceNames(failureDomain, view.sliceCount(failureDomain)).map(
+			name => view.claimOf(name)?.placer,
+		)
+	}
+
 	function beatAll() {
 		if (isClosed) return
-		const home = view.claimOf(self.failureDomain)?.placer
-		const isHomeHeard = home && view.silentMs(home.session) < HOME_QUIET_MS
+		const homes = homePlacers()
+		const isHomeHeard = homes.every(home => home && view.silentMs(home.session) < HOME_QUIET_MS)
 		const tellsAll = isPlacer() || !isHomeHeard || deps.needsOthers()
-		if (tellsAll) for (const placer of otherPlacers()) tell(placer, true)
-		else tell(home, true)
+		const isHome = ({session}: Member) => homes.some(home => home?.session === session)
+		for (const placer of otherPlacers()) if (tellsAll || isHome(placer)) tell(placer, true)
 		clock.schedule(BEAT_MS, beatAll)
 	}
 
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -6,11 +6,13 @@
  * executor that has seen the new fence. Silence only decides when to try; how long it must be, see patience.
  */
 import type {Clock, Store} from "@cottonwood/core"
+import {failureDomainOf, fenceFloorOf, sliceIndexOf} from "../decide/slices.js"
 import type {Claim, Member} from "../types/fleet.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
-import {claimKey, isClaim, type FleetView} from "./members.js"
+import {claimKey, isClaimAt, type FleetView} from "./members.js"
 import {patienceMs, PLACER_SILENT_MS, silenceMs} from "./patience.js"
+import {createRank} from "./rank.js"
 
 const TICK_MS = 100
 /** Each further candidate waits longer by this, a few writes to the store. */
@@ -70,6 +72,7 @@
 
 export function createClaimsLoop(deps: ClaimsDeps): ClaimsLoop {
 	const {clock, store, log, metrics, self, view} = deps
+	const {rankOf, rankForSlice} = createRank(view, self)
 	const startedAt = clock.now()
 	const learnedAt = new Map<string, {readonly fence: number; readonly at: number}>()
 	const triedAt = new Map<string, number>()
@@ -90,17 +93,6 @@
 		return Math.min(sinceLearned, view.silentMs(claim.placer.session))
 	}
 
-	function rankOf(candidates: readonly Member[]): number {
-		const names = candidates.filter(member => !view.isLeaving(member.session))
-		return names.filter(isBefore).length
-	}
-
-	/** Larger instances try first; among equals the name decides. */
-	function isBefore(member: Member): boolean {
-		if (member.cpuShare !== self.cpuShare) return member.cpuShare > self.cpuShare
-		return member.name < self.name
-	}
-
 	/**
 	 * Placers of other domains are not heard by everybody, so one that seems silent is asked before anything
 	 * else is done about it; what it answers is known at the next look.
@@ -146,17 +138,19 @@
 		const lookedAt = lookedForAt.get(failureDomain) ?? -Infinity
 		if (clock.now() - lookedAt < RETRY_MS) return
 		lookedForAt.set(failureDomain, clock.now())
-		void deps.canReachExecutors(failureDomain).then(canReach => {
+		void deps.canReachExecutors(failureDomainOf(failureDomain)).then(canReach => {
 			if (!canReach) reachableSince.delete(failureDomain)
 			else if (!reachableSince.has(failureDomain)) reachableSince.set(failureDomain, clock.now())
 		})
 	}
 
 	function mustWaitMs(failureDomain: string, claim: Claim | undefined): number {
-		const isOwn = failureDomain === self.failureDomain
+		const isOwn = failureDomainOf(failureDomain) === self.failureDomain
 		const natives = view.membersOf(failureDomain).filter(isAnother(claim?.placer))
 		const candidates = isOwn ? natives : view.members().filter(isAnother(claim?.placer))
-		const ranked = rankOf(candidates) * RANK_STEP_MS
+		const isDivided = view.sliceCount(failureDomain) > 1
+		const rank = isOwn && isDivided ? rankForSlice(candidates) : rankOf(candidates)
+		const ranked = rank * RANK_STEP_MS
 		const isGone = !claim || isFollowed(claim.placer)
 		if (isOwn) return ranked + (isGone ? 0 : silenceMs(deps, claim.placer))
 		if (natives.length > 0) return Infinity
@@ -184,7 +178,7 @@
 	async function consider(failureDomain: string) {
 		const claim = view.claimOf(failureDomain)
 		if (claim?.placer.session === self.session) return
-		const isOwn = failureDomain === self.failureDomain
+		const isOwn = failureDomainOf(failureDomain) === self.failureDomain
 		// One instance of each failure domain watches the others: any cut leaves one on each side.
 		if (!isOwn && rankOf(view.membersOf(self.failureDomain)) > 0) return
 		const waitMs = mustWaitMs(failureDomain, claim)
@@ -226,13 +220,16 @@
 		const key = claimKey(failureDomain)
 		const item = await store.get(key)
 		if (item === undefined) return false
-		const stored = item && isClaim(item.value) ? item.value : undefined
+		const stored = item && isClaimAt(key, item.value) ? item.value : undefined
 		if (stored) view.noteClaim(stored)
 		const known = view.claimOf(failureDomain)
 		if (stored?.placer.session === self.session) return true
 		if (stored && known && stored.fence < known.fence) return false
-		if (known?.fence !== judgedFence) return false
-		const claim: Claim = {failureDomain, fence: (known?.fence ?? 0) + 1, placer: self}
+		// No slice has a fence at its floor: nobody has claimed it.
+		const floor = fenceFloorOf(failureDomain)
+		const fence = known?.fence ?? floor
+		if (fence !== (judgedFence ?? floor)) return false
+		const claim: Claim = {failureDomain, fence: fence + 1, placer: self}
 		const put = await store.put(key, claim, {expect: item?.revision ?? 0})
 		metrics.count("claims", put.type)
 		const fields = {failureDomain, fence: claim.fence, cause, outcome: put.type}
@@ -266,7 +263,13 @@
 
 	void loop()
 	return {
-		takeNow: (failureDomain, fence) => write(failureDomain, fence, "its placer gives it up"),
+		takeNow(failureDomain, fence) {
+			if (sliceIndexOf(failureDomain) > view.sliceCount(failureDomain)) {
+				metrics.count("broken_assumptions", "slice_asked_for")
+				return Promise.resolve(false)
+			}
+			return write(failureDomain, fence, "its placer gives it up")
+		},
 		lookNow: () => wake(),
 		close() {
 			isClosed = true
--- a/packages/jobs/src/fleet/evacuations.ts
+++ b/packages/jobs/src/fleet/evacuations.ts
@@ -6,6 +6,7 @@
  */
 import type {StoreChange, StoreItem, StoreListing} from "@cottonwood/core"
 import type {Result} from "neverthrow"
+import {failureDomainOf} from "../decide/slices.js"
 import type {EvacuationNews} from "../types/fleet.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
@@ -20,7 +21,7 @@
 }
 
 export interface Evacuations {
-	/** Whether nothing new may start in the failure domain. */
+	/** Whether nothing new may start in the failure domain, or in the one that a slice is part of. */
 	isUnderWay(failureDomain: string): boolean
 	/** What peers are told; undefined while none was ever known here. */
 	news(): EvacuationNews | undefined
@@ -103,7 +104,7 @@
 	}
 
 	return {
-		isUnderWay: failureDomain => current?.failureDomains.includes(failureDomain) ?? false,
+		isUnderWay: name => current?.failureDomains.includes(failureDomainOf(name)) ?? false,
 		news: () => current,
 		takeListing({items, unreadable, revision}) {
 			const byKey = new Map<string, string>()
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -5,6 +5,13 @@
  * wins, whoever told it.
  */
 import type {Clock, StoreItem} from "@cottonwood/core"
+import {
+	claimsInForce,
+	countSlices,
+	failureDomainOf,
+	hasOwnFence,
+	sliceIndexOf,
+} from "../decide/slices.js"
 import type {Beat, Claim, Member, Room, RoomNews} from "../types/fleet.js"
 
 export const FLEET_PREFIX = "fleet/"
@@ -26,11 +33,15 @@
 	takeBeat(beat: Beat): void
 	takeRoomNews(news: RoomNews): void
 	noteClaim(claim: Claim): void
+	/** Those in force; of a slice that divides its domain too. */
 	claims(): readonly Claim[]
+	/** How many slices a failure domain is divided into; 1 when it is not. */
+	sliceCount(failureDomain: string): number
 	claimOf(failureDomain: string): Claim | undefined
 	/** Milliseconds since another claim to the domain became known; Infinity without one. */
 	claimAgeMs(failureDomain: string): number
 	members(): readonly Member[]
+	/** The instances of a failure domain, or of the one that a slice is part of. */
 	membersOf(failureDomain: string): readonly Member[]
 	/** Milliseconds since anything was heard from a session; Infinity if never. */
 	silentMs(session: string): number
@@ -71,6 +82,13 @@
 	return typeof value["failureDomain"] === "string" && isMember(value["placer"])
 }
 
+/** Whether it is the claim that belongs under the key; that of a slice must have a fence of the slice's own. */
+export function isClaimAt(key: string, value: unknown): value is Claim {
+	if (!isClaim(value)) return false
+	const isWhole = sliceIndexOf(value.failureDomain) === 0 && sliceIndexOf(key) === 0
+	return isWhole || (key === claimKey(value.failureDomain) && hasOwnFence(value))
+}
+
 interface Heard {
 	readonly at: number
 	readonly isLeaving: boolean
@@ -81,17 +99,25 @@
 
 const NEVER_HEARD: Heard = {at: -Infinity, isLeaving: false}
 
-export function createFleetView(clock: Clock, onClaim: (claim: Claim) => void): FleetView {
+export function createFleetView(
+	clock: Clock,
+	onClaim: (claim: Claim) => void,
+	/** A claim was dropped whose fence no claim of its slice can have. */
+	onForeignClaim: (claim: Claim) => void = () => undefined,
+): FleetView {
 	const members = new Map<string, Member>()
 	const claims = new Map<string, Claim>()
 	const heard = new Map<string, Heard>()
 	const rooms = new Map<string, ToldRoom>()
 	const learnedAt = new Map<string, number>()
+	let inForce: readonly Claim[] = []
 
 	function noteClaim(claim: Claim) {
+		if (!hasOwnFence(claim)) return onForeignClaim(claim)
 		const known = claims.get(claim.failureDomain)
 		if (known && known.fence >= claim.fence) return
 		claims.set(claim.failureDomain, claim)
+		inForce = claimsInForce(claims)
 		learnedAt.set(claim.failureDomain, clock.now())
 		rooms.delete(claim.failureDomain)
 		onClaim(claim)
@@ -103,7 +129,9 @@
 			if (isMember(value)) members.set(key, value)
 			else members.delete(key)
 		}
-		if (key.startsWith(CLAIM_PREFIX) && isClaim(value)) noteClaim(value)
+		if (!key.startsWith(CLAIM_PREFIX)) return
+		if (isClaimAt(key, value)) noteClaim(value)
+		else if (isClaim(value)) onForeignClaim(value)
 	}
 
 	return {
@@ -136,12 +164,16 @@
 				rooms.set(failureDomain, {room: {...figures, labels}, at})
 			}
 		},
-		claims: () => [...claims.values()],
+		claims: () => inForce,
+		sliceCount: failureDomain =>
+			countSlices(failureDomainOf(failureDomain), name => claims.has(name)),
 		claimOf: failureDomain => claims.get(failureDomain),
 		claimAgeMs: failureDomain => clock.now() - (learnedAt.get(failureDomain) ?? -Infinity),
 		members: () => [...members.values()],
-		membersOf: failureDomain =>
-			[...members.values()].filter(member => member.failureDomain === failureDomain),
+		membersOf: name => {
+			const failureDomain = failureDomainOf(name)
+			return [...members.values()].filter(member => member.failureDomain === failureDomain)
+		},
 		silentMs(session) {
 			const last = heard.get(session)
 			return last ? clock.now() - last.at : Infinity
--- /dev/null
+++ b/packages/jobs/src/fleet/rank.ts
@@ -0,0 +1,37 @@
+/**
+ * How many instances try to take a failure domain, or a slice of one, before this one does.
+ */
+import type {Member} from "../types/fleet.js"
+import type {FleetView} from "./members.js"
+
+export interface Rank {
+	/** Of those that try before this instance: larger ones; among equals the name decides. */
+	rankOf(candidates: readonly Member[]): number
+	/** In a divided domain those go first that place nothing yet, or less than this one does. */
+	rankForSlice(candidates: readonly Member[]): number
+}
+
+export function createRank(view: FleetView, self: Member): Rank {
+	const isStaying = ({session}: Member) => !view.isLeaving(session)
+
+	function isBefore(member: Member): boolean {
+		if (member.cpuShare !== self.cpuShare) return member.cpuShare > self.cpuShare
+		return member.name < self.name
+	}
+
+	function claimCountOf({session}: Member): number {
+		return view.claims().filter(({placer}) => placer.session === session).length
+	}
+
+	const rankOf = (candidates: readonly Member[]) =>
+		candidates.filter(isStaying).filter(isBefore).length
+
+	return {
+		rankOf,
+		rankForSlice(candidates) {
+			const more = (member: Member) => claimCountOf(member) - claimCountOf(self)
+			const freer = candidates.filter(isStaying).filter(member => more(member) < 0)
+			return freer.length + rankOf(candidates.filter(member => more(member) === 0))
+		},
+	}
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -8,6 +8,7 @@
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
+import {createSlicing} from "./coordinate/slicing.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
@@ -24,6 +25,7 @@
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import type {LeaseRule} from "./decide/lease-rule.js"
+import {sliceNames} from "./decide/slices.js"
 import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
@@ -113,14 +115,28 @@
 	})
 
 	const peers = createPeers(metrics)
-	const view = createFleetView(clock, claim => {
-		noteClaimKnown(log, claim)
-		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
-		hosts.noteClaim(claim)
-		if (isNew) executors.readNow()
-	})
-	const overflow = createOverflow({clock, leaseRule, peers, view, self, log, metrics})
+	const view = createFleetView(
+		clock,
+		claim => {
+			noteClaimKnown(log, claim)
+			const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
+			hosts.noteClaim(claim)
+			if (isNew) executors.readNow()
+		},
+		claim => noteForeignClaim(deps, claim),
+	)
+	const common = {clock, log, metrics, peers, view, self}
+	const overflow = createOverflow({...common, leaseRule})
 
+	const slicing = createSlicing({
+		...common,
+		leaseRule,
+		overflow,
+		executorsPerPlacer: settings.placing.executorsPerPlacer,
+		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
+		isPlacing: name => hosts.of(name) !== undefined,
+		isLeaving: () => isLeaving,
+	})
 	const hosts: Hosts = createHosts({
 		clock,
 		orders: deps.orders,
@@ -133,15 +149,12 @@
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.noteRoomChange(),
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
-		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
+		executorsOf: slicing.executorsOf,
+		slices: slicing,
 		isEvacuated: evacuations.isUnderWay,
 	})
 	const dispatcher = createDispatcher({
-		clock,
-		log,
-		peers,
-		view,
-		self,
+		...common,
 		hosts,
 		config: config.current,
 		refreshConfig: config.refresh,
@@ -206,11 +219,8 @@
 		error => noteDatagramError(deps, error),
 	)
 	const beats = createBeats({
-		clock,
-		peers,
+		...common,
 		send: datagrams.send,
-		view,
-		self,
 		own: ownBeat,
 		onBeat: takeBeat,
 		onRoomNews: takeRoomNews,
@@ -225,11 +235,7 @@
 	const registration = beginRegistration(self, {clock, store, log})
 
 	const handover = createHandover({
-		clock,
-		log,
-		peers,
-		view,
-		self,
+		...common,
 		hosts,
 		overflow,
 		claims: () => claims,
@@ -238,13 +244,10 @@
 		isStrained: strain.isStrained,
 	})
 	const claims = createClaimsLoop({
-		clock,
+		...common,
 		store,
-		log,
-		metrics,
-		self,
-		view,
-		failureDomains: () => settings.failureDomains,
+		failureDomains: () =>
+			settings.failureDomains.flatMap(name => sliceNames(name, view.sliceCount(name))),
 		isLeaving: () => isLeaving,
 		ping: beats.ping,
 		ownLateMs: strain.lateMs,
@@ -268,7 +271,7 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const placing = [strain, news, claims, handover, keptParts, beats, config]
+			const placing = [strain, news, claims, handover, slicing, keptParts, beats, config]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
 			for (const part of [...placing, ...serving]) part.close()
 		},
@@ -294,6 +297,13 @@
 	log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 }
 
+/** What was in force before stays. */
+function noteForeignClaim({metrics, log}: InstanceDeps, {failureDomain, fence, placer}: Claim) {
+	metrics.count("broken_assumptions", "slice_claim")
+	const fields = {failureDomain, fence, peer: placer.name}
+	log.alarm("fleet", "claim_dropped", "fleet: no slice can have such a claim.", fields)
+}
+
 function noteDatagramError({metrics, log}: InstanceDeps, error: Error) {
 	metrics.count("broken_assumptions", "datagram")
 	log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -49,8 +49,8 @@
 	readonly orphansWaitUntil: number
 	/** Called when room appeared or an executor became usable. */
 	readonly onRoom: () => void
-	/** Called when a higher fence was seen. */
-	readonly onFenced: () => void
+	/** Called when a higher fence was seen there. */
+	readonly onFenced: (executor: ExecutorRecord) => void
 	readonly onRunEnd: (executor: string, run: Run, end: TaskEnd, proof: RunProof) => void
 	readonly kept: KeptRuns
 	readonly tickets: Tickets
@@ -276,7 +276,7 @@
 	const fields = {executor: link.record.id, fence, outcome: order}
 	log.alarm("executor", "fence_lost", "executor: a higher fence was seen there.", fields)
 	link.isClosed = true
-	onFenced()
+	onFenced(link.record)
 }
 
 export function closeLink(link: LinkState) {
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -55,12 +55,25 @@
 	/** By key; what the store lists, and during the grace what it listed before. */
 	const known = new Map<string, ExecutorRecord>()
 	const listed = new Set<string>()
+	/** What each known entry said last. */
+	const decoded = new Map<string, {readonly text: string; readonly record: ExecutorRecord}>()
 	/** When the first reading failed since the last one that did not. */
 	let awaySince: number | undefined
 	let graceUntil = -Infinity
 
-	function takeItem(item: StoreItem) {
+	/** Executors renew their entries all the time; one that says what it said before is not checked again. */
+	function decode(item: StoreItem): ExecutorRecord | undefined {
+		const text = JSON.stringify(item.value)
+		const last = decoded.get(item.key)
+		if (last?.text === text && known.get(item.key) === last.record) return last.record
 		const record = deps.decode(item)
+		if (record) decoded.set(item.key, {text, record})
+		else decoded.delete(item.key)
+		return record
+	}
+
+	function takeItem(item: StoreItem) {
+		const record = decode(item)
 		if (!record) return dropForeign(item.key)
 		listed.add(item.key)
 		known.set(item.key, record)
@@ -92,10 +105,15 @@
 
 	function tell() {
 		if (clock.now() >= graceUntil)
-			for (const key of [...known.keys()]) if (!listed.has(key)) known.delete(key)
+			for (const key of [...known.keys()]) if (!listed.has(key)) forget(key)
 		deps.onList([...known.values()])
 	}
 
+	function forget(key: string) {
+		known.delete(key)
+		decoded.delete(key)
+	}
+
 	function noteReturn(since: number) {
 		const now = clock.now()
 		awaySince = undefined
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -35,7 +35,8 @@
 	readonly kept: KeptRuns
 	/** Hands a task to another domain's placer; false when none has room. */
 	readonly handOver: (item: Waiting) => boolean
-	readonly onFenced: () => void
+	/** A higher fence was seen at the executor. */
+	readonly onFenced: (executor: ExecutorRecord) => void
 	/** Called when the room told to others may have changed. */
 	readonly onRoomChange: () => void
 }
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -15,7 +15,7 @@
 import {startPulse} from "./pulse.js"
 import {countThatFit, promisingLinks, roomFor, usableLinks, waitBeforeMs} from "../decide/room.js"
 import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
-import {adopt, giveAll, giveUp, isSettled} from "./succession.js"
+import {adopt, giveAll, giveExecutors, giveUp, isSettled} from "./succession.js"
 import {createTaskQueue, type Waiting} from "./task-queue.js"
 import {createTickets} from "./tickets.js"
 import {walkSoon} from "./walk.js"
@@ -65,6 +65,14 @@
 	 * what runs with the executor that has it. What is submitted later goes there too.
 	 */
 	giveAll(send: (item: Waiting, from?: RunningAt) => void): void
+	/**
+	 * Gives some of its executors to another placer, which has raised the fence there: what runs there goes along. Returns
+	 * how many they were.
+	 */
+	giveExecutors(
+		isGiven: (record: ExecutorRecord) => boolean,
+		send: (item: Waiting, from: RunningAt) => void,
+	): number
 	/** As `close`, when somebody else places now: tells those that handed tasks over as soon as it is certain that they run no more. */
 	giveUp(): void
 	/** Starts nothing more here; what runs is left to the next fence. */
@@ -117,6 +125,7 @@
 		},
 		adopt: (req, from, onEnd) => adopt(state, req, from, onEnd),
 		giveAll: send => giveAll(state, send),
+		giveExecutors: (isGiven, send) => giveExecutors(state, isGiven, send),
 		giveUp: () => giveUp(state),
 		close: () => closeLinks(state),
 	}
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -91,9 +91,7 @@
 	for (const group of state.queue.inOrder(state.deps.clock.now()))
 		for (let item = state.queue.take(group); item; item = state.queue.take(group))
 			if (!item.req.isKept) send(item)
-	const running = [...state.links.values()].flatMap(link =>
-		link.runs().map(({run, isStarted}) => ({run, isStarted, record: link.record})),
-	)
+	const running = [...state.links.values()].flatMap(runsOf)
 	closeLinks(state)
 	for (const {run, isStarted, record} of running) {
 		const item = state.started.get(run)
@@ -102,6 +100,30 @@
 	}
 }
 
+/** Gives up some of the executors, which another placer has by now, with all that runs there. */
+export function giveExecutors(
+	state: PlacerState,
+	isGiven: (record: ExecutorRecord) => boolean,
+	send: (item: Waiting, from: RunningAt) => void,
+): number {
+	const given = [...state.links.values()].filter(({record}) => isGiven(record))
+	const running = given.flatMap(runsOf)
+	for (const link of given) {
+		link.close()
+		state.links.delete(link.record.id)
+		state.judgement.forget(link.record.id)
+	}
+	for (const {run, isStarted, record} of running) {
+		const item = state.started.get(run)
+		state.started.delete(run)
+		if (item) send(item, {executor: record.id, record, isStarted, stopCause: run.stopCause})
+	}
+	return given.length
+}
+
+const runsOf = (link: ExecutorLink) =>
+	link.runs().map(({run, isStarted}) => ({run, isStarted, record: link.record}))
+
 /** The jobs here are given up by whoever has them; what other placers handed over is known to nobody else. */
 export function giveUp(state: PlacerState) {
 	closeLinks(state)
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -36,6 +36,7 @@
 	crashed_runs: "Runs under which an executor ended, by what is known of it",
 	suspensions: "Times that the machine was suspended",
 	broken_assumptions: "Things that should not happen, by name",
+	slices_added: "Instances asked to place one more slice of a failure domain, by outcome",
 	orphan_runs: "Runs found on executors that nobody here started, by outcome",
 } as const)
 export type CounterName = keyof typeof COUNTERS
@@ -56,6 +57,7 @@
 	| "tasks_running"
 	| "executors_usable"
 	| "claims_held"
+	| "slices"
 	| "kept_jobs"
 	| "config_version"
 	| "config_heard_ms"
--- /dev/null
+++ b/packages/jobs/test/slices.test.ts
@@ -0,0 +1,294 @@
+/**
+ * A failure domain that is divided among several placers: what each slice has, and what becomes of runs when one is added or
+ * loses its placer.
+ */
+import {createJobMetrics, silentLog, type Claim, type Member} from "@cottonwood/jobs"
+import {
+	claimKey,
+	claimsInForce,
+	createExecutorList,
+	createFleetView,
+	executorsOfSlice,
+	failureDomainOf,
+	fenceFloorOf,
+	hasOwnFence,
+	sliceName,
+	sliceOf,
+	wantedSlices,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {record} from "./support/fake-executors.js"
+import {createFakeStore} from "./support/fake-store.js"
+import {createSlicedDomain} from "./support/sliced-domain.js"
+
+const placer: Member = {
+	name: "a-1",
+	session: "a-1-s",
+	failureDomain: "a",
+	address: "a-1:1",
+	cpuShare: 1,
+}
+
+describe("slices of a failure domain", () => {
+	it("are named so that the first one is the domain itself", () => {
+		expect(sliceName("a", 0)).to.equal("a")
+		expect(failureDomainOf(sliceName("a", 3))).to.equal("a")
+		expect(failureDomainOf("a/slice-0"), "no name that we give").to.equal("a/slice-0")
+		expect(fenceFloorOf("a")).to.equal(0)
+	})
+
+	/*
+	 * An executor that goes back to a slice that was there before would come to a placer whose fence is lower than the one
+	 * that it obeys, and be lost to it.
+	 */
+	it("lose executors to a new slice alone, and have about as many each", () => {
+		const records = Array.from({length: 750}, (_, at) => record(`10.0.${at % 7}.${at}`))
+		for (let count = 1; count < 8; count++) {
+			const sizes = Array.from({length: count}, () => 0)
+			for (const one of records) {
+				const before = sliceOf(one, count)
+				const after = sliceOf(one, count + 1)
+				expect(after === before || after === count).to.equal(true)
+				sizes[before] = (sizes[before] ?? 0) + 1
+			}
+			const fair = records.length / count
+			for (const size of sizes) expect(size).to.be.within(fair * 0.75, fair * 1.25)
+		}
+	})
+
+	it("have each executor once", () => {
+		const records = Array.from({length: 40}, (_, at) => record(`e${at}`))
+		const ids = [0, 1, 2].flatMap(index =>
+			executorsOfSlice(sliceName("a", index), 3, records).map(({id}) => id),
+		)
+		expect(ids.sort()).to.eql(records.map(({id}) => id).sort())
+	})
+
+	it("are as many as executors ask for and instances can bear, and never fewer than before", () => {
+		const domain = {executors: 750, executorsPerPlacer: 150, instances: 100, slices: 1}
+		expect(wantedSlices(domain)).to.equal(5)
+		expect(wantedSlices({...domain, instances: 2})).to.equal(2)
+		expect(wantedSlices({...domain, executors: 150})).to.equal(1)
+		expect(wantedSlices({...domain, executors: 10, slices: 4})).to.equal(4)
+	})
+
+	/* The store's entries may be another writer's; one with a low fence would be the claim that no executor obeys. */
+	it("drop a claim with a fence that is not the slice's own, and one under another key", () => {
+		const dropped: Claim[] = []
+		const view = createFleetView(
+			createFakeClock(),
+			() => undefined,
+			claim => void dropped.push(claim),
+		)
+		const claimOf = (index: number, fence: number): Claim => {
+			return {failureDomain: sliceName("a", index), fence, placer}
+		}
+		view.noteClaim(claimOf(0, 4))
+		view.noteClaim(claimOf(1, 1_000_001))
+		expect(view.sliceCount("a")).to.equal(2)
+		const foreign = [claimOf(1, 7), claimOf(1, 2_000_001), claimOf(1, 1_000_002.5), claimOf(2, NaN)]
+		for (const claim of foreign) expect(hasOwnFence(claim)).to.equal(false)
+		view.takeListing(
+			foreign.map(value => ({key: claimKey(value.failureDomain), value, revision: 9})),
+		)
+		view.takeListing([{key: claimKey("a"), value: claimOf(2, 2_000_001), revision: 9}])
+		view.takeListing([{key: claimKey("a/slice-2"), value: {count: "many"}, revision: 9}])
+		expect(dropped.length).to.equal(foreign.length + 1)
+		expect(view.sliceCount("a")).to.equal(2)
+		expect(view.claimOf("a/slice-1")?.fence).to.equal(1_000_001)
+	})
+
+	it("divide nothing above one that nobody has claimed", () => {
+		const names = ["a", "a/slice-2", "b/slice-1"]
+		const claims = new Map(names.map(name => [name, {failureDomain: name, fence: 1, placer}]))
+		expect(claimsInForce(claims).map(claim => claim.failureDomain)).to.eql(["a"])
+	})
+})
+
+describe("a divided failure domain", () => {
+	it("with no more executors than one placer may have is not divided", async () => {
+		const domain = createSlicedDomain({instances: 3, executors: 6, executorsPerPlacer: 6})
+		await domain.clock.advance(4_000)
+		expect([...domain.fake.items.keys()].filter(key => key.includes("claim"))).to.eql([
+			claimKey("a"),
+		])
+		expect((domain.fake.items.get(claimKey("a"))?.value as Claim).fence).to.equal(1)
+		expect(domain.placed("a-1").length).to.equal(6)
+	})
+
+	/*
+	 * All executors are full when the domain is divided, first in two, then in three. What runs where executors leave is handed
+	 * over, so that every job is answered, no task runs twice, and no executor takes more than it has room for.
+	 */
+	it("grows under load, and no run is lost or doubled", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(150)
+		for (let at = 0; at < 25; at++) {
+			domain.submit(3)
+			await domain.clock.advance(100)
+		}
+		await domain.clock.advance(2_000)
+		expect(new Set(domain.placers()).size, "each at another instance").to.equal(3)
+		expect(domain.ends.filter(type => type !== "completed")).to.eql([])
+		expect(domain.ends.length).to.equal(75)
+		expect(domain.faults).to.eql([])
+		const placed = ["a-1", "a-2", "a-3", "a-4"].flatMap(domain.placed)
+		expect(placed.sort()).to.eql(domain.records.map(({id}) => id).sort())
+	})
+
+	it("is divided within two seconds", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(2_000)
+		expect(domain.placers().length).to.equal(3)
+	})
+
+	/* Jobs that come together are not all handed to one slice, whose placer would be the only one with work. */
+	it("has its callers' jobs spread over its slices", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		domain.submit(12)
+		await domain.clock.advance(100)
+		const counts = domain.placers().map((name, index) => {
+			const host = domain.at(name).hosts.of(sliceName("a", index))
+			return host?.placer.counts().running ?? 0
+		})
+		for (const count of counts) expect(count).to.be.within(2, 6)
+	})
+
+	/* A slice's placer dies with runs under way; the others go on, and the next instance takes the slice over. */
+	it("loses a placer, and the next instance takes its slice", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		domain.submit(9)
+		await domain.clock.advance(100)
+		const [first, second, third] = domain.placers()
+		domain.kill(second as string)
+		await domain.clock.advance(4_000)
+		const next = domain.placers()
+		expect([next[0], next[2]], "the others stay").to.eql([first, third])
+		expect(next[1], "the one that places nothing yet").to.equal("a-4")
+		const later = domain.submit(12)
+		await domain.clock.advance(2_000)
+		expect(later).to.eql(Array(12).fill("completed"))
+		expect(domain.faults).to.eql([])
+		expect(domain.placed("a-4").length).to.equal(domain.sizeOf(1, 3))
+	})
+
+	/* On a planned stop a slice goes to an instance that places nothing, with all that runs. */
+	it("hands a slice over on a planned stop", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		domain.submit(12)
+		await domain.clock.advance(100)
+		const third = domain.placers()[2] as string
+		await Promise.all([domain.leave(third), domain.clock.advance(2_500)])
+		expect(domain.placers()[2]).to.equal("a-4")
+		expect(domain.ends.filter(type => type !== "completed")).to.eql([])
+		expect(domain.ends.length).to.equal(12)
+		expect(domain.faults).to.eql([])
+	})
+
+	/*
+	 * A slice's placer hears neither the store nor its peers when its executors go to a new slice: they refuse its fence. It
+	 * goes on with the others, and what ran on those that left is told as lost once it is certainly over.
+	 */
+	it("keeps a placer that is cut off while another slice is added", async () => {
+		const domain = createSlicedDomain({instances: 3, executors: 12, executorsPerPlacer: 6})
+		await domain.clock.advance(1_500)
+		const [, second] = domain.placers() as [string, string]
+		expect(domain.placers().length).to.equal(2)
+		const {is, hosts} = domain.at(second)
+		domain.submit(18)
+		await domain.clock.advance(100)
+		is.cutFromStore = true
+		is.cutFromPeers = true
+		const third = domain.at("a-3")
+		const fence = fenceFloorOf("a/slice-2")
+		third.hosts.expectHandover({failureDomain: "a/slice-2", fence: fence + 1}, [])
+		await Promise.all([third.claims.takeNow("a/slice-2", fence), domain.clock.advance(50)])
+		await domain.clock.advance(400)
+		expect(hosts.of("a/slice-1")).to.not.equal(undefined)
+		const gone = domain.sizeOf(1, 2) - domain.sizeOf(1, 3)
+		expect(gone, "the test needs some").to.be.greaterThan(0)
+		expect(domain.placed(second).length).to.equal(domain.sizeOf(1, 3))
+		is.cutFromStore = false
+		is.cutFromPeers = false
+		await domain.clock.advance(3_000)
+		expect(domain.faults).to.eql([])
+		expect(domain.at(second).view.sliceCount("a")).to.equal(3)
+		expect(domain.placed("a-3").length).to.equal(domain.sizeOf(2, 3))
+		const later = domain.submit(12)
+		await domain.clock.advance(2_000)
+		expect(later).to.eql(Array(12).fill("completed"))
+	})
+
+	it("is placed whole by the one instance that is left of two", async () => {
+		const domain = createSlicedDomain({instances: 2, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		expect(domain.placers().length, "no more slices than instances").to.equal(2)
+		const [first, second] = domain.placers() as [string, string]
+		domain.kill(first)
+		await domain.clock.advance(4_000)
+		expect(domain.placers()).to.eql([second, second])
+		domain.submit(12)
+		await domain.clock.advance(2_000)
+		expect(domain.ends.filter(type => type === "completed").length).to.equal(12)
+		expect(domain.faults).to.eql([])
+	})
+
+	it("starts nothing in any slice while it is emptied", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		domain.evacuate(true)
+		domain.submit(9)
+		await domain.clock.advance(1_000)
+		expect(domain.runningCount()).to.equal(0)
+		expect(new Set(domain.ends)).to.eql(new Set(["refused"]))
+		domain.evacuate(false)
+		domain.submit(9)
+		await domain.clock.advance(100)
+		expect(domain.runningCount()).to.equal(9)
+	})
+
+	it("is not divided by an instance that is asked for a slice with a gap before it", async () => {
+		const domain = createSlicedDomain({instances: 2, executors: 4})
+		await domain.clock.advance(1_000)
+		const asked = domain.at("a-2").claims.takeNow("a/slice-3", fenceFloorOf("a/slice-3"))
+		expect(await asked).to.equal(false)
+		expect(domain.placers().length).to.equal(1)
+	})
+})
+
+describe("the list of executors", () => {
+	/* 750 entries are renewed each second or so, at every placer of every slice; each check costs as much as a hold. */
+	it("checks an entry again only when it says something else", async () => {
+		const clock = createFakeClock()
+		const {fake, store} = createFakeStore()
+		const told: (readonly string[])[] = []
+		let checks = 0
+		createExecutorList({
+			clock,
+			store,
+			log: silentLog,
+			metrics: createJobMetrics(),
+			prefix: "servers/",
+			decode({key, value}) {
+				checks++
+				const {isLeaving} = value as {readonly isLeaving: boolean}
+				return record(key.slice("servers/".length), {isLeaving})
+			},
+			onList: records => void told.push(records.map(({id, isLeaving}) => `${id} ${isLeaving}`)),
+			isNeeded: () => true,
+		})
+		fake.write("servers/e1", {isLeaving: false})
+		await clock.advance(2_000)
+		const before = checks
+		fake.write("servers/e1", {isLeaving: false})
+		await clock.advance(2_000)
+		expect(checks).to.equal(before)
+		fake.write("servers/e1", {isLeaving: true})
+		await clock.advance(2_000)
+		expect(told.at(-1)).to.eql(["e1 true"])
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/support/sliced-domain.ts
@@ -0,0 +1,337 @@
+/**
+ * One failure domain on a fake clock: several instances with their real claims, handovers, beats, placers and coordinators,
+ * one store, and executors that obey the highest fence. Anything that happens to an instance is brought about by name.
+ */
+import type {TransactionalStore} from "@cottonwood/core"
+import {
+	createJobMetrics,
+	silentLog,
+	type Beat,
+	type Claim,
+	type ExecutorOrders,
+	type JobEnd,
+	type Member,
+} from "@cottonwood/jobs"
+import {
+	claimKey,
+	createBeats,
+	createClaimsLoop,
+	createDispatcher,
+	createFleetView,
+	createHandover,
+	createHosts,
+	createOverflow,
+	createSlicing,
+	executorsOfSlice,
+	nodeKey,
+	sliceNames,
+	type Beats,
+	type ClaimsLoop,
+	type Dispatcher,
+	type Handover,
+	type Hosts,
+	type Keeper,
+	type PeerCall,
+	type Peers,
+} from "@cottonwood/jobs/internals"
+import {createFakeClock} from "./fake-clock.js"
+import {record} from "./fake-executors.js"
+import {createFakeStore} from "./fake-store.js"
+import {LeasedExecutor, ordersTo} from "./leased-executor.js"
+import {fakePeers} from "./peers.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, QUEUE} from "./requests.js"
+
+const DOMAIN = "a"
+const WAY_MS = 1
+/** The store's news reach an instance within this. */
+const NEWS_MS = 20
+const PING_TIMEOUT_MS = 350
+/** Two tasks of this fill an executor. */
+const NEED = {cpu: 27_000, memoryMb: 64, accelerators: 0}
+const TASKS_PER_EXECUTOR = 2
+const ESTIMATE_MS = 1_000
+const WORK_MS = 500
+
+interface Instance {
+	readonly self: Member
+	readonly hosts: Hosts
+	readonly beats: Beats
+	readonly claims: ClaimsLoop
+	readonly handover: Handover
+	readonly dispatcher: Dispatcher
+	readonly view: ReturnType<typeof createFleetView>
+	/** What befell it. */
+	readonly is: {dead: boolean; leaving: boolean; cutFromStore: boolean; cutFromPeers: boolean}
+}
+
+export interface SlicedDomainOptions {
+	readonly instances: number
+	readonly executors: number
+	readonly executorsPerPlacer?: number
+}
+
+export function createSlicedDomain(options: SlicedDomainOptions) {
+	const clock = createFakeClock()
+	const {fake, store} = createFakeStore()
+	const records = Array.from({length: options.executors}, (_, at) => record(`e${at}`))
+	const executors = new Map(records.map(({id}) => [id, new LeasedExecutor(clock)]))
+	const instances = new Map<string, Instance>()
+	const faults: string[] = []
+	const evacuated = new Set<string>()
+	let serial = 0
+
+	const runningCount = () =>
+		[...executors.values()].reduce((sum, {running}) => sum + running.size, 0)
+
+	/** Carries starts out with their work, and notes what must never be seen. */
+	function ordersOf(is: Instance["is"]): ExecutorOrders {
+		const sound = ordersTo(id => executors.get(id) as LeasedExecutor)
+		const never = new Promise<never>(() => undefined)
+		return {
+			...sound,
+			hold: (executor, order, ms) => (is.dead ? never : sound.hold(executor, order, ms)),
+			stop: (executor, order, ms) => (is.dead ? never : sound.stop(executor, order, ms)),
+			async start(executor, order, ms) {
+				if (is.dead) return never
+				const reply = await sound.start(executor, order, ms)
+				if (reply.type !== "started") return reply
+				const there = executors.get(executor.id) as LeasedExecutor
+				const places = [...executors.values()].filter(({running}) => running.has(order.task))
+				if (places.length > 1) faults.push(`${order.task} ran twice at once`)
+				if (there.running.size > TASKS_PER_EXECUTOR) faults.push(`${executor.id} is overfull`)
+				clock.schedule(WORK_MS, () => {
+					if (there.running.get(order.task) === order.run) there.end(order.task, "done")
+				})
+				return reply
+			},
+		}
+	}
+
+	function storeOf(is: Instance["is"]): TransactionalStore {
+		const isAway = () => is.dead || is.cutFromStore
+		return {
+			...store,
+			get: key => (isAway() ? Promise.resolve(undefined) : store.get(key)),
+			put: (...args) => (isAway() ? Promise.resolve({type: "unknown"}) : store.put(...args)),
+		}
+	}
+
+	function peersOf(from: Instance["is"]): Peers {
+		const at = (address: string) => {
+			const there = instances.get(address.split(":")[0] as string)
+			const isApart = from.dead || from.cutFromPeers || !there || there.is.dead
+			return isApart || there.is.cutFromPeers ? undefined : there
+		}
+		function call<T>(
+			address: string,
+			timeoutMs: number,
+			ask: (there: Instance) => Promise<T>,
+		): PeerCall<T> {
+			const isUnsent = at(address) === undefined
+			const reply = new Promise<T | undefined>(resolve => {
+				clock.schedule(isUnsent ? WAY_MS : timeoutMs, () => resolve(undefined))
+				clock.schedule(WAY_MS, () => {
+					const there = at(address)
+					if (there) void ask(there).then(answer => at(address) && resolve(answer))
+				})
+			})
+			const wasUnsent = () => isUnsent
+			return {reply, wasUnsent, wasRefused: () => false, cancel: () => undefined}
+		}
+		const callerOf = (confirmedAt: () => number) => {
+			return {onCancel: () => undefined, madeAt: clock.now(), confirmedAt}
+		}
+		return fakePeers({
+			beat: (address, _beat, ms) =>
+				call(address, ms, ({self}) => Promise.resolve({...emptyBeat(self)})).reply,
+			runJob: (address, message, ms, confirmedAt) =>
+				call(address, ms, there => there.dispatcher.runJob(message, callerOf(confirmedAt))),
+			runTask: (address, message, ms, confirmedAt) =>
+				call(address, ms, there => there.dispatcher.runTask(message, callerOf(confirmedAt))),
+			takeOver: (address, message, ms) =>
+				call(address, ms, there => there.handover.takeOver(message)),
+		})
+	}
+
+	const emptyBeat = (from: Member): Beat => {
+		return {from, claims: [], rooms: {}, isLeaving: false, configVersion: 1}
+	}
+
+	function addInstance(name: string, cpuShare: number) {
+		const self: Member = {
+			name,
+			session: `${name}-s`,
+			failureDomain: DOMAIN,
+			address: `${name}:1`,
+			cpuShare,
+		}
+		const is = {dead: false, leaving: false, cutFromStore: false, cutFromPeers: false}
+		const metrics = createJobMetrics()
+		const peers = peersOf(is)
+		const view = createFleetView(
+			clock,
+			claim => {
+				hosts.noteClaim(claim)
+				hosts.setExecutors(records)
+			},
+			() => void metrics.count("broken_assumptions", "slice_claim"),
+		)
+		const common = {clock, leaseRule: LEASE_RULE, log: silentLog, metrics, self, peers, view}
+		const overflow = createOverflow(common)
+		const isLeaving = () => is.leaving || is.dead
+		const slicing = createSlicing({
+			...common,
+			overflow,
+			executorsPerPlacer: options.executorsPerPlacer,
+			executorsOf: () => records,
+			isPlacing: domain => hosts.of(domain) !== undefined,
+			isLeaving,
+		})
+		const keeper = {
+			...NO_KEPT_RUNS,
+			begin: () => undefined,
+			close: () => undefined,
+			jobCount: () => 0,
+		} as unknown as Keeper
+		const isEvacuated = (domain: string) => evacuated.has(domain.split("/")[0] as string)
+		const hosts: Hosts = createHosts({
+			...common,
+			orders: ordersOf(is),
+			advisor: NO_ADVISOR,
+			stopGraceMs: 50,
+			handOver: item => overflow.handOver(item),
+			onRoomChange: () => beats?.noteRoomChange(),
+			createKeeper: () => keeper,
+			executorsOf: slicing.executorsOf,
+			isEvacuated,
+			slices: slicing,
+		})
+		const ownBeat = (): Beat => {
+			const news = {claims: view.claims(), rooms: hosts.rooms(), isLeaving: is.leaving}
+			return {...emptyBeat(self), ...news}
+		}
+		const beats: Beats = createBeats({
+			...common,
+			send(address, message) {
+				const there = instances.get(address.split(":")[0] as string)
+				if (is.dead || is.cutFromPeers) return
+				clock.schedule(WAY_MS, () => {
+					if (there && !there.is.dead && !there.is.cutFromPeers) there.beats.take(message)
+				})
+			},
+			own: ownBeat,
+			onBeat(beat) {
+				view.takeBeat(beat)
+				hosts.walk()
+			},
+			onRoomNews(news) {
+				view.takeRoomNews(news)
+				hosts.walk()
+			},
+			needsOthers: () => false,
+			linkMbps: 1_000,
+		})
+		const claims = createClaimsLoop({
+			...common,
+			store: storeOf(is),
+			failureDomains: () => sliceNames(DOMAIN, view.sliceCount(DOMAIN)),
+			isLeaving,
+			ping: async ({address}, patienceMs) =>
+				(await peers.beat(address, ownBeat(), PING_TIMEOUT_MS + patienceMs))?.from.session,
+			ownLateMs: () => 0,
+			canReachExecutors: () => Promise.resolve(true),
+		})
+		const handover = createHandover({
+			...common,
+			hosts,
+			overflow,
+			claims: () => claims,
+			placedDomains: () => Object.keys(hosts.rooms()),
+			isLeaving,
+			isStrained: () => false,
+		})
+		const dispatcher = createDispatcher({
+			...common,
+			hosts,
+			config: () => undefined,
+			refreshConfig: () => undefined,
+			isLeaving: () => is.leaving,
+			ownLateMs: () => 0,
+			isEvacuated,
+		})
+		function hearStore() {
+			if (!is.dead && !is.cutFromStore) view.takeListing([...fake.items.values()])
+			clock.schedule(NEWS_MS, hearStore)
+		}
+		fake.write(nodeKey(name), self)
+		instances.set(name, {self, hosts, beats, claims, handover, dispatcher, view, is})
+		hearStore()
+	}
+
+	for (let at = 1; at <= options.instances; at++) addInstance(`a-${at}`, 0.675)
+	const at = (name: string) => instances.get(name) as Instance
+	const ends: JobEnd["type"][] = []
+
+	return {
+		clock,
+		fake,
+		records,
+		executors,
+		/** What must never happen and did. */
+		faults,
+		/** How the jobs that were handed in ended so far. */
+		ends,
+		at,
+		runningCount,
+		/** Hands jobs in, one at each living instance in turn; returns a list that tells how they end. */
+		submit(count: number): readonly JobEnd["type"][] {
+			const batch: JobEnd["type"][] = []
+			const living = [...instances.values()].filter(({is}) => !is.dead && !is.leaving)
+			for (let times = 0; times < count; times++) {
+				const id = `j${++serial}`
+				const step = {count: 1, need: NEED, estimateMs: ESTIMATE_MS, after: []}
+				const {dispatcher} = living[serial % living.length] as Instance
+				const job = {id, queue: QUEUE.name, spec: "", steps: [step], receivedAt: clock.now()}
+				const caller = {
+					onCancel: () => undefined,
+					madeAt: Infinity,
+					confirmedAt: () => clock.now(),
+				}
+				const deadlineAt = clock.now() + 5_000
+				void dispatcher.dispatch({...job, deadlineAt}, QUEUE, caller).then(({type}) => {
+					batch.push(type)
+					ends.push(type)
+				})
+			}
+			return batch
+		},
+		/** The names of the placers by the store, slice by slice. */
+		placers: () =>
+			sliceNames(DOMAIN, 9).flatMap(name => {
+				const claim = fake.items.get(claimKey(name))?.value as Claim | undefined
+				return claim ? [claim.placer.name] : []
+			}),
+		/** How many executors each instance has links to that nobody else may use. */
+		placed: (name: string) =>
+			sliceNames(DOMAIN, 9).flatMap(slice =>
+				at(name)
+					.hosts.executorsOf(slice)
+					.map(({id}) => id),
+			),
+		sizeOf: (index: number, count: number) =>
+			executorsOfSlice(sliceNames(DOMAIN, count)[index] as string, count, records).length,
+		kill(name: string) {
+			at(name).is.dead = true
+			fake.items.delete(nodeKey(name))
+		},
+		async leave(name: string) {
+			at(name).is.leaving = true
+			await at(name).handover.giveAllAway()
+		},
+		evacuate(isUnderWay: boolean) {
+			if (isUnderWay) evacuated.add(DOMAIN)
+			else evacuated.delete(DOMAIN)
+			for (const {hosts} of instances.values()) hosts.noteEvacuations()
+		},
+	}
+}
