Specify one more slice of a domain, and try it on real instances

The walk finds two placers of one executor's room, and a placer that is refused by its own executor, without the fences' ranges; none with them.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -149,16 +149,25 @@
 
 	/** An instance of the domain itself that should place it rather than this one. */
 	function betterPlacer(failureDomain: string): Member | undefined {
-		const isNativeHere = failureDomainOf(failureDomain) === self.failureDomain
-		const others = view
+		const isFree = (member: Member) => !isDivided(failureDomain) || !isPlacing(member)
+		return view
 			.membersOf(failureDomain)
 			.filter(({session}) => session !== self.session && !view.isLeaving(session))
 			.filter(({session}) => !view.isStrained(session))
-			.filter(member => !isDivided(failureDomain) || !isPlacing(member))
-		if (isOneTooMany(failureDomain)) return others.find(member => !isMuchSmaller(member))
-		return others
-			.filter(({cpuShare}) => !isNativeHere || cpuShare > self.cpuShare * MUCH_LARGER)
-			.sort((a, b) => b.cpuShare - a.cpuShare || (a.name < b.name ? -1 : 1))[0]
+			.filter(member => isBetter(failureDomain, member, isFree(member)))
+			.sort(
+				(a, b) =>
+					Number(isFree(b)) - Number(isFree(a)) ||
+					b.cpuShare - a.cpuShare ||
+					(a.name < b.name ? -1 : 1),
+			)[0]
+	}
+
+	function isBetter(failureDomain: string, member: Member, isFree: boolean): boolean {
+		if (failureDomainOf(failureDomain) !== self.failureDomain) return true
+		if (!isFree) return false
+		if (isOneTooMany(failureDomain)) return !isMuchSmaller(member)
+		return member.cpuShare > self.cpuShare * MUCH_LARGER
 	}
 
 	/** The same, once it has been there for a while. */
--- a/packages/jobs/test/slices.test.ts
+++ b/packages/jobs/test/slices.test.ts
@@ -6,8 +6,10 @@
 import {
 	claimKey,
 	claimsInForce,
+	createEvacuations,
 	createExecutorList,
 	createFleetView,
+	createOverflow,
 	executorsOfSlice,
 	failureDomainOf,
 	fenceFloorOf,
@@ -20,6 +22,8 @@
 import {createFakeClock} from "./support/fake-clock.js"
 import {record} from "./support/fake-executors.js"
 import {createFakeStore} from "./support/fake-store.js"
+import {fakePeers} from "./support/peers.js"
+import {LEASE_RULE, taskRequest} from "./support/requests.js"
 import {createSlicedDomain} from "./support/sliced-domain.js"
 
 const placer: Member = {
@@ -99,6 +103,57 @@
 		expect(view.claimOf("a/slice-1")?.fence).to.equal(1_000_001)
 	})
 
+	/* Operators name a failure domain; whoever places a part of it must hear that too. */
+	it("are emptied with their domain", () => {
+		const evacuations = createEvacuations({
+			log: silentLog,
+			metrics: createJobMetrics(),
+			decodeEvacuation: () => undefined,
+			onChange: () => undefined,
+		})
+		evacuations.takeNews({revision: 3, failureDomains: ["a"]}, "a-2")
+		expect(["a", "a/slice-2", "b/slice-2"].map(evacuations.isUnderWay)).to.eql([true, true, false])
+	})
+
+	/* Bytes between domains are dear, and what other domains have to spare their own callers may need. */
+	it("take a task that found no room in another one before other domains do", () => {
+		const clock = createFakeClock()
+		const view = createFleetView(clock, () => undefined)
+		const asked: string[] = []
+		const members = ["a-2", "b-1"].map(name => {
+			return {...placer, name, session: name, address: `${name}:1`, failureDomain: name.charAt(0)}
+		})
+		const [near, far] = members as [Member, Member]
+		view.noteClaim({failureDomain: "a", fence: 1, placer})
+		view.noteClaim({failureDomain: "b", fence: 1, placer: far})
+		view.noteClaim({failureDomain: "a/slice-1", fence: 1_000_001, placer: near})
+		const overflow = createOverflow({
+			clock,
+			leaseRule: LEASE_RULE,
+			view,
+			self: placer,
+			log: silentLog,
+			metrics: createJobMetrics(),
+			peers: fakePeers({
+				runTask(address) {
+					asked.push(address)
+					const reply = new Promise<undefined>(() => undefined)
+					return {reply, wasUnsent: () => false, wasRefused: () => false, cancel: () => undefined}
+				},
+			}),
+		})
+		const tell = (from: Member, name: string, freeCpu: number) => {
+			const room = {freeCpu: [freeCpu], totalCpu: 64_000, waitingWork: 0, labels: []}
+			const beat = {from, claims: [], rooms: {[name]: room}, isLeaving: false, configVersion: 1}
+			view.takeBeat(beat)
+		}
+		tell(far, "b", 64_000)
+		tell(near, "a/slice-1", 30_000)
+		const item = {since: clock.now(), onEnd: () => undefined, onStart: () => undefined}
+		for (const task of ["j.0.0.0", "k.0.0.0"]) overflow.handOver({...item, req: taskRequest(task)})
+		expect(asked).to.eql(["a-2:1", "b-1:1"])
+	})
+
 	it("divide nothing above one that nobody has claimed", () => {
 		const names = ["a", "a/slice-2", "b/slice-1"]
 		const claims = new Map(names.map(name => [name, {failureDomain: name, fence: 1, placer}]))
@@ -233,7 +288,12 @@
 		expect(domain.placers()).to.eql([second, second])
 		domain.submit(12)
 		await domain.clock.advance(2_000)
-		expect(domain.ends.filter(type => type === "completed").length).to.equal(12)
+		// One that comes is given the slice that is one too many.
+		domain.addInstance("a-3")
+		domain.submit(12)
+		await domain.clock.advance(4_000)
+		expect(domain.placers()).to.eql([second, "a-3"])
+		expect(domain.ends).to.eql(Array(24).fill("completed"))
 		expect(domain.faults).to.eql([])
 	})
 
--- a/packages/jobs/test/support/sliced-domain.ts
+++ b/packages/jobs/test/support/sliced-domain.ts
@@ -51,6 +51,7 @@
 const TASKS_PER_EXECUTOR = 2
 const ESTIMATE_MS = 1_000
 const WORK_MS = 500
+const CPU_SHARE = 0.675
 
 interface Instance {
 	readonly self: Member
@@ -268,7 +269,7 @@
 		hearStore()
 	}
 
-	for (let at = 1; at <= options.instances; at++) addInstance(`a-${at}`, 0.675)
+	for (let at = 1; at <= options.instances; at++) addInstance(`a-${at}`, CPU_SHARE)
 	const at = (name: string) => instances.get(name) as Instance
 	const ends: JobEnd["type"][] = []
 
@@ -283,6 +284,7 @@
 		ends,
 		at,
 		runningCount,
+		addInstance: (name: string) => addInstance(name, CPU_SHARE),
 		/** Hands jobs in, one at each living instance in turn; returns a list that tells how they end. */
 		submit(count: number): readonly JobEnd["type"][] {
 			const batch: JobEnd["type"][] = []
--- a/packages/spec/test/protocols.test.ts
+++ b/packages/spec/test/protocols.test.ts
@@ -5,6 +5,7 @@
 	ALL_HANDOVER_GUARDS,
 	ALL_KEEPER_GUARDS,
 	ALL_PLACER_GUARDS,
+	ALL_SLICES_GUARDS,
 	ALL_SUCCESSION_GUARDS,
 	configProtocol,
 	exchangeProtocol,
@@ -14,7 +15,9 @@
 	keeperProtocol,
 	ownerProtocol,
 	placerProtocol,
+	slicesProtocol,
 	successionProtocol,
+	tracesTo,
 	type Specification,
 } from "@cottonwood/spec"
 import {expect} from "chai"
@@ -133,3 +136,18 @@
 	breaks("without readAfterClaim", without("readAfterClaim"), "an accepted job belongs to nobody")
 	breaks("without holdFirst", without("holdFirst"), "a task ran twice at once")
 })
+
+describe("specification of one more slice of a failure domain", () => {
+	const without = (guard: keyof typeof ALL_SLICES_GUARDS) =>
+		slicesProtocol({...ALL_SLICES_GUARDS, [guard]: false})
+	const twoPlacers = "two placers used an executor's room"
+	const refused = "an executor refuses the placer that it belongs to"
+	holds("with all guards", slicesProtocol())
+	breaks("without holdFirst", without("holdFirst"), twoPlacers)
+	breaks("without onlyToNew", without("onlyToNew"), refused)
+	it("without ownRange: the walk finds two placers of one room, and one that is refused", () => {
+		const spec = without("ownRange")
+		const found = tracesTo(spec, state => spec.violation(state)).map(({what}) => what)
+		expect([...new Set(found)]).to.have.members([twoPlacers, refused])
+	})
+})
