--- a/packages/jobs/test/slices.test.ts
+++ b/packages/jobs/test/slices.test.ts
@@ -265,9 +265,10 @@
 		const fence = fenceFloorOf("a/slice-2")
 		third.hosts.expectHandover({failureDomain: "a/slice-2", fence: fence + 1}, [])
 		await Promise.all([third.claims.takeNow("a/slice-2", fence), domain.clock.advance(50)])
+		await domain.clock.advance(300)
 		// The list comes again, as it does all the time.
 		hosts.setExecutors(domain.records)
-		await domain.clock.advance(400)
+		await domain.clock.advance(100)
 		expect(hosts.of("a/slice-1")).to.not.equal(undefined)
 		const gone = domain.sizeOf(1, 2) - domain.sizeOf(1, 3)
 		expect(gone, "the test needs some").to.be.greaterThan(0)
