--- a/packages/jobs/test/slices.test.ts
+++ b/packages/jobs/test/slices.test.ts
@@ -10,6 +10,7 @@
 	createExecutorList,
 	createFleetView,
 	createOverflow,
+	createSlicing,
 	executorsOfSlice,
 	failureDomainOf,
 	fenceFloorOf,
@@ -17,6 +18,7 @@
 	sliceName,
 	sliceOf,
 	wantedSlices,
+	type TaskEnd,
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
@@ -317,6 +319,98 @@
 		expect(domain.faults).to.eql([])
 	})
 
+	/* What it was handed is lost; the slice itself is one without a placer, as any other may be. */
+	it("loses a new slice's placer just after that has written its claim", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 6})
+		domain.submit(9)
+		while (domain.placers().length < 2) await domain.clock.advance(5)
+		const died = domain.placers()[1] as string
+		domain.kill(died)
+		await domain.clock.advance(4_000)
+		expect(domain.placers()[1]).to.not.equal(died)
+		const later = domain.submit(12)
+		await domain.clock.advance(2_000)
+		expect(later).to.eql(Array(12).fill("completed"))
+		expect(domain.faults).to.eql([])
+	})
+
+	/* Whoever asked hears of the claim by the store, and hands over then. */
+	it("grows though the answers to its placer are lost", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		domain.at("a-1").is.deaf = true
+		await domain.clock.advance(5_000)
+		expect(new Set(domain.placers()).size).to.equal(3)
+		const placed = ["a-1", "a-2", "a-3", "a-4"].flatMap(domain.placed)
+		expect(placed.sort()).to.eql(domain.records.map(({id}) => id).sort())
+	})
+
+	it("does not grow while the store is away, and does once it is back", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(200)
+		const all = ["a-1", "a-2", "a-3", "a-4"].map(name => domain.at(name).is)
+		for (const is of all) is.cutFromStore = true
+		domain.submit(6)
+		await domain.clock.advance(3_000)
+		expect(domain.placers().length).to.equal(1)
+		expect(domain.ends).to.eql(Array(6).fill("completed"))
+		for (const is of all) is.cutFromStore = false
+		await domain.clock.advance(2_500)
+		expect(domain.placers().length).to.equal(3)
+	})
+
+	/* The claims have outlasted the loss, and each instance knows its own by its name: nobody waits for anybody. */
+	it("is divided as before within half a second after a loss of all instances", async () => {
+		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
+		await domain.clock.advance(3_000)
+		const before = domain.placers()
+		for (const name of ["a-1", "a-2", "a-3", "a-4"]) domain.kill(name)
+		await domain.clock.advance(1_000)
+		for (const name of ["a-1", "a-2", "a-3", "a-4"]) domain.addInstance(name, `${name}-next`)
+		await domain.clock.advance(500)
+		expect(domain.placers()).to.eql(before)
+		for (const [index, name] of ["a", "a/slice-1", "a/slice-2"].entries()) {
+			expect(domain.fenceOf(name)).to.equal(fenceFloorOf(name) + 2)
+			expect(domain.placed(before[index] as string).length).to.equal(domain.sizeOf(index, 3))
+		}
+		const later = domain.submit(12)
+		await domain.clock.advance(2_000)
+		expect(later).to.eql(Array(12).fill("completed"))
+	})
+
+	/* Its home is the slice that took the job; the new placer stops what it does not know, and nobody renews the lease. */
+	it("tells a kept job's run as lost once it is over where an executor goes", async () => {
+		const clock = createFakeClock()
+		const view = createFleetView(clock, () => undefined)
+		const common = {clock, view, self: placer, log: silentLog, metrics: createJobMetrics()}
+		const slicing = createSlicing({
+			...common,
+			leaseRule: LEASE_RULE,
+			peers: fakePeers(),
+			overflow: {sendTo: () => expect.fail("handed over")},
+			executorsPerPlacer: undefined,
+			executorsOf: () => [],
+			isPlacing: () => false,
+			isLeaving: () => false,
+		})
+		view.noteClaim({failureDomain: "a", fence: 1, placer})
+		view.noteClaim({failureDomain: "a/slice-1", fence: 1_000_001, placer})
+		const moved = Array.from({length: 9}, (_, at) => record(`e${at}`)).find(
+			one => sliceOf(one, 2) === 1,
+		) as ReturnType<typeof record>
+		const ends: string[] = []
+		const item = {
+			since: 0,
+			onStart: () => undefined,
+			onEnd: ({type}: TaskEnd) => void ends.push(type),
+		}
+		const req = taskRequest("j.0.0.0", {isKept: true})
+		slicing.sendOn("a", {...item, req}, {executor: moved.id, record: moved, isStarted: true})
+		await clock.advance(LEASE_RULE.longestEndMs)
+		expect(ends).to.eql([])
+		await clock.advance(LEASE_RULE.endsWithinMs - LEASE_RULE.longestEndMs)
+		expect(ends).to.eql(["lost"])
+	})
+
 	it("starts nothing in any slice while it is emptied", async () => {
 		const domain = createSlicedDomain({instances: 4, executors: 12, executorsPerPlacer: 4})
 		await domain.clock.advance(3_000)
--- a/packages/jobs/test/support/sliced-domain.ts
+++ b/packages/jobs/test/support/sliced-domain.ts
@@ -64,7 +64,14 @@
 	readonly dispatcher: Dispatcher
 	readonly view: ReturnType<typeof createFleetView>
 	/** What befell it. */
-	readonly is: {dead: boolean; leaving: boolean; cutFromStore: boolean; cutFromPeers: boolean}
+	readonly is: {
+		dead: boolean
+		leaving: boolean
+		cutFromStore: boolean
+		cutFromPeers: boolean
+		/** Answers to its calls are lost. */
+		deaf: boolean
+	}
 }
 
 export interface SlicedDomainOptions {
@@ -145,7 +152,7 @@
 				clock.schedule(isUnsent ? WAY_MS : timeoutMs, () => resolve(undefined))
 				clock.schedule(WAY_MS, () => {
 					const there = at(address)
-					if (there) void ask(there).then(answer => at(address) && resolve(answer))
+					if (there) void ask(there).then(answer => at(address) && !from.deaf && resolve(answer))
 				})
 			})
 			const wasUnsent = () => isUnsent
@@ -170,15 +177,10 @@
 		return {from, claims: [], rooms: {}, isLeaving: false, configVersion: 1}
 	}
 
-	function addInstance(name: string, cpuShare: number) {
-		const self: Member = {
-			name,
-			session: `${name}-s`,
-			failureDomain: DOMAIN,
-			address: `${name}:1`,
-			cpuShare,
-		}
-		const is = {dead: false, leaving: false, cutFromStore: false, cutFromPeers: false}
+	function addInstance(name: string, session = `${name}-s`) {
+		const at = {failureDomain: DOMAIN, address: `${name}:1`, cpuShare: CPU_SHARE}
+		const self: Member = {name, session, ...at}
+		const is = {dead: false, leaving: false, cutFromStore: false, cutFromPeers: false, deaf: false}
 		const metrics = createJobMetrics()
 		const peers = peersOf(is)
 		const view = createFleetView(
@@ -281,7 +283,7 @@
 		hearStore()
 	}
 
-	for (let at = 1; at <= options.instances; at++) addInstance(`a-${at}`, CPU_SHARE)
+	for (let at = 1; at <= options.instances; at++) addInstance(`a-${at}`)
 	const at = (name: string) => instances.get(name) as Instance
 	const ends: JobEnd["type"][] = []
 
@@ -297,7 +299,7 @@
 		at,
 		runningCount,
 		addExecutors,
-		addInstance: (name: string) => addInstance(name, CPU_SHARE),
+		addInstance,
 		/** Hands jobs in, one at each living instance in turn; returns a list that tells how they end. */
 		submit(count: number): readonly JobEnd["type"][] {
 			const batch: JobEnd["type"][] = []
