--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -5,7 +5,6 @@
 import type {PlacerDeps} from "../place/placer-state.js"
 import {createPlacer} from "../place/placer.js"
 import type {TaskRequest} from "../place/run.js"
-import {failureDomainOf, sliceIndexOf} from "../decide/slices.js"
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Member, Room} from "../types/fleet.js"
@@ -13,6 +12,7 @@
 import {lifeOf} from "../utils/log.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
+import {createSliceMoves} from "./slice-moves.js"
 import type {HostSlices} from "./slices.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
 
@@ -35,8 +35,6 @@
 const CLAIM_WAIT_MS = 2_000
 /** Of the first claim that a failure domain ever has: nobody placed there before. */
 const FIRST_FENCE = 1
-/** The claim of a new slice is known everywhere within three beats, or nobody hears of it. */
-const SLICE_NEWS_MS = 650
 
 export interface Host {
 	readonly claim: Claim
@@ -120,17 +118,18 @@
 }
 
 export function createHosts(deps: HostsDeps): Hosts {
-	const {clock, log, metrics, self, slices} = deps
+	const {clock, log, metrics, self} = deps
 	const hosts = new Map<string, Host>()
 	/** Domains that the placer before hands over, until when the claim is waited for, and what it has there. */
 	const expected = new Map<string, Expected>()
 	/** Domains whose placing ends by a handover: another claim is expected. With what came of it meanwhile. */
 	const givenUp = new Map<string, string | undefined>()
 	let toldRooms: Readonly<Record<string, Room>> = {}
+	const moves = createSliceMoves({clock, log, hosts, slices: deps.slices, endPlacing})
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
-		const onFenced = (executor: ExecutorRecord) => noteFenced(claim, executor)
+		const onFenced = (executor: ExecutorRecord) => moves.noteFenced(claim, executor)
 		const handover = expectedAt(claim)
 		const orphansWaitMs = handover ? HANDOVER_WAIT_MS : 0
 		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
@@ -165,41 +164,6 @@
 		for (const job of host.jobs) job.abandon(cause)
 	}
 
-	/** In a divided domain it may be a new slice's fence, which is the matter of that executor alone. */
-	function noteFenced({failureDomain, fence}: Claim, {id}: ExecutorRecord) {
-		const host = hosts.get(failureDomain)
-		if (host?.claim.fence !== fence || !slices?.mayBeDivided(failureDomain))
-			return endPlacing(failureDomain, fence, "a higher fence was seen")
-		host.fenced.add(id)
-		clock.schedule(SLICE_NEWS_MS, () => giveExecutors(failureDomain, record => record.id === id))
-	}
-
-	/** Hands executors that have another placer by now to that one, with what runs there. */
-	function giveExecutors(failureDomain: string, isGiven: (record: ExecutorRecord) => boolean) {
-		const host = hosts.get(failureDomain)
-		if (!host) return
-		const count = host.placer.giveExecutors(isGiven, (item, from) =>
-			slices?.sendOn(failureDomain, item, from),
-		)
-		if (count === 0) return
-		const fields = {failureDomain, fence: host.claim.fence, count}
-		log.alarm("placer", "executors_given", "placer: gave executors to another slice.", fields)
-	}
-
-	/** Executors that a new slice has taken from those that are placed here. */
-	function noteSlice({failureDomain: name}: Claim) {
-		const failureDomain = failureDomainOf(name)
-		for (const placed of [...hosts.keys()]) {
-			if (placed === name || failureDomainOf(placed) !== failureDomain) continue
-			giveExecutors(placed, record => ownOf(placed, [record]).length === 0)
-		}
-	}
-
-	function ownOf(failureDomain: string, records: readonly ExecutorRecord[]) {
-		if (slices) return slices.ownOf(failureDomain, records)
-		return records.filter(record => record.failureDomain === failureDomain)
-	}
-
 	/** A job that cannot start in time here is refused while another may still take it. */
 	function refusalOf(job: Job, queue: Queue, placer: Placer): JobEnd | undefined {
 		// Within a moment it has executors; what can start in time then is worth the wait.
@@ -223,7 +187,7 @@
 				endPlacing(claim.failureDomain, host.claim.fence, "another claim was written")
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
-			if (slices && sliceIndexOf(claim.failureDomain) > 0) noteSlice(claim)
+			moves.noteClaim(claim)
 		},
 		expectHandover({failureDomain, fence}, executors) {
 			expected.set(failureDomain, {fence, until: clock.now() + CLAIM_WAIT_MS, executors})
@@ -252,10 +216,8 @@
 			log.alarm("placer", "handed_over", "placer: gave its domain to a successor.", fields)
 		},
 		setExecutors(records) {
-			for (const [failureDomain, {placer, fenced}] of hosts) {
-				const own = ownOf(failureDomain, records)
-				placer.setExecutors(fenced.size > 0 ? own.filter(({id}) => !fenced.has(id)) : own)
-			}
+			for (const [failureDomain, {placer}] of hosts)
+				placer.setExecutors(moves.ownOf(failureDomain, records))
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, {onCancel, confirmedAt}) {
--- /dev/null
+++ b/packages/jobs/src/coordinate/slice-moves.ts
@@ -0,0 +1,79 @@
+/**
+ * What the placers of one instance do when executors go to another slice: they give them up, with what runs there.
+ */
+import type {Clock} from "@cottonwood/core"
+import {failureDomainOf, sliceIndexOf} from "../decide/slices.js"
+import type {ExecutorRecord} from "../types/executor.js"
+import type {Claim} from "../types/fleet.js"
+import type {EventLog} from "../utils/log.js"
+import type {Host} from "./hosts.js"
+import type {HostSlices} from "./slices.js"
+
+/** The claim of a new slice is known everywhere within three beats, or nobody hears of it. */
+const SLICE_NEWS_MS = 650
+
+export interface SliceMovesDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly hosts: ReadonlyMap<string, Host>
+	/** Undefined: no failure domain is divided. */
+	readonly slices: HostSlices | undefined
+	readonly endPlacing: (failureDomain: string, fence: number, cause: string) => void
+}
+
+export interface SliceMoves {
+	/** Those of the executors that a hosted slice's placer may use. */
+	ownOf(name: string, records: readonly ExecutorRecord[]): readonly ExecutorRecord[]
+	/** An executor obeys a higher fence than the claim's. */
+	noteFenced(claim: Claim, executor: ExecutorRecord): void
+	/** A claim is in force, which may be a new slice's. */
+	noteClaim(claim: Claim): void
+}
+
+export function createSliceMoves({
+	clock,
+	log,
+	hosts,
+	slices,
+	endPlacing,
+}: SliceMovesDeps): SliceMoves {
+	/** Hands executors that have another placer by now to that one, with what runs there. */
+	function giveExecutors(name: string, isGiven: (record: ExecutorRecord) => boolean) {
+		const host = hosts.get(name)
+		if (!host) return
+		const count = host.placer.giveExecutors(isGiven, (item, from) =>
+			slices?.sendOn(name, item, from),
+		)
+		if (count === 0) return
+		const fields = {failureDomain: name, fence: host.claim.fence, count}
+		log.alarm("placer", "executors_given", "placer: gave executors to another slice.", fields)
+	}
+
+	function isOwn(name: string, record: ExecutorRecord): boolean {
+		return slices === undefined || slices.ownOf(name, [record]).length > 0
+	}
+
+	return {
+		ownOf(name, records) {
+			if (!slices) return records.filter(record => record.failureDomain === name)
+			const fenced = hosts.get(name)?.fenced
+			const own = slices.ownOf(name, records)
+			return fenced?.size ? own.filter(({id}) => !fenced.has(id)) : own
+		},
+		noteFenced({failureDomain, fence}, {id}) {
+			const host = hosts.get(failureDomain)
+			// Where nothing is divided somebody else places the whole domain.
+			if (host?.claim.fence !== fence || !slices?.mayBeDivided(failureDomain))
+				return endPlacing(failureDomain, fence, "a higher fence was seen")
+			host.fenced.add(id)
+			clock.schedule(SLICE_NEWS_MS, () => giveExecutors(failureDomain, record => record.id === id))
+		},
+		noteClaim({failureDomain: name}) {
+			if (sliceIndexOf(name) === 0) return
+			const failureDomain = failureDomainOf(name)
+			const others = [...hosts.keys()].filter(placed => placed !== name)
+			for (const placed of others.filter(other => failureDomainOf(other) === failureDomain))
+				giveExecutors(placed, record => !isOwn(placed, record))
+		},
+	}
+}
--- a/packages/jobs/src/decide/slices.ts
+++ b/packages/jobs/src/decide/slices.ts
@@ -27,6 +27,7 @@
 }
 
 function sliceOfName(name: string): Slice {
+	if (!name.includes(SLICE_MARK)) return {failureDomain: name, index: 0}
 	const [, failureDomain, index] = SLICE_NAME.exec(name) ?? []
 	if (failureDomain === undefined) return {failureDomain: name, index: 0}
 	return {failureDomain, index: Number(index)}
