--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -13,6 +13,8 @@
 import type {SpeedKeeper} from "../fleet/speed-keeper.js"
 import type {Keeper} from "../keep/keeper.js"
 import type {Overflow} from "./overflow.js"
+import {createSliceMoves} from "./slice-moves.js"
+import type {HostSlices} from "./slices.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
@@ -42,6 +44,8 @@
 	readonly placer: Placer
 	readonly jobs: Set<JobRun>
 	readonly speedKeeper?: SpeedKeeper
+	/** Executors that obey a higher fence, perhaps of a slice of which nothing has been heard yet. */
+	readonly fenced: Set<string>
 }
 
 export interface HostsDeps extends Pick<
@@ -64,6 +68,8 @@
 	readonly isEvacuated: (failureDomain: string) => boolean
 	/** Begins to keep what is learnt of a domain's executors; absent where each placer learns for itself. */
 	readonly keepSpeeds?: (claim: Claim) => SpeedKeeper
+	/** Undefined: no failure domain is divided. */
+	readonly slices?: HostSlices
 }
 
 export interface Hosts {
@@ -91,6 +97,8 @@
 	/** Operators empty other failure domains than before. */
 	noteEvacuations(): void
 	rooms(): Readonly<Record<string, Room>>
+	/** What others were told of a hosted domain's room last; costs nothing. */
+	toldRoomOf(failureDomain: string): Room | undefined
 	isPlacing(): boolean
 	counts(): PlacerCounts & {readonly kept: number}
 	close(): void
@@ -120,10 +128,12 @@
 	const expected = new Map<string, Expected>()
 	/** Domains whose placing ends by a handover: another claim is expected. With what came of it meanwhile. */
 	const givenUp = new Map<string, string | undefined>()
+	let toldRooms: Readonly<Record<string, Room>> = {}
+	const moves = createSliceMoves({clock, log, hosts, slices: deps.slices, endPlacing})
 
 	function beginPlacing(claim: Claim) {
 		const {failureDomain, fence} = claim
-		const onFenced = () => endPlacing(failureDomain, fence, "a higher fence was seen")
+		const onFenced = (executor: ExecutorRecord) => moves.noteFenced(claim, executor)
 		const handover = expectedAt(claim)
 		const orphansWaitMs = handover ? HANDOVER_WAIT_MS : 0
 		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
@@ -134,7 +144,8 @@
 		const speedKeeper = deps.keepSpeeds?.(claim)
 		const {speeds} = speedKeeper ?? {}
 		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper, speeds})
-		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set(), speedKeeper})
+		const host = {claim, keeper, placer, jobs: new Set<JobRun>(), speedKeeper}
+		hosts.set(failureDomain, {...host, fenced: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence, outcome: handover ? "handed over" : "taken"}
@@ -184,6 +195,7 @@
 				endPlacing(claim.failureDomain, host.claim.fence, "another claim was written")
 			if (claim.placer.session === self.session && !hosts.has(claim.failureDomain))
 				beginPlacing(claim)
+			moves.noteClaim(claim)
 		},
 		expectHandover({failureDomain, fence}, executors) {
 			expected.set(failureDomain, {fence, until: clock.now() + CLAIM_WAIT_MS, executors})
@@ -214,7 +226,7 @@
 		},
 		setExecutors(records) {
 			for (const [failureDomain, {placer}] of hosts)
-				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
+				placer.setExecutors(moves.ownOf(failureDomain, records))
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, {onCancel, confirmedAt}) {
@@ -241,8 +253,10 @@
 		rooms() {
 			const rooms: Record<string, Room> = {}
 			for (const [failureDomain, {placer}] of hosts) rooms[failureDomain] = placer.room()
+			toldRooms = rooms
 			return rooms
 		},
+		toldRoomOf: failureDomain => toldRooms[failureDomain],
 		isPlacing: () => hosts.size > 0,
 		counts() {
 			const sum = {waiting: 0, running: 0, usable: 0, kept: 0}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -5,12 +5,14 @@
 import type {StoreItem, TransactionalStore} from "@cottonwood/core"
 import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
+import {createBeatNews} from "./coordinate/beat-news.js"
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
+import {createSlicing} from "./coordinate/slicing.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
-import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
+import {createBeats, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
@@ -25,10 +27,11 @@
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import type {LeaseRule} from "./decide/lease-rule.js"
+import {sliceNames} from "./decide/slices.js"
 import type {Advisor} from "./types/advisor.js"
 import type {ExecutorOrders, ExecutorRecord} from "./types/executor.js"
 import type {FleetConfig, Queue} from "./types/fleet-config.js"
-import type {Beat, Claim, Member, RoomNews} from "./types/fleet.js"
+import type {Claim, Member} from "./types/fleet.js"
 import type {Caller, Job, JobEnd} from "./types/job.js"
 import type {PlacingSettings} from "./types/placing.js"
 import {lifeOf, type EventLog} from "./utils/log.js"
@@ -114,14 +117,28 @@
 	})
 
 	const peers = createPeers(metrics)
-	const view = createFleetView(clock, claim => {
-		noteClaimKnown(log, claim)
-		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
-		hosts.noteClaim(claim)
-		if (isNew) executors.readNow()
-	})
-	const overflow = createOverflow({clock, leaseRule, peers, view, self, log, metrics})
+	const view = createFleetView(
+		clock,
+		claim => {
+			noteClaimKnown(log, claim)
+			const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
+			hosts.noteClaim(claim)
+			if (isNew) executors.readNow()
+		},
+		claim => noteForeignClaim(deps, claim),
+	)
+	const common = {clock, log, metrics, peers, view, self}
+	const overflow = createOverflow({...common, leaseRule})
 
+	const slicing = createSlicing({
+		...common,
+		leaseRule,
+		overflow,
+		executorsPerPlacer: settings.placing.executorsPerPlacer,
+		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
+		isPlacing: name => hosts.of(name) !== undefined,
+		isLeaving: () => isLeaving,
+	})
 	const hosts: Hosts = createHosts({
 		clock,
 		orders: deps.orders,
@@ -134,16 +151,13 @@
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.noteRoomChange(),
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
-		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
+		executorsOf: slicing.executorsOf,
+		slices: slicing,
 		isEvacuated: evacuations.isUnderWay,
 		keepSpeeds: speedKeepingFor(settings.placing, {...deps, clock}),
 	})
 	const dispatcher = createDispatcher({
-		clock,
-		log,
-		peers,
-		view,
-		self,
+		...common,
 		hosts,
 		config: config.current,
 		refreshConfig: config.refresh,
@@ -167,35 +181,20 @@
 
 	const executors = followExecutors(clock, deps, hosts, config.current)
 
-	const ownBeat = (): Beat => ({
-		from: self,
-		claims: view.claims(),
-		rooms: hosts.rooms(),
-		isLeaving,
-		isStrained: strain.isStrained(),
-		lateMs: Math.round(strain.lateMs()),
-		configVersion: config.current()?.version ?? 0,
-		evacuations: evacuations.news(),
+	const beatNews = createBeatNews({
+		...common,
+		hosts,
+		strain,
+		config,
+		evacuations,
+		isLeaving: () => isLeaving,
 	})
 
-	function takeBeat(beat: Beat) {
-		view.takeBeat(beat)
-		peers.noteReachable(beat.from.address)
-		config.noteNewer(beat.configVersion, beat.from.name)
-		if (beat.evacuations) evacuations.takeNews(beat.evacuations, beat.from.name)
-		if (hasRoom(beat.rooms)) hosts.walk()
-	}
-
-	function takeRoomNews(news: RoomNews) {
-		view.takeRoomNews(news)
-		if (hasRoom(news.rooms)) hosts.walk()
-	}
-
 	const fleetFollower = followFleet(clock, deps, view, () => claims.lookNow())
 	const server = await listenPeers(self.address, {
 		beat(beat) {
-			takeBeat(beat)
-			return ownBeat()
+			beatNews.take(beat)
+			return beatNews.own()
 		},
 		runJob: (message, caller) => dispatcher.runJob(message, caller),
 		runTask: (message, caller) => dispatcher.runTask(message, caller),
@@ -208,15 +207,12 @@
 		error => noteDatagramError(deps, error),
 	)
 	const beats = createBeats({
-		clock,
-		peers,
+		...common,
 		send: datagrams.send,
-		view,
-		self,
-		own: ownBeat,
+		own: beatNews.own,
 		rooms: hosts.rooms,
-		onBeat: takeBeat,
-		onRoomNews: takeRoomNews,
+		onBeat: beatNews.take,
+		onRoomNews: beatNews.takeRoom,
 		needsOthers: () => evacuations.isUnderWay(self.failureDomain) || isHomeQuiet(),
 		linkMbps: settings.linkMbps,
 	})
@@ -228,11 +224,7 @@
 	const registration = beginRegistration(self, {clock, store, log})
 
 	const handover = createHandover({
-		clock,
-		log,
-		peers,
-		view,
-		self,
+		...common,
 		hosts,
 		overflow,
 		claims: () => claims,
@@ -241,13 +233,10 @@
 		isStrained: strain.isStrained,
 	})
 	const claims = createClaimsLoop({
-		clock,
+		...common,
 		store,
-		log,
-		metrics,
-		self,
-		view,
-		failureDomains: () => settings.failureDomains,
+		failureDomains: () =>
+			settings.failureDomains.flatMap(name => sliceNames(name, view.sliceCount(name))),
 		isLeaving: () => isLeaving,
 		ping: beats.ping,
 		ownLateMs: strain.lateMs,
@@ -271,7 +260,7 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const placing = [strain, news, claims, handover, keptParts, beats, config]
+			const placing = [strain, news, claims, handover, slicing, keptParts, beats, config]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
 			for (const part of [...placing, ...serving]) part.close()
 		},
@@ -297,6 +286,13 @@
 	log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 }
 
+/** What was in force before stays. */
+function noteForeignClaim({metrics, log}: InstanceDeps, {failureDomain, fence, placer}: Claim) {
+	metrics.count("broken_assumptions", "slice_claim")
+	const fields = {failureDomain, fence, peer: placer.name}
+	log.alarm("fleet", "claim_dropped", "fleet: no slice can have such a claim.", fields)
+}
+
 function noteDatagramError({metrics, log}: InstanceDeps, error: Error) {
 	metrics.count("broken_assumptions", "datagram")
 	log.event("fleet", "datagram_failed", "fleet: a datagram failed.", {cause: error.message})
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -38,6 +38,7 @@
 	broken_assumptions: "Things that should not happen, by name",
 	speed_writes: "Records of executors' speeds written to the store, by outcome",
 	speeds_dropped: "Speeds told of executors that are not used, by cause",
+	slices_added: "Instances asked to place one more slice of a failure domain, by outcome",
 	orphan_runs: "Runs found on executors that nobody here started, by outcome",
 } as const)
 export type CounterName = keyof typeof COUNTERS
@@ -58,6 +59,7 @@
 	| "tasks_running"
 	| "executors_usable"
 	| "claims_held"
+	| "slices"
 	| "kept_jobs"
 	| "config_version"
 	| "config_heard_ms"
