Judge jobs by forecasts and shares where placing asks for it

Cause: by the backlog alone a job below the highest priority met a bound of 0.2 of its own objective, so on a crest the kind of middle length paid for all. Half of the refusals came only when a patience of 0.6 objectives had passed, and every caller was told to come back after one second.

Change, with `admission: "forecast"`: a placer forecasts when a job could start and end, from the work before it, the cores that are sound, how fast what runs frees them, and the room that others told; the forecast is corrected by queue by what came. Room is due to queues by the same ratio of what they ask for, or by `weight` and `floor` of the configuration; a queue ahead of its due meets a lower bound on the backlog than one behind. Jobs of which nothing has started are looked at each 25 ms and refused once their wait is of no use; a newcomer may take the place of one of a queue that is ahead. What cannot be in time waits behind all that can while half of the room is left. Retry-After follows the forecast and is spread by the job's id. With "backlog" nothing changes.

--- /dev/null
+++ b/packages/jobs/src/coordinate/admission.ts
@@ -0,0 +1,268 @@
+/**
+ * Admission at one placer: keeps what its decisions are made of, and tells callers as soon as a wait has become useless.
+ *
+ * The sums of asked and served work, the corrections of forecasts and the unstarted jobs live here, as long as the placer
+ * does. Nothing of it is told to others or outlasts the instance: a successor begins with none, as for an even load.
+ */
+import type {Clock} from "@cottonwood/core"
+import {
+	chooseToPushOut,
+	isWorthItsWait,
+	judgeArrival,
+	type Asked,
+	type RefusalReason,
+} from "../decide/admission.js"
+import {correct, drainMs, forecastOf, roomOver, type Forecast} from "../decide/forecast.js"
+import type {PlacerLoad} from "../decide/load.js"
+import {
+	addWork,
+	EVEN_SHARE,
+	FADE_MS,
+	faded,
+	NO_WORK,
+	sharesOf,
+	type Share,
+	type ShareRule,
+	type Work,
+} from "../decide/shares.js"
+import type {Placer} from "../place/placer.js"
+import type {Queue} from "../types/fleet-config.js"
+import type {Job, JobEnd} from "../types/job.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {
+	latestUsefulStart,
+	longestChainMs,
+	objectiveMsOf,
+	usefulForMs,
+	type JobRun,
+} from "./job-run.js"
+import {refusalOf, type Refused} from "./refusals.js"
+import {createUnstartedJobs, type Unstarted} from "./unstarted.js"
+
+/** What is read by a walk is read anew after this; a fraction of the shortest tasks. */
+const READING_AGE_MS = 10
+/** Unstarted jobs are looked at so often, the last of the order first. */
+const SWEEP_MS = 25
+const LOOKED_AT = 16
+/** Queues whose figures are kept; configurations may change their queues without end. */
+const MAX_QUEUES = 256
+const MILLICORES = 1_000
+
+export interface AdmissionDeps {
+	readonly clock: Clock
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+	readonly placer: Pick<Placer, "load" | "work" | "workBefore" | "isBeginning" | "hasRoomFor">
+	/** Cores that other domains told of and that this placer may count on. */
+	readonly lentCores: () => number
+	/** The queues of the configuration in force. */
+	readonly queues: () => readonly ShareRule[]
+}
+
+export interface Admission {
+	/** Judges a job that comes. */
+	judge(job: Job, queue: Queue): Refused | "in time" | "late"
+	/** Follows a job that was taken until all that can start of it has. */
+	follow(job: Job, queue: Queue, run: JobRun, isLate: boolean): void
+	close(): void
+}
+
+interface Reading {
+	readonly at: number
+	readonly load: PlacerLoad
+	readonly shares: ReadonlyMap<string, Share>
+	/** Work asked for of late, as a share of what the sound executors carry. */
+	readonly askedOfRoom: number
+}
+
+const workOf = ({steps}: Job) =>
+	steps.reduce((sum, {count, need, estimateMs}) => sum + count * need.cpu * estimateMs, 0) /
+	MILLICORES
+
+const firstCoresOf = ({steps}: Job) =>
+	steps
+		.filter(({after}) => after.length === 0)
+		.reduce((sum, {count, need}) => sum + count * need.cpu, 0) / MILLICORES
+
+/** The last start with which the job can end while its answer is of use, in steady milliseconds. */
+const lastStartOfUse = (job: Job, queue: Queue) =>
+	job.receivedAt + usefulForMs(job, queue) - longestChainMs(job.steps)
+
+/** Keeps one figure a queue, and forgets all before they become too many. */
+function setBounded<T>(figures: Map<string, T>, queue: string, figure: T) {
+	if (!figures.has(queue) && figures.size >= MAX_QUEUES) figures.clear()
+	figures.set(queue, figure)
+}
+
+export function createAdmission(deps: AdmissionDeps): Admission {
+	const {clock, metrics, placer} = deps
+	const work = new Map<string, Work>()
+	/** By queue: wide jobs wait longer until their last task has room. */
+	const corrections = new Map<string, number>()
+	const unstarted = createUnstartedJobs()
+	let reading: Reading | undefined
+	let cancelSweep: (() => void) | undefined
+
+	function read(): Reading {
+		const now = clock.now()
+		if (reading && now - reading.at < READING_AGE_MS) return reading
+		const load = placer.load()
+		const shares = sharesOf(deps.queues(), work, now)
+		let asked = 0
+		for (const one of work.values()) asked += faded(one, now).asked
+		const room = roomOver(FADE_MS, load)
+		reading = {at: now, load, shares, askedOfRoom: room === 0 ? Infinity : asked / room}
+		return reading
+	}
+
+	const shareOf = ({name}: Queue) => read().shares.get(name) ?? EVEN_SHARE
+
+	function count({name}: Queue, asked: number, served: number) {
+		setBounded(work, name, addWork(work.get(name) ?? NO_WORK, clock.now(), asked, served))
+	}
+
+	/** `ownWork`: what of the job itself waits already. */
+	function forecast(job: Job, startBy: number, ownWork: number): Forecast {
+		const demand = {cores: firstCoresOf(job), chainMs: longestChainMs(job.steps)}
+		return forecastOf(demand, {
+			load: read().load,
+			workBefore: Math.max(0, placer.workBefore(startBy) - ownWork),
+			lentCores: deps.lentCores(),
+			correction: corrections.get(job.queue) ?? 1,
+		})
+	}
+
+	function askedBy(job: Job, queue: Queue, told: Forecast, startBy: number): Asked {
+		const {load, askedOfRoom} = read()
+		const now = clock.now()
+		const lateWork = unstarted.lateWork()
+		return {
+			forecast: told,
+			backlogMs: drainMs(Math.max(0, placer.work() - lateWork), load),
+			slackMs: startBy - now,
+			usefulMs: lastStartOfUse(job, queue) - now,
+			share: shareOf(queue),
+			askedOfRoom,
+			lateBacklogMs: drainMs(lateWork, load),
+		}
+	}
+
+	/** Where it would find room at once it takes nobody's turn: what waits wants more at a time than there is. */
+	function fitsNow(job: Job, {service}: Queue): boolean {
+		const [first] = job.steps
+		if (!first || read().load.freeCores < firstCoresOf(job)) return false
+		return placer.hasRoomFor(first, service)
+	}
+
+	function refusal(
+		job: Job,
+		queue: Queue,
+		reason: RefusalReason,
+		told: Forecast,
+		roomInMs: number,
+	): Refused {
+		const waitedMs = clock.now() - job.receivedAt
+		return refusalOf(job, {reason, share: shareOf(queue), told, roomInMs, waitedMs}, deps)
+	}
+
+	function refuse(item: Unstarted, reason: RefusalReason, told: Forecast) {
+		const {job, queue, run} = item
+		unstarted.remove(item)
+		count(queue, 0, item.isLate ? 0 : -item.work)
+		run.refuse(refusal(job, queue, reason, told, drainMs(placer.work(), read().load)))
+	}
+
+	/** What waits and has had more than its due may go in the newcomer's place. */
+	function makeRoomFor(job: Job, queue: Queue, {slackMs, share}: Asked): boolean {
+		const now = clock.now()
+		const newcomer = {slackMs, share, work: workOf(job)}
+		const waiting = unstarted
+			.last(LOOKED_AT)
+			.filter(({isLate}) => !isLate)
+			.map(item => ({
+				item,
+				work: item.work,
+				slackMs: item.startBy - now,
+				share: shareOf(item.queue),
+			}))
+		const chosen = chooseToPushOut(newcomer, waiting)?.item
+		if (!chosen) return false
+		refuse(chosen, "pushed_out", forecast(chosen.job, chosen.startBy, chosen.work))
+		return true
+	}
+
+	function sweep() {
+		cancelSweep = undefined
+		for (const item of [...unstarted.last(LOOKED_AT)].reverse()) {
+			const {job, queue, startBy, isLate} = item
+			const told = forecast(job, isLate ? Infinity : startBy, item.work)
+			if (isWorthItsWait(askedBy(job, queue, told, startBy))) continue
+			noteWait(item)
+			refuse(item, "turned_bad", told)
+		}
+		sweepSoon()
+	}
+
+	function sweepSoon() {
+		if (cancelSweep || unstarted.size() === 0) return
+		cancelSweep = clock.schedule(SWEEP_MS, sweep)
+	}
+
+	/** All that could start of it has started, or it has waited for longer than was forecast. */
+	function noteWait({queue, takenAt, told, isLate}: Unstarted) {
+		const waitedMs = clock.now() - takenAt
+		const errorMs = waitedMs - told.startInMs
+		if (!Number.isFinite(errorMs)) return
+		metrics.observe(errorMs < 0 ? "forecast_early_ms" : "forecast_late_ms", Math.abs(errorMs))
+		if (isLate) return
+		const before = corrections.get(queue.name) ?? 1
+		setBounded(corrections, queue.name, correct(before, told.startInMs, waitedMs))
+	}
+
+	/** What is answered late counts as not served: its queue has had less than it seems. */
+	function noteEnd(item: Unstarted, end: JobEnd) {
+		const {job, queue, isLate} = item
+		unstarted.remove(item)
+		if (end.type === "refused" || isLate) return
+		const isInTime = clock.now() <= job.receivedAt + objectiveMsOf(job, queue)
+		if (end.type !== "completed" || !isInTime) count(queue, 0, -item.work)
+	}
+
+	function take(job: Job, queue: Queue): "in time" {
+		const size = workOf(job)
+		count(queue, size, size)
+		return "in time"
+	}
+
+	return {
+		judge(job, queue) {
+			// Within a moment it has executors; what can start in time then is worth the wait.
+			if (placer.isBeginning()) return take(job, queue)
+			const startBy = latestUsefulStart(job, queue)
+			const told = forecast(job, startBy, 0)
+			const asked = askedBy(job, queue, told, startBy)
+			const verdict = judgeArrival(asked)
+			if (verdict.type === "admitted" || fitsNow(job, queue)) return take(job, queue)
+			if (verdict.type === "refused" && makeRoomFor(job, queue, asked)) return take(job, queue)
+			count(queue, workOf(job), 0)
+			if (verdict.type === "late") return "late"
+			return refusal(job, queue, verdict.reason, told, verdict.roomInMs)
+		},
+		follow(job, queue, run, isLate) {
+			const startBy = isLate ? lastStartOfUse(job, queue) : latestUsefulStart(job, queue)
+			const size = workOf(job)
+			const told = forecast(job, startBy, size)
+			const takenAt = clock.now()
+			const item: Unstarted = {job, queue, run, startBy, isLate, takenAt, told, work: size}
+			unstarted.add(item)
+			sweepSoon()
+			run.onStart(
+				() => void unstarted.remove(item),
+				() => noteWait(item),
+			)
+			void run.ended.then(end => noteEnd(item, end))
+		},
+		close: () => cancelSweep?.(),
+	}
+}
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -11,6 +11,7 @@
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf} from "../utils/log.js"
 import type {Keeper} from "../keep/keeper.js"
+import {createAdmission, type Admission, type AdmissionDeps} from "./admission.js"
 import type {Overflow} from "./overflow.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
 
@@ -39,6 +40,8 @@
 	/** The kept jobs whose home is the domain. */
 	readonly keeper: Keeper
 	readonly placer: Placer
+	/** Absent where jobs are judged by the backlog. */
+	readonly admission?: Admission
 	readonly jobs: Set<JobRun>
 }
 
@@ -60,6 +63,8 @@
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 	/** Whether operators are emptying the failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** What jobs are judged by forecasts with; absent where they are judged by the backlog. */
+	readonly forecasting?: Pick<AdmissionDeps, "lentCores" | "queues">
 }
 
 export interface Hosts {
@@ -128,7 +133,9 @@
 		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
 		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper})
-		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
+		const {forecasting} = deps
+		const admission = forecasting && createAdmission({clock, log, metrics, placer, ...forecasting})
+		hosts.set(failureDomain, {claim, keeper, placer, admission, jobs: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
 		const fields = {failureDomain, fence, outcome: handover ? "handed over" : "taken"}
@@ -147,6 +154,7 @@
 		if (!host || host.claim.fence !== fence) return
 		if (givenUp.has(failureDomain)) return void givenUp.set(failureDomain, cause)
 		hosts.delete(failureDomain)
+		host.admission?.close()
 		host.keeper.close()
 		host.placer.giveUp()
 		const fields = {failureDomain, fence, cause, count: host.jobs.size}
@@ -197,6 +205,7 @@
 			givenUp.delete(failureDomain)
 			if (!host) return
 			hosts.delete(failureDomain)
+			host.admission?.close()
 			host.keeper.close()
 			const count = host.placer.counts().running
 			host.placer.giveAll((item, from) => overflow.sendTo(successor, item, from))
@@ -210,14 +219,19 @@
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, {onCancel, confirmedAt}) {
-			const refusal = refusalOf(job, queue, host.placer)
-			if (refusal) return refusal
+			const {admission} = host
+			const verdict = admission?.judge(job, queue) ?? refusalOf(job, queue, host.placer)
+			if (typeof verdict === "object") return verdict
+			const isWatched = admission !== undefined
+			const isLate = verdict === "late"
 			const submit = (
 				req: TaskRequest,
 				onEnd: Parameters<Placer["submit"]>[1],
 				onStart: () => void,
 			) => host.placer.submit(req, onEnd, onStart)
-			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit})
+			const watching = {isWatched, isLate}
+			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit, ...watching})
+			admission?.follow(job, queue, run, isLate)
 			host.jobs.add(run)
 			onCancel(() => run.cancel())
 			const end = await run.ended
@@ -248,7 +262,8 @@
 			return sum
 		},
 		close() {
-			for (const {placer, keeper} of hosts.values()) {
+			for (const {placer, keeper, admission} of hosts.values()) {
+				admission?.close()
 				keeper.close()
 				placer.close()
 			}
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -40,6 +40,10 @@
 	readonly metrics: JobMetrics
 	/** Steady milliseconds: as of when the job's caller is known to want it. */
 	readonly confirmedAt: () => number
+	/** Whoever admitted it looks at it while it waits; then its patience has no end before its deadline. */
+	readonly isWatched?: boolean
+	/** It was taken though it can't be in time: it goes behind all that can. */
+	readonly isLate?: boolean
 	readonly submit: (
 		req: TaskRequest,
 		onEnd: (end: TaskEnd) => void,
@@ -49,6 +53,10 @@
 
 export interface JobRun {
 	readonly ended: Promise<JobEnd>
+	/** Calls back once when something of it has started, and once when all that had nothing before it has. */
+	onStart(first: () => void, whole: () => void): void
+	/** Ends it with a refusal, unless something of it has started. */
+	refuse(end: JobEnd): void
 	/** Its submitter has left. */
 	cancel(): void
 	/** Its placer may place no more; what runs is left to the next fence. */
@@ -77,6 +85,18 @@
 	return Math.max(0, ...ends)
 }
 
+/** The longest chain of estimated work that waits for the end of a step, in milliseconds. */
+function chainAfterMs(steps: readonly Step[], index: number): number {
+	const following = steps
+		.map((step, at) => ({step, at}))
+		.filter(({step, at}) => at > index && step.after.includes(index))
+	return Math.max(0, ...following.map(({step, at}) => step.estimateMs + chainAfterMs(steps, at)))
+}
+
+/** Tasks with nothing before them. */
+const firstTaskCount = (steps: readonly Step[]) =>
+	steps.filter(({after}) => after.length === 0).reduce((sum, {count}) => sum + count, 0)
+
 /** When a job counts as late, in milliseconds from its arrival. */
 export function objectiveMsOf(job: Job, queue: Queue): number {
 	return queue.stretch * longestChainMs(job.steps) + queue.slackMs
@@ -97,10 +117,15 @@
 	const {clock, log, metrics} = deps
 	const objectiveMs = objectiveMsOf(job, queue)
 	const dueAt = job.receivedAt + objectiveMs
+	/** Before now, at any placer: nothing that can be in time waits for it. */
+	const lateSince = job.receivedAt - 1
 	const remaining = job.steps.map(step => step.count)
 	const begun = new Set<number>()
 	const tasks: TaskState[] = []
 	let firstStartAt: number | undefined
+	let tellFirstStart: () => void = () => undefined
+	let tellWholeStart: () => void = () => undefined
+	let startsLeft = firstTaskCount(job.steps)
 	let isOver = false
 	/** As of when the caller wanted it, once it is over: what came after says nothing of this job's runs. */
 	let lastConfirmedAt = -Infinity
@@ -117,21 +142,16 @@
 		settle(end)
 	}
 
-	function chainAfterMs(index: number): number {
-		const following = job.steps
-			.map((step, at) => ({step, at}))
-			.filter(({step, at}) => at > index && step.after.includes(index))
-		return Math.max(0, ...following.map(({step, at}) => step.estimateMs + chainAfterMs(at)))
-	}
-
 	const confirmedAt = () => (isOver ? lastConfirmedAt : deps.confirmedAt())
 
 	function requestOf(task: TaskState): TaskRequest {
 		const step = job.steps[task.step] as Step
 		return {
 			...requestBaseOf(job, task, step, queue),
-			startBy: dueAt - step.estimateMs - chainAfterMs(task.step),
-			uselessAt: job.receivedAt + objectiveMs * USELESS_OBJECTIVES,
+			startBy: deps.isLate
+				? lateSince
+				: dueAt - step.estimateMs - chainAfterMs(job.steps, task.step),
+			uselessAt: deps.isLate ? lateSince : job.receivedAt + objectiveMs * USELESS_OBJECTIVES,
 			deadlineAt: job.deadlineAt,
 			confirmedAt,
 			isBegun: firstStartAt !== undefined,
@@ -139,10 +159,17 @@
 		}
 	}
 
+	function noteTaskStart() {
+		noteStart()
+		startsLeft--
+		if (startsLeft === 0) tellWholeStart()
+	}
+
 	function noteStart() {
 		if (firstStartAt !== undefined) return
 		firstStartAt = clock.now()
 		metrics.observe("first_start_ms", firstStartAt - job.receivedAt)
+		tellFirstStart()
 	}
 
 	function submitTask(task: TaskState) {
@@ -150,7 +177,7 @@
 		if (task.runs >= MAX_RUNS)
 			return finish({type: "given up", kind: "placer_lost", cause: "its runs were lost too often"})
 		task.runs++
-		task.handle = deps.submit(requestOf(task), end => noteEnd(task, end), noteStart)
+		task.handle = deps.submit(requestOf(task), end => noteEnd(task, end), noteTaskStart)
 	}
 
 	function retry(task: TaskState, reason: string, cause: string) {
@@ -250,10 +277,12 @@
 			finish({type: "refused", kind: "no_capacity", cause: `${cause}; nothing of it had started`})
 	}
 
-	const patienceMs = Math.min(
-		objectiveMs * UNSTARTED_OBJECTIVES,
-		(job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE,
-	)
+	const patienceMs = deps.isWatched
+		? usefulForMs(job, queue)
+		: Math.min(
+				objectiveMs * UNSTARTED_OBJECTIVES,
+				(job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE,
+			)
 	const cancelUnstarted = clock.schedule(
 		Math.max(0, job.receivedAt + patienceMs - clock.now()),
 		refuseUnstarted,
@@ -263,6 +292,13 @@
 	beginSteps()
 	return {
 		ended,
+		onStart(first, whole) {
+			tellFirstStart = first
+			tellWholeStart = whole
+		},
+		refuse(end) {
+			if (firstStartAt === undefined) finish(end)
+		},
 		cancel: () => giveUp("cancelled"),
 		abandon,
 	}
--- /dev/null
+++ b/packages/jobs/src/coordinate/lent-room.ts
@@ -0,0 +1,22 @@
+/**
+ * The room of other domains that a placer may count on in its forecasts.
+ */
+import type {FleetView} from "../fleet/members.js"
+import type {Member} from "../types/fleet.js"
+
+/** Told room that is older says nothing any more: two beats. */
+const ROOM_AGE_MS = 500
+const MILLICORES = 1_000
+
+/** All other placers are told of the same room; each counts on its part. */
+export function lentCoresOf(view: FleetView, self: Member, now: number): number {
+	const claims = view.claims()
+	let lent = 0
+	for (const {failureDomain, placer} of claims) {
+		if (placer.session === self.session || view.isLeaving(placer.session)) continue
+		const told = view.roomOf(failureDomain)
+		if (!told || now - told.at > ROOM_AGE_MS) continue
+		for (const cpu of told.room.freeCpu) if (Number.isFinite(cpu) && cpu > 0) lent += cpu
+	}
+	return lent / MILLICORES / Math.max(1, claims.length - 1)
+}
--- /dev/null
+++ b/packages/jobs/src/coordinate/refusals.ts
@@ -0,0 +1,59 @@
+/**
+ * What is told, counted and written of a job that its placer refuses.
+ */
+import {retryAfterMsOf, type RefusalReason} from "../decide/admission.js"
+import type {Forecast} from "../decide/forecast.js"
+import type {Share} from "../decide/shares.js"
+import type {Job, JobEnd} from "../types/job.js"
+import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+
+/** Within this a queue has what it is due. */
+const EVEN_LEAD = 0.02
+
+export type Refused = Extract<JobEnd, {type: "refused"}>
+
+export interface RefusalFacts {
+	readonly reason: RefusalReason
+	readonly share: Share
+	readonly told: Forecast
+	/** When the room is forecast to suffice, in milliseconds from now. */
+	readonly roomInMs: number
+	/** For how long the job has waited for the decision, in milliseconds. */
+	readonly waitedMs: number
+}
+
+interface Noted {
+	readonly log: EventLog
+	readonly metrics: JobMetrics
+}
+
+function standingOf({lead}: Share): "above" | "even" | "below" {
+	if (Math.abs(lead) <= EVEN_LEAD) return "even"
+	return lead > 0 ? "above" : "below"
+}
+
+const knownMs = (ms: number) => (Number.isFinite(ms) ? Math.round(ms) : undefined)
+const hundredths = (ratio: number) => Math.round(ratio * 100) / 100
+
+/** The answer to a job's caller; written with what it was decided by. */
+export function refusalOf({id, queue}: Job, facts: RefusalFacts, {log, metrics}: Noted): Refused {
+	const {reason, share, told, roomInMs, waitedMs} = facts
+	const retryAfterMs = retryAfterMsOf(id, roomInMs)
+	metrics.count("admission_refusals", `${reason}_${standingOf(share)}`)
+	log.alarm("job", "admission_refused", "job: refused by its placer's forecast.", {
+		job: id,
+		queue,
+		outcome: reason,
+		waitedMs: Math.round(waitedMs),
+		startInMs: knownMs(told.startInMs),
+		endInMs: knownMs(told.endInMs),
+		servedRatio: hundredths(share.servedRatio),
+		dueRatio: hundredths(share.dueRatio),
+		retryAfterMs,
+	})
+	const startIn = knownMs(told.startInMs)
+	const forecast = startIn === undefined ? "no start is forecast" : `a start in ${startIn} ms`
+	const kind = reason === "no_executor" ? "no_capacity" : "overloaded"
+	return {type: "refused", kind, cause: `${reason}: ${forecast}`, retryAfterMs}
+}
--- /dev/null
+++ b/packages/jobs/src/decide/load.ts
@@ -0,0 +1,40 @@
+/**
+ * What a placer's executors carry when a job comes, in figures that a forecast can be made of: how many cores are sound,
+ * how many are free, and how fast what runs frees them.
+ */
+import type {Health} from "@cottonwood/core"
+import type {ExecutorLink} from "../link/executor-link.js"
+import type {Run} from "../place/run.js"
+
+const MILLICORES = 1_000
+
+export interface PlacerLoad {
+	/** Cores of executors that are, or will soon be, usable and are not set aside. */
+	readonly soundCores: number
+	readonly freeCores: number
+	/** Cores that what runs frees in a millisecond, by the estimates. */
+	readonly freedCoresPerMs: number
+}
+
+/** A walk over all that runs: made now and then, never for each job. */
+export function loadOf(
+	links: ReadonlyMap<string, ExecutorLink>,
+	running: Iterable<Run>,
+	health: Health,
+): PlacerLoad {
+	let sound = 0
+	let free = 0
+	for (const link of links.values()) {
+		if (!link.isPromising() || !health.isUsable(link.record.id)) continue
+		sound += link.record.capacity.cpu
+		if (link.isUsable()) free += Math.max(0, link.freeCpu())
+	}
+	let freedPerMs = 0
+	for (const {req} of running)
+		if (!req.isFilling && !req.isLasting) freedPerMs += req.need.cpu / Math.max(1, req.estimateMs)
+	return {
+		soundCores: sound / MILLICORES,
+		freeCores: free / MILLICORES,
+		freedCoresPerMs: freedPerMs / MILLICORES,
+	}
+}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -6,15 +6,16 @@
 import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
-import {createHosts, type Hosts} from "./coordinate/hosts.js"
+import {createHosts, type Hosts, type HostsDeps} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
+import {lentCoresOf} from "./coordinate/lent-room.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
-import {followConfiguration} from "./fleet/configuration.js"
+import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
-import {createFleetView} from "./fleet/members.js"
+import {createFleetView, type FleetView} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
 import {createReach} from "./fleet/reach.js"
 import {beginRegistration} from "./fleet/registration.js"
@@ -135,6 +136,7 @@
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
 		isEvacuated: evacuations.isUnderWay,
+		forecasting: forecastingOf(settings, view, self, config),
 	})
 	const dispatcher = createDispatcher({
 		clock,
@@ -279,6 +281,20 @@
 	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
 }
 
+/** Present where jobs are judged by forecasts. */
+function forecastingOf(
+	{placing}: InstanceSettings,
+	view: FleetView,
+	self: Member,
+	config: Pick<Configuration, "current">,
+): HostsDeps["forecasting"] {
+	if (placing.admission !== "forecast") return undefined
+	return {
+		lentCores: () => lentCoresOf(view, self, systemClock.now()),
+		queues: () => config.current()?.queues ?? [],
+	}
+}
+
 function notReadyCauseOf(
 	isLeaving: boolean,
 	config: FleetConfig | undefined,
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -13,6 +13,7 @@
 import type {PlacerDeps, PlacerState, RunningAt} from "./placer-state.js"
 import {closeLinks, setExecutors} from "./placer-links.js"
 import {startPulse} from "./pulse.js"
+import {loadOf, type PlacerLoad} from "../decide/load.js"
 import {countThatFit, promisingLinks, roomFor, usableLinks, waitBeforeMs} from "../decide/room.js"
 import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
 import {adopt, giveAll, giveUp, isSettled} from "./succession.js"
@@ -46,6 +47,12 @@
 	 * milliseconds; Infinity without an executor that is or will soon be usable.
 	 */
 	expectedWaitMs(startBy: number): number
+	/** What its executors carry; a walk over all that runs. */
+	load(): PlacerLoad
+	/** Core-milliseconds that wait. */
+	work(): number
+	/** Core-milliseconds that wait and go before a task with this latest useful start. */
+	workBefore(startBy: number): number
 	/** Whether all tasks of a step could start now, whatever waits for more room than that. */
 	hasRoomFor(step: Step, service: string): boolean
 	/** Offers what executors have listed so far to the kept jobs, which are known from now on. */
@@ -104,6 +111,9 @@
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
 		expectedWaitMs: startBy => waitBeforeMs(state.links, state.queue, startBy, deps.clock.now()),
+		load: () => loadOf(state.links, state.started.keys(), state.judgement.health),
+		work: () => state.queue.work(),
+		workBefore: startBy => state.queue.workBefore(startBy, deps.clock.now()),
 		hasRoomFor: (step, service) => hasRoomFor(state, step, service),
 		offerOrphans() {
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
--- a/packages/jobs/src/types/fleet-config.ts
+++ b/packages/jobs/src/types/fleet-config.ts
@@ -25,6 +25,10 @@
 	readonly slackMs: number
 	/** The service that names the executors allowed for a step must be asked, and takes so long. */
 	readonly advice?: AdviceTiming
+	/** Its part of the room when there is too little, against the other queues' weights; 1 where others have one and it has none. */
+	readonly weight?: number
+	/** The share of the room, from 0 to 1, that it is due before any weight counts. */
+	readonly floor?: number
 }
 
 export interface Service {
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -66,7 +66,13 @@
 	/** A task failed as often as its queue allows. */
 	| {readonly type: "failed"; readonly cause: string}
 	/** No task of it has started or ever will. */
-	| {readonly type: "refused"; readonly kind: RefusalKind; readonly cause: string}
+	| {
+			readonly type: "refused"
+			readonly kind: RefusalKind
+			readonly cause: string
+			/** When its caller should come back, in milliseconds, where its placer has a forecast. */
+			readonly retryAfterMs?: number
+	  }
 	/** It was given up, and some task may have run. */
 	| {readonly type: "given up"; readonly kind: GiveUpKind; readonly cause: string}
 
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -63,6 +63,13 @@
 	readonly needCpu?: number
 	readonly waitingTasks?: number
 	readonly waitingWork?: number
+	/** The forecast of a job's first start and of its end. */
+	readonly startInMs?: number
+	readonly endInMs?: number
+	/** Of the work that a queue asked for of late: what was served, and what it is due. */
+	readonly servedRatio?: number
+	readonly dueRatio?: number
+	readonly retryAfterMs?: number
 	readonly address?: string
 	/** What of placing is switched on here. */
 	readonly placing?: PlacingSettings
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -22,6 +22,8 @@
 	advice_calls: "Calls to the service that says which executors may run a step, by outcome",
 	ledger_writes: "Transactions of job records, by outcome",
 	jobs_refused: "Jobs refused without having run, by reason",
+	admission_refusals:
+		"Jobs refused by their placer's forecast, by reason and how their queue stands to its share",
 	bad_requests: "Calls that do not follow the contract, by reason",
 	task_starts: "Start orders, by their reply",
 	task_ends: "Runs that ended, by how",
@@ -44,6 +46,8 @@
 	job_ms: "From a job's arrival to its answer",
 	first_start_ms: "From a job's arrival to its first start",
 	run_ms: "From a start's reply to the news of its end",
+	forecast_early_ms: "By how much jobs began before their forecast",
+	forecast_late_ms: "By how much jobs began after their forecast",
 	queue_wait_ms: "From a task's arrival at a placer to its start",
 	store_call_ms: "Calls to the key-value service",
 	start_order_ms: "Start orders to executors",
--- /dev/null
+++ b/packages/jobs/test/replayed-overload.test.ts
@@ -0,0 +1,71 @@
+/**
+ * Loads beyond the room, replayed through admission by forecast in virtual time: who is served, and who pays.
+ */
+import {expect} from "chai"
+import {replay, type ReplayDay, type ReplayFigures} from "./support/replay/replay-day.js"
+import {PAIRED_WORK} from "./support/replay/replay-work.js"
+
+const SEEDS = [1, 2, 3]
+/** No kind is served less than this of the best served one's ratio: the users' aim. */
+const LEAST_OF_BEST = 0.94
+
+async function replayAll(day: ReplayDay): Promise<readonly ReplayFigures[]> {
+	const all: ReplayFigures[] = []
+	for (const seed of SEEDS) all.push(await replay({...day, isForecasting: true}, seed))
+	for (const {doubled, overfilled} of all)
+		expect({doubled, overfilled}).to.eql({doubled: 0, overfilled: 0})
+	return all
+}
+
+const mean = (all: readonly ReplayFigures[], figure: (one: ReplayFigures) => number) =>
+	all.reduce((sum, one) => sum + figure(one), 0) / all.length
+
+/** The worst served kind's ratio of the best served one's. */
+function leastOfBest(name: string, all: readonly ReplayFigures[]): number {
+	const kinds = ["short", "middle", "long"]
+	const served = kinds.map(kind => mean(all, one => one.served[kind] ?? 0))
+	const text = kinds.map((kind, at) => `${kind} ${served[at]?.toFixed(3)}`).join(", ")
+	console.log(`        ${name}: served ${text}`)
+	return Math.min(...served) / Math.max(...served)
+}
+
+const paired = {
+	work: PAIRED_WORK,
+	failureDomains: ["a", "b", "c"],
+	executorsPerDomain: 20,
+	lengthMs: 8_000,
+}
+
+describe("replayed overload", () => {
+	/*
+	 * A burst of the long kind comes on the crests of the waves. By the backlog alone the kind of middle length, which can
+	 * wait neither long nor goes first, is refused for all: it was served 0.80 of the best served kind's ratio.
+	 */
+	it("by a burst of the long kind is paid by all kinds alike", async () => {
+		for (const jobsPerSecond of [120, 150]) {
+			const all = await replayAll({
+				...paired,
+				jobsPerSecond,
+				troubles: [{type: "surge", at: 1_000, forMs: 6_400, times: 2.5, kind: "long"}],
+			})
+			const name = `${jobsPerSecond} a second and a burst of the long kind`
+			expect(leastOfBest(name, all)).to.be.at.least(LEAST_OF_BEST)
+		}
+	})
+
+	/* Every kind comes half as often again. The long kind was served nearly whole, and the others paid. */
+	it("of half as much again is paid by all kinds alike", async () => {
+		const all = await replayAll({
+			jobsPerSecond: 97,
+			lengthMs: 8_000,
+			troubles: [{type: "surge", at: 1_000, forMs: 6_000, times: 1.5}],
+		})
+		expect(leastOfBest("1.5 times the load", all)).to.be.at.least(LEAST_OF_BEST)
+	})
+
+	/* Nothing comes beyond the room; a forecast that refused here would be wrong. */
+	it("is not seen on a calm day", async () => {
+		const all = await replayAll({jobsPerSecond: 92, lengthMs: 6_000, troubles: []})
+		expect(mean(all, ({refused}) => refused)).to.be.lessThan(0.01)
+	})
+})
--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -35,6 +35,8 @@
 	readonly jobsPerSecond: number
 	readonly lengthMs: number
 	readonly troubles: readonly ReplayTrouble[]
+	/** Jobs are judged by forecasts. */
+	readonly isForecasting?: boolean
 }
 
 /** Credit earned of credit owed; a late answer earns a fifth. */
@@ -42,6 +44,8 @@
 	readonly whole: number
 	readonly kinds: Readonly<Record<string, number>>
 	readonly domains: Readonly<Record<string, number>>
+	/** By kind, the share of jobs that were answered with success while that was of use. */
+	readonly served: Readonly<Record<string, number>>
 	readonly worstSeconds: number
 	/** Shares of jobs. */
 	readonly inTime: number
@@ -95,6 +99,12 @@
 	const whole = shareOf(told)
 	const kinds = groupsOf(told, ({job}) => job.kind.name)
 	const domains = groupsOf(told, ({job}) => job.failureDomain)
+	const isServed = ({outcome}: Told) => outcome === "inTime" || outcome === "late"
+	const served: Record<string, number> = {}
+	for (const kind of Object.keys(kinds)) {
+		const ofKind = told.filter(({job}) => job.kind.name === kind)
+		served[kind] = ofKind.filter(isServed).length / ofKind.length
+	}
 	const windows = Object.values(groupsOf(told, ({job}) => String(Math.floor(job.at / WINDOW_MS))))
 	const [worst = 1, next = worst] = windows.sort((a, b) => a - b)
 	const worstSeconds = (worst + next) / 2
@@ -106,6 +116,7 @@
 		whole,
 		kinds,
 		domains,
+		served,
 		worstSeconds,
 		inTime: share("inTime"),
 		late: share("late"),
@@ -210,6 +221,7 @@
 		executorsPerDomain: day.executorsPerDomain ?? 11,
 		clock,
 		random: seededRandom(seed + 1_000_003),
+		isForecasting: day.isForecasting,
 	})
 	await clock.runUntil(LEAD_MS)
 	const luck = seededRandom(seed + 2_000_003)
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -21,6 +21,7 @@
 	createFleetView,
 	createHosts,
 	createOverflow,
+	lentCoresOf,
 	type Beats,
 	type Dispatcher,
 	type Hosts,
@@ -51,6 +52,8 @@
 	readonly executorsPerDomain: number
 	readonly clock: ReplayClock
 	readonly random: () => number
+	/** Jobs are judged by forecasts. */
+	readonly isForecasting?: boolean
 }
 
 export interface ReplayWorld {
@@ -239,6 +242,9 @@
 			createKeeper: () => keeper,
 			executorsOf: recordsOf,
 			isEvacuated: domain => evacuated.has(domain),
+			forecasting: options.isForecasting
+				? {lentCores: () => lentCoresOf(view, self, clock.now()), queues: () => queues}
+				: undefined,
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
