--- a/packages/jobs/src/coordinate/admission.ts
+++ b/packages/jobs/src/coordinate/admission.ts
@@ -30,13 +30,8 @@
 import type {Job, JobEnd} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
-import {
-	latestUsefulStart,
-	longestChainMs,
-	objectiveMsOf,
-	usefulForMs,
-	type JobRun,
-} from "./job-run.js"
+import {demandOf, lastStartOfUse, workOf} from "./demand.js"
+import {latestUsefulStart, objectiveMsOf, type JobRun} from "./job-run.js"
 import {refusalOf, type Refused} from "./refusals.js"
 import {createUnstartedJobs, type Unstarted} from "./unstarted.js"
 
@@ -47,7 +42,6 @@
 const LOOKED_AT = 16
 /** Queues whose figures are kept; configurations may change their queues without end. */
 const MAX_QUEUES = 256
-const MILLICORES = 1_000
 
 export interface AdmissionDeps {
 	readonly clock: Clock
@@ -76,19 +70,6 @@
 	readonly askedOfRoom: number
 }
 
-const workOf = ({steps}: Job) =>
-	steps.reduce((sum, {count, need, estimateMs}) => sum + count * need.cpu * estimateMs, 0) /
-	MILLICORES
-
-const firstCoresOf = ({steps}: Job) =>
-	steps
-		.filter(({after}) => after.length === 0)
-		.reduce((sum, {count, need}) => sum + count * need.cpu, 0) / MILLICORES
-
-/** The last start with which the job can end while its answer is of use, in steady milliseconds. */
-const lastStartOfUse = (job: Job, queue: Queue) =>
-	job.receivedAt + usefulForMs(job, queue) - longestChainMs(job.steps)
-
 /** Keeps one figure a queue, and forgets all before they become too many. */
 function setBounded<T>(figures: Map<string, T>, queue: string, figure: T) {
 	if (!figures.has(queue) && figures.size >= MAX_QUEUES) figures.clear()
@@ -124,8 +105,7 @@
 
 	/** `ownWork`: what of the job itself waits already. */
 	function forecast(job: Job, startBy: number, ownWork: number): Forecast {
-		const demand = {cores: firstCoresOf(job), chainMs: longestChainMs(job.steps)}
-		return forecastOf(demand, {
+		return forecastOf(demandOf(job), {
 			load: read().load,
 			workBefore: Math.max(0, placer.workBefore(startBy) - ownWork),
 			lentCores: deps.lentCores(),
@@ -151,7 +131,7 @@
 	/** Where it would find room at once it takes nobody's turn: what waits wants more at a time than there is. */
 	function fitsNow(job: Job, {service}: Queue): boolean {
 		const [first] = job.steps
-		if (!first || read().load.freeCores < firstCoresOf(job)) return false
+		if (!first || read().load.freeCores < demandOf(job).cores) return false
 		return placer.hasRoomFor(first, service)
 	}
 
--- /dev/null
+++ b/packages/jobs/src/coordinate/demand.ts
@@ -0,0 +1,24 @@
+/**
+ * What a job asks for, in the figures that admission goes by.
+ */
+import type {Demand} from "../decide/forecast.js"
+import type {Queue} from "../types/fleet-config.js"
+import type {Job} from "../types/job.js"
+import {longestChainMs, usefulForMs} from "./job-run.js"
+
+const MILLICORES = 1_000
+
+/** Core-milliseconds of all its tasks, by the estimates. */
+export const workOf = ({steps}: Job) =>
+	steps.reduce((sum, {count, need, estimateMs}) => sum + count * need.cpu * estimateMs, 0) /
+	MILLICORES
+
+export function demandOf({steps}: Job): Demand {
+	const first = steps.filter(({after}) => after.length === 0)
+	const cores = first.reduce((sum, {count, need}) => sum + count * need.cpu, 0) / MILLICORES
+	return {cores, chainMs: longestChainMs(steps)}
+}
+
+/** The last start with which the job can end while its answer is of use, in steady milliseconds. */
+export const lastStartOfUse = (job: Job, queue: Queue) =>
+	job.receivedAt + usefulForMs(job, queue) - longestChainMs(job.steps)
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -12,10 +12,11 @@
 import type {Hosts} from "./hosts.js"
 import {createCandidates} from "./candidates.js"
 import {latestUsefulStart} from "./job-run.js"
+import type {Refused} from "./refusals.js"
 
 /** Placers that are tried in turn for a job that no placer has seen yet. */
 const MAX_PLACERS_TRIED = 3
-/** A job that was refused after it had waited so long is not tried elsewhere. */
+/** A job that was refused by a backlog after it had waited so long is not tried elsewhere. */
 const ELSEWHERE_MS = 25
 /** After a loss of all instances placers are there within this, from the start of the process. */
 const BEGINNING_MS = 1_000
@@ -182,13 +183,20 @@
 			if (end.type === "unsent" || end.type === "not placer") continue
 			if (end.type !== "refused") return end
 			refusal = end
-			if (clock.now() - job.receivedAt > ELSEWHERE_MS) return end
+			if (!mayGoElsewhere(job, queue, end)) return end
 		}
 		if (refusal) return refusal
 		const cause = areAllEmptied() ? "all failure domains are emptied" : "no placer can be reached"
 		return {type: "refused", kind: "no_capacity", cause}
 	}
 
+	/** A refusal by forecast comes as soon as it is known, and elsewhere the job may still be in time. */
+	function mayGoElsewhere(job: Job, queue: Queue, {retryAfterMs}: Refused): boolean {
+		const now = clock.now()
+		if (retryAfterMs !== undefined) return now < latestUsefulStart(job, queue)
+		return now - job.receivedAt <= ELSEWHERE_MS
+	}
+
 	function noteTry(job: Job, claim: Claim, outcome: string) {
 		// Whoever was asked may have the job all the same.
 		const write = outcome === "given up" || outcome === "unsent" ? log.alarm : log.event
--- a/packages/jobs/test/replayed-overload.test.ts
+++ b/packages/jobs/test/replayed-overload.test.ts
@@ -5,7 +5,7 @@
 import {replay, type ReplayDay, type ReplayFigures} from "./support/replay/replay-day.js"
 import {PAIRED_WORK} from "./support/replay/replay-work.js"
 
-const SEEDS = [1, 2, 3]
+const SEEDS = [1, 2, 3, 4, 5, 6]
 /** No kind is served less than this of the best served one's ratio: the users' aim. */
 const LEAST_OF_BEST = 0.94
 
@@ -53,6 +53,22 @@
 		}
 	})
 
+	/* Operators say that the short kind is due its room whatever else comes; it asks for less than its floor. */
+	it("spares a queue with a floor, and takes it from who asks for most", async () => {
+		const crest: ReplayDay = {
+			...paired,
+			jobsPerSecond: 150,
+			troubles: [{type: "surge", at: 1_000, forMs: 6_400, times: 2.5, kind: "long"}],
+		}
+		const even = await replayAll(crest)
+		const floored = await replayAll({...crest, shares: {short: {floor: 0.3}}})
+		const creditOf = (all: readonly ReplayFigures[], kind: string) =>
+			mean(all, ({kinds}) => kinds[kind] ?? 0)
+		leastOfBest("with a floor for the short kind", floored)
+		expect(creditOf(floored, "short")).to.be.greaterThan(creditOf(even, "short"))
+		expect(creditOf(floored, "long")).to.be.lessThan(creditOf(even, "long"))
+	})
+
 	/* Every kind comes half as often again. The long kind was served nearly whole, and the others paid. */
 	it("of half as much again is paid by all kinds alike", async () => {
 		const all = await replayAll({
--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -6,7 +6,7 @@
 import type {ReplayExecutor} from "./replay-executor.js"
 import {drawJobs, type ReplayJob} from "./replay-load.js"
 import {EARLIER_WORK, type ReplayKind, type ReplayWork} from "./replay-work.js"
-import {createReplayWorld, type ReplayWorld} from "./replay-world.js"
+import {createReplayWorld, type ReplayShares, type ReplayWorld} from "./replay-world.js"
 
 export type ReplayTrouble = {
 	readonly at: number
@@ -37,6 +37,7 @@
 	readonly troubles: readonly ReplayTrouble[]
 	/** Jobs are judged by forecasts. */
 	readonly isForecasting?: boolean
+	readonly shares?: ReplayShares
 }
 
 /** Credit earned of credit owed; a late answer earns a fifth. */
@@ -222,6 +223,7 @@
 		clock,
 		random: seededRandom(seed + 1_000_003),
 		isForecasting: day.isForecasting,
+		shares: day.shares,
 	})
 	await clock.runUntil(LEAD_MS)
 	const luck = seededRandom(seed + 2_000_003)
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -46,6 +46,10 @@
 const CONFIRM_MS = 100
 const CONFIG_VERSION = 1
 
+export type ReplayShares = Readonly<
+	Record<string, {readonly weight?: number; readonly floor?: number}>
+>
+
 export interface ReplayWorldOptions {
 	readonly work: ReplayWork
 	readonly failureDomains: readonly string[]
@@ -54,6 +58,8 @@
 	readonly random: () => number
 	/** Jobs are judged by forecasts. */
 	readonly isForecasting?: boolean
+	/** Weights and floors, by kind. */
+	readonly shares?: ReplayShares
 }
 
 export interface ReplayWorld {
@@ -243,7 +249,10 @@
 			executorsOf: recordsOf,
 			isEvacuated: domain => evacuated.has(domain),
 			forecasting: options.isForecasting
-				? {lentCores: () => lentCoresOf(view, self, clock.now()), queues: () => queues}
+				? {
+						lentCores: () => lentCoresOf(view, self, clock.now()),
+						queues: () => queues.map(queue => ({...queue, ...options.shares?.[queue.name]})),
+					}
 				: undefined,
 		})
 		const ownBeat = (): Beat => ({
