Let jobs wait for a placer that has only just begun; hold what happens to admission with its placer

Cause: while no executor has answered yet no start can be forecast, so the first look refused what had been taken to wait for them.

Change: waiting jobs are not looked at while their placer begins. What no executor is left for is refused under that reason. The test was seen to fail before.

--- a/packages/jobs/src/coordinate/admission.ts
+++ b/packages/jobs/src/coordinate/admission.ts
@@ -20,6 +20,7 @@
 	FADE_MS,
 	faded,
 	NO_WORK,
+	setBounded,
 	sharesOf,
 	type Share,
 	type ShareRule,
@@ -40,8 +41,6 @@
 /** Unstarted jobs are looked at so often, the last of the order first. */
 const SWEEP_MS = 25
 const LOOKED_AT = 16
-/** Queues whose figures are kept; configurations may change their queues without end. */
-const MAX_QUEUES = 256
 
 export interface AdmissionDeps {
 	readonly clock: Clock
@@ -70,12 +69,6 @@
 	readonly askedOfRoom: number
 }
 
-/** Keeps one figure a queue, and forgets all before they become too many. */
-function setBounded<T>(figures: Map<string, T>, queue: string, figure: T) {
-	if (!figures.has(queue) && figures.size >= MAX_QUEUES) figures.clear()
-	figures.set(queue, figure)
-}
-
 export function createAdmission(deps: AdmissionDeps): Admission {
 	const {clock, metrics, placer} = deps
 	const work = new Map<string, Work>()
@@ -174,14 +167,18 @@
 
 	function sweep() {
 		cancelSweep = undefined
+		if (!placer.isBeginning()) refuseWhatTurnedBad()
+		sweepSoon()
+	}
+
+	function refuseWhatTurnedBad() {
 		for (const item of [...unstarted.last(LOOKED_AT)].reverse()) {
 			const {job, queue, startBy, isLate} = item
 			const told = forecast(job, isLate ? Infinity : startBy, item.work)
 			if (isWorthItsWait(askedBy(job, queue, told, startBy))) continue
 			noteWait(item)
-			refuse(item, "turned_bad", told)
+			refuse(item, told.startInMs === Infinity ? "no_executor" : "turned_bad", told)
 		}
-		sweepSoon()
 	}
 
 	function sweepSoon() {
--- a/packages/jobs/src/decide/shares.ts
+++ b/packages/jobs/src/decide/shares.ts
@@ -9,6 +9,8 @@
 /** After so long a sum counts for a third: long enough for some hundred jobs, short against a crest. */
 export const FADE_MS = 2_000
 const DEFAULT_WEIGHT = 1
+/** Queues whose figures are kept; configurations may change their queues without end. */
+const MAX_QUEUES = 256
 /** Rounds after which what is still unused by a division does not matter. */
 const MAX_ROUNDS = 8
 
@@ -109,3 +111,9 @@
 	const dueRatio = due / work.asked
 	return {servedRatio, dueRatio, lead: servedRatio - dueRatio}
 }
+
+/** Keeps one figure a queue, and forgets all before they become too many. */
+export function setBounded<T>(figures: Map<string, T>, queue: string, figure: T) {
+	if (!figures.has(queue) && figures.size >= MAX_QUEUES) figures.clear()
+	figures.set(queue, figure)
+}
--- a/packages/jobs/test/admission.test.ts
+++ b/packages/jobs/test/admission.test.ts
@@ -195,7 +195,8 @@
 /** A placer whose figures a test sets, and the tasks that were submitted to it. */
 function createWorld() {
 	const clock = createFakeClock()
-	const figures = {load: {soundCores: 100, freeCores: 0, freedCoresPerMs: 1}, work: 0}
+	const load = {soundCores: 100, freeCores: 0, freedCoresPerMs: 1}
+	const figures = {load, work: 0, isBeginning: false}
 	const admission = createAdmission({
 		clock,
 		log: silentLog,
@@ -204,7 +205,7 @@
 			load: () => figures.load,
 			work: () => figures.work,
 			workBefore: () => figures.work,
-			isBeginning: () => false,
+			isBeginning: () => figures.isBeginning,
 			hasRoomFor: () => false,
 		},
 		lentCores: () => 0,
@@ -274,6 +275,25 @@
 		expect((end as {retryAfterMs?: number}).retryAfterMs).to.be.greaterThan(0)
 	})
 
+	/*
+	 * All instances have lost power, and calls come before any executor has answered the new placer. No start is forecast
+	 * then, but within a moment there are executors: the jobs wait for them, and are judged once it has begun.
+	 */
+	it("keeps what waits for a placer that has only just begun", async () => {
+		const world = createWorld()
+		const {clock, figures, admission} = world
+		figures.isBeginning = true
+		figures.load = {soundCores: 0, freeCores: 0, freedCoresPerMs: 0}
+		const job = world.jobOf(QUEUE, 100)
+		expect(admission.judge(job, QUEUE)).to.equal("in time")
+		const run = world.follow(job, QUEUE, false)
+		await clock.advance(100)
+		expect(await endOf(run)).to.equal("open")
+		figures.isBeginning = false
+		await clock.advance(50)
+		expect(await endOf(run)).to.deep.include({type: "refused", kind: "no_capacity"})
+	})
+
 	/* Whatever was started may have run, so its caller must not be told that it never did. */
 	it("refuses nothing of which something has started", async () => {
 		const world = createWorld()
