--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -12,6 +12,7 @@
 import {lifeOf} from "../utils/log.js"
 import type {SpeedKeeper} from "../fleet/speed-keeper.js"
 import type {Keeper} from "../keep/keeper.js"
+import {createAdmission, type Admission, type AdmissionDeps} from "./admission.js"
 import type {Overflow} from "./overflow.js"
 import {createSliceMoves} from "./slice-moves.js"
 import type {HostSlices} from "./slices.js"
@@ -42,6 +43,8 @@
 	/** The kept jobs whose home is the domain. */
 	readonly keeper: Keeper
 	readonly placer: Placer
+	/** Absent where jobs are judged by the backlog. */
+	readonly admission?: Admission
 	readonly jobs: Set<JobRun>
 	readonly speedKeeper?: SpeedKeeper
 	/** Executors that obey a higher fence, perhaps of a slice of which nothing has been heard yet. */
@@ -70,6 +73,8 @@
 	readonly keepSpeeds?: (claim: Claim) => SpeedKeeper
 	/** Undefined: no failure domain is divided. */
 	readonly slices?: HostSlices
+	/** What jobs are judged by forecasts with; absent where they are judged by the backlog. */
+	readonly forecasting?: Pick<AdmissionDeps, "lentCores" | "queues">
 }
 
 export interface Hosts {
@@ -144,7 +149,9 @@
 		const speedKeeper = deps.keepSpeeds?.(claim)
 		const {speeds} = speedKeeper ?? {}
 		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper, speeds})
-		const host = {claim, keeper, placer, jobs: new Set<JobRun>(), speedKeeper}
+		const {forecasting} = deps
+		const admission = forecasting && createAdmission({clock, log, metrics, placer, ...forecasting})
+		const host = {claim, keeper, placer, admission, jobs: new Set<JobRun>(), speedKeeper}
 		hosts.set(failureDomain, {...host, fenced: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
@@ -164,6 +171,7 @@
 		if (!host || host.claim.fence !== fence) return
 		if (givenUp.has(failureDomain)) return void givenUp.set(failureDomain, cause)
 		hosts.delete(failureDomain)
+		host.admission?.close()
 		host.keeper.close()
 		host.speedKeeper?.close()
 		host.placer.giveUp()
@@ -216,6 +224,7 @@
 			givenUp.delete(failureDomain)
 			if (!host) return
 			hosts.delete(failureDomain)
+			host.admission?.close()
 			host.keeper.close()
 			host.speedKeeper?.close()
 			const count = host.placer.counts().running
@@ -230,14 +239,19 @@
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
 		async run(host, job, queue, {onCancel, confirmedAt}) {
-			const refusal = refusalOf(job, queue, host.placer)
-			if (refusal) return refusal
+			const {admission} = host
+			const verdict = admission?.judge(job, queue) ?? refusalOf(job, queue, host.placer)
+			if (typeof verdict === "object") return verdict
+			const isWatched = admission !== undefined
+			const isLate = verdict === "late"
 			const submit = (
 				req: TaskRequest,
 				onEnd: Parameters<Placer["submit"]>[1],
 				onStart: () => void,
 			) => host.placer.submit(req, onEnd, onStart)
-			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit})
+			const watching = {isWatched, isLate}
+			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit, ...watching})
+			admission?.follow(job, queue, run, isLate)
 			host.jobs.add(run)
 			onCancel(() => run.cancel())
 			const end = await run.ended
@@ -270,7 +284,8 @@
 			return sum
 		},
 		close() {
-			for (const {placer, keeper, speedKeeper} of hosts.values()) {
+			for (const {placer, keeper, admission, speedKeeper} of hosts.values()) {
+				admission?.close()
 				keeper.close()
 				speedKeeper?.close()
 				placer.close()
--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -6,7 +6,12 @@
 import type {ReplayExecutor} from "./replay-executor.js"
 import {drawJobs, type ReplayJob} from "./replay-load.js"
 import {EARLIER_WORK, type ReplayKind, type ReplayWork} from "./replay-work.js"
-import {createReplayWorld, type ReplayWorld, type ReplayWorldOptions} from "./replay-world.js"
+import {
+	createReplayWorld,
+	type ReplayShares,
+	type ReplayWorld,
+	type ReplayWorldOptions,
+} from "./replay-world.js"
 
 export type ReplayTrouble = {
 	readonly at: number
@@ -37,6 +42,9 @@
 	readonly troubles: readonly ReplayTrouble[]
 	/** How a domain's placer knows speeds; by default it learns them for itself. */
 	readonly keepSpeeds?: ReplayWorldOptions["keepSpeeds"]
+	/** Jobs are judged by forecasts. */
+	readonly isForecasting?: boolean
+	readonly shares?: ReplayShares
 }
 
 /** Credit earned of credit owed; a late answer earns a fifth. */
@@ -44,6 +52,8 @@
 	readonly whole: number
 	readonly kinds: Readonly<Record<string, number>>
 	readonly domains: Readonly<Record<string, number>>
+	/** By kind, the share of jobs that were answered with success while that was of use. */
+	readonly served: Readonly<Record<string, number>>
 	readonly worstSeconds: number
 	/** Shares of jobs. */
 	readonly inTime: number
@@ -97,6 +107,12 @@
 	const whole = shareOf(told)
 	const kinds = groupsOf(told, ({job}) => job.kind.name)
 	const domains = groupsOf(told, ({job}) => job.failureDomain)
+	const isServed = ({outcome}: Told) => outcome === "inTime" || outcome === "late"
+	const served: Record<string, number> = {}
+	for (const kind of Object.keys(kinds)) {
+		const ofKind = told.filter(({job}) => job.kind.name === kind)
+		served[kind] = ofKind.filter(isServed).length / ofKind.length
+	}
 	const windows = Object.values(groupsOf(told, ({job}) => String(Math.floor(job.at / WINDOW_MS))))
 	const [worst = 1, next = worst] = windows.sort((a, b) => a - b)
 	const worstSeconds = (worst + next) / 2
@@ -108,6 +124,7 @@
 		whole,
 		kinds,
 		domains,
+		served,
 		worstSeconds,
 		inTime: share("inTime"),
 		late: share("late"),
@@ -213,6 +230,8 @@
 		clock,
 		random: seededRandom(seed + 1_000_003),
 		keepSpeeds: day.keepSpeeds,
+		isForecasting: day.isForecasting,
+		shares: day.shares,
 	})
 	await clock.runUntil(LEAD_MS)
 	const luck = seededRandom(seed + 2_000_003)
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -21,6 +21,7 @@
 	createFleetView,
 	createHosts,
 	createOverflow,
+	lentCoresOf,
 	type Beats,
 	type Dispatcher,
 	type Hosts,
@@ -46,6 +47,10 @@
 const CONFIRM_MS = 100
 const CONFIG_VERSION = 1
 
+export type ReplayShares = Readonly<
+	Record<string, {readonly weight?: number; readonly floor?: number}>
+>
+
 export interface ReplayWorldOptions {
 	readonly work: ReplayWork
 	readonly failureDomains: readonly string[]
@@ -54,6 +59,10 @@
 	readonly random: () => number
 	/** Makes what keeps the speeds of a domain's executors; without it each placer learns for itself. */
 	readonly keepSpeeds?: (clock: ReplayClock, executors: readonly ReplayExecutor[]) => SpeedKeeper
+	/** Jobs are judged by forecasts. */
+	readonly isForecasting?: boolean
+	/** Weights and floors, by kind. */
+	readonly shares?: ReplayShares
 }
 
 export interface ReplayWorld {
@@ -243,6 +252,12 @@
 			executorsOf: recordsOf,
 			isEvacuated: domain => evacuated.has(domain),
 			keepSpeeds: keepSpeeds && (() => keepSpeeds(clock, executors)),
+			forecasting: options.isForecasting
+				? {
+						lentCores: () => lentCoresOf(view, self, clock.now()),
+						queues: () => queues.map(queue => ({...queue, ...options.shares?.[queue.name]})),
+					}
+				: undefined,
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
