Send whole jobs to the domain where they are forecast to start sooner

Uneven demand leaves one domain full while another has room, and only single tasks went there. A placer without room now answers a job of which nothing has started with the domain that suits it better; whoever handed it in asks there. Switched on by domainChoice 'forecast'; with it off everything is as before.

Rooms that other instances tell are checked, and dropped with a counter when they cannot be true.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -3,13 +3,14 @@
  */
 import type {Clock} from "@cottonwood/core"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
-import type {JobMessage, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
+import type {JobMessage, JobMove, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import type {Hosts} from "./hosts.js"
+import type {MovedJob} from "./moved-job.js"
 import {createCandidates} from "./candidates.js"
 import {latestUsefulStart} from "./job-run.js"
 
@@ -40,6 +41,8 @@
 	readonly ownLateMs: () => number
 	/** Whether operators are emptying a failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** Follows jobs that placers may send elsewhere as a whole; absent: none may. */
+	readonly followMoves?: (job: Job) => MovedJob
 }
 
 export interface Dispatcher {
@@ -101,6 +104,19 @@
 	}
 }
 
+/** A placer's word to ask another one that says nothing that could be followed. */
+const NOWHERE: JobEnd = {
+	type: "refused",
+	kind: "no_capacity",
+	cause: "its placer sent it nowhere",
+}
+
+type Unbegun = JobMove | {readonly type: "unsent" | "not placer"}
+
+/** Whoever was asked has not begun the job, and will not. */
+const isUnbegun = (end: JobReply | {readonly type: "unsent"}): end is Unbegun =>
+	end.type === "unsent" || end.type === "not placer" || end.type === "elsewhere"
+
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
@@ -162,24 +178,41 @@
 		return isBeginning && now < latestUsefulStart(job, queue)
 	}
 
+	/** Where a job was sent, or else the next placer that suits it. */
+	function nextClaim(tried: ReadonlySet<string>, wasRefused: boolean, moved?: MovedJob) {
+		const target = moved?.next()
+		if (target || tried.size >= MAX_PLACERS_TRIED) return target
+		const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
+		return claim && wasRefused && isUntold(claim) ? undefined : claim
+	}
+
+	async function ask(claim: Claim, job: Job, queue: Queue, caller: Caller, moved?: MovedJob) {
+		const asked = moved?.asAsked() ?? job
+		const host = hosts.of(claim.failureDomain)
+		const end = host
+			? await hosts.run(host, asked, queue, caller)
+			: await runThere(claim, asked, queue, caller)
+		noteTry(job, claim, end.type)
+		moved?.noteOutcome(claim, end.type)
+		if (end.type !== "elsewhere" || moved?.take(claim, end)) return end
+		return NOWHERE
+	}
+
 	/** Asks placers in turn, as long as those before have certainly not begun the job. */
 	async function tryPlacers(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
 		const tried = new Set<string>()
+		const moved = deps.followMoves?.(job)
 		let refusal: JobEnd | undefined
-		while (tried.size < MAX_PLACERS_TRIED) {
-			const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
+		for (;;) {
+			const claim = nextClaim(tried, refusal !== undefined, moved)
 			if (!claim && tried.size === 0 && !areAllEmptied() && mayWaitForPlacer(job, queue)) {
 				await clock.sleep(PLACER_POLL_MS)
 				continue
 			}
-			if (!claim || (tried.size > 0 && isUntold(claim) && refusal)) break
+			if (!claim) break
 			tried.add(claim.failureDomain)
-			const host = hosts.of(claim.failureDomain)
-			const end = host
-				? await hosts.run(host, job, queue, caller)
-				: await runThere(claim, job, queue, caller)
-			noteTry(job, claim, end.type)
-			if (end.type === "unsent" || end.type === "not placer") continue
+			const end = await ask(claim, job, queue, caller, moved)
+			if (isUnbegun(end)) continue
 			if (end.type !== "refused") return end
 			refusal = end
 			if (clock.now() - job.receivedAt > ELSEWHERE_MS) return end
--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -11,8 +11,12 @@
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf} from "../utils/log.js"
 import type {Keeper} from "../keep/keeper.js"
+import type {Waiting} from "../place/task-queue.js"
+import type {JobMove} from "../fleet/peers.js"
+import type {Elsewhere, Placing} from "./elsewhere.js"
 import type {Overflow} from "./overflow.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
+import {beenOf} from "./moved-job.js"
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
 const SHORT_WAIT_MS = 30
@@ -60,6 +64,8 @@
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 	/** Whether operators are emptying the failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** Where whole jobs go that find no room here; absent: only their tasks go elsewhere. */
+	readonly elsewhere?: Elsewhere
 }
 
 export interface Hosts {
@@ -80,8 +86,8 @@
 	setExecutors(records: readonly ExecutorRecord[]): void
 	/** A hosted domain's executors, those that the list has dropped included; none without a host. */
 	executorsOf(failureDomain: string): readonly ExecutorRecord[]
-	/** Runs a job at a placer here, or refuses it at once. */
-	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
+	/** Runs a job at a placer here, refuses it at once, or says where it should go. */
+	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd | JobMove>
 	/** Placers elsewhere may have room now. */
 	walk(): void
 	/** Operators empty other failure domains than before. */
@@ -127,7 +133,8 @@
 		const keeper = deps.createKeeper(claim, onDeposed)
 		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
-		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper})
+		const handOver = (item: Waiting) => handOverFrom({claim, placer}, item)
+		const placer: Placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper, handOver})
 		hosts.set(failureDomain, {claim, keeper, placer, jobs: new Set()})
 		keeper.begin(placer)
 		placer.setExecutors(handover?.executors ?? deps.executorsOf(failureDomain))
@@ -135,6 +142,12 @@
 		log.alarm("placer", "placing_begun", "placer: places a failure domain now.", fields)
 	}
 
+	/** The whole job while nothing of it has started, or else the task alone. */
+	function handOverFrom(placing: Placing, item: Waiting): boolean {
+		const move = deps.elsewhere?.noteNoRoom(placing, item) ?? "goes by tasks"
+		return move === "goes by tasks" ? deps.handOver(item) : move === "moved"
+	}
+
 	function expectedAt({failureDomain, fence}: Claim): Expected | undefined {
 		const handover = expected.get(failureDomain)
 		expected.delete(failureDomain)
@@ -209,8 +222,11 @@
 				placer.setExecutors(records.filter(record => record.failureDomain === failureDomain))
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
-		async run(host, job, queue, {onCancel, confirmedAt}) {
+		async run(host, handedIn, queue, {onCancel, confirmedAt}) {
+			const job = {...handedIn, been: beenOf(handedIn.been, deps)}
 			const refusal = refusalOf(job, queue, host.placer)
+			const away = deps.elsewhere?.atArrival(host, job, queue, refusal !== undefined)
+			if (away) return away
 			if (refusal) return refusal
 			const submit = (
 				req: TaskRequest,
@@ -219,10 +235,11 @@
 			) => host.placer.submit(req, onEnd, onStart)
 			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit})
 			host.jobs.add(run)
+			const endWatch = deps.elsewhere?.watch(job, queue, run)
 			onCancel(() => run.cancel())
 			const end = await run.ended
 			host.jobs.delete(run)
-			return end
+			return endWatch?.() ?? end
 		},
 		walk() {
 			for (const {placer} of hosts.values()) placer.walk()
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -53,6 +53,10 @@
 	cancel(): void
 	/** Its placer may place no more; what runs is left to the next fence. */
 	abandon(cause: string): void
+	/** Whether anything of it may have started. */
+	isBegun(): boolean
+	/** Ends it as one that never ran, so that another placer may have it; only while nothing has begun. */
+	withdraw(): void
 }
 
 interface TaskState {
@@ -136,6 +140,7 @@
 			confirmedAt,
 			isBegun: firstStartAt !== undefined,
 			askedBy: job.askedBy,
+			been: job.been,
 		}
 	}
 
@@ -265,5 +270,7 @@
 		ended,
 		cancel: () => giveUp("cancelled"),
 		abandon,
+		isBegun: () => firstStartAt !== undefined,
+		withdraw: () => abandon("sent elsewhere"),
 	}
 }
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -4,8 +4,9 @@
  * The told room is counted down by what was handed over since; the next telling replaces the count.
  */
 import type {Clock} from "@cottonwood/core"
-import type {FleetView, ToldRoom} from "../fleet/members.js"
+import type {FleetView} from "../fleet/members.js"
 import type {Peers, TaskMessage} from "../fleet/peers.js"
+import {MAX_MOVES} from "../decide/domain-choice.js"
 import {certainEndAt, type LeaseRule} from "../decide/lease-rule.js"
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
@@ -13,9 +14,8 @@
 import type {Claim, Member} from "../types/fleet.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import {createCountedRooms, workOf, type CountedRoom, type CountedRooms} from "./counted-rooms.js"
 
-/** Told room that is older says nothing any more: two beats. */
-const ROOM_AGE_MS = 500
 /** An answer is waited for beyond the task's deadline, since its stop takes a moment. */
 const ANSWER_SLACK_MS = 300
 
@@ -27,6 +27,8 @@
 	readonly self: Member
 	readonly log: EventLog
 	readonly metrics: JobMetrics
+	/** Shared with whoever else sends work to other domains. */
+	readonly rooms?: CountedRooms
 }
 
 export interface Overflow {
@@ -36,48 +38,26 @@
 	sendTo(claim: Claim, item: Waiting, from?: RunningAt): void
 }
 
-interface Counted {
-	readonly told: ToldRoom
-	readonly freeCpu: number[]
-}
-
 export function createOverflow(deps: OverflowDeps): Overflow {
 	const {clock, leaseRule, peers, view, self, log, metrics} = deps
-	const counted = new Map<string, Counted | undefined>()
-
-	function roomOf(failureDomain: string): Counted | undefined {
-		const told = view.roomOf(failureDomain)
-		if (!told || clock.now() - told.at > ROOM_AGE_MS) return undefined
-		const known = counted.get(failureDomain)
-		if (known?.told === told) return known
-		const fresh = {told, freeCpu: [...told.room.freeCpu]}
-		counted.set(failureDomain, fresh)
-		return fresh
-	}
+	const rooms = deps.rooms ?? createCountedRooms(clock, view, false)
 
-	function noRoomOf(failureDomain: string): Counted | undefined {
-		const told = view.roomOf(failureDomain)
-		return told && {told, freeCpu: []}
-	}
-
-	const isLabelled = ({told}: Counted, {label, rack}: TaskRequest) =>
+	const isLabelled = ({told}: CountedRoom, {label, rack}: TaskRequest) =>
 		(label === undefined || told.room.labels.includes(label)) &&
 		(rack === undefined || told.room.labels.includes(rack))
 
-	function choose(req: TaskRequest): {readonly claim: Claim; readonly room: Counted} | undefined {
-		let best: {readonly claim: Claim; readonly room: Counted} | undefined
+	function choose(req: TaskRequest): Claim | undefined {
+		const been = req.been ?? []
+		if (been.length >= MAX_MOVES) return undefined
+		let best: {readonly claim: Claim; readonly room: CountedRoom} | undefined
 		for (const claim of view.claims()) {
 			if (claim.placer.session === self.session || view.isLeaving(claim.placer.session)) continue
-			const room = roomOf(claim.failureDomain)
+			if (been.includes(claim.failureDomain)) continue
+			const room = rooms.of(claim.failureDomain)
 			if (!room || (room.freeCpu[0] ?? 0) < req.need.cpu || !isLabelled(room, req)) continue
 			if (!best || (room.freeCpu[0] ?? 0) > (best.room.freeCpu[0] ?? 0)) best = {claim, room}
 		}
-		return best
-	}
-
-	function countDown({freeCpu}: Counted, cpu: number) {
-		freeCpu[0] = (freeCpu[0] ?? 0) - cpu
-		freeCpu.sort((a, b) => b - a)
+		return best?.claim
 	}
 
 	async function send(claim: Claim, item: Waiting, runsAt?: RunningAt): Promise<void> {
@@ -115,7 +95,7 @@
 			tookMs: Math.round(clock.now() - now),
 		})
 		// Its room is of no use until it is told again.
-		if (call.wasUnsent()) counted.set(claim.failureDomain, noRoomOf(claim.failureDomain))
+		if (call.wasUnsent()) rooms.close(claim.failureDomain)
 		if (call.wasUnsent() && !runsAt) item.onEnd({type: "returned", cause: "no connection"})
 		else item.onEnd(await endOf(reply, claim, item, runsAt !== undefined))
 	}
@@ -139,10 +119,11 @@
 	return {
 		sendTo: (claim, item, runsAt) => void send(claim, item, runsAt),
 		handOver(item) {
-			const chosen = choose(item.req)
-			if (!chosen) return false
-			countDown(chosen.room, item.req.need.cpu)
-			void send(chosen.claim, item)
+			const {req} = item
+			const claim = choose(req)
+			if (!claim) return false
+			rooms.countDown(claim.failureDomain, {tasks: 1, cpu: req.need.cpu, work: workOf(req)})
+			void send(claim, item)
 			return true
 		},
 	}
--- a/packages/jobs/src/decide/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -35,7 +35,7 @@
 	const open = usableLinks(links).filter(link => health.isUsable(link.record.id))
 	const free = open.map(link => link.freeCpu()).sort((a, b) => b - a)
 	return {
-		freeCpu: free.filter(cpu => cpu < queue.leastCpu()).slice(0, ROOM_ENTRIES),
+		freeCpu: free.filter(cpu => cpu >= 0 && cpu < queue.leastCpu()).slice(0, ROOM_ENTRIES),
 		totalCpu: open.reduce((sum, link) => sum + link.record.capacity.cpu, 0),
 		waitingWork: Math.round(queue.work()),
 		labels: [...new Set(open.flatMap(link => link.record.labels))],
--- a/packages/jobs/src/fleet/beats.ts
+++ b/packages/jobs/src/fleet/beats.ts
@@ -13,6 +13,7 @@
 import type {Beat, Claim, Fences, Member, Room, RoomNews} from "../types/fleet.js"
 import type {FleetView} from "./members.js"
 import type {Peers} from "./peers.js"
+import {isRoom} from "./sound-rooms.js"
 
 /** A fifth of the silence after which a placer is replaced. */
 const BEAT_MS = 200
@@ -75,7 +76,7 @@
 
 /** Whether any of the rooms has a place that is free for others. */
 export const hasRoom = (rooms: Readonly<Record<string, Pick<Room, "freeCpu">>>) =>
-	Object.values(rooms).some(room => room.freeCpu.length > 0)
+	Object.values(rooms ?? {}).some(room => isRoom(room) && room.freeCpu.length > 0)
 
 /** What others decide by; the rest of a room changes without their needing to know. */
 const digestOf = (rooms: Readonly<Record<string, Room>>) =>
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock, StoreItem} from "@cottonwood/core"
 import type {Beat, Claim, Member, Room, RoomNews} from "../types/fleet.js"
+import {isLabelledRoom, isRoom, soundRooms, type BrokenNews} from "./sound-rooms.js"
 
 export const FLEET_PREFIX = "fleet/"
 const NODE_PREFIX = "fleet/node/"
@@ -81,7 +82,12 @@
 
 const NEVER_HEARD: Heard = {at: -Infinity, isLeaving: false}
 
-export function createFleetView(clock: Clock, onClaim: (claim: Claim) => void): FleetView {
+/** `onBroken` is told of what others said that cannot be true, and is dropped. */
+export function createFleetView(
+	clock: Clock,
+	onClaim: (claim: Claim) => void,
+	onBroken: (reason: BrokenNews) => void = () => undefined,
+): FleetView {
 	const members = new Map<string, Member>()
 	const claims = new Map<string, Claim>()
 	const heard = new Map<string, Heard>()
@@ -97,6 +103,13 @@
 		onClaim(claim)
 	}
 
+	/** Whether the session places the domain, as far as is known. */
+	function isPlacedBy(failureDomain: string, session: string): boolean {
+		const claim = claims.get(failureDomain)
+		if (!claim) onBroken("room_unclaimed")
+		return claim?.placer.session === session
+	}
+
 	function takeItem(item: StoreItem) {
 		const {key, value} = item
 		if (key.startsWith(NODE_PREFIX)) {
@@ -121,17 +134,15 @@
 			const {isLeaving, isStrained, lateMs} = beat
 			heard.set(beat.from.session, {at, isLeaving, isStrained, lateMs})
 			for (const claim of beat.claims) noteClaim(claim)
-			for (const [failureDomain, room] of Object.entries(beat.rooms)) {
-				const claim = claims.get(failureDomain)
-				if (claim?.placer.session === beat.from.session) rooms.set(failureDomain, {room, at})
-			}
+			for (const [failureDomain, room] of soundRooms(beat.rooms, isLabelledRoom, onBroken))
+				if (isPlacedBy(failureDomain, beat.from.session)) rooms.set(failureDomain, {room, at})
 		},
 		takeRoomNews({session, rooms: told}) {
 			const at = clock.now()
 			const last = heard.get(session)
 			heard.set(session, {...(last ?? NEVER_HEARD), at, isUnreached: false})
-			for (const [failureDomain, figures] of Object.entries(told)) {
-				if (claims.get(failureDomain)?.placer.session !== session) continue
+			for (const [failureDomain, figures] of soundRooms(told, isRoom, onBroken)) {
+				if (!isPlacedBy(failureDomain, session)) continue
 				const labels = rooms.get(failureDomain)?.room.labels ?? []
 				rooms.set(failureDomain, {room: {...figures, labels}, at})
 			}
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -9,7 +9,7 @@
 import type {RunningAt} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {ExecutorRecord} from "../types/executor.js"
-import type {Beat} from "../types/fleet.js"
+import type {Beat, Claim} from "../types/fleet.js"
 import type {AcceptReply, CancelReply} from "../keep/keeper.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import type {Queue} from "../types/fleet-config.js"
@@ -73,7 +73,17 @@
 	| {readonly type: "fetched"}
 	| {readonly type: "not placer"}
 
-export type JobReply = JobEnd | {readonly type: "not placer"}
+/** Nothing of the job has started, and another domain's placer is forecast to start it sooner. */
+export interface JobMove {
+	readonly type: "elsewhere"
+	readonly claim: Claim
+	/** Forecast waits at the placer that answers and at the other, in milliseconds. */
+	readonly hereMs: number
+	readonly thereMs: number
+	readonly newsAgeMs: number
+}
+
+export type JobReply = JobEnd | JobMove | {readonly type: "not placer"}
 export type TaskReply = TaskEnd | {readonly type: "not placer"}
 
 export interface PeerHandlers {
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -9,6 +9,7 @@
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
 import {createOverflow} from "./coordinate/overflow.js"
+import {createWholeJobs} from "./coordinate/whole-jobs.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, hasRoom, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
@@ -113,41 +114,41 @@
 	})
 
 	const peers = createPeers(metrics)
-	const view = createFleetView(clock, claim => {
+	function noteClaim(claim: Claim) {
 		noteClaimKnown(log, claim)
 		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
 		hosts.noteClaim(claim)
 		if (isNew) executors.readNow()
-	})
-	const overflow = createOverflow({clock, leaseRule, peers, view, self, log, metrics})
+	}
+	const noteBroken = (reason: string) => metrics.count("broken_assumptions", reason)
+	const view = createFleetView(clock, noteClaim, noteBroken)
+	const {isUnderWay: isEvacuated} = evacuations
+	const common = {clock, peers, view, self, log, metrics}
+	const {rooms, ...wholeJobs} = createWholeJobs({...common, isEvacuated}, settings.placing)
+	const overflow = createOverflow({...common, leaseRule, rooms})
 
 	const hosts: Hosts = createHosts({
-		clock,
+		...common,
 		orders: deps.orders,
 		advisor: deps.advisor,
-		log,
-		metrics,
-		self,
 		leaseRule,
 		stopGraceMs: settings.stopGraceMs,
 		handOver: item => overflow.handOver(item),
 		onRoomChange: () => beats.noteRoomChange(),
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
-		isEvacuated: evacuations.isUnderWay,
+		isEvacuated,
+		...wholeJobs,
 	})
 	const dispatcher = createDispatcher({
-		clock,
-		log,
-		peers,
-		view,
-		self,
+		...common,
 		hosts,
 		config: config.current,
 		refreshConfig: config.refresh,
 		isLeaving: () => isLeaving,
 		ownLateMs: strain.lateMs,
-		isEvacuated: evacuations.isUnderWay,
+		isEvacuated,
+		...wholeJobs,
 	})
 
 	const keptParts = createKeptParts({
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -46,6 +46,8 @@
 	 * milliseconds; Infinity without an executor that is or will soon be usable.
 	 */
 	expectedWaitMs(startBy: number): number
+	/** Core-milliseconds that wait here. */
+	waitingWork(): number
 	/** Whether all tasks of a step could start now, whatever waits for more room than that. */
 	hasRoomFor(step: Step, service: string): boolean
 	/** Offers what executors have listed so far to the kept jobs, which are known from now on. */
@@ -104,6 +106,7 @@
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
 		expectedWaitMs: startBy => waitBeforeMs(state.links, state.queue, startBy, deps.clock.now()),
+		waitingWork: () => state.queue.work(),
 		hasRoomFor: (step, service) => hasRoomFor(state, step, service),
 		offerOrphans() {
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -41,6 +41,8 @@
 	readonly askedBy?: string
 	/** It came from another placer and is not handed on again. */
 	readonly isForeign: boolean
+	/** Failure domains whose placers had its job before: it never goes back. */
+	readonly been?: readonly string[]
 	/** It belongs to a kept job: its end is noted in the store before its executor may forget it. */
 	readonly isKept?: boolean
 	/** It runs until it is stopped; it makes no progress that could be watched. */
--- a/packages/jobs/src/types/job.ts
+++ b/packages/jobs/src/types/job.ts
@@ -48,6 +48,8 @@
 	readonly deadlineAt: number
 	/** The session of the instance that handed it to the placer here; absent for a caller of this one. */
 	readonly askedBy?: string
+	/** Failure domains whose placers had it before, for one that may be sent elsewhere as a whole; absent: it may not. */
+	readonly been?: readonly string[]
 }
 
 /** Whoever waits for a job or a task. */
--- a/packages/jobs/src/types/placing.ts
+++ b/packages/jobs/src/types/placing.ts
@@ -12,6 +12,8 @@
 	readonly admission: "backlog" | "forecast"
 	/** `own`: jobs go to the own domain's placer first. `forecast`: to where they are forecast to end first. */
 	readonly domainChoice: "own" | "forecast"
+	/** By so much sooner, in milliseconds, a job must be forecast to start elsewhere before it leaves its domain: bytes between them cost. */
+	readonly crossDomainMs: number
 	/** What certainly never started is placed anew by its coordinator when its placer is gone. */
 	readonly placesAnew: boolean
 	/** A failure domain with more executors than this is divided among several placers; undefined: never. */
@@ -23,5 +25,6 @@
 	speeds: "learnt",
 	admission: "backlog",
 	domainChoice: "own",
+	crossDomainMs: 0,
 	placesAnew: false,
 })
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -64,6 +64,9 @@
 	readonly waitingTasks?: number
 	readonly waitingWork?: number
 	readonly address?: string
+	/** Forecast waits where a job was, and where it was sent. */
+	readonly hereMs?: number
+	readonly thereMs?: number
 	/** What of placing is switched on here. */
 	readonly placing?: PlacingSettings
 	readonly detail?: string
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -27,6 +27,8 @@
 	task_ends: "Runs that ended, by how",
 	task_retries: "Runs started again, by reason",
 	tasks_handed_over: "Tasks handed to another failure domain's placer, by outcome",
+	whole_jobs_moved:
+		"Jobs that went to another failure domain before anything had started, by outcome",
 	executor_orders_silent: "Orders to executors without an answer, by order",
 	executors_aside: "Executors set aside or taken back, by direction",
 	store_calls: "Calls to the key-value service, by call and outcome",
--- a/packages/jobs/test/support/replay/replay-day.ts
+++ b/packages/jobs/test/support/replay/replay-day.ts
@@ -33,6 +33,12 @@
 	readonly failureDomains?: readonly string[]
 	readonly executorsPerDomain?: number
 	readonly jobsPerSecond: number
+	/** How many times as many jobs come in each domain. */
+	readonly demand?: readonly number[]
+	/** Whole jobs leave their domain for so many milliseconds of forecast gain. */
+	readonly crossDomainMs?: number
+	/** Callers reach instances that place nothing. */
+	readonly hasEntries?: boolean
 	readonly lengthMs: number
 	readonly troubles: readonly ReplayTrouble[]
 }
@@ -53,6 +59,9 @@
 	readonly wastedCoreSeconds: number
 	readonly doubled: number
 	readonly overfilled: number
+	/** Whole jobs, and tasks, that another domain had. */
+	readonly movedJobs: number
+	readonly movedTasks: number
 }
 
 const LATE_SHARE = 0.2
@@ -91,7 +100,14 @@
 	return groups
 }
 
-function figuresOf(told: readonly Told[], world: ReplayWorld): ReplayFigures {
+/** The sum of a counter over its reasons. */
+function countOf(counters: string, name: string): number {
+	const lines = counters.split("\n").filter(line => line.startsWith(`cottonwood_${name}{`))
+	return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0)
+}
+
+async function figuresOf(told: readonly Told[], world: ReplayWorld): Promise<ReplayFigures> {
+	const counters = await world.counters()
 	const whole = shareOf(told)
 	const kinds = groupsOf(told, ({job}) => job.kind.name)
 	const domains = groupsOf(told, ({job}) => job.failureDomain)
@@ -119,6 +135,8 @@
 		wastedCoreSeconds: executors.reduce((sum, {wasted}) => sum + wasted, 0) / 1_000,
 		doubled: world.doubled.length,
 		overfilled: executors.reduce((sum, {overfilled}) => sum + overfilled, 0),
+		movedJobs: countOf(counters, "whole_jobs_moved"),
+		movedTasks: countOf(counters, "tasks_handed_over"),
 	}
 }
 
@@ -199,6 +217,7 @@
 			work,
 			failureDomains,
 			jobsPerSecond: day.jobsPerSecond,
+			demand: day.demand,
 			lengthMs: day.lengthMs,
 			surge: surgeOf(day.troubles),
 		},
@@ -208,6 +227,8 @@
 		work,
 		failureDomains,
 		executorsPerDomain: day.executorsPerDomain ?? 11,
+		crossDomainMs: day.crossDomainMs,
+		hasEntries: day.hasEntries,
 		clock,
 		random: seededRandom(seed + 1_000_003),
 	})
--- a/packages/jobs/test/support/replay/replay-load.ts
+++ b/packages/jobs/test/support/replay/replay-load.ts
@@ -73,6 +73,8 @@
 	readonly failureDomains: readonly string[]
 	readonly jobsPerSecond: number
 	readonly lengthMs: number
+	/** How many times as many jobs come in each domain as in the others; by default as many. */
+	readonly demand?: readonly number[]
 	/** How many times as many jobs of a kind come at a time. */
 	readonly surge: (at: number, kind: ReplayKind) => number
 }
@@ -84,13 +86,14 @@
 
 /** Arrivals at rates that swing, and surge now and then, in order. */
 export function drawJobs(arrivals: Arrivals, random: () => number): readonly ReplayJob[] {
-	const {work, failureDomains, jobsPerSecond, lengthMs, surge} = arrivals
+	const {work, failureDomains, jobsPerSecond, lengthMs, surge, demand} = arrivals
 	const jobs: ReplayJob[] = []
 	let serial = 0
 	failureDomains.forEach((failureDomain, domain) => {
 		const wave = waveOf(work, domain / failureDomains.length)
+		const times = demand?.[domain] ?? 1
 		for (const kind of work.kinds) {
-			const perMs = (jobsPerSecond * kind.weight) / failureDomains.length / 1_000
+			const perMs = (jobsPerSecond * kind.weight * times) / failureDomains.length / 1_000
 			for (let at = 0; at < lengthMs;) {
 				at += -Math.log(1 - random()) / (perMs * wave(at) * surge(at, kind))
 				jobs.push(jobOf(++serial, work, kind, failureDomain, at, random))
--- a/packages/jobs/test/support/replay/replay-world.ts
+++ b/packages/jobs/test/support/replay/replay-world.ts
@@ -21,6 +21,7 @@
 	createFleetView,
 	createHosts,
 	createOverflow,
+	createWholeJobs,
 	type Beats,
 	type Dispatcher,
 	type Hosts,
@@ -44,6 +45,8 @@
 /** Between two confirmations that a call is still wanted. */
 const CONFIRM_MS = 100
 const CONFIG_VERSION = 1
+/** Of the instance that callers reach, before its failure domain. */
+const ENTRY_PREFIX = "entry:"
 
 export interface ReplayWorldOptions {
 	readonly work: ReplayWork
@@ -51,6 +54,10 @@
 	readonly executorsPerDomain: number
 	readonly clock: ReplayClock
 	readonly random: () => number
+	/** Whole jobs go to where they are forecast to start sooner by so much; undefined: only tasks leave their domain. */
+	readonly crossDomainMs?: number
+	/** Callers reach an instance of their domain that places nothing, as most do where instances are many. */
+	readonly hasEntries?: boolean
 }
 
 export interface ReplayWorld {
@@ -130,7 +137,11 @@
 	const tellList = (failureDomain: string) =>
 		instances.get(failureDomain)?.hosts.setExecutors(recordsOf(failureDomain))
 
-	const isApart = (a: string, b: string) => a !== b && (cut.has(a) || cut.has(b))
+	const domainOf = (instance: string) => instance.replace(ENTRY_PREFIX, "")
+	const isApart = (from: string, to: string) => {
+		const [a, b] = [domainOf(from), domainOf(to)]
+		return a !== b && (cut.has(a) || cut.has(b))
+	}
 
 	/** A call over a link: nothing comes back while either side is cut off. */
 	function call<T>(
@@ -182,36 +193,28 @@
 		return {reply, wasUnsent: () => false, wasRefused: () => false, cancel}
 	}
 
-	const domainAt = (address: string) => address.split("-")[0] as string
+	const instanceAt = (address: string) => address.split("-")[0] as string
 	const unused = () => {
 		throw new Error("not used")
 	}
 
-	function addInstance(failureDomain: string) {
+	function addInstance(failureDomain: string, id: string = failureDomain) {
 		const self: Member = {
-			name: `${failureDomain}-1`,
-			session: `${failureDomain}-s`,
+			name: `${id}-1`,
+			session: `${id}-s`,
 			failureDomain,
-			address: `${failureDomain}-1:1`,
+			address: `${id}-1:1`,
 			cpuShare: 0.675,
 		}
 		const peers: Peers = {
 			beat: () => Promise.resolve(undefined),
 			runJob: (address, message, timeoutMs, confirmedAt) =>
-				call<JobReply>(
-					failureDomain,
-					domainAt(address),
-					timeoutMs,
-					confirmedAt,
-					(instance, caller) => instance.dispatcher.runJob(message, caller),
+				call<JobReply>(id, instanceAt(address), timeoutMs, confirmedAt, (instance, caller) =>
+					instance.dispatcher.runJob(message, caller),
 				),
 			runTask: (address, message, timeoutMs, confirmedAt) =>
-				call<TaskReply>(
-					failureDomain,
-					domainAt(address),
-					timeoutMs,
-					confirmedAt,
-					(instance, caller) => instance.dispatcher.runTask(message, caller),
+				call<TaskReply>(id, instanceAt(address), timeoutMs, confirmedAt, (instance, caller) =>
+					instance.dispatcher.runTask(message, caller),
 				),
 			takeOver: unused,
 			kept: unused,
@@ -221,7 +224,15 @@
 		}
 		const view = createFleetView(clock, claim => hosts.noteClaim(claim))
 		const leaseRule = LEASE_RULE
-		const common = {clock, leaseRule, log: silentLog, metrics, self, peers, view}
+		const parts = {clock, leaseRule, log: silentLog, metrics, self, peers, view}
+		const isEvacuated = (domain: string) => evacuated.has(domain)
+		const {crossDomainMs} = options
+		const domainChoice = crossDomainMs === undefined ? "own" : "forecast"
+		const {rooms, ...wholeJobs} = createWholeJobs(
+			{...parts, isEvacuated},
+			{domainChoice, crossDomainMs: crossDomainMs ?? 0},
+		)
+		const common = {...parts, rooms}
 		const overflow = createOverflow(common)
 		const keeper = {
 			...NO_KEPT_RUNS,
@@ -238,7 +249,8 @@
 			onRoomChange: () => beats?.noteRoomChange(),
 			createKeeper: () => keeper,
 			executorsOf: recordsOf,
-			isEvacuated: domain => evacuated.has(domain),
+			isEvacuated,
+			...wholeJobs,
 		})
 		const ownBeat = (): Beat => ({
 			from: self,
@@ -264,7 +276,8 @@
 			refreshConfig: () => undefined,
 			isLeaving: () => false,
 			ownLateMs: () => 0,
-			isEvacuated: domain => evacuated.has(domain),
+			isEvacuated,
+			...wholeJobs,
 		})
 		for (const other of failureDomains) {
 			const placer: Member = {
@@ -280,9 +293,9 @@
 		const beats: Beats = createBeats({
 			...common,
 			send(address, message) {
-				const to = domainAt(address)
+				const to = instanceAt(address)
 				clock.schedule(PEER_WAY_MS, () => {
-					if (!isApart(failureDomain, to)) instances.get(to)?.beats.take(message)
+					if (!isApart(id, to)) instances.get(to)?.beats.take(message)
 				})
 			},
 			own: ownBeat,
@@ -294,9 +307,12 @@
 			linkMbps: 1_000,
 			needsOthers: () => false,
 		})
-		instances.set(failureDomain, {self, hosts, beats, dispatcher})
+		instances.set(id, {self, hosts, beats, dispatcher})
 	}
 	for (const failureDomain of failureDomains) addInstance(failureDomain)
+	if (options.hasEntries)
+		for (const failureDomain of failureDomains)
+			addInstance(failureDomain, ENTRY_PREFIX + failureDomain)
 	for (const failureDomain of failureDomains) tellList(failureDomain)
 
 	return {
@@ -315,7 +331,8 @@
 				receivedAt,
 				deadlineAt: receivedAt + DEADLINE_MS + 2 * job.objectiveMs,
 			}
-			const instance = instances.get(job.failureDomain) as Instance
+			const prefix = options.hasEntries ? ENTRY_PREFIX : ""
+			const instance = instances.get(prefix + job.failureDomain) as Instance
 			const caller = {...STAYING, madeAt: receivedAt, confirmedAt: () => clock.now()}
 			const end = await instance.dispatcher.dispatch(handedIn, queue, caller)
 			await clock.sleep(CALLER_WAY_MS)
