Test, document and bound the moves of whole jobs between domains

A share of the told room is counted in whole tasks that fit: by processors alone two senders put fourteen tasks where twelve fit.

--- a/packages/jobs/src/coordinate/elsewhere.ts
+++ b/packages/jobs/src/coordinate/elsewhere.ts
@@ -128,12 +128,11 @@
 			const {claim, placer} = placing
 			const need = needHere(job, queue)
 			const waitingWork = placer.waitingWork()
-			const totalCpu = totalCpuOf(placing)
 			// Where nothing waits the first look at the executors decides.
 			if (!need || (waitingWork === 0 && !isRefused) || placer.isBeginning()) return undefined
 			const own: OwnDomain = {
 				failureDomain: claim.failureDomain,
-				totalCpu,
+				totalCpu: totalCpuOf(placing),
 				waitingWork,
 				waitedMs: 0,
 				refuses: isRefused,
--- a/packages/jobs/src/decide/domain-choice.ts
+++ b/packages/jobs/src/decide/domain-choice.ts
@@ -135,11 +135,15 @@
 
 const sum = (figures: readonly number[]) => figures.reduce((total, figure) => total + figure, 0)
 
+/** Whole tasks of a size that fit; what is left over on each executor is of no use to them. */
+const countFitting = (freeCpu: readonly number[], cpu: number) =>
+	sum(freeCpu.map(free => Math.floor(Math.max(0, free) / cpu)))
+
 /** Whether the job fits whole into this domain's share of the told room. */
 export function fitsThere(news: DomainNews, {tasks, cpu}: JobNeed, rivals: number): boolean {
-	const share = sum(news.toldCpu) / rivals - news.sentCpu
-	if (tasks * cpu > share) return false
-	return sum(news.freeCpu.map(free => Math.floor(Math.max(0, free) / cpu))) >= tasks
+	const share = Math.floor(countFitting(news.toldCpu, cpu) / rivals)
+	if (tasks > share - Math.ceil(news.sentCpu / cpu)) return false
+	return countFitting(news.freeCpu, cpu) >= tasks
 }
 
 /** Until the job could start there; a queue may have grown for as long as it was not told. */
--- /dev/null
+++ b/packages/jobs/test/domain-choice.test.ts
@@ -0,0 +1,141 @@
+/**
+ * Which failure domain a job goes to, by what the others told.
+ */
+import type {Job, Queue} from "@cottonwood/jobs"
+import {
+	chooseDomain,
+	forecastHereMs,
+	needOf,
+	type DomainNews,
+	type JobNeed,
+	type OwnDomain,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {QUEUE} from "./support/requests.js"
+
+const NEED: JobNeed = {
+	tasks: 2,
+	cpu: 8_000,
+	work: 1_600,
+	labels: [],
+	startInMs: 100,
+	been: [],
+}
+
+/** 64 cores behind 6,400 core-milliseconds: 125 ms of work. */
+const FULL: OwnDomain = {
+	failureDomain: "a",
+	totalCpu: 64_000,
+	waitingWork: 6_400,
+	waitedMs: 0,
+	refuses: false,
+}
+
+const news = (failureDomain: string, changes: Partial<DomainNews> = {}): DomainNews => ({
+	failureDomain,
+	toldCpu: [16_000, 16_000],
+	freeCpu: [16_000, 16_000],
+	sentCpu: 0,
+	sentWork: 0,
+	totalCpu: 64_000,
+	waitingWork: 0,
+	labels: [],
+	ageMs: 20,
+	claimAgeMs: 60_000,
+	silentMs: 20,
+	quietMs: 0,
+	isEmptied: false,
+	isLeaving: false,
+	isUnreached: false,
+	isStrained: false,
+	...changes,
+})
+
+const chosen = (
+	all: readonly DomainNews[],
+	{own = FULL, need = NEED, crossDomainMs = 0} = {},
+): string | undefined => chooseDomain(own, all, need, crossDomainMs)?.failureDomain
+
+describe("choice of a job's domain", () => {
+	it("is where it fits whole, by the forecast of both sides", () => {
+		const choice = chooseDomain(FULL, [news("b")], NEED, 0)
+		expect(choice?.failureDomain).to.equal("b")
+		expect(choice?.hereMs).to.be.greaterThan(100)
+		expect(choice?.thereMs).to.be.lessThan(10)
+		expect(choice?.newsAgeMs).to.equal(20)
+	})
+
+	it("is the own one unless the gain is as large as the operator asks", () => {
+		expect(chosen([news("b")], {crossDomainMs: 100})).to.equal("b")
+		expect(chosen([news("b")], {crossDomainMs: 200})).to.equal(undefined)
+		// Work of a millisecond is done before the job is there.
+		const short = {...FULL, totalCpu: 6_400_000}
+		expect(chosen([news("b")], {own: short})).to.equal(undefined)
+	})
+
+	it("takes what has waited long without a place to wait as long again, whatever the queue says", () => {
+		const own = {...FULL, waitingWork: 0, totalCpu: 6_400_000, waitedMs: 40}
+		expect(forecastHereMs(own, NEED)).to.equal(40)
+		expect(chosen([news("b")], {own})).to.equal("b")
+	})
+
+	it("is the one with more room left, of two that would start it alike", () => {
+		expect(chosen([news("b"), news("c", {freeCpu: [16_000, 8_000]})])).to.equal("b")
+		expect(chosen([news("b", {freeCpu: [16_000, 8_000]}), news("c")])).to.equal("c")
+	})
+
+	it("is none that is emptied, leaving, unreached, strained, cut off, or just beginning", () => {
+		const unfit: readonly Partial<DomainNews>[] = [
+			{isEmptied: true},
+			{isLeaving: true},
+			{isUnreached: true},
+			{isStrained: true},
+			{silentMs: 700},
+			{quietMs: 350},
+			{claimAgeMs: 100},
+		]
+		for (const changes of unfit)
+			expect(chosen([news("b", changes)]), JSON.stringify(changes)).to.equal(undefined)
+	})
+
+	it("is none whose news is older than two beats", () => {
+		expect(chosen([news("b", {ageMs: 501})])).to.equal(undefined)
+	})
+
+	it("is none that lacks a label, and none that had the job before", () => {
+		expect(chosen([news("b")], {need: {...NEED, labels: ["r1"]}})).to.equal(undefined)
+		expect(chosen([news("b", {labels: ["r1"]})], {need: {...NEED, labels: ["r1"]}})).to.equal("b")
+		expect(chosen([news("b")], {need: {...NEED, been: ["b"]}})).to.equal(undefined)
+	})
+
+	/* A queue elsewhere may refuse it too, and a job that was taken here loses its place. */
+	it("is a queue elsewhere only for a job that is refused here and would be in time there", () => {
+		const queue = news("b", {toldCpu: [], freeCpu: [], waitingWork: 800})
+		const refusing = {...FULL, refuses: true}
+		expect(chosen([queue])).to.equal(undefined)
+		expect(chosen([queue], {own: refusing})).to.equal("b")
+		expect(chosen([queue], {own: refusing, need: {...NEED, startInMs: 50}})).to.equal(undefined)
+		// Its queue may have grown since it told of it.
+		expect(chosen([{...queue, ageMs: 150}], {own: refusing})).to.equal(undefined)
+	})
+
+	it("is left to jobs of plain tasks that may still move", () => {
+		const step = {count: 2, need: {cpu: 8_000, memoryMb: 1, accelerators: 0}, estimateMs: 100}
+		const job: Job = {
+			id: "00000000000000aa",
+			queue: QUEUE.name,
+			spec: "",
+			steps: [{...step, after: []}],
+			receivedAt: 0,
+			deadlineAt: 1_000,
+			been: [],
+		}
+		const advised: Queue = {...QUEUE, advice: {decideMs: 1, perExecutorMs: 0}}
+		const gang = {...job, steps: [{...step, after: [], isGang: true}]}
+		expect(needOf(job, QUEUE, 100)).to.eql(NEED)
+		expect(needOf({...job, been: undefined}, QUEUE, 100), "switched off").to.equal(undefined)
+		expect(needOf({...job, been: ["a", "b"]}, QUEUE, 100), "moved twice").to.equal(undefined)
+		expect(needOf(job, advised, 100)).to.equal(undefined)
+		expect(needOf(gang, QUEUE, 100)).to.equal(undefined)
+	})
+})
--- /dev/null
+++ b/packages/jobs/test/elsewhere.test.ts
@@ -0,0 +1,231 @@
+/**
+ * Whole jobs that a placer without room sends to another domain, with its real queue and executors in memory.
+ */
+import {
+	createJobMetrics,
+	silentLog,
+	type Beat,
+	type Claim,
+	type Job,
+	type Member,
+} from "@cottonwood/jobs"
+import {
+	createFleetView,
+	createHosts,
+	createWholeJobs,
+	type Keeper,
+	type Waiting,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
+import {FakeFleet, record} from "./support/fake-executors.js"
+import {fakePeers} from "./support/peers.js"
+import {LEASE_RULE, NO_ADVISOR, NO_KEPT_RUNS, QUEUE, STAYING} from "./support/requests.js"
+
+/** Two of these fill an executor. */
+const TASK_CPU = 27_000
+
+const member = (failureDomain: string): Member => ({
+	name: `${failureDomain}-1`,
+	session: `${failureDomain}-s`,
+	failureDomain,
+	address: `${failureDomain}-1:1`,
+	cpuShare: 1,
+})
+const claimOf = (failureDomain: string): Claim => ({
+	failureDomain,
+	fence: 1,
+	placer: member(failureDomain),
+})
+
+/** The placer of one domain with one executor, which hears of the room of others. */
+function createWorld(clock: FakeClock, own = "a", crossDomainMs = 0) {
+	const fleet = new FakeFleet(clock)
+	const metrics = createJobMetrics()
+	const self = member(own)
+	const evacuated = new Set<string>()
+	const isEvacuated = (domain: string) => evacuated.has(domain)
+	const byTasks: Waiting[] = []
+	const view = createFleetView(clock, claim => hosts.noteClaim(claim))
+	const common = {clock, log: silentLog, metrics, self}
+	const {elsewhere} = createWholeJobs(
+		{...common, view, peers: fakePeers(), isEvacuated},
+		{domainChoice: "forecast", crossDomainMs},
+	)
+	const keeper = {
+		...NO_KEPT_RUNS,
+		begin: () => undefined,
+		close: () => undefined,
+		jobCount: () => 0,
+	} as unknown as Keeper
+	const hosts = createHosts({
+		...common,
+		orders: fleet,
+		advisor: NO_ADVISOR,
+		leaseRule: LEASE_RULE,
+		stopGraceMs: 50,
+		handOver(item) {
+			byTasks.push(item)
+			return false
+		},
+		onRoomChange: () => undefined,
+		createKeeper: () => keeper,
+		isEvacuated,
+		executorsOf: domain => [record(`${domain}1`, {failureDomain: domain})],
+		elsewhere,
+	})
+	let serial = 0
+	/** Hands in a job of so many tasks; the answer comes to `ends`. */
+	function submit(tasks: number, been: readonly string[] | "stays" = []) {
+		const id = `${own}${String(++serial).padStart(15, "0")}`
+		const need = {cpu: TASK_CPU, memoryMb: 1, accelerators: 0}
+		const job: Job = {
+			id,
+			queue: QUEUE.name,
+			spec: "",
+			steps: [{count: tasks, need, estimateMs: 200, after: []}],
+			receivedAt: clock.now(),
+			deadlineAt: clock.now() + 1_500,
+			been: been === "stays" ? undefined : been,
+		}
+		const host = hosts.of(own)
+		if (!host) throw new Error("no host")
+		const ends: string[] = []
+		void hosts.run(host, job, QUEUE, STAYING).then(end => {
+			ends.push(end.type === "elsewhere" ? `to ${end.claim.failureDomain}` : end.type)
+		})
+		return {id, ends}
+	}
+	function tell(failureDomain: string, freeCpu: readonly number[], isLeaving = false) {
+		const room = {freeCpu, totalCpu: 640_000, waitingWork: 0, labels: []}
+		const beat: Beat = {
+			from: member(failureDomain),
+			claims: [claimOf(failureDomain)],
+			rooms: {[failureDomain]: room},
+			isLeaving,
+			configVersion: 1,
+		}
+		view.takeBeat(beat)
+	}
+	const startsOf = (id: string) => fleet.starts.filter(({task}) => task.startsWith(id)).length
+	view.noteClaim(claimOf(own))
+	return {hosts, fleet, view, evacuated, byTasks, submit, tell, startsOf}
+}
+
+/** Its executors are taken, and the other domains' placers have been there for a while. */
+async function createFullWorld({
+	clock = createFakeClock(),
+	own = "a",
+	domains = ["a", "b"],
+	crossDomainMs = 0,
+} = {}) {
+	const world = createWorld(clock, own, crossDomainMs)
+	for (const domain of domains) world.view.noteClaim(claimOf(domain))
+	await clock.advance(500)
+	const first = world.submit(2)
+	await clock.advance(5)
+	expect(world.startsOf(first.id)).to.equal(2)
+	return {...world, clock}
+}
+
+describe("a job without room in its domain", () => {
+	it("goes as a whole where it fits, and nothing of it starts here", async () => {
+		const {submit, tell, startsOf, clock, byTasks, hosts} = await createFullWorld()
+		tell("b", [64_000])
+		const {id, ends} = submit(2)
+		await clock.advance(5)
+		expect(ends).to.eql(["to b"])
+		expect(byTasks).to.have.length(0)
+		expect(hosts.counts().waiting).to.equal(0)
+		await clock.advance(300)
+		expect(startsOf(id)).to.equal(0)
+	})
+
+	it("stays, and its tasks go one by one, once the told room is used up", async () => {
+		const {submit, tell, clock, byTasks} = await createFullWorld()
+		tell("b", [64_000])
+		const first = submit(2)
+		await clock.advance(5)
+		const second = submit(2)
+		await clock.advance(5)
+		expect([first.ends, second.ends]).to.eql([["to b"], []])
+		expect(byTasks.map(({req}) => req.job)).to.include(second.id)
+	})
+
+	it("stays when its coordinator moves none, when it has moved twice, or was there before", async () => {
+		for (const been of ["stays", ["c", "d"], ["b"]] as const) {
+			const {submit, tell, clock, byTasks} = await createFullWorld()
+			tell("b", [64_000, 64_000])
+			const {ends} = submit(1, been)
+			await clock.advance(5)
+			expect(ends).to.eql([])
+			// Its tasks carry on where it has been, for whoever hands them on one by one.
+			expect(byTasks[0]?.req.been).to.eql(been === "stays" ? undefined : been)
+		}
+	})
+
+	it("stays once anything of it has started: its tasks alone go elsewhere, no sooner than the operator asks", async () => {
+		const {clock, hosts, fleet, submit, tell, byTasks} = await createFullWorld({crossDomainMs: 10})
+		tell("b", [64_000, 64_000])
+		fleet.end(fleet.starts[0]?.task ?? "", "done")
+		await clock.advance(2)
+		const {id, ends} = submit(2)
+		await clock.advance(5)
+		expect(byTasks).to.have.length(0)
+		await clock.advance(10)
+		hosts.walk()
+		await clock.advance(1)
+		expect(ends).to.eql([])
+		expect(byTasks.map(({req}) => req.job)).to.eql([id])
+	})
+
+	it("stays while the other domain is emptied, leaves, or tells nothing", async () => {
+		for (const trouble of ["emptied", "leaving", "silent"]) {
+			const {submit, tell, clock, evacuated} = await createFullWorld()
+			if (trouble === "emptied") evacuated.add("b")
+			if (trouble !== "silent") tell("b", [64_000], trouble === "leaving")
+			const {ends} = submit(2)
+			await clock.advance(5)
+			expect(ends, trouble).to.eql([])
+		}
+	})
+
+	it("stays while the other domain's placer has only just begun", async () => {
+		const {submit, tell, clock, view} = await createFullWorld()
+		view.noteClaim({...claimOf("b"), fence: 2})
+		tell("b", [64_000])
+		const job = submit(2)
+		await clock.advance(5)
+		expect(job.ends).to.eql([])
+	})
+
+	it("stays when what the other domain told is old", async () => {
+		const {submit, tell, clock} = await createFullWorld()
+		tell("b", [64_000])
+		await clock.advance(520)
+		const job = submit(2)
+		await clock.advance(5)
+		expect(job.ends).to.eql([])
+	})
+
+	/*
+	 * Two domains are full and hear of the same room in the third at the same time, and of nothing further. Each would fill it
+	 * alone; together they would leave a queue there.
+	 */
+	it("finds the one free domain never sent more than it told, whoever else sends there", async () => {
+		const clock = createFakeClock()
+		const domains = ["a", "b", "c"]
+		const a = await createFullWorld({clock, domains})
+		const b = await createFullWorld({clock, domains, own: "b"})
+		a.tell("b", [])
+		b.tell("a", [])
+		const told = Array.from({length: 6}, () => 64_000)
+		for (const {tell} of [a, b]) tell("c", told)
+		const jobs = [a, b].flatMap(({submit}) => Array.from({length: 9}, () => submit(1)))
+		await clock.advance(5)
+		const sent = jobs.filter(({ends}) => ends.includes("to c")).length
+		expect(sent).to.be.greaterThan(8)
+		// Two fit on each of the six executors.
+		expect(sent).to.be.at.most(12)
+	})
+})
--- a/packages/jobs/test/replayed-load.test.ts
+++ b/packages/jobs/test/replayed-load.test.ts
@@ -121,4 +121,32 @@
 		expect(mean(all, ({kinds}) => leastOf(kinds))).to.be.greaterThan(LEAST_SHARE)
 		expect(mean(all, ({domains}) => leastOf(domains))).to.be.greaterThan(LEAST_SHARE)
 	})
+
+	/*
+	 * Callers reach instances that hear their own domain's placer alone; one domain has four times the demand of the others, and
+	 * the waves of all three are out of phase. What the full placer refuses at once is tried nowhere else, and what it takes goes
+	 * away task by task.
+	 */
+	it("that one domain has four times as much of goes to the others as whole jobs", async () => {
+		const uneven: ReplayDay = {
+			work: {...PAIRED_WORK, swing: 0.5, swingPeriodMs: 3_000},
+			executorsPerDomain: 15,
+			jobsPerSecond: 110,
+			demand: [2, 0.5, 0.5],
+			hasEntries: true,
+			lengthMs: 6_000,
+			troubles: [],
+		}
+		const stay = await replayAll(uneven)
+		const go = await replayAll({...uneven, crossDomainMs: 8})
+		print("uneven, jobs stay", stay)
+		print("uneven, jobs go", go)
+		const inTime = (all: readonly ReplayFigures[]) => mean(all, one => one.inTime)
+		const refused = (all: readonly ReplayFigures[]) => mean(all, one => one.refused)
+		const calls = (all: readonly ReplayFigures[]) =>
+			mean(all, ({movedJobs, movedTasks}) => movedJobs + movedTasks)
+		expect(inTime(go)).to.be.greaterThan(inTime(stay) + 0.01)
+		expect(refused(go)).to.be.lessThan(0.75 * refused(stay))
+		expect(calls(go)).to.be.lessThan(0.85 * calls(stay))
+	})
 })
--- /dev/null
+++ b/packages/jobs/test/sound-rooms.test.ts
@@ -0,0 +1,108 @@
+/**
+ * What other instances say of their room when it cannot be true: work would go where nothing is free, or an instance would
+ * stop at a figure that is none.
+ */
+import type {Beat, Claim, Member, Room} from "@cottonwood/jobs"
+import {createFleetView, hasRoom} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+
+const other: Member = {
+	name: "b-1",
+	session: "b-s",
+	failureDomain: "b",
+	address: "b-1:1",
+	cpuShare: 1,
+}
+const claim: Claim = {failureDomain: "b", fence: 1, placer: other}
+const ROOM: Room = {freeCpu: [8_000, 0], totalCpu: 64_000, waitingWork: 0, labels: ["r1"]}
+
+const BROKEN: readonly unknown[] = [
+	undefined,
+	null,
+	"room",
+	{},
+	{...ROOM, freeCpu: undefined},
+	{...ROOM, freeCpu: 8_000},
+	{...ROOM, freeCpu: [8_000, -1]},
+	{...ROOM, freeCpu: [NaN]},
+	{...ROOM, freeCpu: ["8000"]},
+	{...ROOM, totalCpu: -64_000},
+	{...ROOM, totalCpu: null},
+	{...ROOM, waitingWork: NaN},
+	{...ROOM, waitingWork: "none"},
+]
+
+function createWorld() {
+	const broken: string[] = []
+	const view = createFleetView(
+		createFakeClock(),
+		() => undefined,
+		reason => void broken.push(reason),
+	)
+	const beat = (rooms: unknown): Beat => ({
+		from: other,
+		claims: [],
+		rooms: rooms as Beat["rooms"],
+		isLeaving: false,
+		configVersion: 1,
+	})
+	const tellNews = (rooms: unknown) => view.takeRoomNews({session: "b-s", rooms: rooms as never})
+	return {view, broken, tellBeat: (rooms: unknown) => view.takeBeat(beat(rooms)), tellNews}
+}
+
+describe("told room", () => {
+	it("that is sound holds", () => {
+		const {view, broken, tellBeat, tellNews} = createWorld()
+		view.noteClaim(claim)
+		tellBeat({b: ROOM})
+		expect(view.roomOf("b")?.room).to.eql(ROOM)
+		const {labels, ...figures} = {...ROOM, freeCpu: [4_000]}
+		tellNews({b: figures})
+		expect(view.roomOf("b")?.room).to.eql({...figures, labels})
+		expect(broken).to.eql([])
+	})
+
+	it("that is broken is dropped and counted, and what was told before holds", () => {
+		for (const room of BROKEN) {
+			const {view, broken, tellBeat, tellNews} = createWorld()
+			view.noteClaim(claim)
+			tellBeat({b: ROOM})
+			tellBeat({b: room})
+			tellNews({b: room})
+			expect(view.roomOf("b")?.room, JSON.stringify(room)).to.eql(ROOM)
+			expect(broken).to.eql(["room", "room"])
+			expect(hasRoom({b: room} as never)).to.equal(false)
+		}
+	})
+
+	it("without labels, or with others than texts, is dropped from a beat", () => {
+		const {view, broken, tellBeat} = createWorld()
+		view.noteClaim(claim)
+		tellBeat({b: {...ROOM, labels: undefined}})
+		tellBeat({b: {...ROOM, labels: [1]}})
+		expect(view.roomOf("b")).to.equal(undefined)
+		expect(broken).to.eql(["room", "room"])
+	})
+
+	it("is none at all where the rooms are no list of rooms", () => {
+		const {view, broken, tellBeat, tellNews} = createWorld()
+		for (const rooms of [undefined, null, "rooms"]) {
+			tellBeat(rooms)
+			tellNews(rooms)
+			expect(hasRoom(rooms as never)).to.equal(false)
+		}
+		expect(broken).to.have.length(6)
+		expect(view.silentMs("b-s"), "its sender lives").to.equal(0)
+	})
+
+	it("of a domain that nobody is known to place is dropped and counted; of one that another places it is only old", () => {
+		const {view, broken, tellBeat} = createWorld()
+		tellBeat({b: ROOM})
+		expect(broken).to.eql(["room_unclaimed"])
+		view.noteClaim({...claim, placer: {...other, session: "b-2-s"}})
+		tellBeat({b: ROOM})
+		expect(view.roomOf("b")).to.equal(undefined)
+		expect(broken).to.eql(["room_unclaimed"])
+	})
+})
