Look again at what stays for a moment, and show moves of whole jobs on real instances

A task that is held back for room at home was looked at again only when a run ended or room was told. It is now looked at after 15 ms at the latest, once a domain.

On processes a full domain's jobs go over whole from either of its instances, and a job whose new placer is killed is given up and not begun a second time. Processor time was not measured.

--- a/packages/jobs/src/coordinate/elsewhere.ts
+++ b/packages/jobs/src/coordinate/elsewhere.ts
@@ -11,6 +11,7 @@
 import {
 	chooseDomain,
 	forecastHereMs,
+	leaveAfterMs,
 	mayLeave,
 	needOf,
 	type DomainNews,
@@ -27,6 +28,8 @@
 
 /** The executors of a domain change seldom, and are summed at most so often. */
 const TOTAL_AGE_MS = 200
+/** Looks at the queue cost processor time; the ends of runs bring most of them sooner. */
+const LOOK_AGAIN_MS = 15
 
 export interface ElsewhereDeps {
 	readonly clock: Clock
@@ -66,8 +69,22 @@
 export function createElsewhere(deps: ElsewhereDeps): Elsewhere {
 	const {clock, view, peers, self, rooms, crossDomainMs} = deps
 	const watched = new Map<string, Watched>()
+	/** Failure domains whose queue is looked at again soon. */
+	const looksDue = new Set<string>()
 	const totals = new Map<string, {readonly at: number; readonly cpu: number}>()
 
+	/** Where no run ends meanwhile nothing else would look at what stays. */
+	function stay({claim, placer}: Placing): WholeJobMove {
+		const {failureDomain} = claim
+		if (looksDue.has(failureDomain)) return "stays"
+		looksDue.add(failureDomain)
+		clock.schedule(Math.max(LOOK_AGAIN_MS, leaveAfterMs(crossDomainMs)), () => {
+			looksDue.delete(failureDomain)
+			placer.walk()
+		})
+		return "stays"
+	}
+
 	function totalCpuOf({claim, placer}: Placing): number {
 		const known = totals.get(claim.failureDomain)
 		if (known && clock.now() - known.at < TOTAL_AGE_MS) return known.cpu
@@ -156,7 +173,7 @@
 			const one = watched.get(req.job)
 			if (!one || req.isForeign) return "goes by tasks"
 			const waitedMs = clock.now() - since
-			if (one.run.isBegun()) return waitedMs < crossDomainMs ? "stays" : "goes by tasks"
+			if (one.run.isBegun()) return waitedMs < crossDomainMs ? stay(placing) : "goes by tasks"
 			const {claim, placer} = placing
 			const own: OwnDomain = {
 				failureDomain: claim.failureDomain,
@@ -165,7 +182,7 @@
 				waitedMs,
 				refuses: false,
 			}
-			if (!mayLeave(forecastHereMs(own, one.need), crossDomainMs)) return "stays"
+			if (!mayLeave(forecastHereMs(own, one.need), crossDomainMs)) return stay(placing)
 			const startInMs = one.need.startInMs - waitedMs
 			const move = choose(own, {...one.need, startInMs})
 			if (!move) return "goes by tasks"
--- a/packages/jobs/src/decide/domain-choice.ts
+++ b/packages/jobs/src/decide/domain-choice.ts
@@ -153,8 +153,12 @@
 	return WAY_MS + paceMs(ahead, news.totalCpu) + news.ageMs
 }
 
+/** What finds no room for so long may leave by its wait alone, in milliseconds. */
+export const leaveAfterMs = (crossDomainMs: number) => crossDomainMs + WAY_MS
+
 /** Whether leaving may be worth its way at all; costs nothing, and is asked first. */
-export const mayLeave = (hereMs: number, crossDomainMs: number) => hereMs - WAY_MS >= crossDomainMs
+export const mayLeave = (hereMs: number, crossDomainMs: number) =>
+	hereMs >= leaveAfterMs(crossDomainMs)
 
 /** The domain where the job is forecast to start sooner by more than leaving costs; undefined: it stays. */
 export function chooseDomain(
--- /dev/null
+++ b/packages/standins/test/uneven-domains.test.ts
@@ -0,0 +1,98 @@
+/**
+ * A failure domain that is full beside others with room, on real instances: whole jobs go there, and none runs twice when
+ * the instance that has it is gone.
+ */
+import {
+	handIn,
+	startEdges,
+	startLeasedPlatform,
+	untilPlaced,
+	type Edge,
+	type EdgeFleet,
+	type LeasedPlatform,
+} from "@cottonwood/standins"
+import {expect} from "chai"
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+/** Two tasks fit on each of the domain's executors. */
+const EXECUTORS = 2
+/** After silence the caller comes again after so long. */
+const COME_AGAIN_MS = 1_300
+/** Lines are written this soon. */
+const LINES_MS = 200
+
+let serial = 0
+const newId = () => (++serial + 0xd03a00).toString(16).padStart(16, "0")
+
+describe("a failure domain that is full, on real instances", () => {
+	let platform: LeasedPlatform
+	let fleet: EdgeFleet
+
+	beforeEach(async () => {
+		platform = await startLeasedPlatform({
+			failureDomains: ["a", "b"],
+			executorsPerDomain: EXECUTORS,
+		})
+		platform.putConfig(1)
+		const names = [["a-1", "a"] as const, ["a-2", "a"] as const, ["b-1", "b"] as const]
+		fleet = await startEdges(platform, names, {placing: {domainChoice: "forecast"}})
+		await untilPlaced(fleet, platform.executors.length)
+	})
+
+	afterEach(async () => {
+		await fleet.close()
+		await platform.close()
+	})
+
+	const edgeOf = (name: string) => fleet.edges.find(edge => edge.name === name) as Edge
+	const linesOf = (kind: string, job: string) =>
+		fleet.edges
+			.flatMap(({lines}) => lines)
+			.filter(line => line["kind"] === kind && line["job"] === job)
+
+	/** Takes all room of domain a for a while. */
+	async function fill() {
+		const spec = {workMs: 2_500}
+		const taken = handIn(edgeOf("a-1"), newId(), {count: 2 * EXECUTORS, spec, deadlineMs: 8_000})
+		await sleep(300)
+		return taken
+	}
+
+	it("has its jobs run by the other domain as a whole, whichever of its instances was called", async () => {
+		const taken = fill()
+		await sleep(350)
+		for (const name of ["a-1", "a-2"]) {
+			const id = newId()
+			const answer = await handIn(edgeOf(name), id, {count: 2, spec: {workMs: 200}})
+			expect(answer.status, name).to.equal(200)
+			await sleep(LINES_MS)
+			const [line] = linesOf("whole_job_moved", id)
+			expect(line, name).to.include({failureDomain: "b", outcome: "completed"})
+			expect(line?.["hereMs"]).to.be.greaterThan(line?.["thereMs"] as number)
+			expect(linesOf("task_handed_over", id)).to.have.length(0)
+		}
+		expect((await taken).status).to.equal(200)
+		expect(platform.violations).to.eql([])
+	})
+
+	it("has no job begun a second time when the instance that had it is gone", async () => {
+		const taken = fill()
+		await sleep(350)
+		const id = newId()
+		const first = handIn(edgeOf("a-2"), id, {count: 2, spec: {workMs: 1_000}})
+		await sleep(150)
+		edgeOf("b-1").child.kill("SIGKILL")
+		expect((await first).status).to.equal(502)
+		await sleep(LINES_MS)
+		expect(linesOf("whole_job_moved", id)[0]).to.include({outcome: "given up"})
+		await sleep(COME_AGAIN_MS)
+		const again = await handIn(edgeOf("a-2"), id, {
+			count: 2,
+			spec: {workMs: 200},
+			deadlineMs: 6_000,
+		})
+		expect(again.status).to.equal(200)
+		expect((await taken).status).to.equal(200)
+		expect(platform.violations).to.eql([])
+	})
+})
