--- a/packages/jobs/src/coordinate/hosts.ts
+++ b/packages/jobs/src/coordinate/hosts.ts
@@ -13,10 +13,14 @@
 import type {SpeedKeeper} from "../fleet/speed-keeper.js"
 import type {Keeper} from "../keep/keeper.js"
 import {createAdmission, type Admission, type AdmissionDeps} from "./admission.js"
+import type {Waiting} from "../place/task-queue.js"
+import type {JobMove} from "../fleet/peers.js"
+import type {Elsewhere, Placing} from "./elsewhere.js"
 import type {Overflow} from "./overflow.js"
 import {createSliceMoves} from "./slice-moves.js"
 import type {HostSlices} from "./slices.js"
 import {latestUsefulStart, objectiveMsOf, startJobRun, type JobRun} from "./job-run.js"
+import {beenOf} from "./moved-job.js"
 
 /** Estimates are not good enough to refuse for a wait shorter than this. */
 const SHORT_WAIT_MS = 30
@@ -75,6 +79,8 @@
 	readonly slices?: HostSlices
 	/** What jobs are judged by forecasts with; absent where they are judged by the backlog. */
 	readonly forecasting?: Pick<AdmissionDeps, "lentCores" | "queues">
+	/** Where whole jobs go that find no room here; absent: only their tasks go elsewhere. */
+	readonly elsewhere?: Elsewhere
 }
 
 export interface Hosts {
@@ -95,8 +101,8 @@
 	setExecutors(records: readonly ExecutorRecord[]): void
 	/** A hosted domain's executors, those that the list has dropped included; none without a host. */
 	executorsOf(failureDomain: string): readonly ExecutorRecord[]
-	/** Runs a job at a placer here, or refuses it at once. */
-	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd>
+	/** Runs a job at a placer here, refuses it at once, or says where it should go. */
+	run(host: Host, job: Job, queue: Queue, caller: Caller): Promise<JobEnd | JobMove>
 	/** Placers elsewhere may have room now. */
 	walk(): void
 	/** Operators empty other failure domains than before. */
@@ -148,7 +154,9 @@
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
 		const speedKeeper = deps.keepSpeeds?.(claim)
 		const {speeds} = speedKeeper ?? {}
-		const placer = createPlacer({...deps, ...fenced, isEvacuated, kept: keeper, speeds})
+		const handOver = (item: Waiting) => handOverFrom({claim, placer}, item)
+		const own = {isEvacuated, kept: keeper, speeds, handOver}
+		const placer: Placer = createPlacer({...deps, ...fenced, ...own})
 		const {forecasting} = deps
 		const admission = forecasting && createAdmission({clock, log, metrics, placer, ...forecasting})
 		const host = {claim, keeper, placer, admission, jobs: new Set<JobRun>(), speedKeeper}
@@ -159,6 +167,12 @@
 		log.alarm("placer", "placing_begun", "placer: places a failure domain now.", fields)
 	}
 
+	/** The whole job while nothing of it has started, or else the task alone. */
+	function handOverFrom(placing: Placing, item: Waiting): boolean {
+		const move = deps.elsewhere?.noteNoRoom(placing, item) ?? "goes by tasks"
+		return move === "goes by tasks" ? deps.handOver(item) : move === "moved"
+	}
+
 	function expectedAt({failureDomain, fence}: Claim): Expected | undefined {
 		const handover = expected.get(failureDomain)
 		expected.delete(failureDomain)
@@ -238,10 +252,14 @@
 				placer.setExecutors(moves.ownOf(failureDomain, records))
 		},
 		executorsOf: failureDomain => hosts.get(failureDomain)?.placer.executors() ?? [],
-		async run(host, job, queue, {onCancel, confirmedAt}) {
+		async run(host, handedIn, queue, {onCancel, confirmedAt}) {
 			const {admission} = host
+			const job = {...handedIn, been: beenOf(handedIn.been, deps)}
 			const verdict = admission?.judge(job, queue) ?? refusalOf(job, queue, host.placer)
-			if (typeof verdict === "object") return verdict
+			const refusal = typeof verdict === "object" ? verdict : undefined
+			const away = deps.elsewhere?.atArrival(host, job, queue, refusal !== undefined)
+			if (away) return away
+			if (refusal) return refusal
 			const isWatched = admission !== undefined
 			const isLate = verdict === "late"
 			const submit = (
@@ -253,10 +271,11 @@
 			const run = startJobRun(job, queue, {clock, log, metrics, confirmedAt, submit, ...watching})
 			admission?.follow(job, queue, run, isLate)
 			host.jobs.add(run)
+			const endWatch = deps.elsewhere?.watch(job, queue, run)
 			onCancel(() => run.cancel())
 			const end = await run.ended
 			host.jobs.delete(run)
-			return end
+			return endWatch?.() ?? end
 		},
 		walk() {
 			for (const {placer} of hosts.values()) placer.walk()
--- a/packages/jobs/src/coordinate/job-run.ts
+++ b/packages/jobs/src/coordinate/job-run.ts
@@ -61,6 +61,10 @@
 	cancel(): void
 	/** Its placer may place no more; what runs is left to the next fence. */
 	abandon(cause: string): void
+	/** Whether anything of it may have started. */
+	isBegun(): boolean
+	/** Ends it as one that never ran, so that another placer may have it; only while nothing has begun. */
+	withdraw(): void
 }
 
 interface TaskState {
@@ -107,6 +111,26 @@
 	return Math.min(job.deadlineAt - job.receivedAt, objectiveMsOf(job, queue) * USELESS_OBJECTIVES)
 }
 
+/** For so long after its arrival a job of which nothing has started is waited for, in milliseconds. */
+function unstartedForMs(job: Job, queue: Queue): number {
+	const shareMs = (job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE
+	return Math.min(objectiveMsOf(job, queue) * UNSTARTED_OBJECTIVES, shareMs)
+}
+
+function newTask(step: number, name: string): TaskState {
+	return {
+		step,
+		name,
+		run: 1,
+		runs: 0,
+		failures: 0,
+		crashes: NO_CRASHES,
+		avoid: [],
+		handle: undefined,
+		isOver: false,
+	}
+}
+
 /** The steady time after which a job cannot meet its objective any more. */
 export function latestUsefulStart(job: Job, queue: Queue): number {
 	return job.receivedAt + objectiveMsOf(job, queue) - longestChainMs(job.steps)
@@ -156,6 +180,7 @@
 			confirmedAt,
 			isBegun: firstStartAt !== undefined,
 			askedBy: job.askedBy,
+			been: job.been,
 		}
 	}
 
@@ -239,18 +264,7 @@
 			if (begun.has(index) || step.after.some(before => remaining[before] !== 0)) return
 			begun.add(index)
 			for (let at = 0; at < step.count; at++) {
-				const name = `${job.id}.0.${index}.${at}`
-				const task: TaskState = {
-					step: index,
-					name,
-					run: 1,
-					runs: 0,
-					failures: 0,
-					crashes: NO_CRASHES,
-					avoid: [],
-					handle: undefined,
-					isOver: false,
-				}
+				const task = newTask(index, `${job.id}.0.${index}.${at}`)
 				tasks.push(task)
 				submitTask(task)
 			}
@@ -277,12 +291,7 @@
 			finish({type: "refused", kind: "no_capacity", cause: `${cause}; nothing of it had started`})
 	}
 
-	const patienceMs = deps.isWatched
-		? usefulForMs(job, queue)
-		: Math.min(
-				objectiveMs * UNSTARTED_OBJECTIVES,
-				(job.deadlineAt - job.receivedAt) * UNSTARTED_SHARE,
-			)
+	const patienceMs = deps.isWatched ? usefulForMs(job, queue) : unstartedForMs(job, queue)
 	const cancelUnstarted = clock.schedule(
 		Math.max(0, job.receivedAt + patienceMs - clock.now()),
 		refuseUnstarted,
@@ -301,5 +310,7 @@
 		},
 		cancel: () => giveUp("cancelled"),
 		abandon,
+		isBegun: () => firstStartAt !== undefined,
+		withdraw: () => abandon("sent elsewhere"),
 	}
 }
--- a/packages/jobs/src/decide/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -48,7 +48,7 @@
 		pace += capacity.cpu / speeds.factorOf(id)
 		for (const label of link.record.labels) labels.add(label)
 		const free = link.freeCpu()
-		if (free < leastCpu) keepLargest(freeCpu, free)
+		if (free >= 0 && free < leastCpu) keepLargest(freeCpu, free)
 	}
 	const waitingWork = Math.round(queue.work())
 	return {freeCpu, totalCpu: Math.round(pace), waitingWork, labels: [...labels]}
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -13,6 +13,7 @@
 	sliceIndexOf,
 } from "../decide/slices.js"
 import type {Beat, Claim, Member, Room, RoomNews} from "../types/fleet.js"
+import {isLabelledRoom, isRoom, soundRooms, type BrokenNews} from "./sound-rooms.js"
 
 export const FLEET_PREFIX = "fleet/"
 const NODE_PREFIX = "fleet/node/"
@@ -99,11 +100,11 @@
 
 const NEVER_HEARD: Heard = {at: -Infinity, isLeaving: false}
 
+/** `onBroken` is told of what others said that cannot be true, and is dropped; of a claim, with the claim. */
 export function createFleetView(
 	clock: Clock,
 	onClaim: (claim: Claim) => void,
-	/** A claim was dropped whose fence no claim of its slice can have. */
-	onForeignClaim: (claim: Claim) => void = () => undefined,
+	onBroken: (reason: BrokenNews, claim?: Claim) => void = () => undefined,
 ): FleetView {
 	const members = new Map<string, Member>()
 	const claims = new Map<string, Claim>()
@@ -113,7 +114,7 @@
 	let inForce: readonly Claim[] = []
 
 	function noteClaim(claim: Claim) {
-		if (!hasOwnFence(claim)) return onForeignClaim(claim)
+		if (!hasOwnFence(claim)) return onBroken("slice_claim", claim)
 		const known = claims.get(claim.failureDomain)
 		if (known && known.fence >= claim.fence) return
 		claims.set(claim.failureDomain, claim)
@@ -123,6 +124,13 @@
 		onClaim(claim)
 	}
 
+	/** Whether the session places the domain, as far as is known. */
+	function isPlacedBy(failureDomain: string, session: string): boolean {
+		const claim = claims.get(failureDomain)
+		if (!claim) onBroken("room_unclaimed")
+		return claim?.placer.session === session
+	}
+
 	function takeItem(item: StoreItem) {
 		const {key, value} = item
 		if (key.startsWith(NODE_PREFIX)) {
@@ -131,7 +139,7 @@
 		}
 		if (!key.startsWith(CLAIM_PREFIX)) return
 		if (isClaimAt(key, value)) noteClaim(value)
-		else if (isClaim(value)) onForeignClaim(value)
+		else if (isClaim(value)) onBroken("slice_claim", value)
 	}
 
 	return {
@@ -149,17 +157,15 @@
 			const {isLeaving, isStrained, lateMs} = beat
 			heard.set(beat.from.session, {at, isLeaving, isStrained, lateMs})
 			for (const claim of beat.claims) noteClaim(claim)
-			for (const [failureDomain, room] of Object.entries(beat.rooms)) {
-				const claim = claims.get(failureDomain)
-				if (claim?.placer.session === beat.from.session) rooms.set(failureDomain, {room, at})
-			}
+			for (const [failureDomain, room] of soundRooms(beat.rooms, isLabelledRoom, onBroken))
+				if (isPlacedBy(failureDomain, beat.from.session)) rooms.set(failureDomain, {room, at})
 		},
 		takeRoomNews({session, rooms: told}) {
 			const at = clock.now()
 			const last = heard.get(session)
 			heard.set(session, {...(last ?? NEVER_HEARD), at, isUnreached: false})
-			for (const [failureDomain, figures] of Object.entries(told)) {
-				if (claims.get(failureDomain)?.placer.session !== session) continue
+			for (const [failureDomain, figures] of soundRooms(told, isRoom, onBroken)) {
+				if (!isPlacedBy(failureDomain, session)) continue
 				const labels = rooms.get(failureDomain)?.room.labels ?? []
 				rooms.set(failureDomain, {room: {...figures, labels}, at})
 			}
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -12,6 +12,7 @@
 import {createSlicing} from "./coordinate/slicing.js"
 import {lentCoresOf} from "./coordinate/lent-room.js"
 import {createOverflow} from "./coordinate/overflow.js"
+import {createWholeJobs} from "./coordinate/whole-jobs.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, type FleetDatagram} from "./fleet/beats.js"
 import {createClaimsLoop} from "./fleet/claims.js"
@@ -20,6 +21,7 @@
 import {createFleetView, type FleetView} from "./fleet/members.js"
 import {createPeers, listenPeers} from "./fleet/peers.js"
 import {createReach} from "./fleet/reach.js"
+import type {BrokenNews} from "./fleet/sound-rooms.js"
 import {beginRegistration} from "./fleet/registration.js"
 import {speedKeepingFor} from "./fleet/speed-keeper.js"
 import {watchStrain} from "./fleet/strain.js"
@@ -118,18 +120,17 @@
 	})
 
 	const peers = createPeers(metrics)
-	const view = createFleetView(
-		clock,
-		claim => {
-			noteClaimKnown(log, claim)
-			const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
-			hosts.noteClaim(claim)
-			if (isNew) executors.readNow()
-		},
-		claim => noteForeignClaim(deps, claim),
-	)
-	const common = {clock, log, metrics, peers, view, self}
-	const overflow = createOverflow({...common, leaseRule})
+	function noteClaim(claim: Claim) {
+		noteClaimKnown(log, claim)
+		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
+		hosts.noteClaim(claim)
+		if (isNew) executors.readNow()
+	}
+	const view = createFleetView(clock, noteClaim, (reason, claim) => noteBroken(deps, reason, claim))
+	const {isUnderWay: isEvacuated} = evacuations
+	const common = {clock, peers, view, self, log, metrics}
+	const {rooms, ...wholeJobs} = createWholeJobs({...common, isEvacuated}, settings.placing)
+	const overflow = createOverflow({...common, leaseRule, rooms})
 
 	const slicing = createSlicing({
 		...common,
@@ -141,12 +142,9 @@
 		isLeaving: () => isLeaving,
 	})
 	const hosts: Hosts = createHosts({
-		clock,
+		...common,
 		orders: deps.orders,
 		advisor: deps.advisor,
-		log,
-		metrics,
-		self,
 		leaseRule,
 		stopGraceMs: settings.stopGraceMs,
 		handOver: item => overflow.handOver(item),
@@ -154,9 +152,10 @@
 		createKeeper: (claim, onDeposed) => keptParts.createKeeper(claim, onDeposed),
 		executorsOf: slicing.executorsOf,
 		slices: slicing,
-		isEvacuated: evacuations.isUnderWay,
+		isEvacuated,
 		keepSpeeds: speedKeepingFor(settings.placing, {...deps, clock}),
 		forecasting: forecastingOf(settings, view, self, config),
+		...wholeJobs,
 	})
 	const dispatcher = createDispatcher({
 		...common,
@@ -165,7 +164,8 @@
 		refreshConfig: config.refresh,
 		isLeaving: () => isLeaving,
 		ownLateMs: strain.lateMs,
-		isEvacuated: evacuations.isUnderWay,
+		isEvacuated,
+		...wholeJobs,
 	})
 
 	const keptParts = createKeptParts({
@@ -303,8 +303,10 @@
 }
 
 /** What was in force before stays. */
-function noteForeignClaim({metrics, log}: InstanceDeps, {failureDomain, fence, placer}: Claim) {
-	metrics.count("broken_assumptions", "slice_claim")
+function noteBroken({metrics, log}: InstanceDeps, reason: BrokenNews, claim: Claim | undefined) {
+	metrics.count("broken_assumptions", reason)
+	if (!claim) return
+	const {failureDomain, fence, placer} = claim
 	const fields = {failureDomain, fence, peer: placer.name}
 	log.alarm("fleet", "claim_dropped", "fleet: no slice can have such a claim.", fields)
 }
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -73,6 +73,9 @@
 	readonly dueRatio?: number
 	readonly retryAfterMs?: number
 	readonly address?: string
+	/** Forecast waits where a job was, and where it was sent. */
+	readonly hereMs?: number
+	readonly thereMs?: number
 	/** What of placing is switched on here. */
 	readonly placing?: PlacingSettings
 	readonly detail?: string
--- a/packages/jobs/test/admission-hosts.test.ts
+++ b/packages/jobs/test/admission-hosts.test.ts
@@ -3,7 +3,7 @@
  * instance takes the domain over.
  */
 import {createJobMetrics, silentLog, type Claim, type Job, type JobEnd} from "@cottonwood/jobs"
-import {createHosts, type Host, type Keeper} from "@cottonwood/jobs/internals"
+import {createHosts, type Host, type JobMove, type Keeper} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {FakeFleet, record} from "./support/fake-executors.js"
@@ -42,7 +42,7 @@
 	})
 	let serial = 0
 	/** A job that fills the executor. */
-	function run(estimateMs: number): Promise<JobEnd> {
+	function run(estimateMs: number): Promise<JobEnd | JobMove> {
 		const need = {cpu: 64_000, memoryMb: 1, accelerators: 0}
 		const job: Job = {
 			id: (++serial).toString(16).padStart(16, "0"),
--- a/packages/jobs/test/slices.test.ts
+++ b/packages/jobs/test/slices.test.ts
@@ -85,7 +85,7 @@
 		const view = createFleetView(
 			createFakeClock(),
 			() => undefined,
-			claim => void dropped.push(claim),
+			(_reason, claim) => void dropped.push(claim as Claim),
 		)
 		const claimOf = (index: number, fence: number): Claim => {
 			return {failureDomain: sliceName("a", index), fence, placer}
