Place jobs anew whose placer fell silent, where that is switched on

A coordinator whose placer is gone answered 502 at once, whatever time the job had left. Now, with placing.placesAnew, it waits until every run is certainly over and places the job again, within the deadline; a job that would be of no use by then is answered at once as before. The proof is the lease rule's: the coordinator knows the last time as of which it told the placer that the job is wanted, which is older than the moment at which the loss was noticed. What may have run is never told as refused after that.

--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -9,6 +9,7 @@
 import type {Claim, Member} from "../types/fleet.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
+import {openEndOf, type LostAtPlacer, type PlaceAnew} from "./anew.js"
 import type {Hosts} from "./hosts.js"
 import {createCandidates} from "./candidates.js"
 import {latestUsefulStart} from "./job-run.js"
@@ -40,6 +41,8 @@
 	readonly ownLateMs: () => number
 	/** Whether operators are emptying a failure domain. */
 	readonly isEvacuated: (failureDomain: string) => boolean
+	/** What becomes of jobs whose placer fell silent; without it their callers are told at once that their end is open. */
+	readonly placeAnew?: PlaceAnew
 }
 
 export interface Dispatcher {
@@ -135,7 +138,7 @@
 		job: Job,
 		queue: Queue,
 		{onCancel, confirmedAt}: Caller,
-	): Promise<JobReply | {readonly type: "unsent"}> {
+	): Promise<JobReply | LostAtPlacer | {readonly type: "unsent"}> {
 		const message = messageOf(job, queue, claim)
 		const timeoutMs = message.leftMs + ANSWER_SLACK_MS
 		const call = peers.runJob(claim.placer.address, message, timeoutMs, confirmedAt)
@@ -151,7 +154,8 @@
 			noteUnsent(view, claim.placer, call)
 			return {type: "unsent"}
 		}
-		return {type: "given up", kind: "placer_lost", cause: `${claim.placer.name} is silent`}
+		const wantedAt = call.wantedAt?.() ?? Infinity
+		return {type: "lost", cause: `${claim.placer.name} is silent`, wantedAt}
 	}
 
 	/** Just after a start, or a change of the placer, there is one within a moment; a job waits for it while it may be in time. */
@@ -163,7 +167,11 @@
 	}
 
 	/** Asks placers in turn, as long as those before have certainly not begun the job. */
-	async function tryPlacers(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
+	async function tryPlacers(
+		job: Job,
+		queue: Queue,
+		caller: Caller,
+	): Promise<JobEnd | LostAtPlacer> {
 		const tried = new Set<string>()
 		let refusal: JobEnd | undefined
 		while (tried.size < MAX_PLACERS_TRIED) {
@@ -178,7 +186,7 @@
 			const end = host
 				? await hosts.run(host, job, queue, caller)
 				: await runThere(claim, job, queue, caller)
-			noteTry(job, claim, end.type)
+			noteTry(job, claim, end.type === "lost" ? "given up" : end.type)
 			if (end.type === "unsent" || end.type === "not placer") continue
 			if (end.type !== "refused") return end
 			refusal = end
@@ -189,6 +197,12 @@
 		return {type: "refused", kind: "no_capacity", cause}
 	}
 
+	async function place(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
+		const end = await tryPlacers(job, queue, caller)
+		if (end.type !== "lost") return end
+		return deps.placeAnew?.({job, queue, caller}, end, tryPlacers) ?? openEndOf(end)
+	}
+
 	function noteTry(job: Job, claim: Claim, outcome: string) {
 		// Whoever was asked may have the job all the same.
 		const write = outcome === "given up" || outcome === "unsent" ? log.alarm : log.event
@@ -216,7 +230,7 @@
 	return {
 		dispatch(handedIn, queue, caller) {
 			const job = sinceArrival(handedIn, caller)
-			return counted(tryPlacers(job, queue, untilDeadline(caller, job)))
+			return counted(place(job, queue, untilDeadline(caller, job)))
 		},
 		async runJob(message, caller) {
 			// A leaving placer has its host until somebody has taken the domain over; what comes until then goes along.
--- a/packages/jobs/src/decide/lease-rule.ts
+++ b/packages/jobs/src/decide/lease-rule.ts
@@ -72,6 +72,14 @@
 	return confirmedAt + endsWithinMs
 }
 
+/**
+ * The same by the clock of whoever told the run's placer that it was wanted as of `toldAt`, and of nothing later: the placer's own
+ * may be as slow as an executor's.
+ */
+export function certainEndSinceTold({endsWithinMs}: LeaseRule, toldAt: number): number {
+	return toldAt + endsWithinMs / SLOWEST_RATE
+}
+
 /** Whether a run's caller has not been known to want it for too long. */
 export function isUnheard(confirmedAt: number, now: number): boolean {
 	return now - confirmedAt > UNHEARD_MS
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -102,6 +102,11 @@
 	wasUnsent(): boolean
 	/** After an `undefined` reply: whether nothing listens at the address, so that the peer's process is gone. */
 	wasRefused(): boolean
+	/**
+	 * After an `undefined` reply: the peer was told of no later time as of which the call was wanted, in steady
+	 * milliseconds; Infinity, or absent, when that is not known.
+	 */
+	readonly wantedAt?: () => number
 	cancel(): void
 }
 
@@ -157,13 +162,21 @@
 		const sent = clientOf(address).call(method, message, timeoutMs, confirmedAt)
 		let isUnsent = false
 		let isRefused = false
+		let wantedAt = Infinity
 		const reply = sent.reply.then(answer => {
 			isUnsent = answer.type === "no answer" && !answer.wasSent
 			isRefused = answer.type === "no answer" && answer.wasRefused
+			if (answer.type === "no answer") wantedAt = answer.wantedAt
 			metrics.count("peer_calls", `${method}_${answer.type === "answer" ? "ok" : "silent"}`)
 			return answer.type === "answer" ? (answer.value as T) : undefined
 		})
-		return {reply, wasUnsent: () => isUnsent, wasRefused: () => isRefused, cancel: sent.cancel}
+		return {
+			reply,
+			wasUnsent: () => isUnsent,
+			wasRefused: () => isRefused,
+			wantedAt: () => wantedAt,
+			cancel: sent.cancel,
+		}
 	}
 
 	return {
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -5,6 +5,7 @@
 import type {StoreItem, TransactionalStore} from "@cottonwood/core"
 import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
+import {createPlaceAnew} from "./coordinate/anew.js"
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
@@ -105,12 +106,8 @@
 	const strain = watchStrain(clock)
 	const news = watchNews(clock)
 	const evacuations = createEvacuations({...deps, onChange: () => hosts.noteEvacuations()})
-	const config = followConfiguration({
-		...deps,
-		clock,
-		onInForce: () => executors.tellAgain(),
-		evacuations,
-	})
+	const onInForce = () => executors.tellAgain()
+	const config = followConfiguration({...deps, clock, onInForce, evacuations})
 
 	const peers = createPeers(metrics)
 	const view = createFleetView(clock, claim => {
@@ -148,6 +145,9 @@
 		isLeaving: () => isLeaving,
 		ownLateMs: strain.lateMs,
 		isEvacuated: evacuations.isUnderWay,
+		placeAnew: settings.placing.placesAnew
+			? createPlaceAnew({clock, log, metrics, leaseRule})
+			: undefined,
 	})
 
 	const keptParts = createKeptParts({
--- a/packages/jobs/src/internals.ts
+++ b/packages/jobs/src/internals.ts
@@ -1,6 +1,7 @@
 /**
  * Parts that the package's own tests reach; not for users of the package.
  */
+export * from "./coordinate/anew.js"
 export * from "./coordinate/dispatcher.js"
 export * from "./coordinate/handover.js"
 export * from "./coordinate/hosts.js"
@@ -20,6 +21,7 @@
 export * from "./keep/kept-job.js"
 export * from "./keep/kept-run.js"
 export * from "./keep/ledger.js"
+export * from "./decide/anew.js"
 export * from "./decide/crashes.js"
 export * from "./link/executor-clock.js"
 export * from "./place/executor-list.js"
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -22,6 +22,7 @@
 	advice_calls: "Calls to the service that says which executors may run a step, by outcome",
 	ledger_writes: "Transactions of job records, by outcome",
 	jobs_refused: "Jobs refused without having run, by reason",
+	jobs_lost: "Jobs whose placer fell silent, by what was done, where they are placed anew",
 	bad_requests: "Calls that do not follow the contract, by reason",
 	task_starts: "Start orders, by their reply",
 	task_ends: "Runs that ended, by how",
--- a/packages/spec/src/confirmation-protocol.ts
+++ b/packages/spec/src/confirmation-protocol.ts
@@ -1,6 +1,7 @@
 /**
  * How long a run lives that nobody may want any more: its caller's coordinator confirms it, the placer bounds the
- * executor's lease by that confirmation, and the caller comes back only when the bound is past.
+ * executor's lease by that confirmation, and the caller comes back only when the bound is past. A coordinator that has lost the
+ * call's stream may place the job anew itself, once the bound is past since it told the placer of it last.
  *
  * A coordinator confirms a call as of a moment of the placer's clock: the reading of a pulse, moved by the time that passed
  * at the coordinator until it had read all its connections. So a pulse that was late by some ticks makes the
@@ -16,6 +17,7 @@
 	ALL_CONFIRMATION_GUARDS,
 	type ConfirmationEvent,
 	type ConfirmationGuards,
+	type ConfirmationRules,
 	type ConfirmationState,
 } from "./confirmation-state.js"
 import type {Specification} from "./explore.js"
@@ -34,6 +36,7 @@
 	brokenFor: undefined,
 	coordinator: "wants it",
 	wantedAge: STALE_TICKS,
+	toldAge: STALE_TICKS,
 	call: "unsent",
 	confirmedAge: STALE_TICKS,
 	confirmation: undefined,
@@ -75,6 +78,10 @@
 	return {...state, wantedAge: Math.min(state.wantedAge, pulseTicks)}
 }
 
+function tell(state: ConfirmationState): ConfirmationState {
+	return {...state, toldAge: Math.min(state.toldAge, state.wantedAge)}
+}
+
 function readCall(state: ConfirmationState, guards: ConfirmationGuards): ConfirmationState {
 	return {...state, call: "read", confirmedAge: guards.ageOfCall ? state.confirmedAge : 0}
 }
@@ -129,6 +136,7 @@
 		...state,
 		brokenFor: brokenFor === undefined ? undefined : Math.min(RESUBMIT_TICKS, brokenFor + 1),
 		wantedAge: older(state.wantedAge),
+		toldAge: older(state.toldAge),
 		confirmedAge: older(state.confirmedAge),
 		confirmation: confirmation === undefined ? undefined : older(confirmation),
 		run: run === "running" && lease === 0 ? "ended" : run,
@@ -152,9 +160,9 @@
 const STEPS: Readonly<Record<EventType, Step>> = {
 	"connections read after a prompt pulse": (state, guards) => readConnections(state, 0, guards),
 	"connections read after a late pulse": (state, guards) => readConnections(state, 1, guards),
-	"call sent": state => ({...state, call: "under way", confirmedAge: state.wantedAge}),
+	"call sent": state => ({...tell(state), call: "under way", confirmedAge: state.wantedAge}),
 	"call read": readCall,
-	"confirmation sent": state => ({...state, confirmation: state.wantedAge}),
+	"confirmation sent": state => ({...tell(state), confirmation: state.wantedAge}),
 	"confirmation read": readConfirmation,
 	"confirmation of others read": state => ({...state, confirmedAge: 0}),
 	"cancel read": state => ({...state, call: "cancelled"}),
@@ -165,6 +173,10 @@
 		brokenFor: state.brokenFor ?? 0,
 		coordinator: "is gone",
 	}),
+	"coordinator loses its stream, its caller waits on": state => ({
+		...state,
+		coordinator: "is gone",
+	}),
 	"lease asked": askLease,
 	"order arrives": state => ({
 		...state,
@@ -177,6 +189,7 @@
 	"successor fences": takeOver,
 	"run handed over": state => ({...state, isOrphan: false}),
 	"caller comes back": state => ({...state, runsAgain: true}),
+	"placed anew": state => ({...state, runsAgain: true}),
 	tick,
 	"tick while the placer is suspended": tickSuspended,
 }
@@ -188,7 +201,10 @@
 }
 
 /** Leaves out what can no longer tell one future from another. */
-function reduced(state: ConfirmationState, {absoluteEnd}: ConfirmationGuards): ConfirmationState {
+function reduced(
+	state: ConfirmationState,
+	{absoluteEnd, placesAnew = false}: ConfirmationRules,
+): ConfirmationState {
 	if (isSettled(state)) return {...INITIAL, run: "ended"}
 	const {order, lease} = state
 	const isOrderIdle = absoluteEnd && order !== undefined && order <= lease
@@ -196,6 +212,7 @@
 		...state,
 		order: isOrderIdle ? undefined : order,
 		wantedAge: state.coordinator === "wants it" ? state.wantedAge : STALE_TICKS,
+		toldAge: placesAnew && state.coordinator !== "cancelled it" ? state.toldAge : STALE_TICKS,
 	}
 }
 
@@ -208,7 +225,10 @@
 	return coordinator === "is gone" && call === "read" && !ownStream
 }
 
-function callEvents(state: ConfirmationState): readonly (readonly [EventType, boolean])[] {
+function callEvents(
+	state: ConfirmationState,
+	{placesAnew = false}: ConfirmationRules,
+): readonly (readonly [EventType, boolean])[] {
 	const {brokenFor, coordinator, call, confirmation, wantedAge} = state
 	const isWanted = coordinator === "wants it"
 	const isWaiting = brokenFor === undefined
@@ -227,18 +247,22 @@
 		["connection breaks", isWaiting],
 		["answered open", isWaiting && call !== "unsent"],
 		["coordinator dies or loses its stream", isWanted],
+		["coordinator loses its stream, its caller waits on", placesAnew && isWanted && isWaiting],
 	]
 }
 
 function runEvents(
 	state: ConfirmationState,
-	guards: ConfirmationGuards,
+	guards: ConfirmationRules,
 ): readonly (readonly [EventType, boolean])[] {
-	const {brokenFor, call, run, lease, order, hasSuccessor, isOrphan, runsAgain} = state
+	const {brokenFor, coordinator, toldAge, call, run, lease, order} = state
+	const {hasSuccessor, isOrphan, runsAgain} = state
 	const resubmitTicks = guards.comeBackLate ? RESUBMIT_TICKS : RESUBMIT_TICKS - 1
+	const overTicks = guards.placeAnewLate ? BOUND_TICKS : BOUND_TICKS - 1
+	const isOverFor = guards.placesAnew && coordinator === "is gone" && toldAge >= overTicks
 	const isUnwanted = call === "cancelled" || isOrphan
 	// Before the break it makes no difference: nobody comes back.
-	const isUnheardOf = brokenFor !== undefined && isThere(state)
+	const isUnheardOf = (brokenFor !== undefined || coordinator === "is gone") && isThere(state)
 	return [
 		["confirmation of others read", isMistaken(state, guards)],
 		["lease asked", allowedLease(state, guards) > Math.max(lease, order ?? 0)],
@@ -249,6 +273,7 @@
 		["successor fences", !hasSuccessor],
 		["run handed over", isOrphan],
 		["caller comes back", !runsAgain && brokenFor !== undefined && brokenFor >= resubmitTicks],
+		["placed anew", !runsAgain && isOverFor === true],
 		["tick", true],
 		["tick while the placer is suspended", !guards.countSuspension && isUnheardOf],
 	]
@@ -256,15 +281,15 @@
 
 function enabled(
 	state: ConfirmationState,
-	guards: ConfirmationGuards,
+	guards: ConfirmationRules,
 ): readonly ConfirmationEvent[] {
 	if (state.run === "ended") return []
-	const rules = [...callEvents(state), ...runEvents(state, guards)]
+	const rules = [...callEvents(state, guards), ...runEvents(state, guards)]
 	return rules.filter(([, isEnabled]) => isEnabled).map(([type]) => ({type}))
 }
 
 export function confirmationProtocol(
-	guards: ConfirmationGuards = ALL_CONFIRMATION_GUARDS,
+	guards: ConfirmationRules = ALL_CONFIRMATION_GUARDS,
 ): Specification<ConfirmationState, ConfirmationEvent> {
 	return {
 		initial: INITIAL,
--- a/packages/spec/src/confirmation-state.ts
+++ b/packages/spec/src/confirmation-state.ts
@@ -16,6 +16,8 @@
 	readonly coordinator: Coordinator
 	/** Age of the latest moment as of which the coordinator knows that it wanted the call. */
 	readonly wantedAge: number
+	/** Age of the latest moment as of which the coordinator told that it wanted the call. */
+	readonly toldAge: number
 	readonly call: "unsent" | "under way" | "read" | "cancelled"
 	/** Age of the moment that the placer takes for the call's confirmation, or that the call under way tells. */
 	readonly confirmedAge: number
@@ -34,7 +36,7 @@
 	readonly hasSuccessor: boolean
 	/** The run is there, and the placer knows nothing of it. */
 	readonly isOrphan: boolean
-	/** The caller has come back, and the task runs elsewhere. */
+	/** The caller has come back, or its coordinator has placed the job anew, and the task runs elsewhere. */
 	readonly runsAgain: boolean
 }
 
@@ -63,10 +65,18 @@
 	readonly breakIsSeen: boolean
 	/** A caller comes back no earlier than the bound is past. */
 	readonly comeBackLate: boolean
+	/** A coordinator that lost its stream places a job anew no earlier than the bound is past since it told of it last. */
+	readonly placeAnewLate: boolean
 	/** The placer's clock goes on while its machine is suspended. */
 	readonly countSuspension: boolean
 }
 
+/** What is specified: the guards that hold, and what operators have switched on. */
+export interface ConfirmationRules extends ConfirmationGuards {
+	/** Coordinators place anew what they have lost; off by default. */
+	readonly placesAnew?: boolean
+}
+
 export const ALL_CONFIRMATION_GUARDS: ConfirmationGuards = Object.freeze({
 	boundByOldest: true,
 	ageOfCall: true,
@@ -80,6 +90,7 @@
 	absoluteEnd: true,
 	breakIsSeen: true,
 	comeBackLate: true,
+	placeAnewLate: true,
 	countSuspension: true,
 })
 
@@ -96,6 +107,7 @@
 		| "connection breaks"
 		| "answered open"
 		| "coordinator dies or loses its stream"
+		| "coordinator loses its stream, its caller waits on"
 		| "lease asked"
 		| "order arrives"
 		| "start ordered"
@@ -104,6 +116,7 @@
 		| "successor fences"
 		| "run handed over"
 		| "caller comes back"
+		| "placed anew"
 		| "tick"
 		| "tick while the placer is suspended"
 }
--- a/packages/spec/test/confirmation.test.ts
+++ b/packages/spec/test/confirmation.test.ts
@@ -74,6 +74,30 @@
 		breaks(guard, without(guard), lengths[guard])
 })
 
+describe("specification of confirmed runs whose coordinator places them anew", () => {
+	const rules = {...ALL_CONFIRMATION_GUARDS, placesAnew: true}
+	const without = (guard: keyof typeof ALL_CONFIRMATION_GUARDS) =>
+		confirmationProtocol({...rules, [guard]: false})
+	holds(confirmationProtocol(rules))
+	reaches(confirmationProtocol(rules), {
+		"its coordinator places it anew": ({runsAgain, brokenFor}) =>
+			runsAgain && brokenFor === undefined,
+	})
+	const lengths = {
+		boundByOldest: 10,
+		ageOfCall: 8,
+		ageOfConfirmation: 10,
+		lookBeforeStart: 10,
+		presumeLease: 11,
+		presumeAtFence: 11,
+		renewNoOrphans: 11,
+		ownStream: 9,
+		placeAnewLate: 7,
+	} as const
+	for (const guard of Object.keys(lengths) as (keyof typeof lengths)[])
+		breaks(guard, without(guard), lengths[guard])
+})
+
 describe("specification of a task that was handed to another domain", () => {
 	const without = (guard: keyof typeof ALL_HANDED_OVER_GUARDS) =>
 		handedOverProtocol({...ALL_HANDED_OVER_GUARDS, [guard]: false})
--- /dev/null
+++ b/packages/standins/test/placed-anew.test.ts
@@ -0,0 +1,61 @@
+/**
+ * A placer is lost with a caller's job under way, and the caller waits on: its coordinator places the job anew. On processes;
+ * executors judge that no task runs twice at once.
+ */
+import {handIn} from "@cottonwood/standins"
+import {expect} from "chai"
+import {RESUBMIT_MS, sleep} from "./support/late-callers.js"
+import {startScene, until, type Scene} from "./support/leased-scene.js"
+
+/** Longer than a lease: the run before would be under way when it is begun anew too early. */
+const WORK_MS = 2_500
+/** Everybody has heard the placers after this: two beats. */
+const BEATS_MS = 450
+/** A stream whose other side says nothing is noticed within this. */
+const NOTICED_MS = 700
+
+describe("a job whose placer is lost", function () {
+	this.timeout(20_000)
+	let scene: Scene
+
+	afterEach(() => scene.close())
+
+	async function lose(signal: "SIGSTOP" | "SIGKILL", placesAnew: boolean, deadlineMs = 10_000) {
+		scene = await startScene({
+			instances: [
+				["a-1", "a"],
+				["a-2", "a"],
+				["b-1", "b"],
+			],
+			placing: {placesAnew},
+		})
+		await sleep(BEATS_MS)
+		const id = "00000000000a0e10"
+		const task = `${id}.0.0.0`
+		const caller = scene.otherOf("a")
+		const options = {estimateMs: WORK_MS, deadlineMs, spec: {workMs: WORK_MS}}
+		const answer = handIn(caller, id, options)
+		await until("its start", () => scene.platform.startsOf(task) === 1)
+		const lostAt = performance.now()
+		scene.placerOf("a").child.kill(signal)
+		return {answer, task, caller, lostAt}
+	}
+
+	for (const signal of ["SIGSTOP", "SIGKILL"] as const)
+		it(`is placed anew after ${signal}, sooner than its caller would be back`, async () => {
+			const {answer, task, caller, lostAt} = await lose(signal, true)
+			await until("its second start", () => scene.platform.startsOf(task) === 2)
+			expect(performance.now() - lostAt).to.be.lessThan(NOTICED_MS + RESUBMIT_MS)
+			expect((await answer).status).to.equal(200)
+			expect(scene.platform.violations).to.eql([])
+			const line = caller.lines.find(({kind}) => kind === "lost_at_placer")
+			expect(line).to.include({outcome: "placed anew"})
+		})
+
+	it("is answered at once when it could not be in time any more", async () => {
+		const {answer, task, lostAt} = await lose("SIGKILL", true, WORK_MS + 500)
+		expect((await answer).status).to.equal(502)
+		expect(performance.now() - lostAt).to.be.lessThan(NOTICED_MS)
+		expect(scene.platform.startsOf(task)).to.equal(1)
+	})
+})
--- a/packages/standins/test/support/leased-scene.ts
+++ b/packages/standins/test/support/leased-scene.ts
@@ -12,6 +12,8 @@
 export interface SceneOptions {
 	readonly instances: readonly (readonly [name: string, failureDomain: string])[]
 	readonly executorsPerDomain?: number
+	/** What of placing is switched on; by default nothing. */
+	readonly placing?: Readonly<Record<string, unknown>>
 }
 
 export interface Scene {
@@ -66,7 +68,7 @@
 		executorsPerDomain: options.executorsPerDomain ?? 2,
 	})
 	platform.putConfig(1)
-	const fleet = await startEdges(platform, options.instances)
+	const fleet = await startEdges(platform, options.instances, {placing: options.placing})
 	await untilPlaced(fleet, platform.executors.length)
 	const edgeOf = (name: string) => fleet.edges.findLast(edge => edge.name === name) as Edge
 
--- a/packages/wire/src/json-client.ts
+++ b/packages/wire/src/json-client.ts
@@ -40,13 +40,15 @@
 	| {readonly type: "answer"; readonly value: unknown}
 	/**
 	 * `wasSent` is false when the call was never sent, so the peer cannot have seen it. `wasRefused`: the machine has
-	 * answered that nothing listens there, so the process is gone; a busy one is merely not reached in time.
+	 * answered that nothing listens there, so the process is gone; a busy one is merely not reached in time. `wantedAt`: the
+	 * peer was told of no later time as of which the call was wanted, in steady milliseconds of this process.
 	 */
 	| {
 			readonly type: "no answer"
 			readonly cause: string
 			readonly wasSent: boolean
 			readonly wasRefused: boolean
+			readonly wantedAt: number
 	  }
 
 /** There is none, and an attempt has got nowhere a short while ago. */
@@ -55,6 +57,7 @@
 	cause: "no connection in time",
 	wasSent: false,
 	wasRefused: false,
+	wantedAt: -Infinity,
 }) satisfies JsonReply
 
 export interface JsonCall {
@@ -88,6 +91,8 @@
 	readonly settle: (reply: JsonReply) => void
 	/** Steady milliseconds; undefined until it was sent. */
 	sentAt: number | undefined
+	/** The latest time as of which the peer was told that it is wanted. */
+	wantedAt: number
 }
 
 /** Calls under way on one stream, and the stream. */
@@ -142,8 +147,8 @@
 			isBroken = true
 			const wasRefused = cause.includes(REFUSED)
 			if (current === exchange) current = undefined
-			for (const {settle, sentAt} of [...pending.values()])
-				settle({type: "no answer", cause, wasSent: sentAt !== undefined, wasRefused})
+			for (const {settle, sentAt, wantedAt} of [...pending.values()])
+				settle({type: "no answer", cause, wasSent: sentAt !== undefined, wasRefused, wantedAt})
 			pending.clear()
 		}
 
@@ -159,9 +164,11 @@
 			client = newClient()
 		}
 
-		/** As of when a call is wanted, on the peer's clock. */
-		function confirmedAtOf({confirmedAt}: Pending): number {
-			return roundedDown(peerClock.toPeer(Math.min(systemClock.now(), confirmedAt())))
+		/** As of when a call is wanted, on the peer's clock, which is told to it now. */
+		function confirmedAtOf(call: Pending): number {
+			const wantedAt = Math.min(systemClock.now(), call.confirmedAt())
+			call.wantedAt = Math.max(call.wantedAt, wantedAt)
+			return roundedDown(peerClock.toPeer(wantedAt))
 		}
 
 		function begin(call: Pending) {
@@ -178,8 +185,9 @@
 
 		function cancel(call: Pending, cause: string) {
 			if (!pending.delete(call.id)) return
-			const wasSent = call.sentAt !== undefined
-			call.settle({type: "no answer", cause, wasSent, wasRefused: false})
+			const {sentAt, wantedAt} = call
+			const wasSent = sentAt !== undefined
+			call.settle({type: "no answer", cause, wasSent, wasRefused: false, wantedAt})
 			if (wasSent) send({id: call.id, cancel: true})
 		}
 
@@ -192,8 +200,8 @@
 
 		/** One frame tells of all calls: most are wanted as of the same time. */
 		function sendConfirmation() {
+			if (pending.size === 0 || isBroken) return
 			const times = [...pending.values()].map(call => [call.id, confirmedAtOf(call)] as const)
-			if (times.length === 0 || isBroken) return
 			const confirmedAt = Math.max(...times.map(([, at]) => at))
 			send({confirmedAt, older: times.filter(([, at]) => at < confirmedAt)})
 		}
@@ -220,7 +228,7 @@
 		function takeAnswer(frame: AnswerFrame) {
 			const call = pending.get(frame.id)
 			pending.delete(frame.id)
-			call?.settle(replyOf(frame))
+			call?.settle(replyOf(frame, call.wantedAt))
 		}
 
 		function take(frame: ServerFrame) {
@@ -253,7 +261,8 @@
 				}
 				const id = ++serial
 				const madeAt = systemClock.now()
-				const call = {id, method, message, madeAt, confirmedAt, settle, sentAt: undefined}
+				const unsent = {sentAt: undefined, wantedAt: -Infinity}
+				const call: Pending = {id, method, message, madeAt, confirmedAt, settle, ...unsent}
 				giveUp = cause => exchange.cancel(call, cause)
 				const timer = setTimeout(() => afterReading(() => giveUp("no answer in time")), timeoutMs)
 				exchange.begin(call)
@@ -276,8 +285,8 @@
 	}
 }
 
-function replyOf({value, error}: AnswerFrame): JsonReply {
+function replyOf({value, error}: AnswerFrame, wantedAt: number): JsonReply {
 	if (error !== undefined)
-		return {type: "no answer", cause: error, wasSent: true, wasRefused: false}
+		return {type: "no answer", cause: error, wasSent: true, wasRefused: false, wantedAt}
 	return {type: "answer", value}
 }
--- a/packages/wire/test/json-service.test.ts
+++ b/packages/wire/test/json-service.test.ts
@@ -1,6 +1,7 @@
 /**
  * Calls between two instances on one stream: answers that cross, cancelling, and what a broken stream proves.
  */
+import {systemClock} from "@cottonwood/core/clock"
 import {connectJson, listenJson, type JsonHandler} from "@cottonwood/wire/json"
 import {expect} from "chai"
 import {createServer, type AddressInfo, type Socket} from "node:net"
@@ -102,6 +103,34 @@
 		close()
 	})
 
+	/*
+	 * What the other side was told last is all that it can go by, so a lost call's work is over by that and not by when the loss
+	 * was noticed. A caller that was heard long ago is told so.
+	 */
+	it("says of a lost call as of when the other side was last told that it is wanted", async () => {
+		let toldAt = -Infinity
+		const {server, client} = await createWorld({
+			wait(_message, {confirmedAt}) {
+				toldAt = confirmedAt()
+				return sleep(2_000)
+			},
+		})
+		const staleAt = systemClock.now() - 500
+		const stale = client.call("wait", {}, 2_000, () => staleAt)
+		const fresh = client.call("wait", {}, 2_000)
+		await sleep(350)
+		const lostAt = systemClock.now()
+		server.close()
+		const [old, last] = await Promise.all([stale.reply, fresh.reply])
+		expect(old).to.include({type: "no answer", wantedAt: staleAt})
+		expect(last)
+			.to.have.property("wantedAt")
+			.that.is.within(lostAt - 250, lostAt + 20)
+		// Both are processes of one clock here.
+		expect(toldAt).to.be.at.most((last as {wantedAt: number}).wantedAt)
+		client.close()
+	})
+
 	it("ends all calls on a broken stream for both sides, and the next call opens another", async () => {
 		let cancelled = 0
 		const handlers: Record<string, JsonHandler> = {
