Wait for placers that begin, and ask nobody whose life is over

After a loss of all the store lists the claims of the lives before. Nothing was ever heard of their sessions, so they passed for placers of which nothing is known: each job of the first moments asked them, was told that they place nothing, or found nobody listening, and was refused as if no placer could be reached, though its own domain's was a moment away and others like it were waited for. A claim whose name has another life is no candidate any more, and a job that nobody has begun or refused waits for a placer that begins, as long as it may be in time.

The list of executors is read from the claim of the life before on, beside the write of the next one.

--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -69,13 +69,22 @@
 		return isNear(placer) && view.isLeaving(placer.session)
 	}
 
+	/** Another life has begun since under its name: nobody places for the one before. */
+	function isFollowed({name, session}: Member): boolean {
+		const isLater = (member: Member) => member.name === name && member.session !== session
+		return isLater(self) || view.members().some(isLater)
+	}
+
 	function isUntold(claim: Claim): boolean {
-		return !isOwn(claim) && view.isUnknown(claim.placer.session)
+		const {placer} = claim
+		return !isOwn(claim) && view.isUnknown(placer.session) && !isFollowed(placer)
 	}
 
 	/** Until their beats come, the other domains' placers count as there for the callers of a domain that is emptied. */
 	function isRefuge(claim: Claim): boolean {
-		return isOwnDomainEmptied() && !isOwn(claim) && !view.isUnreached(claim.placer.session)
+		const {placer} = claim
+		if (!isOwnDomainEmptied() || isOwn(claim)) return false
+		return !view.isUnreached(placer.session) && !isFollowed(placer)
 	}
 
 	function ranked(claims: readonly Claim[]): readonly Claim[] {
--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -4,12 +4,13 @@
 import type {Clock} from "@cottonwood/core"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {JobMessage, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
-import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {TaskEnd} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
 import {openEndOf, type LostAtPlacer, type PlaceAnew} from "./anew.js"
+import {requestOf, sinceArrival, untilDeadline} from "./arrival.js"
 import type {Hosts} from "./hosts.js"
 import {createCandidates} from "./candidates.js"
 import {latestUsefulStart} from "./job-run.js"
@@ -22,8 +23,8 @@
 const BEGINNING_MS = 1_000
 /** A fraction of the shortest task. */
 const PLACER_POLL_MS = 10
-/** A call that may have lain unread for longer, four looks, is late by that for its objective too, not only for its deadline. */
-const UNREAD_MS = 200
+/** Those who place nothing yet are asked again after this: at that moment each of them has more to do than it can. */
+const ASKED_AGAIN_MS = 50
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
 
@@ -60,36 +61,6 @@
 	workCount(): number
 }
 
-/** What another placer asks for, in times of this process. */
-function requestOf(message: TaskMessage, {madeAt, confirmedAt}: Caller): TaskRequest {
-	return {
-		...message.task,
-		askedBy: message.from,
-		startBy: madeAt + message.startInMs,
-		uselessAt: madeAt + message.uselessInMs,
-		deadlineAt: madeAt + message.leftMs,
-		confirmedAt,
-		isForeign: true,
-	}
-}
-
-/** A call that lay unread here is as old as it may be, so that nothing runs for a caller that has given it up. */
-function sinceArrival(job: Job, {madeAt}: Caller): Job {
-	const {receivedAt, deadlineAt} = job
-	const unreadMs = Math.max(0, receivedAt - madeAt)
-	const isLate = unreadMs >= UNREAD_MS
-	return {
-		...job,
-		receivedAt: isLate ? receivedAt - unreadMs : receivedAt,
-		deadlineAt: deadlineAt - unreadMs,
-	}
-}
-
-/** Nobody waits beyond the job's deadline, whatever is heard. */
-function untilDeadline(caller: Caller, {deadlineAt}: Job): Caller {
-	return {...caller, confirmedAt: () => Math.min(deadlineAt, caller.confirmedAt())}
-}
-
 /** What this instance heard of itself, or of a life before it at its address, is no age of a placer's word. */
 function whoIsAsked({view, self}: DispatcherDeps, {placer, fence, failureDomain}: Claim) {
 	const isOwn = placer.session === self.session
@@ -104,6 +75,14 @@
 	}
 }
 
+/** What came of asking placers in turn; without an end the job has certainly not begun, and nobody has refused it. */
+interface Asked {
+	readonly end: JobEnd | LostAtPlacer | undefined
+	readonly wasAnyAsked: boolean
+}
+
+const noCapacity = (cause: string): JobEnd => ({type: "refused", kind: "no_capacity", cause})
+
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
 	const startedAt = clock.now()
@@ -166,35 +145,42 @@
 		return isBeginning && now < latestUsefulStart(job, queue)
 	}
 
-	/** Asks placers in turn, as long as those before have certainly not begun the job. */
+	/** Asks placers in turn, and waits for one that begins as long as nobody has the job or has refused it. */
 	async function tryPlacers(
 		job: Job,
 		queue: Queue,
 		caller: Caller,
 	): Promise<JobEnd | LostAtPlacer> {
+		for (;;) {
+			const {end, wasAnyAsked} = await askInTurn(job, queue, caller)
+			if (end) return end
+			if (areAllEmptied()) return noCapacity("all failure domains are emptied")
+			if (!mayWaitForPlacer(job, queue)) return noCapacity("no placer can be reached")
+			await clock.sleep(wasAnyAsked ? ASKED_AGAIN_MS : PLACER_POLL_MS)
+		}
+	}
+
+	/** Asks placers in turn, as long as those before have certainly not begun the job. */
+	async function askInTurn(job: Job, queue: Queue, caller: Caller): Promise<Asked> {
 		const tried = new Set<string>()
-		let refusal: JobEnd | undefined
+		let end: JobEnd | undefined
 		while (tried.size < MAX_PLACERS_TRIED) {
 			const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
-			if (!claim && tried.size === 0 && !areAllEmptied() && mayWaitForPlacer(job, queue)) {
-				await clock.sleep(PLACER_POLL_MS)
-				continue
-			}
-			if (!claim || (tried.size > 0 && isUntold(claim) && refusal)) break
+			if (!claim || (tried.size > 0 && isUntold(claim) && end)) break
 			tried.add(claim.failureDomain)
-			const host = hosts.of(claim.failureDomain)
-			const end = host
-				? await hosts.run(host, job, queue, caller)
-				: await runThere(claim, job, queue, caller)
-			noteTry(job, claim, end.type === "lost" ? "given up" : end.type)
-			if (end.type === "unsent" || end.type === "not placer") continue
-			if (end.type !== "refused") return end
-			refusal = end
-			if (clock.now() - job.receivedAt > ELSEWHERE_MS) return end
+			const reply = await ask(claim, job, queue, caller)
+			noteTry(job, claim, reply.type === "lost" ? "given up" : reply.type)
+			if (reply.type === "unsent" || reply.type === "not placer") continue
+			if (reply.type !== "refused") return {end: reply, wasAnyAsked: true}
+			end = reply
+			if (clock.now() - job.receivedAt > ELSEWHERE_MS) break
 		}
-		if (refusal) return refusal
-		const cause = areAllEmptied() ? "all failure domains are emptied" : "no placer can be reached"
-		return {type: "refused", kind: "no_capacity", cause}
+		return {end, wasAnyAsked: tried.size > 0}
+	}
+
+	function ask(claim: Claim, job: Job, queue: Queue, caller: Caller) {
+		const host = hosts.of(claim.failureDomain)
+		return host ? hosts.run(host, job, queue, caller) : runThere(claim, job, queue, caller)
 	}
 
 	async function place(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
--- a/packages/jobs/src/followers.ts
+++ b/packages/jobs/src/followers.ts
@@ -7,6 +7,7 @@
 import {FLEET_PREFIX, type FleetView} from "./fleet/members.js"
 import {createExecutorList, type ExecutorList} from "./place/executor-list.js"
 import type {ExecutorRecord} from "./types/executor.js"
+import type {Claim, Member} from "./types/fleet.js"
 import type {FleetConfig} from "./types/fleet-config.js"
 import type {EventLog} from "./utils/log.js"
 import type {JobMetrics} from "./utils/metrics.js"
@@ -16,6 +17,27 @@
 /** All members and claims, some 0.4 KB each as they are listed: 100 of them are 0.7 KB a second. */
 const FLEET_WHOLE_MS = 60_000
 
+/** The claims in this instance's name. Those of a life before are there to be taken back as soon as they are read. */
+export interface OwnClaims {
+	/** Takes a claim in; whether it is the first one of its failure domain in this name. */
+	take(claim: Claim): boolean
+	/** Whether any is in this name. */
+	hasAny(): boolean
+}
+
+export function createOwnClaims({name}: Member): OwnClaims {
+	const domains = new Set<string>()
+	return {
+		take({failureDomain, placer}) {
+			const wasOwn = domains.has(failureDomain)
+			if (placer.name === name) domains.add(failureDomain)
+			else domains.delete(failureDomain)
+			return domains.has(failureDomain) && !wasOwn
+		},
+		hasAny: () => domains.size > 0,
+	}
+}
+
 /** Where it is followed, and how what is found is read. */
 interface Followed {
 	readonly store: Store
@@ -47,11 +69,15 @@
 	})
 }
 
-/** The platform's list of executors, for the domains that are placed here. */
+/**
+ * The platform's list of executors, for the domains that are placed here, or were by a life before: after a loss of all it is read
+ * while the claim is written, and not after that.
+ */
 export function followExecutors(
 	clock: Clock,
 	{store, log, metrics, executorPrefix, decodeExecutor}: Followed,
 	hosts: Hosts,
+	ownClaims: OwnClaims,
 	config: () => FleetConfig | undefined,
 ): ExecutorList {
 	return createExecutorList({
@@ -62,7 +88,7 @@
 		prefix: executorPrefix,
 		decode: decodeExecutor,
 		onList: records => hosts.setExecutors(servedBy(records, config())),
-		isNeeded: () => hosts.isPlacing(),
+		isNeeded: () => hosts.isPlacing() || ownClaims.hasAny(),
 	})
 }
 
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -21,7 +21,7 @@
 import {beginRegistration} from "./fleet/registration.js"
 import {watchStrain} from "./fleet/strain.js"
 import {publishFigures} from "./figures.js"
-import {followExecutors, followFleet, servedBy} from "./followers.js"
+import {createOwnClaims, followExecutors, followFleet, servedBy} from "./followers.js"
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import type {LeaseRule} from "./decide/lease-rule.js"
@@ -110,11 +110,11 @@
 	const config = followConfiguration({...deps, clock, onInForce, evacuations})
 
 	const peers = createPeers(metrics)
+	const ownClaims = createOwnClaims(self)
 	const view = createFleetView(clock, claim => {
 		noteClaimKnown(log, claim)
-		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
 		hosts.noteClaim(claim)
-		if (isNew) executors.readNow()
+		if (ownClaims.take(claim)) executors.readNow()
 	})
 	const overflow = createOverflow({clock, leaseRule, peers, view, self, log, metrics})
 
@@ -163,7 +163,7 @@
 		queueOf: name => config.current()?.queues.find(queue => queue.name === name),
 	})
 
-	const executors = followExecutors(clock, deps, hosts, config.current)
+	const executors = followExecutors(clock, deps, hosts, ownClaims, config.current)
 
 	const ownBeat = (): Beat => ({
 		from: self,
--- /dev/null
+++ b/packages/jobs/test/after-a-loss.test.ts
@@ -0,0 +1,178 @@
+/**
+ * The first moments after all instances were lost and are back: the store still lists the claims of the lives before.
+ */
+import {silentLog, type Job, type Member} from "@cottonwood/jobs"
+import {
+	createDispatcher,
+	createFleetView,
+	createOwnClaims,
+	type Hosts,
+	type JobReply,
+} from "@cottonwood/jobs/internals"
+import {expect} from "chai"
+import {createFakeClock} from "./support/fake-clock.js"
+import {fakePeers} from "./support/peers.js"
+import {QUEUE, STAYING} from "./support/requests.js"
+
+const member = (name: string, life: number, failureDomain = "a"): Member => ({
+	name,
+	session: `${name}-${life}`,
+	failureDomain,
+	address: `${name}:1`,
+	cpuShare: 1,
+})
+const nodeItem = (value: Member) => ({key: `fleet/node/${value.name}`, value, revision: 1})
+
+function createWorld(self: Member, replyOf: (address: string) => JobReply | undefined) {
+	const clock = createFakeClock()
+	const view = createFleetView(clock, () => undefined)
+	const asked: string[] = []
+	const hosted: {of?: {readonly placer: object}} = {}
+	const dispatcher = createDispatcher({
+		clock,
+		log: silentLog,
+		view,
+		self,
+		peers: fakePeers({
+			runJob(address) {
+				asked.push(address)
+				const reply = replyOf(address)
+				const call = {wasUnsent: () => reply === undefined, wasRefused: () => reply === undefined}
+				return {...call, reply: Promise.resolve(reply), cancel: () => undefined}
+			},
+		}),
+		hosts: {
+			of: (domain: string) => (domain === "a" ? hosted.of : undefined),
+			run: () => Promise.resolve({type: "completed"}),
+		} as unknown as Hosts,
+		config: () => undefined,
+		refreshConfig: () => undefined,
+		isLeaving: () => false,
+		isEvacuated: () => false,
+		ownLateMs: () => 0,
+	})
+	function dispatch(estimateMs: number) {
+		const job: Job = {
+			id: "00000000000000aa",
+			queue: QUEUE.name,
+			spec: "",
+			steps: [{count: 1, need: {cpu: 1, memoryMb: 1, accelerators: 0}, estimateMs, after: []}],
+			receivedAt: clock.now(),
+			deadlineAt: clock.now() + 5_000,
+		}
+		const ended: {type?: string; at?: number} = {}
+		void dispatcher.dispatch(job, QUEUE, STAYING).then(({type}) => {
+			ended.type = type
+			ended.at = clock.now()
+		})
+		return ended
+	}
+	return {clock, view, asked, hosted, dispatch}
+}
+
+describe("a job that comes while the store lists the claims of the lives before", () => {
+	/*
+	 * All instances are back and have read the claims, which name placers that are gone. Nothing was ever heard of their
+	 * sessions, so they were asked: their addresses answered that they place nothing, or nobody listened yet, and the job was
+	 * refused as if no placer could be reached, some 100 ms before its own domain's began.
+	 */
+	it("waits for the placer that begins, and asks nobody that is gone", async () => {
+		const self = member("a-1", 2)
+		const {clock, view, asked, hosted, dispatch} = createWorld(self, () => ({type: "not placer"}))
+		view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		view.noteClaim({failureDomain: "b", fence: 1, placer: member("b-1", 1, "b")})
+		view.takeListing([nodeItem(self), nodeItem(member("b-1", 2, "b"))])
+		const ended = dispatch(500)
+		await clock.advance(120)
+		expect(ended.type).to.equal(undefined)
+		expect(asked).to.eql([])
+		view.noteClaim({failureDomain: "a", fence: 2, placer: self})
+		hosted.of = {placer: {canServe: () => false, isBeginning: () => true}}
+		await clock.advance(20)
+		expect(ended.type).to.equal("completed")
+	})
+
+	/* The instance has not registered yet, so that its life before cannot be told from one that goes on: asked, it says so. */
+	it("waits also when those who were asked place nothing yet, and asks them again", async () => {
+		let isPlacing = false
+		const {clock, view, asked, dispatch} = createWorld(member("a-2", 2), () =>
+			isPlacing ? {type: "completed"} : {type: "not placer"},
+		)
+		view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		const ended = dispatch(500)
+		await clock.advance(120)
+		expect(ended.type).to.equal(undefined)
+		// Not at each look: at that moment everybody has more to do than it can.
+		expect(asked.length).to.be.within(2, 4)
+		isPlacing = true
+		view.noteClaim({failureDomain: "a", fence: 2, placer: member("a-1", 2)})
+		await clock.advance(60)
+		expect(ended.type).to.equal("completed")
+	})
+
+	it("waits when nobody listens there yet", async () => {
+		let isThere = false
+		const {clock, view, dispatch} = createWorld(member("a-2", 2), () =>
+			isThere ? {type: "completed"} : undefined,
+		)
+		view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		const ended = dispatch(500)
+		await clock.advance(120)
+		expect(ended.type).to.equal(undefined)
+		isThere = true
+		view.noteClaim({failureDomain: "a", fence: 2, placer: member("a-1", 2)})
+		await clock.advance(60)
+		expect(ended.type).to.equal("completed")
+	})
+
+	it("is refused as soon as it cannot be in time any more", async () => {
+		const {clock, view, dispatch} = createWorld(member("a-2", 2), () => ({type: "not placer"}))
+		view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		const ended = dispatch(50)
+		await clock.advance(400)
+		expect(ended.type).to.equal("refused")
+		// Its objective is 140 ms and its work 50; it came at 1,000.
+		expect(ended.at).to.be.within(1_090, 1_150)
+	})
+
+	it("is refused at once when a placer had no room, or nothing has begun of late", async () => {
+		const full = {type: "refused", kind: "overloaded", cause: ""} as const
+		const {clock, view, dispatch} = createWorld(member("a-2", 2), () => full)
+		view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		const ended = dispatch(500)
+		await clock.advance(5)
+		expect(ended.type).to.equal("refused")
+		const late = createWorld(member("a-2", 2), () => ({type: "not placer"}))
+		late.view.noteClaim({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		await late.clock.advance(3_000)
+		const other = late.dispatch(500)
+		await late.clock.advance(5)
+		expect(other.type).to.equal("refused")
+	})
+})
+
+describe("the claims in an instance's name", () => {
+	/*
+	 * After a loss of all the executors were listed only once the new claim stood in the store, one after the other: reading the
+	 * claim, writing the next one, the list, the first holds. The list does not hang on the write.
+	 */
+	it("ask for the list of executors from the life before on, once", () => {
+		const self = member("a-1", 2)
+		const claims = createOwnClaims(self)
+		expect(claims.take({failureDomain: "b", fence: 1, placer: member("b-1", 1, "b")})).to.equal(
+			false,
+		)
+		expect(claims.hasAny()).to.equal(false)
+		expect(claims.take({failureDomain: "a", fence: 1, placer: member("a-1", 1)})).to.equal(true)
+		expect(claims.hasAny()).to.equal(true)
+		expect(claims.take({failureDomain: "a", fence: 2, placer: self})).to.equal(false)
+	})
+
+	it("ask for nothing once somebody else has the domain", () => {
+		const claims = createOwnClaims(member("a-1", 2))
+		claims.take({failureDomain: "a", fence: 1, placer: member("a-1", 1)})
+		expect(claims.take({failureDomain: "a", fence: 2, placer: member("a-2", 1)})).to.equal(false)
+		expect(claims.hasAny()).to.equal(false)
+		expect(claims.take({failureDomain: "a", fence: 3, placer: member("a-1", 2)})).to.equal(true)
+	})
+})
--- /dev/null
+++ b/packages/standins/src/bench/return-bench.ts
@@ -0,0 +1,193 @@
+/**
+ * How soon a fleet serves again after all its instances were lost together: real processes on the stand-in of the users' platform.
+ *
+ * Jobs arrive at an even rate all the while; callers that find nobody try until their deadline, and those whose connection breaks
+ * come back as the contract says. Times are counted from the start of each process, or of the last of them.
+ */
+import {handIn, startEdges, untilPlaced, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
+import {sleep} from "../utils/sleep.js"
+import {readUsage} from "./usage.js"
+
+export interface ReturnBenchOptions {
+	readonly failureDomains: number
+	readonly instancesPerDomain: number
+	readonly executorsPerDomain: number
+	readonly jobsPerSecond: number
+	/** For how long all are gone, in milliseconds. */
+	readonly downMs: number
+	/** The program that is started, when not that of the build. */
+	readonly program?: string
+	readonly nodeArgs?: readonly string[]
+	/** What of placing is switched on. */
+	readonly placing?: Readonly<Record<string, unknown>>
+}
+
+/** Milliseconds; processor time is that of one process in the mean. */
+export interface ReturnFigures {
+	/** From a process's start until it listens, in the middle of all. */
+	readonly listensMs: number
+	/** Until the first and the last claim is written, from the last process's start. */
+	readonly firstClaimMs: number
+	readonly lastClaimMs: number
+	/** Until the first and the last executor obeys. */
+	readonly firstFenceMs: number
+	readonly lastFenceMs: number
+	readonly firstStartMs: number
+	/** Until nine tenths of the starts a second that there were before. */
+	readonly rateMs: number
+	readonly cpuToFirstStartMs: number
+	/** Jobs of two seconds from the loss on that were served at all, of those that came. */
+	readonly served: number
+}
+
+const WORK_MS = 60
+const COUNT = 4
+const CPU = 8_000
+const DEADLINE_MS = 1_500
+const RESUBMIT_MS = 1_300
+const REFUSED_RETRY_MS = 20
+const WARM_UP_MS = 4_000
+const BEFORE_MS = 2_000
+const AFTER_MS = 4_000
+const WINDOW_MS = 200
+const RATE_SHARE = 0.9
+
+type Line = Readonly<Record<string, unknown>>
+const timeOf = (line: Line) => Date.parse(String(line["timestamp"]))
+const middle = (values: readonly number[]) =>
+	[...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? NaN
+
+/** Calls an instance's newest life until there is an answer or the deadline has passed; a broken call comes again later. */
+async function callTillServed(edgeNow: () => Edge, id: string): Promise<boolean> {
+	const until = performance.now() + DEADLINE_MS
+	const job = {count: COUNT, cpu: CPU, estimateMs: WORK_MS, spec: {workMs: WORK_MS}}
+	for (let hasBroken = false; ;) {
+		const deadlineMs = hasBroken ? DEADLINE_MS : until - performance.now()
+		if (deadlineMs <= 0) return false
+		try {
+			const {status} = await handIn(edgeNow(), id, {...job, deadlineMs})
+			if (status !== 502 || hasBroken) return status === 200
+		} catch (error) {
+			const wasRefused = (error as NodeJS.ErrnoException).code === "ECONNREFUSED"
+			if (wasRefused) {
+				await sleep(REFUSED_RETRY_MS)
+				continue
+			}
+			if (hasBroken) return false
+		}
+		hasBroken = true
+		await sleep(RESUBMIT_MS)
+	}
+}
+
+/** Offers jobs until it is stopped; tells of each when it came and whether it was served. */
+function offer(names: readonly string[], edgeOf: (name: string) => Edge, jobsPerSecond: number) {
+	const jobs: Promise<{readonly at: number; readonly isServed: boolean}>[] = []
+	const begunAt = performance.now()
+	let isOver = false
+	async function loop() {
+		for (let serial = 0; !isOver; serial++) {
+			await sleep(begunAt + (serial * 1_000) / jobsPerSecond - performance.now())
+			const name = names[serial % names.length] as string
+			const at = Date.now()
+			const call = callTillServed(() => edgeOf(name), serial.toString(16).padStart(16, "0"))
+			jobs.push(call.then(isServed => ({at, isServed})))
+		}
+	}
+	const ended = loop()
+	return async () => {
+		isOver = true
+		await ended
+		return Promise.all(jobs)
+	}
+}
+
+/** The end of the first window with so many starts. */
+function reachedAt(starts: readonly number[], from: number, perWindow: number): number {
+	for (let at = from; at <= from + AFTER_MS; at += 10) {
+		const count = starts.filter(time => time > at - WINDOW_MS && time <= at).length
+		if (count >= perWindow) return at
+	}
+	return NaN
+}
+
+async function loseAll(fleet: EdgeFleet, lives: readonly Edge[], downMs: number) {
+	for (const {child} of lives) child.kill("SIGKILL")
+	const lostAt = Date.now()
+	await Promise.all(lives.map(({exited}) => exited))
+	await sleep(downMs)
+	const next = await Promise.all(lives.map(edge => fleet.relaunch(edge)))
+	return {lostAt, next}
+}
+
+function timesOf(edges: readonly Edge[], kind: string): readonly number[] {
+	return edges.flatMap(({lines}) => lines.filter(line => line["kind"] === kind).map(timeOf))
+}
+
+async function measure(
+	platform: LeasedPlatform,
+	fleet: EdgeFleet,
+	options: ReturnBenchOptions,
+	starts: readonly number[],
+	launchedAt: ReadonlyMap<Edge, number>,
+): Promise<ReturnFigures> {
+	const edgeOf = (name: string) => fleet.edges.findLast(edge => edge.name === name) as Edge
+	const lives = [...fleet.edges]
+	await untilPlaced(fleet, platform.executors.length)
+	const stop = offer(
+		lives.map(({name}) => name),
+		edgeOf,
+		options.jobsPerSecond,
+	)
+	await sleep(WARM_UP_MS + BEFORE_MS)
+	const before = starts.filter(time => time > Date.now() - BEFORE_MS).length
+	const {lostAt, next} = await loseAll(fleet, lives, options.downMs)
+	const backAt = Math.max(...next.map(edge => launchedAt.get(edge) as number))
+	while (!starts.some(time => time > backAt)) await sleep(2)
+	const cpu = next.map(({child}) => readUsage(child.pid as number).cpuMs)
+	await sleep(AFTER_MS)
+	const jobs = (await stop()).filter(({at}) => at >= lostAt && at < lostAt + BEFORE_MS)
+	const listens = next.map(edge => {
+		const [at = NaN] = timesOf([edge], "started")
+		return at - (launchedAt.get(edge) as number)
+	})
+	const claims = timesOf(next, "placing_begun").map(at => at - backAt)
+	const fences = timesOf(next, "fence_taken").map(at => at - backAt)
+	const firstStart = starts.find(time => time > backAt) as number
+	const perWindow = (before / BEFORE_MS) * WINDOW_MS * RATE_SHARE
+	return {
+		listensMs: middle(listens),
+		firstClaimMs: Math.min(...claims),
+		lastClaimMs: Math.max(...claims),
+		firstFenceMs: Math.min(...fences),
+		lastFenceMs: Math.max(...fences),
+		firstStartMs: firstStart - backAt,
+		rateMs: reachedAt(starts, backAt, perWindow) - backAt,
+		cpuToFirstStartMs: cpu.reduce((sum, ms) => sum + ms, 0) / cpu.length,
+		served: jobs.filter(({isServed}) => isServed).length / jobs.length,
+	}
+}
+
+export async function runReturnBench(options: ReturnBenchOptions): Promise<ReturnFigures> {
+	const domains = Array.from({length: options.failureDomains}, (_, at) => `d${at + 1}`)
+	const starts: number[] = []
+	const platform = await startLeasedPlatform({
+		failureDomains: domains,
+		executorsPerDomain: options.executorsPerDomain,
+		onRecord: ({kind}) => void (kind === "start" && starts.push(Date.now())),
+	})
+	platform.putConfig(1)
+	const perDomain = Array.from({length: options.instancesPerDomain}, (_, at) => at + 1)
+	const names = domains.flatMap(domain => perDomain.map(at => [`${domain}-${at}`, domain] as const))
+	const launchedAt = new Map<Edge, number>()
+	const {program, nodeArgs, placing} = options
+	const onLaunch = (edge: Edge) => void launchedAt.set(edge, Date.now())
+	const fleet = await startEdges(platform, names, {program, nodeArgs, placing, onLaunch})
+	try {
+		return await measure(platform, fleet, options, starts, launchedAt)
+	} finally {
+		await fleet.close()
+		await platform.close()
+	}
+}
