Test cancelled jobs whose acknowledgement, start or starter is late, lost or gone

On processes: a cancelling whose writes get no answer, a start that executors carry out after it while they hear no stop, and a placer that is killed before it.

--- /dev/null
+++ b/packages/standins/test/cancelled.test.ts
@@ -0,0 +1,125 @@
+/**
+ * Cancelled jobs on processes: whatever is late or lost, nothing of them starts or goes on once the cancelling was acknowledged.
+ */
+import {askJob, handIn} from "@cottonwood/standins"
+import type {Edge} from "@cottonwood/standins"
+import {expect} from "chai"
+import {loseStops} from "./support/leased-scene.js"
+import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
+
+const sleep = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms))
+/** From the contract: no start later than this after the acknowledgement, and no run much longer. */
+const CANCEL_MS = 4_000
+const STOP_GRACE_MS = 50
+/** Timers here, and the way of an order. */
+const SLACK_MS = 250
+/** That an executor grants. */
+const LONGEST_LEASE_MS = 1_000
+const LONG_MS = 30_000
+
+let serial = 0
+const newId = () => (++serial + 0xcace00).toString(16).padStart(16, "0")
+
+describe("a cancelled job", function () {
+	this.timeout(30_000)
+	let world: LeasedTestWorld
+
+	beforeEach(async () => {
+		world = await startLeasedWorld()
+	})
+
+	afterEach(() => world.close())
+
+	const runs = () =>
+		world.platform.executors.reduce((sum, {executor}) => sum + executor.runningCount(), 0)
+	const starts = () =>
+		world.platform.executors.reduce((sum, {executor}) => sum + executor.starts, 0)
+
+	async function accept(edge: Edge, id: string, count: number) {
+		const options = {count, spec: {workMs: LONG_MS}, body: {"best-effort": false}}
+		for (let tries = 0; tries < 20; tries++) {
+			if ((await handIn(edge, id, options)).status === 200) return
+			await sleep(200)
+		}
+		throw new Error(`${id} was not accepted`)
+	}
+
+	/** Asks again and again, as callers do, until it is acknowledged. */
+	async function cancel(edge: Edge, id: string): Promise<readonly number[]> {
+		const statuses: number[] = []
+		for (let tries = 0; tries < 60; tries++) {
+			const {status} = await askJob(edge, id, "DELETE")
+			statuses.push(status)
+			if (status === 200 || status === 410) return statuses
+			await sleep(100)
+		}
+		throw new Error(`not acknowledged: ${statuses.join()}`)
+	}
+
+	async function until(what: string, holds: () => boolean, patienceMs: number) {
+		const end = performance.now() + patienceMs
+		while (!holds()) {
+			if (performance.now() > end) throw new Error(`not seen: ${what}`)
+			await sleep(5)
+		}
+	}
+
+	/*
+	 * The answers of the writes get lost, so the acknowledgement waits for the store to be asked again. What runs is stopped at
+	 * once all the same, and nothing of the job is begun while it waits.
+	 */
+	it("runs no more while its acknowledgement is waited for", async () => {
+		const id = newId()
+		await accept(world.edgeOf("a-1"), id, 2)
+		await until("its runs", () => runs() === 2, 2_000)
+		world.platform.store.faults.loseAnswers = 2
+		const before = starts()
+		const acknowledged = cancel(world.edgeOf("b-1"), id)
+		await until("their ends", () => runs() === 0, CANCEL_MS)
+		await acknowledged
+		await sleep(1_000)
+		expect(starts()).to.equal(before)
+		expect((await askJob(world.edgeOf("a-2"), id)).body).to.eql({state: "cancelled"})
+	})
+
+	/*
+	 * Executors leave starts unanswered and carry them out after the cancelling was acknowledged, and hear no stop, which they would
+	 * answer by refusing the start. Nobody renews what is not wanted, so the lease that came with the order ends it.
+	 */
+	it("is over soon where an executor starts it late and hears no stop", async () => {
+		const lateMs = 600
+		for (const hosted of world.platform.executors) {
+			hosted.executor.faults.lateStarts = {count: 10, delayMs: lateMs}
+			loseStops(hosted)
+		}
+		const id = newId()
+		await accept(world.edgeOf("a-1"), id, 1)
+		await cancel(world.edgeOf("a-1"), id)
+		await until("a late start", () => starts() > 0, lateMs + 1_000)
+		await sleep(LONGEST_LEASE_MS + STOP_GRACE_MS + SLACK_MS)
+		// From then on at any time: each order that was sent is carried out within these looks.
+		const seen = new Set<number>()
+		for (let look = 0; look < 100; look++) {
+			seen.add(runs())
+			await sleep(20)
+		}
+		expect([...seen]).to.eql([0])
+	})
+
+	/* Nobody is left who knows of the run but the executor, the store, and whoever places next. */
+	it("is stopped though whoever started it is gone", async () => {
+		const id = newId()
+		await accept(world.edgeOf("a-1"), id, 2)
+		await until("its runs", () => runs() === 2, 2_000)
+		const placer = world.placerOf("a")
+		world.edgeOf(placer).child.kill("SIGKILL")
+		await cancel(world.edgeOf("b-1"), id)
+		const before = starts()
+		await sleep(CANCEL_MS + STOP_GRACE_MS)
+		expect(runs()).to.equal(0)
+		expect(starts()).to.equal(before)
+		const other = placer === "a-1" ? "a-2" : "a-1"
+		expect((await askJob(world.edgeOf(other), id)).body).to.eql({state: "cancelled"})
+		expect(world.platform.violations).to.eql([])
+	})
+})
