--- a/packages/standins/src/leased/wire-store.ts
+++ b/packages/standins/src/leased/wire-store.ts
@@ -30,7 +30,7 @@
 	down?: "silent" | "busy"
 	/** Milliseconds that each answer takes longer. */
 	slowMs?: number
-	/** The next so many writes are done and not answered. */
+	/** The next so many writes are done and not answered; their connections say nothing more. */
 	loseAnswers?: number
 }
 
@@ -57,6 +57,8 @@
 	private revision = 0
 	private leaseSerial = 0
 	private readonly waiting = new Set<() => void>()
+	/** Connections that lost an answer. */
+	private readonly mute = new WeakSet<object>()
 	private readonly sweeper = setInterval(() => this.sweep(), SWEEP_MS)
 
 	/** Writes as the operator or an executor would. */
@@ -91,7 +93,7 @@
 		const url = new URL(req.url ?? "/", "http://store")
 		const [, call = "", id = ""] = url.pathname.split("/")
 		this.calls.set(call, (this.calls.get(call) ?? 0) + 1)
-		if (this.faults.down === "silent") return
+		if (this.faults.down === "silent" || this.mute.has(req.socket)) return
 		if (this.faults.down === "busy") return void this.answer(res, 503, {error: "down"})
 		if (this.faults.slowMs) await sleep(this.faults.slowMs)
 		const query = url.searchParams
@@ -177,6 +179,7 @@
 		this.wake()
 		if (this.faults.loseAnswers) {
 			this.faults.loseAnswers--
+			if (res.socket) this.mute.add(res.socket)
 			return
 		}
 		this.answer(res, 200, {rev: this.revision})
