Count executors whose first answers are on their way when a job's wait is estimated

A placer that begins takes everything until the first of its executors obeys. From that moment on the room for the estimate was that executor's alone, though the others' first holds were under way: with four executors a wait of 105 ms was taken for 422, and jobs that had come together after a loss were refused for it. An executor that has not answered in time counts no more, as before.

Seen to fail before: the first of the two new cases of after-a-loss.test.ts.

--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -141,11 +141,14 @@
 	)
 }
 
-/** Whether it is likely to take work within a moment, if not now. */
+/**
+ * Whether it is likely to take work within a moment, if not now. One that was just added is: its first hold is under way, until that is
+ * answered or missed.
+ */
 export function isPromising(link: LinkState): boolean {
 	const {silentSince, deps, record} = link
-	if (!link.isFenceTaken || link.isRetired || link.isClosed || record.isLeaving) return false
-	if (deps.isEvacuated()) return false
+	if (link.isRetired || link.isClosed || record.isLeaving || deps.isEvacuated()) return false
+	if (!link.isFenceTaken) return silentSince === undefined
 	return silentSince === undefined || deps.clock.now() - silentSince < PROMISING_MS
 }
 
--- a/packages/jobs/test/after-a-loss.test.ts
+++ b/packages/jobs/test/after-a-loss.test.ts
@@ -11,8 +11,10 @@
 } from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
+import {FakeFleet, record} from "./support/fake-executors.js"
 import {fakePeers} from "./support/peers.js"
-import {QUEUE, STAYING} from "./support/requests.js"
+import {createTestPlacer} from "./support/placers.js"
+import {QUEUE, STAYING, taskRequest} from "./support/requests.js"
 
 const member = (name: string, life: number, failureDomain = "a"): Member => ({
 	name,
@@ -176,3 +178,60 @@
 		expect(claims.take({failureDomain: "a", fence: 3, placer: member("a-1", 2)})).to.equal(true)
 	})
 })
+
+describe("a placer that begins", () => {
+	/*
+	 * Of the executors of a domain one answers first. From then on the wait of a job was counted as if that one had to do all, so
+	 * most of what had come together was refused while the others' answers were on their way.
+	 */
+	it("counts the executors whose first answers are on their way", async () => {
+		const clock = createFakeClock()
+		const orders = new FakeFleet(clock)
+		const hold = orders.hold.bind(orders)
+		orders.hold = async (executor, order, timeoutMs) => {
+			if (executor.id !== "e1") await clock.sleep(80)
+			return hold(executor, order, timeoutMs)
+		}
+		const placer = createTestPlacer({clock, orders})
+		placer.setExecutors(["e1", "e2", "e3", "e4"].map(id => record(id)))
+		await clock.advance(20)
+		expect(placer.counts().usable).to.equal(1)
+		expect(placer.isBeginning()).to.equal(false)
+		for (let at = 0; at < 10; at++)
+			placer.submit(
+				taskRequest(`j${at}.0.0.0`),
+				() => undefined,
+				() => undefined,
+			)
+		await clock.advance(5)
+		const early = placer.expectedWaitMs(Infinity)
+		// Two run where there was an answer; the work of the other eight goes to all four.
+		expect(early).to.be.closeTo((8 * 27 * 100) / (4 * 64 * 0.8), 1)
+		await clock.advance(100)
+		expect(placer.counts().running).to.equal(8)
+		placer.close()
+	})
+
+	it("does not count an executor that has not answered in time", async () => {
+		const clock = createFakeClock()
+		const orders = new FakeFleet(clock)
+		const hold = orders.hold.bind(orders)
+		orders.hold = async (executor, order, timeoutMs) => {
+			if (executor.id === "e1") return hold(executor, order, timeoutMs)
+			await clock.sleep(timeoutMs)
+			return {type: "silent", cause: "test"}
+		}
+		const placer = createTestPlacer({clock, orders})
+		placer.setExecutors(["e1", "e2"].map(id => record(id)))
+		await clock.advance(200)
+		for (let at = 0; at < 4; at++)
+			placer.submit(
+				taskRequest(`j${at}.0.0.0`),
+				() => undefined,
+				() => undefined,
+			)
+		await clock.advance(5)
+		expect(placer.expectedWaitMs(Infinity)).to.be.closeTo((2 * 27 * 100) / (64 * 0.8), 1)
+		placer.close()
+	})
+})
