--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -4,11 +4,13 @@
 import type {Clock} from "@cottonwood/core"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {JobMessage, JobMove, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
-import type {TaskEnd, TaskRequest} from "../place/run.js"
+import type {TaskEnd} from "../place/run.js"
 import type {FleetConfig, Queue} from "../types/fleet-config.js"
 import type {Claim, Member} from "../types/fleet.js"
 import type {Caller, Job, JobEnd} from "../types/job.js"
 import {lifeOf, type EventLog} from "../utils/log.js"
+import {openEndOf, type LostAtPlacer, type PlaceAnew} from "./anew.js"
+import {requestOf, sinceArrival, untilDeadline} from "./arrival.js"
 import type {Hosts} from "./hosts.js"
 import type {MovedJob} from "./moved-job.js"
 import {createCandidates} from "./candidates.js"
@@ -23,8 +25,8 @@
 const BEGINNING_MS = 1_000
 /** A fraction of the shortest task. */
 const PLACER_POLL_MS = 10
-/** A call that may have lain unread for longer, four looks, is late by that for its objective too, not only for its deadline. */
-const UNREAD_MS = 200
+/** Those who place nothing yet are asked again after this: at that moment each of them has more to do than it can. */
+const ASKED_AGAIN_MS = 50
 /** A placer's answer at the deadline itself takes a moment to arrive. */
 const ANSWER_SLACK_MS = 400
 
@@ -44,6 +46,8 @@
 	readonly isEvacuated: (failureDomain: string) => boolean
 	/** Follows jobs that placers may send elsewhere as a whole; absent: none may. */
 	readonly followMoves?: (job: Job) => MovedJob
+	/** What becomes of jobs whose placer fell silent; without it their callers are told at once that their end is open. */
+	readonly placeAnew?: PlaceAnew
 }
 
 export interface Dispatcher {
@@ -61,36 +65,6 @@
 	workCount(): number
 }
 
-/** What another placer asks for, in times of this process. */
-function requestOf(message: TaskMessage, {madeAt, confirmedAt}: Caller): TaskRequest {
-	return {
-		...message.task,
-		askedBy: message.from,
-		startBy: madeAt + message.startInMs,
-		uselessAt: madeAt + message.uselessInMs,
-		deadlineAt: madeAt + message.leftMs,
-		confirmedAt,
-		isForeign: true,
-	}
-}
-
-/** A call that lay unread here is as old as it may be, so that nothing runs for a caller that has given it up. */
-function sinceArrival(job: Job, {madeAt}: Caller): Job {
-	const {receivedAt, deadlineAt} = job
-	const unreadMs = Math.max(0, receivedAt - madeAt)
-	const isLate = unreadMs >= UNREAD_MS
-	return {
-		...job,
-		receivedAt: isLate ? receivedAt - unreadMs : receivedAt,
-		deadlineAt: deadlineAt - unreadMs,
-	}
-}
-
-/** Nobody waits beyond the job's deadline, whatever is heard. */
-function untilDeadline(caller: Caller, {deadlineAt}: Job): Caller {
-	return {...caller, confirmedAt: () => Math.min(deadlineAt, caller.confirmedAt())}
-}
-
 /** What this instance heard of itself, or of a life before it at its address, is no age of a placer's word. */
 function whoIsAsked({view, self}: DispatcherDeps, {placer, fence, failureDomain}: Claim) {
 	const isOwn = placer.session === self.session
@@ -115,8 +89,21 @@
 type Unbegun = JobMove | {readonly type: "unsent" | "not placer"}
 
 /** Whoever was asked has not begun the job, and will not. */
-const isUnbegun = (end: JobReply | {readonly type: "unsent"}): end is Unbegun =>
+const isUnbegun = (end: JobReply | LostAtPlacer | {readonly type: "unsent"}): end is Unbegun =>
 	end.type === "unsent" || end.type === "not placer" || end.type === "elsewhere"
+/** What came of asking placers in turn; without an end the job has certainly not begun, and nobody has refused it. */
+interface Asked {
+	readonly end: JobEnd | LostAtPlacer | undefined
+	readonly wasAnyAsked: boolean
+}
+
+const noCapacity = (cause: string): JobEnd => ({type: "refused", kind: "no_capacity", cause})
+
+/** A refusal by forecast comes as soon as it is known, and elsewhere the job may still be in time. */
+function mayGoElsewhere(job: Job, queue: Queue, {retryAfterMs}: Refused, now: number): boolean {
+	if (retryAfterMs !== undefined) return now < latestUsefulStart(job, queue)
+	return now - job.receivedAt <= ELSEWHERE_MS
+}
 
 export function createDispatcher(deps: DispatcherDeps): Dispatcher {
 	const {clock, log, view, self, peers, hosts} = deps
@@ -152,7 +139,7 @@
 		job: Job,
 		queue: Queue,
 		{onCancel, confirmedAt}: Caller,
-	): Promise<JobReply | {readonly type: "unsent"}> {
+	): Promise<JobReply | LostAtPlacer | {readonly type: "unsent"}> {
 		const message = messageOf(job, queue, claim)
 		const timeoutMs = message.leftMs + ANSWER_SLACK_MS
 		const call = peers.runJob(claim.placer.address, message, timeoutMs, confirmedAt)
@@ -168,7 +155,8 @@
 			noteUnsent(view, claim.placer, call)
 			return {type: "unsent"}
 		}
-		return {type: "given up", kind: "placer_lost", cause: `${claim.placer.name} is silent`}
+		const wantedAt = call.wantedAt?.() ?? Infinity
+		return {type: "lost", cause: `${claim.placer.name} is silent`, wantedAt}
 	}
 
 	/** Just after a start, or a change of the placer, there is one within a moment; a job waits for it while it may be in time. */
@@ -190,44 +178,58 @@
 	async function ask(claim: Claim, job: Job, queue: Queue, caller: Caller, moved?: MovedJob) {
 		const asked = moved?.asAsked() ?? job
 		const host = hosts.of(claim.failureDomain)
-		const end = host
+		const reply = host
 			? await hosts.run(host, asked, queue, caller)
 			: await runThere(claim, asked, queue, caller)
-		noteTry(job, claim, end.type)
-		moved?.noteOutcome(claim, end.type)
-		if (end.type !== "elsewhere" || moved?.take(claim, end)) return end
+		const outcome = reply.type === "lost" ? "given up" : reply.type
+		noteTry(job, claim, outcome)
+		moved?.noteOutcome(claim, outcome)
+		if (reply.type !== "elsewhere" || moved?.take(claim, reply)) return reply
 		return NOWHERE
 	}
 
+	/** Asks placers in turn, and waits for one that begins as long as nobody has the job or has refused it. */
+	async function tryPlacers(
+		job: Job,
+		queue: Queue,
+		caller: Caller,
+	): Promise<JobEnd | LostAtPlacer> {
+		const moved = deps.followMoves?.(job)
+		for (;;) {
+			const {end, wasAnyAsked} = await askInTurn(job, queue, caller, moved)
+			if (end) return end
+			if (areAllEmptied()) return noCapacity("all failure domains are emptied")
+			if (!mayWaitForPlacer(job, queue)) return noCapacity("no placer can be reached")
+			await clock.sleep(wasAnyAsked ? ASKED_AGAIN_MS : PLACER_POLL_MS)
+		}
+	}
+
 	/** Asks placers in turn, as long as those before have certainly not begun the job. */
-	async function tryPlacers(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
+	async function askInTurn(
+		job: Job,
+		queue: Queue,
+		caller: Caller,
+		moved: MovedJob | undefined,
+	): Promise<Asked> {
 		const tried = new Set<string>()
-		const moved = deps.followMoves?.(job)
-		let refusal: JobEnd | undefined
+		let end: JobEnd | undefined
 		for (;;) {
-			const claim = nextClaim(tried, refusal !== undefined, moved)
-			if (!claim && tried.size === 0 && !areAllEmptied() && mayWaitForPlacer(job, queue)) {
-				await clock.sleep(PLACER_POLL_MS)
-				continue
-			}
+			const claim = nextClaim(tried, end !== undefined, moved)
 			if (!claim) break
 			tried.add(claim.failureDomain)
-			const end = await ask(claim, job, queue, caller, moved)
-			if (isUnbegun(end)) continue
-			if (end.type !== "refused") return end
-			refusal = end
-			if (!mayGoElsewhere(job, queue, end)) return end
+			const reply = await ask(claim, job, queue, caller, moved)
+			if (isUnbegun(reply)) continue
+			if (reply.type !== "refused") return {end: reply, wasAnyAsked: true}
+			end = reply
+			if (!mayGoElsewhere(job, queue, reply, clock.now())) break
 		}
-		if (refusal) return refusal
-		const cause = areAllEmptied() ? "all failure domains are emptied" : "no placer can be reached"
-		return {type: "refused", kind: "no_capacity", cause}
+		return {end, wasAnyAsked: tried.size > 0}
 	}
 
-	/** A refusal by forecast comes as soon as it is known, and elsewhere the job may still be in time. */
-	function mayGoElsewhere(job: Job, queue: Queue, {retryAfterMs}: Refused): boolean {
-		const now = clock.now()
-		if (retryAfterMs !== undefined) return now < latestUsefulStart(job, queue)
-		return now - job.receivedAt <= ELSEWHERE_MS
+	async function place(job: Job, queue: Queue, caller: Caller): Promise<JobEnd> {
+		const end = await tryPlacers(job, queue, caller)
+		if (end.type !== "lost") return end
+		return deps.placeAnew?.({job, queue, caller}, end, tryPlacers) ?? openEndOf(end)
 	}
 
 	function noteTry(job: Job, claim: Claim, outcome: string) {
@@ -257,7 +259,7 @@
 	return {
 		dispatch(handedIn, queue, caller) {
 			const job = sinceArrival(handedIn, caller)
-			return counted(tryPlacers(job, queue, untilDeadline(caller, job)))
+			return counted(place(job, queue, untilDeadline(caller, job)))
 		},
 		async runJob(message, caller) {
 			// A leaving placer has its host until somebody has taken the domain over; what comes until then goes along.
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -6,6 +6,7 @@
 import {systemClock} from "@cottonwood/core/clock"
 import type {Result} from "neverthrow"
 import {createBeatNews} from "./coordinate/beat-news.js"
+import {createPlaceAnew} from "./coordinate/anew.js"
 import {createDispatcher, type Dispatcher} from "./coordinate/dispatcher.js"
 import {createHosts, type Hosts, type HostsDeps} from "./coordinate/hosts.js"
 import {createHandover} from "./coordinate/handover.js"
@@ -15,7 +16,7 @@
 import {createWholeJobs} from "./coordinate/whole-jobs.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createBeats, type FleetDatagram} from "./fleet/beats.js"
-import {createClaimsLoop} from "./fleet/claims.js"
+import {createClaimsLoop, type ClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
 import {createFleetView, type FleetView} from "./fleet/members.js"
@@ -26,7 +27,7 @@
 import {speedKeepingFor} from "./fleet/speed-keeper.js"
 import {watchStrain} from "./fleet/strain.js"
 import {publishFigures} from "./figures.js"
-import {followExecutors, followFleet, servedBy} from "./followers.js"
+import {createOwnClaims, followExecutors, followFleet, servedBy} from "./followers.js"
 import type {KeptFront} from "./keep/kept-front.js"
 import {createKeptParts} from "./keep/parts.js"
 import type {LeaseRule} from "./decide/lease-rule.js"
@@ -107,24 +108,22 @@
 	const clock = systemClock
 	const {store, log, metrics} = deps
 	const {leaseRule} = settings
+	const {placesAnew} = settings.placing
 	const self = newMember(settings)
 	let isLeaving = false
+	let claims: ClaimsLoop | undefined = undefined
 	const strain = watchStrain(clock)
 	const news = watchNews(clock)
 	const evacuations = createEvacuations({...deps, onChange: () => hosts.noteEvacuations()})
-	const config = followConfiguration({
-		...deps,
-		clock,
-		onInForce: () => executors.tellAgain(),
-		evacuations,
-	})
+	const onInForce = () => executors.tellAgain()
+	const config = followConfiguration({...deps, clock, onInForce, evacuations})
 
 	const peers = createPeers(metrics)
+	const ownClaims = createOwnClaims(self)
 	function noteClaim(claim: Claim) {
 		noteClaimKnown(log, claim)
-		const isNew = claim.placer.session === self.session && !hosts.of(claim.failureDomain)
 		hosts.noteClaim(claim)
-		if (isNew) executors.readNow()
+		if (ownClaims.take(claim)) executors.readNow()
 	}
 	const view = createFleetView(clock, noteClaim, (reason, claim) => noteBroken(deps, reason, claim))
 	const {isUnderWay: isEvacuated} = evacuations
@@ -166,6 +165,7 @@
 		ownLateMs: strain.lateMs,
 		isEvacuated,
 		...wholeJobs,
+		placeAnew: placesAnew ? createPlaceAnew({...common, leaseRule}) : undefined,
 	})
 
 	const keptParts = createKeptParts({
@@ -181,7 +181,7 @@
 		queueOf: name => config.current()?.queues.find(queue => queue.name === name),
 	})
 
-	const executors = followExecutors(clock, deps, hosts, config.current)
+	const executors = followExecutors(clock, deps, hosts, ownClaims, config.current)
 
 	const beatNews = createBeatNews({
 		...common,
@@ -192,7 +192,7 @@
 		isLeaving: () => isLeaving,
 	})
 
-	const fleetFollower = followFleet(clock, deps, view, () => claims.lookNow())
+	const fleetFollower = followFleet(clock, deps, view, () => claims?.lookNow())
 	const server = await listenPeers(self.address, {
 		beat(beat) {
 			beatNews.take(beat)
@@ -229,12 +229,12 @@
 		...common,
 		hosts,
 		overflow,
-		claims: () => claims,
+		claims: () => claims as ClaimsLoop,
 		placedDomains: () => Object.keys(hosts.rooms()),
 		isLeaving: () => isLeaving,
 		isStrained: strain.isStrained,
 	})
-	const claims = createClaimsLoop({
+	claims = createClaimsLoop({
 		...common,
 		store,
 		failureDomains: () =>
@@ -262,7 +262,16 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const placing = [strain, news, claims, handover, slicing, keptParts, beats, config]
+			const placing = [
+				strain,
+				news,
+				claims as ClaimsLoop,
+				handover,
+				slicing,
+				keptParts,
+				beats,
+				config,
+			]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
 			for (const part of [...placing, ...serving]) part.close()
 		},
--- a/packages/jobs/src/internals.ts
+++ b/packages/jobs/src/internals.ts
@@ -1,6 +1,7 @@
 /**
  * Parts that the package's own tests reach; not for users of the package.
  */
+export * from "./coordinate/anew.js"
 export * from "./coordinate/dispatcher.js"
 export * from "./coordinate/handover.js"
 export * from "./coordinate/hosts.js"
@@ -30,12 +31,15 @@
 export * from "./fleet/speed-keeper.js"
 export * from "./fleet/speed-record.js"
 export * from "./fleet/sound-rooms.js"
+export * from "./fleet/registration.js"
 export * from "./fleet/strain.js"
 export type * from "./fleet/peers.js"
+export * from "./followers.js"
 export * from "./keep/keeper.js"
 export * from "./keep/kept-job.js"
 export * from "./keep/kept-run.js"
 export * from "./keep/ledger.js"
+export * from "./decide/anew.js"
 export * from "./decide/crashes.js"
 export * from "./decide/speed-cost.js"
 export * from "./decide/speeds.js"
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -24,6 +24,7 @@
 	jobs_refused: "Jobs refused without having run, by reason",
 	admission_refusals:
 		"Jobs refused by their placer's forecast, by reason and how their queue stands to its share",
+	jobs_lost: "Jobs whose placer fell silent, by what was done, where they are placed anew",
 	bad_requests: "Calls that do not follow the contract, by reason",
 	task_starts: "Start orders, by their reply",
 	task_ends: "Runs that ended, by how",
