--- a/packages/jobs/src/coordinate/dispatcher.ts
+++ b/packages/jobs/src/coordinate/dispatcher.ts
@@ -2,6 +2,7 @@
  * Takes jobs from callers to placers: here, or at another instance.
  */
 import type {Clock} from "@cottonwood/core"
+import {failureDomainOf} from "../decide/slices.js"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {JobMessage, JobMove, JobReply, Peers, TaskMessage, TaskReply} from "../fleet/peers.js"
 import type {TaskEnd} from "../place/run.js"
@@ -17,8 +18,10 @@
 import {latestUsefulStart} from "./job-run.js"
 import type {Refused} from "./refusals.js"
 
-/** Placers that are tried in turn for a job that no placer has seen yet. */
-const MAX_PLACERS_TRIED = 3
+/** Failure domains that are tried in turn for a job that no placer has seen yet. */
+const MAX_DOMAINS_TRIED = 3
+/** And placers of one that is divided: the second one shows whether it is the domain that is full. */
+const MAX_SLICES_TRIED = 2
 /** A job that was refused by a backlog after it had waited so long is not tried elsewhere. */
 const ELSEWHERE_MS = 25
 /** After a loss of all instances placers are there within this, from the start of the process. */
@@ -97,6 +100,8 @@
 	readonly wasAnyAsked: boolean
 }
 
+const countOf = (names: readonly string[], name: string) => names.filter(one => one === name).length
+
 const noCapacity = (cause: string): JobEnd => ({type: "refused", kind: "no_capacity", cause})
 
 /** A refusal by forecast comes as soon as it is known, and elsewhere the job may still be in time. */
@@ -170,8 +175,11 @@
 	/** Where a job was sent, or else the next placer that suits it. */
 	function nextClaim(tried: ReadonlySet<string>, wasRefused: boolean, moved?: MovedJob) {
 		const target = moved?.next()
-		if (target || tried.size >= MAX_PLACERS_TRIED) return target
-		const claim = candidates().find(({failureDomain}) => !tried.has(failureDomain))
+		const domains = [...tried].map(failureDomainOf)
+		if (target || new Set(domains).size >= MAX_DOMAINS_TRIED) return target
+		const isNext = ({failureDomain: name}: Claim) =>
+			!tried.has(name) && countOf(domains, failureDomainOf(name)) < MAX_SLICES_TRIED
+		const claim = candidates().find(isNext)
 		return claim && wasRefused && isUntold(claim) ? undefined : claim
 	}
 
@@ -233,8 +241,8 @@
 	}
 
 	function noteTry(job: Job, claim: Claim, outcome: string) {
-		// Whoever was asked may have the job all the same.
-		const write = outcome === "given up" || outcome === "unsent" ? log.alarm : log.event
+		// Whoever was asked may have the job all the same, but for what was never sent.
+		const write = outcome === "given up" ? log.alarm : log.event
 		write("job", "placer_asked", "job: a placer answered.", () => ({
 			job: job.id,
 			...whoIsAsked(deps, claim),
--- a/packages/jobs/src/coordinate/division.ts
+++ b/packages/jobs/src/coordinate/division.ts
@@ -49,6 +49,11 @@
 	close(): void
 }
 
+/** Executors by their addresses: an earlier life may be listed beside the one that followed it. */
+function countStaying(records: readonly ExecutorRecord[]): number {
+	return new Set(records.filter(({isLeaving}) => !isLeaving).map(({address}) => address)).size
+}
+
 export function createDivision(deps: DivisionDeps): Division {
 	const {clock, log, metrics, peers, view, self, executorsPerPlacer} = deps
 	let isClosed = false
@@ -75,7 +80,7 @@
 	function isTooFew(failureDomain: string, perPlacer: number): boolean {
 		const slices = view.sliceCount(failureDomain)
 		const wanted = wantedSlices({
-			executors: deps.executorsOf(failureDomain).length,
+			executors: countStaying(deps.executorsOf(failureDomain)),
 			executorsPerPlacer: perPlacer,
 			instances: placersFor(view.membersOf(failureDomain)).length,
 			slices,
--- a/packages/jobs/src/coordinate/overflow.ts
+++ b/packages/jobs/src/coordinate/overflow.ts
@@ -52,7 +52,8 @@
 		(label === undefined || told.room.labels.includes(label)) &&
 		(rack === undefined || told.room.labels.includes(rack))
 
-	const isHome = ({failureDomain}: Claim) => failureDomainOf(failureDomain) === self.failureDomain
+	const isHome = ({failureDomain: name}: Claim) =>
+		failureDomainOf(name) === self.failureDomain && view.sliceCount(name) > 1
 
 	/** The own domain's other slices before other domains, and of these the one with the freest executor. */
 	function isBetter(one: Target, best: Target): boolean {
--- a/packages/jobs/src/coordinate/slice-moves.ts
+++ b/packages/jobs/src/coordinate/slice-moves.ts
@@ -66,7 +66,11 @@
 			if (host?.claim.fence !== fence || !slices?.mayBeDivided(failureDomain))
 				return endPlacing(failureDomain, fence, "a higher fence was seen")
 			host.fenced.add(id)
-			clock.schedule(SLICE_NEWS_MS, () => giveExecutors(failureDomain, record => record.id === id))
+			clock.schedule(SLICE_NEWS_MS, () => {
+				// By then the slice may have been handed over, with all that runs there.
+				if (hosts.get(failureDomain) !== host) return
+				giveExecutors(failureDomain, record => record.id === id)
+			})
 		},
 		noteClaim({failureDomain: name}) {
 			if (sliceIndexOf(name) === 0) return
--- a/packages/jobs/src/decide/slices.ts
+++ b/packages/jobs/src/decide/slices.ts
@@ -90,6 +90,7 @@
 	records: readonly ExecutorRecord[],
 ): readonly ExecutorRecord[] {
 	const {failureDomain, index} = sliceOfName(name)
+	if (index >= count) return []
 	const own = records.filter(record => record.failureDomain === failureDomain)
 	return count === 1 ? own : own.filter(record => sliceOf(record, count) === index)
 }
--- a/packages/jobs/src/decide/speed-cost.ts
+++ b/packages/jobs/src/decide/speed-cost.ts
@@ -17,6 +17,6 @@
 
 /** 0 while the task ends in time there, then by how many of its estimates it would be late. */
 export function speedCost(slowness: number, {estimateMs, startBy}: Due, now: number): number {
-	const left = (startBy - now) / Math.max(1, estimateMs) + 1
+	const left = Math.max(0, (startBy - now) / Math.max(1, estimateMs) + 1)
 	return Math.max(0, Math.min(MOST_COST, slowness * DOUBT - left))
 }
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -70,6 +70,13 @@
 	close(): void
 }
 
+/** A slice is taken only where all those below it are known to be claimed: it has the executors that they leave. */
+function knowsSlicesBefore(view: FleetView, name: string): boolean {
+	const index = sliceIndexOf(name)
+	if (index === 0) return true
+	return view.claimOf(failureDomainOf(name)) !== undefined && index <= view.sliceCount(name)
+}
+
 export function createClaimsLoop(deps: ClaimsDeps): ClaimsLoop {
 	const {clock, store, log, metrics, self, view} = deps
 	const {rankOf, rankForSlice} = createRank(view, self)
@@ -264,7 +271,7 @@
 	void loop()
 	return {
 		takeNow(failureDomain, fence) {
-			if (sliceIndexOf(failureDomain) > view.sliceCount(failureDomain)) {
+			if (!knowsSlicesBefore(view, failureDomain)) {
 				metrics.count("broken_assumptions", "slice_asked_for")
 				return Promise.resolve(false)
 			}
--- a/packages/jobs/src/fleet/speed-keeper.ts
+++ b/packages/jobs/src/fleet/speed-keeper.ts
@@ -4,7 +4,8 @@
  * Read once when placing begins, beside the list of executors; written now and then, when there is something to tell, without a
  * lease and without a condition: a record that is lost or old costs a little speed and nothing else. Nobody waits for either.
  */
-import type {Clock, Store} from "@cottonwood/core"
+import type {Clock, Store, StoreItem} from "@cottonwood/core"
+import {failureDomainOf} from "../decide/slices.js"
 import {createKeptSpeeds, type KeptSpeeds} from "../place/kept-speeds.js"
 import type {Claim} from "../types/fleet.js"
 import type {PlacingSettings} from "../types/placing.js"
@@ -74,12 +75,22 @@
 	let isClosed = false
 
 	async function read() {
-		for (;;) {
-			const item = await store.get(key)
+		// A slice that is new has executors whose speeds the domain's first placer has written.
+		for (const from of new Set([key, speedKey(failureDomainOf(failureDomain))])) {
+			const item = await readItem(from)
 			if (isClosed) return
-			if (item !== undefined) return takeOver(item?.value)
+			if (item) return takeOver(item.value)
+		}
+		takeOver(undefined)
+	}
+
+	/** What stands under a key; asked for again until the store answers. */
+	async function readItem(from: string): Promise<StoreItem | null> {
+		for (;;) {
+			const item = await store.get(from)
+			if (item !== undefined || isClosed) return item ?? null
 			await clock.sleep(READ_AGAIN_MS)
-			if (isClosed) return
+			if (isClosed) return null
 		}
 	}
 
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -107,11 +107,11 @@
 ): Promise<JobInstance> {
 	const clock = systemClock
 	const {store, log, metrics} = deps
-	const {leaseRule} = settings
-	const {placesAnew} = settings.placing
+	const {leaseRule, placing} = settings
 	const self = newMember(settings)
 	let isLeaving = false
 	let claims: ClaimsLoop | undefined = undefined
+	let isListed = false
 	const strain = watchStrain(clock)
 	const news = watchNews(clock)
 	const evacuations = createEvacuations({...deps, onChange: () => hosts.noteEvacuations()})
@@ -128,14 +128,14 @@
 	const view = createFleetView(clock, noteClaim, (reason, claim) => noteBroken(deps, reason, claim))
 	const {isUnderWay: isEvacuated} = evacuations
 	const common = {clock, peers, view, self, log, metrics}
-	const {rooms, ...wholeJobs} = createWholeJobs({...common, isEvacuated}, settings.placing)
+	const {rooms, ...wholeJobs} = createWholeJobs({...common, isEvacuated}, placing)
 	const overflow = createOverflow({...common, leaseRule, rooms})
 
 	const slicing = createSlicing({
 		...common,
 		leaseRule,
 		overflow,
-		executorsPerPlacer: settings.placing.executorsPerPlacer,
+		executorsPerPlacer: placing.executorsPerPlacer,
 		executorsOf: domain => servedBy(executors.recordsOf(domain), config.current()),
 		isPlacing: name => hosts.of(name) !== undefined,
 		isLeaving: () => isLeaving,
@@ -152,7 +152,7 @@
 		executorsOf: slicing.executorsOf,
 		slices: slicing,
 		isEvacuated,
-		keepSpeeds: speedKeepingFor(settings.placing, {...deps, clock}),
+		keepSpeeds: speedKeepingFor(placing, {...deps, clock}),
 		forecasting: forecastingOf(settings, view, self, config),
 		...wholeJobs,
 	})
@@ -165,7 +165,7 @@
 		ownLateMs: strain.lateMs,
 		isEvacuated,
 		...wholeJobs,
-		placeAnew: placesAnew ? createPlaceAnew({...common, leaseRule}) : undefined,
+		placeAnew: placing.placesAnew ? createPlaceAnew({...common, leaseRule}) : undefined,
 	})
 
 	const keptParts = createKeptParts({
@@ -192,7 +192,10 @@
 		isLeaving: () => isLeaving,
 	})
 
-	const fleetFollower = followFleet(clock, deps, view, () => claims?.lookNow())
+	const fleetFollower = followFleet(clock, deps, view, () => {
+		isListed = true
+		claims?.lookNow()
+	})
 	const server = await listenPeers(self.address, {
 		beat(beat) {
 			beatNews.take(beat)
@@ -245,6 +248,7 @@
 		...createReach({...deps, clock, followed: executors.followed}),
 	})
 
+	if (isListed) claims.lookNow()
 	publishFigures(clock, metrics, hosts, store, news, config)
 
 	return {
@@ -262,7 +266,7 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const placing = [
+			const deciding = [
 				strain,
 				news,
 				claims as ClaimsLoop,
@@ -273,7 +277,7 @@
 				config,
 			]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
-			for (const part of [...placing, ...serving]) part.close()
+			for (const part of [...deciding, ...serving]) part.close()
 		},
 	}
 }
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -13,6 +13,7 @@
 	isPromising,
 	isUsable,
 	newLinkState,
+	releaseRuns,
 	type LinkDeps,
 } from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
@@ -66,6 +67,8 @@
 	retire(): void
 	/** Stops talking to it; its runs are left to the next fence. */
 	close(): void
+	/** Stops talking to it and forgets its runs, which another placer has. */
+	release(): void
 }
 
 export function createExecutorLink(record: ExecutorRecord, deps: LinkDeps): ExecutorLink {
@@ -114,5 +117,9 @@
 			link.isRetired = true
 		},
 		close: () => closeLink(link),
+		release() {
+			closeLink(link)
+			releaseRuns(link)
+		},
 	}
 }
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -197,6 +197,15 @@
 	occupy(link, run.req, 1)
 }
 
+/** Forgets all runs without an end: another placer watches them from now on. */
+export function releaseRuns(link: LinkState) {
+	for (const run of link.runs.values()) {
+		countRun(link, run, -1)
+		occupy(link, run.req, -1)
+	}
+	link.runs.clear()
+}
+
 /** Ends a run here; its room is free from now on. */
 export function settleRun(link: LinkState, run: Run, end: TaskEnd, proof: RunProof): TaskEnded {
 	if (!isCurrent(link, run)) return undefined
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -109,7 +109,7 @@
 	const given = [...state.links.values()].filter(({record}) => isGiven(record))
 	const running = given.flatMap(runsOf)
 	for (const link of given) {
-		link.close()
+		link.release()
 		state.links.delete(link.record.id)
 		state.judgement.forget(link.record.id)
 	}
--- a/packages/jobs/test/uneven-executors.test.ts
+++ b/packages/jobs/test/uneven-executors.test.ts
@@ -64,6 +64,8 @@
 	it("are chosen by speed where nothing would be in time", async () => {
 		const {place} = await createWorld({slow: 1.6, fast: 0.6})
 		expect(await place("j.0.0.0", {estimateMs: 100, startBy: -300})).to.equal("fast")
+		const {place: placeLater} = await createWorld({slow: 1.6, fast: 0.6})
+		expect(await placeLater("k.0.0.0", {estimateMs: 100, startBy: -1_000})).to.equal("fast")
 	})
 
 	it("cost nothing while a task ends in time there, and more the later it would be", () => {
