--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -216,9 +216,16 @@
 		const job = jobs.get(id)
 		if (!job || !ledger) return {type: "not here"}
 		job.stop()
-		const writing = ledger.finish(id, "cancelled", wall.now())
-		const written = await Promise.race([writing, clock.sleep(WRITE_WAIT_MS)])
-		if (written === undefined || written === "deposed") return {type: "unknown"}
+		const finishing = ledger.finish(id, "cancelled", wall.now())
+		const writing = finishing.then(written => noteCancelled(id, job, written))
+		const waited = clock.sleep(WRITE_WAIT_MS).then((): CancelReply => ({type: "unknown"}))
+		return Promise.race([writing, waited])
+	}
+
+	/** An end that is written after whoever cancelled was told that its fate is open counts all the same. */
+	function noteCancelled(id: string, job: KeptJob, written: string): CancelReply {
+		if (written === "deposed") return {type: "unknown"}
+		if (jobs.get(id) !== job) return {type: "cancelled"}
 		jobs.remove(id)
 		metrics.count("jobs_ended", "kept_cancelled")
 		const fields = {job: id, queue: job.record().queue, outcome: "cancelled"}
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -370,6 +370,25 @@
 		expect(world.orders.runningCount).to.equal(0)
 	})
 
+	/*
+	 * Whoever cancelled was told that its fate is open, the end was written later, and the job was said to be running by its home
+	 * for as long as that placed. What settled it: the end that is written counts, however late it is answered.
+	 */
+	it("no longer has a job whose cancelling was written after the submitter was told that it is open", async () => {
+		const world = createWorld()
+		const {keeper} = world.beginPlacing()
+		await world.clock.advance(200)
+		await accept(world, keeper)
+		world.fake.isAway = true
+		const cancelled = keeper.cancel(ID)
+		await world.clock.advance(1_500)
+		expect((await cancelled).type).to.equal("unknown")
+		world.fake.isAway = false
+		await world.clock.advance(1_500)
+		expect(world.end()?.state).to.equal("cancelled")
+		expect(keeper.stateOf(ID)).to.equal(undefined)
+	})
+
 	it("finds a cancelling that was only written into the record", async () => {
 		const world = createWorld()
 		const {keeper} = world.beginPlacing()
