Ask less of executors that cannot be chosen, and make no list for a yes or no

From the review of cost: what sharing an executor speaks against it is looked at only where its speed and room do not rule it out already, and whether any executor is there ends at the first one.

--- a/packages/jobs/src/decide/room.ts
+++ b/packages/jobs/src/decide/room.ts
@@ -8,7 +8,7 @@
 import type {Speeds} from "../place/learnt-speeds.js"
 import type {TaskQueue} from "../place/task-queue.js"
 
-/** Whole tasks fill about this share of executors of two or three times their size; measured on the sheets. */
+/** Whole tasks fill about this share of executors of two or three times their size. */
 const PACKED_SHARE = 0.8
 /** The freest executors that are told to other placers. */
 const ROOM_ENTRIES = 6
@@ -62,6 +62,12 @@
 	if (largest.length > ROOM_ENTRIES) largest.pop()
 }
 
+/** Whether any executor is, or will soon be, usable. */
+export function hasPromising(links: Links): boolean {
+	for (const link of links.values()) if (link.isPromising()) return true
+	return false
+}
+
 /** How long the work that goes before a start will take, in milliseconds; Infinity without executors. */
 export function waitBeforeMs(
 	links: Links,
--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -13,10 +13,12 @@
 /** A task under which an executor has crashed would take others with it; more than any difference in speed. */
 const SHARED_PENALTY = 5
 
-function costOf(link: ExecutorLink, req: TaskRequest, speeds: Speeds): number {
+/** What speaks against an executor; a rest that can only add to it is left out where that is more than `most` already. */
+function costOf(link: ExecutorLink, req: TaskRequest, speeds: Speeds, most: number): number {
 	const {id, capacity, labels} = link.record
 	const left = (link.freeCpu() - req.need.cpu) / capacity.cpu
 	let cost = speeds.costOf(id, req) + LEFTOVER_WEIGHT * left
+	if (cost >= most) return cost
 	if (req.rack !== undefined && !labels.includes(req.rack)) cost += OFF_RACK_PENALTY
 	if (link.isShared(req)) cost += SHARED_PENALTY
 	return cost
@@ -63,7 +65,7 @@
 	for (const link of links.values()) {
 		if (!isSuitable(link, req)) continue
 		if (!mayGoBack && req.avoid.includes(link.record.id)) continue
-		const cost = costOf(link, req, speeds)
+		const cost = costOf(link, req, speeds, bestCost)
 		if (cost >= bestCost || !isOpen(link, req, health)) continue
 		best = link
 		bestCost = cost
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -14,7 +14,7 @@
 import {closeLinks, setExecutors} from "./placer-links.js"
 import {startPulse} from "./pulse.js"
 import {loadOf, type PlacerLoad} from "../decide/load.js"
-import {countThatFit, promisingLinks, roomFor, usableLinks, waitBeforeMs} from "../decide/room.js"
+import {countThatFit, hasPromising, roomFor, usableLinks, waitBeforeMs} from "../decide/room.js"
 import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
 import {adopt, giveAll, giveExecutors, giveUp, isSettled} from "./succession.js"
 import {createTaskQueue, type Waiting} from "./task-queue.js"
@@ -116,7 +116,7 @@
 		executors: () => [...state.links.values()].filter(link => !link.isClosed()).map(recordOf),
 		room: () => roomFor(state.links, state.queue, state.judgement),
 		counts: () => countsOf(state),
-		canServe: () => promisingLinks(state.links).length > 0,
+		canServe: () => hasPromising(state.links),
 		isBeginning: () => isBeginning(state),
 		isSettled: () => isSettled(state),
 		expectedWaitMs: startBy =>
