Take names of slices apart only where there is a slice

Each question whether an executor may be used asked whether its domain is emptied, by a pattern over the domain's name.

--- a/packages/jobs/src/decide/slices.ts
+++ b/packages/jobs/src/decide/slices.ts
@@ -27,6 +27,7 @@
 }
 
 function sliceOfName(name: string): Slice {
+	if (!name.includes(SLICE_MARK)) return {failureDomain: name, index: 0}
 	if (!name.includes(SLICE_MARK)) return {failureDomain: name, index: 0}
 	const [, failureDomain, index] = SLICE_NAME.exec(name) ?? []
 	if (failureDomain === undefined) return {failureDomain: name, index: 0}
@@ -41,7 +42,8 @@
 export const sliceIndexOf = (name: string) => sliceOfName(name).index
 
 /** The failure domain that a slice is part of. */
-export const failureDomainOf = (name: string) => sliceOfName(name).failureDomain
+export const failureDomainOf = (name: string) =>
+	name.includes(SLICE_MARK) ? sliceOfName(name).failureDomain : name
 
 /** All slices of a domain that has so many. */
 export function sliceNames(failureDomain: string, count: number): readonly string[] {
