--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 /**
  * Kept jobs of many short tasks are at work when the platform's store turns every call away for some seconds.
  */
-import {hasTrouble, runCase} from "../common/case.mjs"
+import {runCase} from "../common/case.mjs"
 import {sleep, startPlatform, until} from "../common/platform.mjs"
 import {createClient, startSystem} from "../common/system.mjs"
 
@@ -13,6 +13,9 @@
 const SPEC = JSON.stringify({ms: 300})
 const EXECUTORS = [{labels: ["a", "r1-1"]}, {labels: ["b", "r1-1"]}]
 
+/** `TROUBLE=0` leaves the disruption out. */
+const hasTrouble = process.env.TROUBLE !== "0"
+
 await runCase(import.meta.url, async ({record, closing}) => {
 	const platform = await startPlatform({
 		record,
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,7 +2,7 @@
  * Kept jobs whose tasks need a label that one executor has. That executor crashes while they run there, and is back
  * with the same label some seconds later.
  */
-import {hasTrouble, runCase} from "../common/case.mjs"
+import {runCase} from "../common/case.mjs"
 import {sleep, startPlatform, until} from "../common/platform.mjs"
 import {createClient, startSystem} from "../common/system.mjs"
 
@@ -16,6 +16,9 @@
 const SPEC = JSON.stringify({ms: 2_000})
 const STEP = {count: 2, cpu: 4_000, "mem-mb": 64, "est-ms": 2_000, constraints: "b"}
 
+/** `TROUBLE=0` leaves the disruption out. */
+const hasTrouble = process.env.TROUBLE !== "0"
+
 await runCase(import.meta.url, async ({record, closing}) => {
 	const labelsOf = (zone, at) => [zone === LABELLED && at === 0 ? "b" : "a", `r-${zone}-${at}`]
 	const executorsOf = zone => [0, 1].map(at => ({labels: labelsOf(zone, at)}))
--- a/review/common/case.mjs
+++ b/review/common/case.mjs
@@ -1,6 +1,6 @@
 /**
  * Frame of a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run; ends all that
- * it started. `TROUBLE=0` leaves the disruption out.
+ * it started.
  */
 /* global setTimeout, console */
 import {dirname, join} from "node:path"
@@ -10,8 +10,6 @@
 
 const LIMIT_MS = 115_000
 
-export const hasTrouble = process.env.TROUBLE !== "0"
-
 /** `play` resolves with the breaks of the rule, as texts; `undefined` if the case could not run. */
 export async function runCase(url, play) {
 	const record = openRecord(join(dirname(fileURLToPath(url)), "record.txt"))
