Log when an executor lists only part of its ends

An executor lists 500 ends at once, and further ones once these are forgotten. Neither log nor metrics said how long a list was, so a run that counted as lost because it was in no list could not be told from one whose end the list had no place for.

Change: orders to executors say how many ends are listed at once (`maxListedEnds`); a list of that length may be partial. The log tells when an executor's list becomes partial and when it is complete again (`end_list`), the counter `partial_end_lists` how many were. Nothing is decided by it yet. The stand-in of the users' executors and the tests' executors list 500 ends at once, as the users' do; a test's world of keepers moves to a support file, with no check changed.

Ran: the tests of the keeper, of log lines and of the executor client.

--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -147,6 +147,7 @@
 	const isOvertaken = link.unrecordedEnds.size === 0 && reportedSerial < link.seenSerial
 	for (const end of reply.ends) noteEnd(link, end)
 	if (isOvertaken) return
+	noteEndList(link, reply)
 	const listed = new Set<string>()
 	const unknown = new Set<string>()
 	for (const row of reply.running) {
@@ -165,6 +166,25 @@
 	else if (hadOrphans && unknown.size === 0) link.deps.onRoomFreed()
 }
 
+/** Notes whether the executor may have more ends than it listed, and logs when that changes. */
+function noteEndList(link: LinkState, {ends}: Held) {
+	const {orders, log, metrics, fence} = link.deps
+	const isComplete = ends.length < orders.maxListedEnds
+	const hasChanged = isComplete !== link.areEndsKnown
+	link.areEndsKnown = isComplete
+	if (!isComplete) metrics.count("partial_end_lists")
+	// The first list is logged only if it is partial.
+	if (!hasChanged || (isComplete && !link.isFenceTaken)) return
+	const outcome = isComplete ? "complete" : "partial"
+	const fields = {executor: link.record.id, fence, outcome, count: ends.length}
+	log.alarm(
+		"executor",
+		"end_list",
+		"executor: its list of ends became partial or complete.",
+		fields,
+	)
+}
+
 function noteOrphan(link: LinkState, row: RunningTask): string {
 	const name = runName(row.task, row.run)
 	if (!mayOrphansBeClaimed(link)) void stopOrphan(link, row.task, row.run)
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -93,6 +93,11 @@
 	seenSerial: number
 	/** Serials of ends that the executor must keep listing until the store has them. */
 	readonly unrecordedEnds: Set<number>
+	/**
+	 * Whether the executor's last list of ends was complete. Until then a run that is in neither list
+	 * may have ended with a result.
+	 */
+	areEndsKnown: boolean
 	isFenceTaken: boolean
 	isRetired: boolean
 	isClosed: boolean
@@ -126,6 +131,7 @@
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
 		unrecordedEnds: new Set(),
+		areEndsKnown: false,
 		isFenceTaken: false,
 		isRetired: false,
 		isClosed: false,
--- a/packages/jobs/src/types/executor.ts
+++ b/packages/jobs/src/types/executor.ts
@@ -88,11 +88,17 @@
 	readonly type: "held"
 	readonly clockMs: number
 	readonly running: readonly RunningTask[]
+	/** The oldest ends, at most `maxListedEnds`. */
 	readonly ends: readonly RunEnd[]
 }>
 
 /** Sends orders to executors; implemented by each platform. */
 export interface ExecutorOrders {
+	/**
+	 * How many ends an executor lists at once, oldest first. A list of this length may be incomplete;
+	 * further ends are listed once earlier ones are forgotten.
+	 */
+	readonly maxListedEnds: number
 	start(executor: ExecutorRecord, order: StartOrder, timeoutMs: number): Promise<StartReply>
 	stop(
 		executor: ExecutorRecord,
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -45,6 +45,7 @@
 	speed_writes: "Records of executors' speeds written to the store, by outcome",
 	speeds_dropped: "Speeds told of executors that are not used, by cause",
 	slices_added: "Instances asked to place one more slice of a failure domain, by outcome",
+	partial_end_lists: "Lists of an executor that may lack some of its ends",
 	orphan_runs: "Runs found on executors that nobody here started, by outcome",
 } as const)
 export type CounterName = keyof typeof COUNTERS
--- a/packages/jobs/test/crashes.test.ts
+++ b/packages/jobs/test/crashes.test.ts
@@ -21,6 +21,7 @@
 		return {type: "silent", cause: "test", isRefused: lost.how === "refused"} as const
 	}
 	const orders: ExecutorOrders = {
+		maxListedEnds: fleet.maxListedEnds,
 		start: (executor, order, timeoutMs) =>
 			unless(timeoutMs, () => fleet.start(executor, order, timeoutMs)) as Promise<StartReply>,
 		stop: (executor, order, timeoutMs) =>
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -2,97 +2,11 @@
  * Kept jobs at their placer: accepted once their record is in the store, restored by the next
  * placer, and never run twice after a lost answer or a takeover.
  */
-import {createJobMetrics, silentLog, type Claim} from "@cottonwood/jobs"
-import {
-	claimKey,
-	createKeeper,
-	createWallClock,
-	endedJobKey,
-	openJobKey,
-	type EndRecord,
-	type JobRecord,
-	type KeeperDeps,
-	type KeptJobRequest,
-} from "@cottonwood/jobs/internals"
+import {claimKey, createWallClock, openJobKey, type JobRecord} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
-import {createFakeClock, type FakeClock} from "./support/fake-clock.js"
-import {FakeFleet, record} from "./support/fake-executors.js"
-import {createFakeStore} from "./support/fake-store.js"
+import {createFakeClock} from "./support/fake-clock.js"
+import {accept, createKeeperWorld as createWorld, ID, job, task} from "./support/keeper-world.js"
 import {step} from "./support/records.js"
-import {createTestPlacer} from "./support/placers.js"
-import {QUEUE} from "./support/requests.js"
-
-const ID = "00000000000000aa"
-const job = (extra: Partial<KeptJobRequest> = {}): KeptJobRequest => ({
-	id: ID,
-	queue: "orders",
-	spec: "spec",
-	steps: [step()],
-	...extra,
-})
-
-type World = ReturnType<typeof createWorld>
-
-function createWorld(clock: FakeClock = createFakeClock(), store = createFakeStore()) {
-	const orders = new FakeFleet(clock)
-	const {fake} = store
-	let session = 0
-
-	/** Starts a placer under the next fence; the previous one is not notified. */
-	function beginPlacing(
-		extra: Partial<KeeperDeps> = {},
-		orphansWaitMs = 0,
-		{listed = ["e1", "e2", "e3"], knowsAllExecutors = true} = {},
-	) {
-		session++
-		const placer = {name: `n${session}`, session: `s${session}`, failureDomain: "a"}
-		const member = {...placer, address: "n:1", cpuShare: 1}
-		const claim: Claim = {failureDomain: "a", fence: session, placer: member}
-		fake.write(claimKey("a"), claim)
-		let deposed = 0
-		const common = {clock, log: silentLog, metrics: createJobMetrics()}
-		const keeper = createKeeper({
-			...common,
-			wall: createWallClock(clock),
-			store: store.store,
-			claim,
-			spacingMs: () => 10,
-			queueOf: () => QUEUE,
-			domainWithRoom: () => undefined,
-			notifyHome: () => undefined,
-			onDeposed: () => void deposed++,
-			...extra,
-		})
-		const hosted = createTestPlacer({
-			...common,
-			orders,
-			fence: claim.fence,
-			orphansWaitMs,
-			knowsAllExecutors,
-			kept: keeper,
-		})
-		keeper.begin(hosted)
-		hosted.setExecutors(listed.map(id => record(id)))
-		const close = () => {
-			keeper.close()
-			hosted.close()
-		}
-		return {keeper, placer: hosted, deposed: () => deposed, close}
-	}
-
-	const open = (id = ID) => fake.items.get(openJobKey(id))?.value as JobRecord | undefined
-	const end = (id = ID) => fake.items.get(endedJobKey(id))?.value as EndRecord | undefined
-	const startsOf = (task: string) => orders.starts.filter(start => start.task === task)
-	return {clock, orders, fake, store: store.store, beginPlacing, open, end, startsOf}
-}
-
-async function accept({clock}: World, keeper: ReturnType<typeof createKeeper>, request = job()) {
-	const reply = keeper.accept(request)
-	await clock.advance(100)
-	return (await reply).type
-}
-
-const task = (at: number, id = ID) => `${id}.0.0.${at}`
 
 describe("keeper", () => {
 	it("accepts a job once its record is in the store, and starts none of its tasks before", async () => {
--- a/packages/jobs/test/log-lines.test.ts
+++ b/packages/jobs/test/log-lines.test.ts
@@ -101,6 +101,7 @@
 		let isReplaced = false
 		const executor = new LeasedExecutor(clock)
 		const orders: PlacerDeps["orders"] = {
+			maxListedEnds: executor.maxListedEnds,
 			start: (...args) => executor.start(...args),
 			stop: (...args) => executor.stop(...args),
 			hold: (...args) =>
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -27,6 +27,8 @@
 }
 
 const SILENT = {type: "silent", cause: "test"} as const
+/** How many ends the users' executors list at once. */
+export const MAX_LISTED_ENDS = 500
 
 export class FakeExecutors implements ExecutorOrders {
 	readonly starts: (StartOrder & {readonly executor: string})[] = []
@@ -45,6 +47,7 @@
 	areHoldsLost = false
 	/** The highest serial up to which ends may be forgotten. */
 	forgottenUpTo = 0
+	maxListedEnds = MAX_LISTED_ENDS
 	private ends: RunEnd[] = []
 	private serial = 0
 	private wakers: (() => void)[] = []
@@ -120,7 +123,8 @@
 			await this.clock.sleep(timeoutMs)
 			return SILENT
 		}
-		return {type: "held", clockMs: this.clock.now(), running, ends: [...this.ends]}
+		const ends = this.ends.slice(0, this.maxListedEnds)
+		return {type: "held", clockMs: this.clock.now(), running, ends}
 	}
 
 	async isReachable(): Promise<boolean> {
@@ -141,11 +145,17 @@
 export class FakeFleet implements ExecutorOrders {
 	private readonly fleet = new Map<string, FakeExecutors>()
 
-	constructor(private readonly clock: FakeClock) {}
+	constructor(
+		private readonly clock: FakeClock,
+		readonly maxListedEnds = MAX_LISTED_ENDS,
+	) {}
 
 	private at({id}: ExecutorRecord): FakeExecutors {
-		let executor = this.fleet.get(id)
-		if (!executor) this.fleet.set(id, (executor = new FakeExecutors(this.clock)))
+		const known = this.fleet.get(id)
+		if (known) return known
+		const executor = new FakeExecutors(this.clock)
+		executor.maxListedEnds = this.maxListedEnds
+		this.fleet.set(id, executor)
 		return executor
 	}
 
--- a/packages/jobs/test/support/leased-executor.ts
+++ b/packages/jobs/test/support/leased-executor.ts
@@ -13,6 +13,7 @@
 	StopReply,
 } from "@cottonwood/jobs"
 import type {FakeClock} from "./fake-clock.js"
+import {MAX_LISTED_ENDS} from "./fake-executors.js"
 
 export interface AnyOrder {
 	readonly type: "start" | "stop" | "hold"
@@ -36,6 +37,7 @@
 	readonly stops: StopOrder[] = []
 	/** Whether an order is lost on the way. */
 	isLost: (order: AnyOrder) => boolean = () => false
+	maxListedEnds = MAX_LISTED_ENDS
 	private fence = 0
 	private leaseUntilMs = -Infinity
 	private ends: RunEnd[] = []
@@ -100,7 +102,8 @@
 		if (this.ends.length === 0 && order.waitMs > 0) await this.nextEnd(order.waitMs)
 		else await this.clock.sleep(1)
 		const running = [...this.running].map(([task, run]) => ({task, run, percent: 50}))
-		return {type: "held", clockMs: this.clock.now(), running, ends: [...this.ends]}
+		const ends = this.ends.slice(0, this.maxListedEnds)
+		return {type: "held", clockMs: this.clock.now(), running, ends}
 	}
 
 	async isReachable(): Promise<boolean> {
@@ -120,6 +123,7 @@
 /** Sends each order to the executor that it names. */
 export function ordersTo(at: (id: string) => LeasedExecutor): ExecutorOrders {
 	return {
+		maxListedEnds: MAX_LISTED_ENDS,
 		start: (executor, order, ms) => at(executor.id).start(executor, order, ms),
 		stop: (executor, order, ms) => at(executor.id).stop(executor, order, ms),
 		hold: (executor, order, ms) => at(executor.id).hold(executor, order, ms),
--- a/packages/jobs/test/support/replay/replay-executor.ts
+++ b/packages/jobs/test/support/replay/replay-executor.ts
@@ -15,6 +15,7 @@
 	StartReply,
 	StopReply,
 } from "@cottonwood/jobs"
+import {MAX_LISTED_ENDS} from "../fake-executors.js"
 import type {ReplayClock} from "./replay-clock.js"
 
 /** The spec of a replayed task. */
@@ -133,7 +134,7 @@
 			type: "held",
 			clockMs: this.clock.now(),
 			running,
-			ends: [...this.ends],
+			ends: this.ends.slice(0, MAX_LISTED_ENDS),
 		}
 		await this.clock.sleep(LATENCY_MS)
 		return held
@@ -249,6 +250,7 @@
 export function createReplayOrders(executors: ReadonlyMap<string, ReplayExecutor>): ExecutorOrders {
 	const at = ({id}: ExecutorRecord) => executors.get(id) as ReplayExecutor
 	return {
+		maxListedEnds: MAX_LISTED_ENDS,
 		start: (record, order, timeoutMs) => at(record).start(order, timeoutMs),
 		stop: (record, order, timeoutMs) => at(record).stop(order, timeoutMs),
 		hold: (record, order, timeoutMs) => at(record).hold(order, timeoutMs),
--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -75,6 +75,8 @@
 }
 
 const MAX_LEASE_MS = 1_000
+/** How many ends are listed at once, oldest first. */
+const MAX_LISTED_ENDS = 500
 const STOP_MS = 5
 const LEASE_CHECK_MS = 2
 /** Leaves time for the answer to the start. */
@@ -287,7 +289,8 @@
 		if (this.finished.length === 0) await this.nextEnd(order["wait-ms"] ?? 0)
 		if (this.hasCrashed) return void res.destroy()
 		if (this.faults.mute || this.faults.loseAnswers) return
-		this.answer(res, 200, {running: this.runningRows(), finished: this.finished})
+		const finished = this.finished.slice(0, MAX_LISTED_ENDS)
+		this.answer(res, 200, {running: this.runningRows(), finished})
 	}
 
 	private nextEnd(ms: number): Promise<void> {
