Count no run as lost while its executor lists only part of its ends

Cause: an executor lists 500 ends at once. Ends of kept tasks stay listed until the store has them, so during an outage the list fills up. `link/hold.ts` took a run in neither list as over without a result; its end was beyond the list. The task was started again, and its end dropped when it came up.

Change: only a complete list proves that a run has ended without a result. While a list is partial, a run missing from it frees its capacity and its end is awaited (`unlistedRuns`). Kept tasks go on starting; tasks whose callers wait start only where their end will be listed at once. Why it works: `running` is listed whole, so a run missing from it is gone; its end is either in the list, beyond it, or was never made, and only the last is "lost".

Ruled out on the way: pausing kept tasks at half a list.

--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -31,7 +31,7 @@
 
 /** Whether a suitable executor may take the task now; costs more, so it is checked last. */
 function isAvailable(link: ExecutorLink, req: TaskRequest, health: Health): boolean {
-	if (!link.isUsable() || !link.isCompatible(req)) return false
+	if (!link.mayStart(req) || !link.isCompatible(req)) return false
 	if (req.maxPerExecutor && link.countOf(stepNameOf(req.task)) >= req.maxPerExecutor) return false
 	return health.isUsable(link.record.id) && link.isConfirmed(req)
 }
@@ -45,7 +45,7 @@
 	for (const link of links.values()) {
 		const {id, service} = link.record
 		const isAlternative = service === req.service && !req.avoid.includes(id)
-		if (isAlternative && link.isUsable() && health.isUsable(id)) return true
+		if (isAlternative && link.mayStart(req) && health.isUsable(id)) return true
 	}
 	return false
 }
--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -116,7 +116,7 @@
 		createRequest(task, record, queue, dueAt + slackOf(stepOf(task)))
 
 	function submitTask(task: TaskState) {
-		if (isOver || task.isDone || task.handle) return
+		if (!hasBegun || isOver || task.isDone || task.handle) return
 		task.handle = deps.submit(
 			requestOf(task),
 			end => handleEnd(task, end),
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -9,11 +9,13 @@
 import {
 	closeLink,
 	hasOrphanOf,
+	awaitedRuns,
 	isIdle,
 	isUsableSoon,
 	isUsable,
 	newLinkState,
 	releaseRuns,
+	willListEnd,
 	type LinkDeps,
 } from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
@@ -23,10 +25,14 @@
 	readonly record: ExecutorRecord
 	/** Takes the executor's current record. */
 	update(record: ExecutorRecord): void
-	/** Whether new work may be started there. */
+	/** Whether new work may be started there, and its end will be listed as soon as it comes. */
 	isUsable(): boolean
+	/** Whether the task may be started there; a kept task's end may be listed late. */
+	mayStart(req: TaskRequest): boolean
 	/** Whether the executor has accepted this placer's fence. */
 	isFenceTaken(): boolean
+	/** Whether the executor's last list of ends was complete. */
+	areEndsKnown(): boolean
 	/** Whether the executor is usable or likely to become usable within a moment. */
 	isUsableSoon(): boolean
 	/** Free thousandths of a core. */
@@ -57,7 +63,7 @@
 	start(req: TaskRequest, onEnd: OnTaskEnd): Run
 	/** Adopts a run that the previous placer had there. */
 	adopt(req: TaskRequest, isStarted: boolean, onEnd: OnTaskEnd): Run
-	/** The current runs, and whether the start of each was answered. */
+	/** The runs whose ends are awaited, and whether the start of each was answered. */
 	runs(): readonly {readonly run: Run; readonly isStarted: boolean}[]
 	/** Stops a run; its `onEnd` is called when it has ended. */
 	cancel(run: Run, cause?: StopCause): void
@@ -85,8 +91,10 @@
 			link.record = next
 			link.isRetired = link.isClosed
 		},
-		isUsable: () => isUsable(link),
+		isUsable: () => isUsable(link) && willListEnd(link),
+		mayStart: req => isUsable(link) && (req.isKept === true || willListEnd(link)),
 		isFenceTaken: () => link.isFenceTaken,
+		areEndsKnown: () => link.areEndsKnown,
 		isUsableSoon: () => isUsableSoon(link),
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
@@ -113,7 +121,7 @@
 			return run
 		},
 		runs: () =>
-			[...link.runs.values()].map(run => ({
+			awaitedRuns(link).map(run => ({
 				run,
 				isStarted: run.absenceProvesEndFrom !== undefined,
 			})),
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -2,8 +2,9 @@
  * Keeps an executor's lease and learns of ends: one `hold` call, a long poll, is always under way.
  *
  * A hold presents the fence, renews the lease, waits for an end, and lists what runs there. A run
- * is gone when a list that was requested after the run's last answered order doesn't name it. Runs
- * of a silent executor count as running until its lease has certainly ended.
+ * is gone when a list that was requested after the run's last answered order doesn't name it, but
+ * only a complete list of ends tells that it has ended without a result. Runs of a silent executor
+ * count as running until its lease has certainly ended.
  */
 import type {HoldReply, RunEnd, RunningTask} from "../types/executor.js"
 import {shortSession} from "../utils/log.js"
@@ -11,9 +12,13 @@
 import {stopOrphan, stopRun, stopSettledUnanswered, stopUnheard} from "./orders.js"
 import {
 	addRun,
+	awaitedRun,
+	awaitedRuns,
+	awaitUnlistedEnd,
 	closeLink,
 	forgettableSerial,
 	forgetUnwatched,
+	isCurrent,
 	isSilentPastLease,
 	isIdle,
 	isOwnReply,
@@ -24,6 +29,7 @@
 	runName,
 	settleAllLost,
 	settleRun,
+	willListEnd,
 	type LinkState,
 } from "./state.js"
 import type {Run, TaskEnd, EndRecorded} from "../place/run.js"
@@ -109,7 +115,10 @@
 	return deps.losses.isLossy() ? deps.losses.timeoutMs(HOLD_SLACK_MS) : HOLD_SLACK_MS
 }
 
-function waitMsOf({deps, runs, orphans}: LinkState): number {
+function waitMsOf(link: LinkState): number {
+	const {deps, runs, orphans} = link
+	// Its next list may have the ends that this one lacks.
+	if (!link.areEndsKnown) return 0
 	if (orphans.size > 0) return ORPHANS_WAIT_MS
 	if (runs.size > 0 && deps.losses.isLossy()) return LOSSY_WAIT_MS
 	return runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS
@@ -151,11 +160,14 @@
 	const listed = new Set<string>()
 	const unknown = new Set<string>()
 	for (const row of reply.running) {
-		const run = link.runs.get(row.task)
-		if (run?.req.run === row.run) {
+		const run = awaitedRun(link, row.task, row.run)
+		const {runs, deps, record} = link
+		if (run) {
+			listed.add(row.task)
+			// This may be an older list than the one that lacked the run.
+			if (isCurrent(link, run)) noteProgress(link, run, row.percent, now)
+		} else if (!runs.has(row.task) && deps.kept.adopt(record.id, row.task, row.run))
 			listed.add(row.task)
-			noteProgress(link, run, row.percent, now)
-		} else if (!run && link.deps.kept.adopt(link.record.id, row.task, row.run)) listed.add(row.task)
 		else unknown.add(noteOrphan(link, row))
 	}
 	offerUnclaimedEnds(link)
@@ -166,12 +178,15 @@
 	else if (hadOrphans && unknown.size === 0) link.deps.onRoomFreed()
 }
 
-/** Notes whether the executor may have more ends than it listed, and logs when that changes. */
+/** Notes how many ends the executor lists and whether it may have more; logs when that changes. */
 function noteEndList(link: LinkState, {ends}: Held) {
 	const {orders, log, metrics, fence} = link.deps
 	const isComplete = ends.length < orders.maxListedEnds
 	const hasChanged = isComplete !== link.areEndsKnown
+	const wouldList = willListEnd(link)
 	link.areEndsKnown = isComplete
+	link.listedEnds = ends.length
+	if (!wouldList && willListEnd(link)) link.deps.onRoomFreed()
 	if (!isComplete) metrics.count("partial_end_lists")
 	// The first list is logged only if it is partial.
 	if (!hasChanged || (isComplete && !link.isFenceTaken)) return
@@ -191,11 +206,14 @@
 	return name
 }
 
+/** Settles the runs that are gone without a result, or awaits their ends while the list is partial. */
 function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
-	for (const run of [...link.runs.values()]) {
-		if (run.absenceProvesEndFrom === undefined || run.absenceProvesEndFrom > sentAt) continue
-		if (listed.has(run.req.task)) continue
-		void settleRun(link, run, endWithoutResult(link, run, "not there"), "not in a list")
+	const isGone = ({absenceProvesEndFrom: from, req}: Run) =>
+		from !== undefined && from <= sentAt && !listed.has(req.task)
+	for (const run of awaitedRuns(link).filter(isGone)) {
+		if (link.areEndsKnown)
+			void settleRun(link, run, endWithoutResult(link, run, "not there"), "not in a list")
+		else if (isCurrent(link, run)) awaitUnlistedEnd(link, run)
 	}
 }
 
@@ -212,9 +230,9 @@
 function noteEnd(link: LinkState, end: RunEnd) {
 	if (end.serial <= link.seenSerial) return
 	link.seenSerial = end.serial
-	const run = link.runs.get(end.task)
+	const run = awaitedRun(link, end.task, end.run)
 	if (link.stoppingOrphans.delete(runName(end.task, end.run))) noteOrphanEnd(link, end)
-	if (run?.req.run === end.run) return settleListed(link, run, end)
+	if (run) return settleListed(link, run, end)
 	link.unrecordedEnds.add(end.serial)
 	link.unclaimedEnds.set(runName(end.task, end.run), end)
 }
@@ -263,8 +281,8 @@
 }
 
 /**
- * Adopts a run of the previous placer. If its start was unanswered and the list under this fence
- * doesn't name it, the start was refused for its old fence and the run uses no capacity.
+ * Adopts a run of the previous placer. If its start was unanswered and the complete list under this
+ * fence doesn't name it, the start was refused for its old fence and the run uses no capacity.
  */
 export function adoptRun(link: LinkState, run: Run, wasStarted: boolean) {
 	const {clock, leaseRule} = link.deps
@@ -279,7 +297,7 @@
 		return settleListed(link, run, end)
 	}
 	const isThere = link.orphans.has(name) || link.stoppingOrphans.has(name)
-	if (!isThere && !wasStarted && link.isFenceTaken) {
+	if (!isThere && !wasStarted && link.isFenceTaken && link.areEndsKnown) {
 		noteAdopted(link, run, "never there")
 		const returned = {type: "returned", cause: "its start never arrived"} as const
 		return void settleRun(link, run, returned, "not in a list")
--- a/packages/jobs/src/link/lease.ts
+++ b/packages/jobs/src/link/lease.ts
@@ -44,8 +44,12 @@
  * Whether a hold should renew the lease. It must not while there are orphans, which the previous
  * placer or a kept job may still claim, or while a stop is unanswered, even though other runs there
  * may then end. Without a run to keep, no lease is needed: a start requests its own.
+ * While ends are still to be listed one is, as an executor that is silent past its lease counts as
+ * gone with them.
  */
-export function shouldRenewLease({runs, orphans, unansweredStops}: LinkState): boolean {
+export function shouldRenewLease(link: LinkState): boolean {
+	const {runs, unlistedRuns, orphans, unansweredStops} = link
 	if (unansweredStops.size + orphans.size > 0) return false
+	if (unlistedRuns.size > 0) return true
 	return [...runs.values()].some(({state}) => state !== "stopping")
 }
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -75,6 +75,11 @@
 	record: ExecutorRecord
 	readonly executorClock: ExecutorClock
 	readonly runs: Map<string, Run>
+	/**
+	 * Runs that are gone and use no capacity, by task, whose ends the executor may still have to
+	 * list.
+	 */
+	readonly unlistedRuns: Map<string, Run>
 	/**
 	 * Listed runs that nobody here started, by run name; while there are any, the free capacity is
 	 * unknown.
@@ -98,6 +103,8 @@
 	 * may have ended with a result.
 	 */
 	areEndsKnown: boolean
+	/** How many ends the executor listed last. */
+	listedEnds: number
 	isFenceTaken: boolean
 	isRetired: boolean
 	isClosed: boolean
@@ -123,6 +130,7 @@
 		record,
 		executorClock,
 		runs: new Map(),
+		unlistedRuns: new Map(),
 		orphans: new Set(),
 		settledUnanswered: [],
 		stoppingOrphans: new Set(),
@@ -132,6 +140,7 @@
 		seenSerial: 0,
 		unrecordedEnds: new Set(),
 		areEndsKnown: false,
+		listedEnds: 0,
 		isFenceTaken: false,
 		isRetired: false,
 		isClosed: false,
@@ -154,6 +163,15 @@
 	return isNotPaused(link)
 }
 
+/**
+ * Whether the end of one more run would be listed as soon as it comes. It would not while ends that
+ * wait for the store fill the list.
+ */
+export function willListEnd({areEndsKnown, unrecordedEnds, listedEnds, runs, deps}: LinkState) {
+	if (!areEndsKnown) return false
+	return unrecordedEnds.size === 0 || listedEnds + runs.size < deps.orders.maxListedEnds
+}
+
 /**
  * Whether no stopped orphan may still use capacity unlisted, and the executor has not just reported
  * that it is unhealthy.
@@ -181,15 +199,15 @@
 }
 
 /**
- * Whether the executor has nothing anybody may want: no run, no unrecorded end, and no orphan that
- * may be claimed.
+ * Whether the executor has nothing anybody may want: no run, no unrecorded or unlisted end, and no
+ * orphan that may be claimed.
  */
 export function isIdle(link: LinkState): boolean {
-	const {runs, unrecordedEnds, orphans} = link
+	const {runs, unlistedRuns, unrecordedEnds, orphans} = link
 	if (link.isReplaced) return true
-	if (runs.size > 0 || unrecordedEnds.size > 0 || (orphans.size > 0 && mayOrphansBeClaimed(link)))
-		return false
-	return link.isFenceTaken || isSilentPastLease(link)
+	if (runs.size + unlistedRuns.size > 0 || unrecordedEnds.size > 0) return false
+	if (orphans.size > 0 && mayOrphansBeClaimed(link)) return false
+	return (link.isFenceTaken && link.areEndsKnown) || isSilentPastLease(link)
 }
 
 /** Whether the executor is silent and everything that ran there has certainly ended. */
@@ -220,13 +238,43 @@
 	occupy(link, run.req, 1)
 }
 
+/** Removes a run and frees its capacity; false when it has been removed before. */
+function removeRun(link: LinkState, run: Run): boolean {
+	const {task} = run.req
+	if (isCurrent(link, run)) {
+		link.runs.delete(task)
+		occupy(link, run.req, -1)
+	} else if (link.unlistedRuns.get(task) === run) link.unlistedRuns.delete(task)
+	else return false
+	countRun(link, run, -1)
+	return true
+}
+
+/** Frees the capacity of a run that is gone; its end is still awaited. */
+export function awaitUnlistedEnd(link: LinkState, run: Run) {
+	link.runs.delete(run.req.task)
+	occupy(link, run.req, -1)
+	link.unlistedRuns.set(run.req.task, run)
+	link.deps.onRoomFreed()
+}
+
+/** The runs whose ends are awaited, whether they are still there or not. */
+export function awaitedRuns({runs, unlistedRuns}: LinkState): readonly Run[] {
+	return [...runs.values(), ...unlistedRuns.values()]
+}
+
+/** The awaited run of this task and number, if any. */
+export function awaitedRun(link: LinkState, task: string, number: number): Run | undefined {
+	const isIt = (run: Run | undefined) => run?.req.run === number
+	const run = link.runs.get(task)
+	if (isIt(run)) return run
+	const unlisted = link.unlistedRuns.get(task)
+	return isIt(unlisted) ? unlisted : undefined
+}
+
 /** Drops all runs without reporting an end, since another placer watches them now. */
 export function releaseRuns(link: LinkState) {
-	for (const run of link.runs.values()) {
-		countRun(link, run, -1)
-		occupy(link, run.req, -1)
-	}
-	link.runs.clear()
+	for (const run of awaitedRuns(link)) removeRun(link, run)
 }
 
 /**
@@ -234,10 +282,7 @@
  * end is recorded, or undefined if it need not be.
  */
 export function settleRun(link: LinkState, run: Run, end: TaskEnd, proof: RunProof): EndRecorded {
-	if (!isCurrent(link, run)) return undefined
-	link.runs.delete(run.req.task)
-	countRun(link, run, -1)
-	occupy(link, run.req, -1)
+	if (!removeRun(link, run)) return undefined
 	link.deps.metrics.count("task_ends", end.type)
 	link.deps.onRunEnd(link.record.id, run, end, proof)
 	const recorded = run.onEnd(end)
@@ -274,6 +319,9 @@
 		const isCrash = end.type === "lost" && run.mayHaveStarted && crash !== undefined
 		settleRun(link, run, isCrash ? {...end, crash} : end, proof)
 	}
+	// These were gone before.
+	for (const run of [...link.unlistedRuns.values()])
+		settleRun(link, run, endWithoutResult(link, run, cause), proof)
 }
 
 /**
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -142,13 +142,14 @@
 
 /**
  * Whether all runs of the previous placer have ended or are known here. A replaced placer may go on renewing leases at executors
- * that have not seen the new fence, so each known executor must obey it, or have been replaced. Unlisted executors are covered by
- * time, unless all executors are known.
+ * that have not seen the new fence, so each known executor must obey it, or have been replaced. An executor that lists only part
+ * of its ends may have more of them. Unlisted executors are covered by time, unless all executors are known.
  */
 export function hasTakenOver({links, deps, createdAt}: PlacerState): boolean {
 	const isTimeOver = deps.clock.now() - createdAt >= TAKEOVER_MS
 	const areAllKnown = deps.knowsAllExecutors && links.size > 0
 	// The previous placer's runs on a replaced executor have ended with its process.
-	const obeys = (link: ExecutorLink) => link.isFenceTaken() || link.isReplaced()
-	return (isTimeOver || areAllKnown) && [...links.values()].every(obeys)
+	const isKnown = (link: ExecutorLink) =>
+		(link.isFenceTaken() && link.areEndsKnown()) || link.isReplaced()
+	return (isTimeOver || areAllKnown) && [...links.values()].every(isKnown)
 }
