Move a kept job only where an executor could run it and has room

Cause: `keep/job-moves.ts` moved a job of which nothing ran for 700 ms to the first other domain with enough free processor for its largest task, whatever its label and service. From the first such domain it went to the second and back, for ever; its own domain, where the executor was back, was never the first.

No placer with the label had the job, so neither the list of executors nor health nor avoided executors had a part.

Change: a move needs a domain whose listed executors could run a step whose turn has come (service, label, size), and whose placer answers that such a task, or the whole gang, could start now; else the job stays, and `job_waits` says why. A move after which nothing started doubles the wait for the next one (0.7 to 5.6 s). The choice at acceptance looks at service and size beside the label. Why it works: a domain without the label is no candidate, so the job stays at home and starts with the next pass after its executor is listed; a domain that has it is asked for room as it is.

Keeper tests give `findRoom` in place of `domainWithRoom`, with no check changed.

--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -11,7 +11,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Heartbeat, Claim} from "../types/fleet.js"
 import type {AcceptReply, CancelReply} from "../keep/keeper.js"
-import type {Caller, Job, JobEnd} from "../types/job.js"
+import type {Caller, Job, JobEnd, Step} from "../types/job.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {JobState, KeptJobRequest} from "../types/kept-job.js"
 import type {JobMetrics} from "../utils/metrics.js"
@@ -61,6 +61,8 @@
 	| {readonly type: "accept"; readonly request: KeptJobRequest; readonly mayRedirect: boolean}
 	| {readonly type: "cancel" | "state" | "fetch"; readonly id: string}
 	| {readonly type: "pending"; readonly queue: string}
+	/** Whether a task of one of the steps could start now. */
+	| {readonly type: "room"; readonly service: string; readonly steps: readonly Step[]}
 )
 
 export type KeptReply =
@@ -70,6 +72,7 @@
 	| {readonly type: "redirect"; readonly failureDomain: string}
 	| {readonly type: "state"; readonly state: JobState | undefined}
 	| {readonly type: "pending"; readonly count: number}
+	| {readonly type: "room"; readonly hasRoom: boolean}
 	| {readonly type: "fetched"}
 	| {readonly type: "not placer"}
 
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -179,15 +179,14 @@
 
 	const keptJobs = createKeptJobService({
 		...deps,
+		...settings,
 		clock,
 		peers,
 		view,
 		hosts,
-		storeWritesPerSecond: settings.storeWritesPerSecond,
-		endedStateMs: settings.endedStateMs,
-		failureDomains: settings.failureDomains,
 		candidates: () => dispatcher.candidates(),
 		queueOf: name => config.current()?.queues.find(queue => queue.name === name),
+		executorsOf: slicing.executorsOf,
 	})
 
 	const executors = followExecutors(clock, deps, hosts, ownClaims, config.current)
--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -1,8 +1,11 @@
 /**
- * Moves kept jobs that have no room in their failure domain to one that reported free capacity.
+ * Moves kept jobs of which no task can start in their failure domain to one whose placer has room at an executor that
+ * could run such a task. Without one a job stays where it is.
  */
 import type {Clock} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
+import type {Queue} from "../types/fleet-config.js"
+import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
 import type {KeptJob} from "./kept-job.js"
 import type {Ledger} from "./ledger.js"
@@ -12,16 +15,25 @@
 
 /** A job without a running task for this long is moved. */
 const MAX_IDLE_MS = 700
+/**
+ * That time doubles with each move after which nothing started, up to this often: what keeps the job from starting is
+ * not known, and a new placer may need longer than the move.
+ */
+const MAX_DOUBLINGS = 3
 /** Offset between the run numbers of two placers of a job; more than any job's runs. */
 const RUNS_PER_FENCE = 10_000
 
+/** Why no other domain takes a job. */
+export type NoRoomCause = "no other executor could run it" | "no room at such an executor"
+
 export interface JobMovesDeps {
 	readonly clock: Clock
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly claim: Claim
-	/** Returns another domain that reported this many free thousandths of a core, if any. */
-	readonly domainWithRoom: (cpu: number) => Claim | undefined
+	readonly queueOf: (name: string) => Queue | undefined
+	/** Returns another domain where a task of one of the steps could start now, or why there is none. */
+	readonly findRoom: (service: string, steps: readonly Step[]) => Promise<Claim | NoRoomCause>
 	/** Notifies the placer of another domain that it now owns the job. */
 	readonly notifyHome: (claim: Claim, id: string) => void
 	readonly jobs: OpenJobs
@@ -34,31 +46,62 @@
 	return runBase + Math.max(0, fence - homeFence) * RUNS_PER_FENCE
 }
 
+const maxIdleMs = (job: KeptJob) => MAX_IDLE_MS * 2 ** Math.min(job.fruitlessMoves(), MAX_DOUBLINGS)
+
 /** Checks for idle jobs until the keeper is closed. */
 export function startJobMoves(deps: JobMovesDeps): void {
 	const {clock, jobs, isClosed} = deps
+	const waits = createWaitLog(deps)
 	async function loop() {
 		while (!isClosed()) {
 			await clock.sleep(MAX_IDLE_MS / 2)
-			const idle = jobs.all().filter(job => job.idleMs() > MAX_IDLE_MS)
-			for (const job of idle) await move(job, deps)
+			await moveIdle()
+		}
+	}
+	/** Asks once for jobs with the same needs while none of them finds room. */
+	async function moveIdle() {
+		const causes = new Map<string, NoRoomCause>()
+		for (const job of jobs.all().filter(job => job.idleMs() > maxIdleMs(job))) {
+			const service = deps.queueOf(job.record().queue)?.service
+			const steps = job.waitingSteps()
+			if (service === undefined || steps.length === 0) continue
+			const needs = JSON.stringify([service, steps])
+			const found = causes.get(needs) ?? (await deps.findRoom(service, steps))
+			if (typeof found === "string") causes.set(needs, found)
+			if (typeof found === "string") waits.note(job, found)
+			else await move(job, found, deps)
 		}
 	}
 	void loop()
 }
 
-async function move(job: KeptJob, deps: JobMovesDeps): Promise<void> {
+/** Logs why a job waits, once for each cause. */
+function createWaitLog({log}: JobMovesDeps) {
+	const causes = new WeakMap<KeptJob, NoRoomCause>()
+	return {
+		note(job: KeptJob, cause: NoRoomCause) {
+			if (causes.get(job) === cause) return
+			causes.set(job, cause)
+			const {id, queue} = job.record()
+			const fields = {job: id, queue, cause, waitedMs: Math.round(job.idleMs())}
+			log.event("job", "job_waits", "job: no other domain can run it now.", fields)
+		},
+	}
+}
+
+async function move(job: KeptJob, target: Claim, deps: JobMovesDeps): Promise<void> {
 	const {jobs, ledger, claim, log, metrics} = deps
 	const record = job.record()
-	const target = deps.domainWithRoom(job.largestNeedCpu())
-	if (!target || deps.isClosed() || job.idleMs() === 0) return
-	job.stop()
+	// The job may have started, ended or left while other placers were asked.
+	if (deps.isClosed() || job.idleMs() === 0 || jobs.get(record.id) !== job) return
 	const moved: JobRecord = {
 		...record,
 		home: target.failureDomain,
 		homeFence: target.fence,
 		runBase: runBaseFor(record, claim) + RUNS_PER_FENCE,
+		fruitlessMoves: job.fruitlessMoves() + 1,
 	}
+	job.stop()
 	const written = await ledger.release(moved)
 	// A listing that was read before the write still names this home.
 	jobs.remove(record.id)
--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -72,6 +72,8 @@
 	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
 	/** Whether the steps have begun and none of the tasks is on an executor. */
 	isIdle(): boolean
+	/** The steps of which tasks are due and not on an executor. */
+	waitingSteps(): readonly Step[]
 	/** Cancels all runs. */
 	stop(): void
 	/** Leaves the runs to the next placer. */
@@ -260,6 +262,10 @@
 			return handleEnd(task, end)
 		},
 		isIdle: () => hasBegun && !isOver && [...byName.values()].every(({isStarted}) => !isStarted),
+		waitingSteps() {
+			const isWaiting = ({isDone, isStarted}: TaskState) => !isDone && !isStarted
+			return record.steps.filter((_, at) => begunSteps.has(at) && tasks[at]?.some(isWaiting))
+		},
 		stop,
 		abandon() {
 			isOver = true
--- a/packages/jobs/src/keep/kept-job-router.ts
+++ b/packages/jobs/src/keep/kept-job-router.ts
@@ -5,7 +5,11 @@
 import type {Store} from "@cottonwood/core"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {KeptMessage, KeptReply, Peers} from "../fleet/peers.js"
+import {couldRunStep} from "../decide/suitability.js"
+import type {ExecutorRecord} from "../types/executor.js"
+import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Room} from "../types/fleet.js"
+import type {Step} from "../types/job.js"
 import {
 	endedJobKey,
 	openJobKey,
@@ -37,6 +41,10 @@
 	readonly keeperOf: (failureDomain: string) => Keeper | undefined
 	/** Returns the capacity that a placer reported lately, if any. */
 	readonly roomOf: (failureDomain: string) => Room | undefined
+	/** Whether the placer hosted here could start a task of one of the steps now. */
+	readonly hasRoomNow: (failureDomain: string, service: string, steps: readonly Step[]) => boolean
+	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
+	readonly queueOf: (name: string) => Queue | undefined
 	/** Placers in the order in which this instance would ask them. */
 	readonly candidates: () => readonly Claim[]
 }
@@ -179,15 +187,24 @@
 				return {type: "fetched"}
 			case "pending":
 				return {type: "pending", count: keeper.pendingOf(message.queue)}
+			case "room": {
+				const {failureDomain, service, steps} = message
+				return {type: "room", hasRoom: deps.hasRoomNow(failureDomain, service, steps)}
+			}
 		}
 	}
 
-	/** Returns another domain that has more of the steps' labels, or is far less busy. */
-	function betterHome(own: string, {steps}: KeptJobRequest): string | undefined {
-		const labels = steps.flatMap(({label, rack}) => [label, rack]).filter(one => one !== undefined)
+	/** Returns another domain that suits more of the steps, or is far less busy. */
+	function betterHome(own: string, {queue, steps}: KeptJobRequest): string | undefined {
+		const service = deps.queueOf(queue)?.service
 		const fit = (domain: string) => {
-			const known = deps.roomOf(domain)?.labels ?? []
-			return labels.filter(label => known.includes(label)).length
+			const executors = deps.executorsOf(domain)
+			const labels = deps.roomOf(domain)?.labels ?? []
+			const isRunnable = (step: Step) =>
+				(step.label === undefined || labels.includes(step.label)) &&
+				(service === undefined || couldRunStep(executors, step, service))
+			const isRackThere = ({rack}: Step) => rack !== undefined && labels.includes(rack)
+			return steps.filter(isRunnable).length + steps.filter(isRackThere).length
 		}
 		const wait = (domain: string) => {
 			const room = deps.roomOf(domain)
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -4,12 +4,16 @@
 import type {Clock, TransactionalStore} from "@cottonwood/core"
 import type {HostedPlacers} from "../coordinate/hosted-placers.js"
 import type {FleetView} from "../fleet/members.js"
-import type {Peers} from "../fleet/peers.js"
+import type {KeptMessage, Peers} from "../fleet/peers.js"
+import {couldRunStep} from "../decide/suitability.js"
+import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Room} from "../types/fleet.js"
+import type {Step} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createWallClock} from "../utils/wall-clock.js"
+import type {NoRoomCause} from "./job-moves.js"
 import {createKeeper, type Keeper} from "./keeper.js"
 import {createKeptJobRouter, type KeptJobRouter} from "./kept-job-router.js"
 import {startSweeper} from "./sweeper.js"
@@ -21,6 +25,8 @@
 const MS_PER_S = 1_000
 /** A home that misses the notification finds the job at its next listing. */
 const NOTIFY_TIMEOUT_MS = 250
+/** A placer answers from memory; this allows for a slow machine. */
+const ROOM_TIMEOUT_MS = 200
 
 export interface KeptJobServiceDeps {
 	readonly clock: Clock
@@ -36,6 +42,8 @@
 	readonly failureDomains: readonly string[]
 	readonly candidates: () => readonly Claim[]
 	readonly queueOf: (name: string) => Queue | undefined
+	/** The executors of a failure domain or slice by the last list; empty while the list is not followed. */
+	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 }
 
 export interface KeptJobService {
@@ -56,12 +64,39 @@
 		return report && clock.now() - report.at < MAX_REPORT_AGE_MS ? report.room : undefined
 	}
 
-	function domainWithRoom(own: string, cpu: number): Claim | undefined {
-		const others = view.claims().filter(({failureDomain}) => failureDomain !== own)
-		return others.find(({failureDomain, placer}) => {
-			const [free] = roomOf(failureDomain)?.freeCpu ?? []
-			return free !== undefined && free >= cpu && !view.isLeaving(placer.session)
-		})
+	/** Asks the placers of the domains whose executors could run one of the steps, the least busy ones first. */
+	async function findRoom(
+		own: string,
+		service: string,
+		steps: readonly Step[],
+	): Promise<Claim | NoRoomCause> {
+		const suitable = view
+			.claims()
+			.filter(({failureDomain, placer}) => failureDomain !== own && !view.isLeaving(placer.session))
+			.filter(({failureDomain: name}) =>
+				steps.some(step => couldRunStep(deps.executorsOf(name), step, service)),
+			)
+		if (suitable.length === 0) return "no other executor could run it"
+		const waitingWork = ({failureDomain}: Claim) => roomOf(failureDomain)?.waitingWork ?? Infinity
+		// A placer that has not reported lately is not asked: it would hold up the jobs behind this one.
+		const answering = suitable.filter(claim => waitingWork(claim) < Infinity)
+		for (const claim of answering.sort((a, b) => waitingWork(a) - waitingWork(b)))
+			if (await hasRoom(claim, service, steps)) return claim
+		return "no room at such an executor"
+	}
+
+	async function hasRoom(claim: Claim, service: string, steps: readonly Step[]) {
+		const message = {type: "room", service, steps, failureDomain: claim.failureDomain} as const
+		const reply = await askPlacer(claim, message, ROOM_TIMEOUT_MS)
+		return reply?.type === "room" && reply.hasRoom
+	}
+
+	/** Whether a task of one of the steps could start now, or all members of a gang. */
+	function hasRoomNow(domain: string, service: string, steps: readonly Step[]): boolean {
+		const placer = hosts.of(domain)?.placer
+		const fits = (step: Step) =>
+			placer?.hasRoomFor(step.isGang ? step : {...step, count: 1}, service) ?? false
+		return steps.some(fits)
 	}
 
 	/** Divides the store's write rate among all placers. */
@@ -70,11 +105,16 @@
 		return (MS_PER_S * placers) / (deps.storeWritesPerSecond * LEDGER_SHARE)
 	}
 
-	async function notifyPlacer({failureDomain, placer}: Claim, id: string) {
+	/** Resolves with `undefined` without an answer. */
+	function askPlacer({failureDomain, placer}: Claim, message: KeptMessage, timeoutMs: number) {
+		if (hosts.of(failureDomain)) return front.answer(message)
+		return peers.kept(placer.address, message, timeoutMs).reply
+	}
+
+	async function notifyPlacer(claim: Claim, id: string) {
+		const {failureDomain, placer} = claim
 		const message = {type: "fetch", id, failureDomain} as const
-		const reply = hosts.of(failureDomain)
-			? await front.answer(message)
-			: await peers.kept(placer.address, message, NOTIFY_TIMEOUT_MS).reply
+		const reply = await askPlacer(claim, message, NOTIFY_TIMEOUT_MS)
 		const fields = {job: id, peer: placer.name, failureDomain, outcome: reply?.type ?? "silent"}
 		log.event("job", "home_told", "job: notified its new home.", fields)
 	}
@@ -82,6 +122,7 @@
 	const front = createKeptJobRouter({
 		...deps,
 		keeperOf: domain => hosts.of(domain)?.keeper,
+		hasRoomNow,
 		roomOf,
 	})
 	const sweeper = startSweeper({
@@ -100,7 +141,7 @@
 				claim,
 				onDeposed,
 				spacingMs,
-				domainWithRoom: cpu => domainWithRoom(claim.failureDomain, cpu),
+				findRoom: (service, steps) => findRoom(claim.failureDomain, service, steps),
 				notifyHome: (home, id) => void notifyPlacer(home, id),
 			}),
 		close: () => sweeper.close(),
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -7,6 +7,7 @@
 import type {TaskEnd, EndRecorded} from "../place/run.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {EndedState, JobRecord, JobState} from "../types/kept-job.js"
+import type {Step} from "../types/job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import type {WallClock} from "../utils/wall-clock.js"
@@ -40,8 +41,10 @@
 	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
 	/** How long tasks have been due while none was on an executor, in milliseconds. */
 	idleMs(): number
-	/** Thousandths of a core that the largest task needs. */
-	largestNeedCpu(): number
+	/** The steps of which tasks are due and not on an executor. */
+	waitingSteps(): readonly Step[]
+	/** Moves to other homes since a task of the job last started. */
+	fruitlessMoves(): number
 	/** Cancels all runs, since the job is over. */
 	stop(): void
 	/** Leaves the runs to the next placer. */
@@ -56,6 +59,7 @@
 	let record = first
 	let hasBegun = false
 	let hasStarted = first.done.length > 0
+	let hasStartedHere = false
 	let idleSince: number | undefined
 	let isOver = false
 
@@ -87,7 +91,10 @@
 			recordDone: tasks => save({done: [...record.done, ...tasks]}),
 			recordFailure: task => recordFailure(task),
 			recordCrash: (task, known) => save({crashes: {...record.crashes, [task]: known}}),
-			onStart: () => void (hasStarted = true),
+			onStart() {
+				hasStarted = true
+				hasStartedHere = true
+			},
 			onEnd: (state, cause) => handleOccurrenceEnd(index, state, cause),
 		})
 		active.set(index, occurrence)
@@ -179,7 +186,8 @@
 			else idleSince ??= clock.now()
 			return idleSince === undefined ? 0 : clock.now() - idleSince
 		},
-		largestNeedCpu: () => Math.max(...record.steps.map(({need}) => need.cpu)),
+		waitingSteps: () => [...active.values()].flatMap(run => run.waitingSteps()),
+		fruitlessMoves: () => (hasStartedHere ? 0 : (record.fruitlessMoves ?? 0)),
 		stop,
 		abandon() {
 			isOver = true
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -38,6 +38,8 @@
 	readonly failures: Readonly<Record<string, number>>
 	/** Executors known to have crashed under a task, by task; absent in older records. */
 	readonly crashes?: Readonly<Record<string, number>>
+	/** Moves to other homes since a task of the job last started; absent in older records. */
+	readonly fruitlessMoves?: number
 	readonly isCancelled: boolean
 	/** The writer and its change number; identifies an own write whose answer was lost. */
 	readonly writer: string
--- a/packages/jobs/test/keeper.test.ts
+++ b/packages/jobs/test/keeper.test.ts
@@ -378,7 +378,7 @@
 		const far = {name: "f", session: "f", failureDomain: "b", address: "f:1", cpuShare: 1}
 		const notified: string[] = []
 		const {keeper} = world.beginPlacing({
-			domainWithRoom: () => ({failureDomain: "b", fence: 9, placer: far}),
+			findRoom: async () => ({failureDomain: "b", fence: 9, placer: far}),
 			notifyHome: (claim, id) => void notified.push(`${claim.failureDomain} ${id}`),
 		})
 		await world.clock.advance(200)
@@ -394,7 +394,7 @@
 		const world = createWorld()
 		const far = {name: "f", session: "f", failureDomain: "b", address: "f:1", cpuShare: 1}
 		const {keeper} = world.beginPlacing({
-			domainWithRoom: () => ({failureDomain: "b", fence: 9, placer: far}),
+			findRoom: async () => ({failureDomain: "b", fence: 9, placer: far}),
 		})
 		await world.clock.advance(200)
 		await accept(world, keeper, job({id: "00000000000000bb", steps: [step({count: 6})]}))
--- a/packages/jobs/test/support/keeper-world.ts
+++ b/packages/jobs/test/support/keeper-world.ts
@@ -61,7 +61,7 @@
 			claim,
 			spacingMs: () => 10,
 			queueOf: () => QUEUE,
-			domainWithRoom: () => undefined,
+			findRoom: async () => "no other executor could run it",
 			notifyHome: () => undefined,
 			onDeposed: () => void deposed++,
 			...extra,
