Hold up no task for others that no executor can run

- `decide/selection.ts`: a task avoids executors where it failed while another of its service is usable, now only while that one has its label too.
A task that had failed once on the only executor with its label never ran again.
- `place/gang.ts`: room is held back for a gang that would fit on idle executors, now only on those with its label.
A gang whose label had too few executors held up all groups behind it for good.

--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -4,6 +4,7 @@
 import type {Speeds} from "../place/executor-speeds.js"
 import type {TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
+import {suits} from "./suitability.js"
 
 /** The weight of the capacity left over, relative to the cost of speed. */
 const LEFTOVER_WEIGHT = 0.3
@@ -24,9 +25,7 @@
 
 /** Whether an executor has the task's service and label, and room for it. */
 function isSuitable(link: ExecutorLink, req: TaskRequest): boolean {
-	if (!link.hasRoom(req)) return false
-	const {service, labels} = link.record
-	return service === req.service && (req.label === undefined || labels.includes(req.label))
+	return link.hasRoom(req) && suits(link.record, req)
 }
 
 /** Whether a suitable executor may take the task now; costs more, so it is checked last. */
@@ -36,15 +35,15 @@
 	return health.isUsable(link.record.id) && link.isConfirmed(req)
 }
 
-/** Whether the service has a usable executor that the task does not avoid, with room now or later. */
+/** Whether a usable executor that the task does not avoid has its service and label, with room now or later. */
 function hasAlternative(
 	links: ReadonlyMap<string, ExecutorLink>,
 	req: TaskRequest,
 	health: Health,
 ): boolean {
 	for (const link of links.values()) {
-		const {id, service} = link.record
-		const isAlternative = service === req.service && !req.avoid.includes(id)
+		const {id} = link.record
+		const isAlternative = suits(link.record, req) && !req.avoid.includes(id)
 		if (isAlternative && link.mayStart(req) && health.isUsable(id)) return true
 	}
 	return false
--- a/packages/jobs/src/decide/suitability.ts
+++ b/packages/jobs/src/decide/suitability.ts
@@ -5,20 +5,24 @@
 /** What a task requires of its executor. */
 export interface TaskRequirements {
 	readonly service: string
-	readonly need: TaskNeed
 	readonly label?: string
+	readonly need: TaskNeed
 }
 
-export function couldRun(
-	{service, capacity, labels}: Pick<ExecutorRecord, "service" | "capacity" | "labels">,
-	req: TaskRequirements,
-): boolean {
-	if (service !== req.service) return false
-	if (req.label !== undefined && !labels.includes(req.label)) return false
-	const {cpu, memoryMb, accelerators} = req.need
-	return (
-		cpu <= capacity.cpu && memoryMb <= capacity.memoryMb && accelerators <= capacity.accelerators
-	)
+type Executor = Pick<ExecutorRecord, "service" | "labels" | "capacity">
+
+/** Whether an executor has the task's service and label, whatever its size. */
+export function suits({service, labels}: Executor, req: TaskRequirements): boolean {
+	return service === req.service && (req.label === undefined || labels.includes(req.label))
+}
+
+/** Whether an executor could run the task if it were idle. */
+export function couldRun(executor: Executor, req: TaskRequirements): boolean {
+	const {cpu, memoryMb, accelerators} = executor.capacity
+	const {need} = req
+	const isLargeEnough =
+		need.cpu <= cpu && need.memoryMb <= memoryMb && need.accelerators <= accelerators
+	return isLargeEnough && suits(executor, req)
 }
 
 /** Whether one of the executors could run a step's tasks and is not leaving. */
--- a/packages/jobs/src/place/gang.ts
+++ b/packages/jobs/src/place/gang.ts
@@ -3,6 +3,7 @@
 import type {ExecutorAssessment} from "./executor-assessment.js"
 import type {TaskRequest} from "./run.js"
 import {chooseExecutor} from "../decide/selection.js"
+import {suits} from "../decide/suitability.js"
 import {stepNameOf, type WaitingTask} from "./task-queue.js"
 
 type Links = ReadonlyMap<string, ExecutorLink>
@@ -59,8 +60,8 @@
 export function wouldFitIdle(links: Links, req: TaskRequest, size: number): boolean {
 	let fits = 0
 	for (const link of links.values()) {
-		const {capacity, service} = link.record
-		if (!link.isUsable() || service !== req.service) continue
+		const {capacity} = link.record
+		if (!link.isUsable() || !suits(link.record, req)) continue
 		fits += Math.floor(Math.min(capacity.cpu / req.need.cpu, capacity.memoryMb / req.need.memoryMb))
 	}
 	return fits >= size
--- a/packages/jobs/test/selection.test.ts
+++ b/packages/jobs/test/selection.test.ts
@@ -46,6 +46,14 @@
 		expect(await place("j.0.0.2", {maxPerExecutor: 1})).to.equal(undefined)
 	})
 
+	// A task that had failed once on the only executor with its label never ran again.
+	it("returns to an avoided executor when no other could run the task", async () => {
+		const labels = ["b"]
+		const other = record("e3", {labels, service: "other"})
+		const {place} = await createWorld([record("e1", {labels}), record("e2"), other])
+		expect(await place("j.0.0.0", {label: "b", avoid: ["e1"]})).to.equal("e1")
+	})
+
 	it("requires the task's service", async () => {
 		const {place} = await createWorld([record("e1", {service: "other"})])
 		expect(await place("j.0.0.0")).to.equal(undefined)
--- a/packages/jobs/test/support/fake-executors.ts
+++ b/packages/jobs/test/support/fake-executors.ts
@@ -188,6 +188,12 @@
 		for (const executor of this.all()) executor.percent = percent
 	}
 
+	/** The executor answers no more orders. */
+	silence(id: string) {
+		const executor = this.fleet.get(id)
+		if (executor) executor.isSilent = true
+	}
+
 	/** Another process answers at the executor's address from its next order on. */
 	replace(id: string) {
 		const executor = this.fleet.get(id)
