Wait for no unlisted ends of an executor that is gone

- A successor waited to begin its kept jobs for the rest of a partial list although the executor had crashed, until the platform's list dropped it some 4.5 s later.
Now an executor that is silent past its lease is gone with its ends.
- The line `end_list` was not written for a first list that is partial.
- Tasks that wait for room in a list were not looked at again when the store had taken all listed ends between two lists; another event had to come.
- A move of a scheduled job names each waiting step once, not once for each occurrence.

--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -41,7 +41,7 @@
 	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
 	/** How long tasks have been due while none was on an executor, in milliseconds. */
 	idleMs(): number
-	/** The steps of which tasks are due and not on an executor. */
+	/** The steps of which tasks are due and not on an executor, each once. */
 	waitingSteps(): readonly Step[]
 	/** Moves to other homes since a task of the job last started. */
 	fruitlessMoves(): number
@@ -186,7 +186,7 @@
 			else idleSince ??= clock.now()
 			return idleSince === undefined ? 0 : clock.now() - idleSince
 		},
-		waitingSteps: () => [...active.values()].flatMap(run => run.waitingSteps()),
+		waitingSteps: () => [...new Set([...active.values()].flatMap(run => run.waitingSteps()))],
 		fruitlessMoves: () => (hasStartedHere ? 0 : (record.fruitlessMoves ?? 0)),
 		stop,
 		abandon() {
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -7,9 +7,10 @@
 import {adoptedRun, startRun, stopRun} from "./orders.js"
 import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./room.js"
 import {
+	areEndsKnown,
+	awaitedRuns,
 	closeLink,
 	hasOrphanOf,
-	awaitedRuns,
 	isIdle,
 	isUsableSoon,
 	isUsable,
@@ -31,7 +32,7 @@
 	mayStart(req: TaskRequest): boolean
 	/** Whether the executor has accepted this placer's fence. */
 	isFenceTaken(): boolean
-	/** Whether the executor's last list of ends was complete. */
+	/** Whether the executor has no ends that it has not listed, or is gone with them. */
 	areEndsKnown(): boolean
 	/** Whether the executor is usable or likely to become usable within a moment. */
 	isUsableSoon(): boolean
@@ -94,7 +95,7 @@
 		isUsable: () => isUsable(link) && willListEnd(link),
 		mayStart: req => isUsable(link) && (req.isKept === true || willListEnd(link)),
 		isFenceTaken: () => link.isFenceTaken,
-		areEndsKnown: () => link.areEndsKnown,
+		areEndsKnown: () => areEndsKnown(link),
 		isUsableSoon: () => isUsableSoon(link),
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -18,6 +18,7 @@
 	closeLink,
 	forgettableSerial,
 	forgetUnwatched,
+	hasRoomInEndList,
 	isCurrent,
 	isSilentPastLease,
 	isIdle,
@@ -118,7 +119,7 @@
 function waitMsOf(link: LinkState): number {
 	const {deps, runs, orphans} = link
 	// Its next list may have the ends that this one lacks.
-	if (!link.areEndsKnown) return 0
+	if (!link.isEndListComplete) return 0
 	if (orphans.size > 0) return ORPHANS_WAIT_MS
 	if (runs.size > 0 && deps.losses.isLossy()) return LOSSY_WAIT_MS
 	return runs.size > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS
@@ -182,14 +183,14 @@
 function noteEndList(link: LinkState, {ends}: Held) {
 	const {orders, log, metrics, fence} = link.deps
 	const isComplete = ends.length < orders.maxListedEnds
-	const hasChanged = isComplete !== link.areEndsKnown
-	const wouldList = willListEnd(link)
-	link.areEndsKnown = isComplete
+	const wasComplete = link.isEndListComplete
+	const wasFull = !wasComplete || !hasRoomInEndList(link)
+	link.isEndListComplete = isComplete
 	link.listedEnds = ends.length
-	if (!wouldList && willListEnd(link)) link.deps.onRoomFreed()
+	if (wasFull && willListEnd(link)) link.deps.onRoomFreed()
 	if (!isComplete) metrics.count("partial_end_lists")
-	// The first list is logged only if it is partial.
-	if (!hasChanged || (isComplete && !link.isFenceTaken)) return
+	// A first list that is complete is nothing new.
+	if (link.isFenceTaken ? isComplete === wasComplete : isComplete) return
 	const outcome = isComplete ? "complete" : "partial"
 	const fields = {executor: link.record.id, fence, outcome, count: ends.length}
 	log.alarm(
@@ -211,7 +212,7 @@
 	const isGone = ({absenceProvesEndFrom: from, req}: Run) =>
 		from !== undefined && from <= sentAt && !listed.has(req.task)
 	for (const run of awaitedRuns(link).filter(isGone)) {
-		if (link.areEndsKnown)
+		if (link.isEndListComplete)
 			void settleRun(link, run, endWithoutResult(link, run, "not there"), "not in a list")
 		else if (isCurrent(link, run)) awaitUnlistedEnd(link, run)
 	}
@@ -297,7 +298,7 @@
 		return settleListed(link, run, end)
 	}
 	const isThere = link.orphans.has(name) || link.stoppingOrphans.has(name)
-	if (!isThere && !wasStarted && link.isFenceTaken && link.areEndsKnown) {
+	if (!isThere && !wasStarted && link.isFenceTaken && link.isEndListComplete) {
 		noteAdopted(link, run, "never there")
 		const returned = {type: "returned", cause: "its start never arrived"} as const
 		return void settleRun(link, run, returned, "not in a list")
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -102,7 +102,7 @@
 	 * Whether the executor's last list of ends was complete. Until then a run that is in neither list
 	 * may have ended with a result.
 	 */
-	areEndsKnown: boolean
+	isEndListComplete: boolean
 	/** How many ends the executor listed last. */
 	listedEnds: number
 	isFenceTaken: boolean
@@ -139,7 +139,7 @@
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
 		unrecordedEnds: new Set(),
-		areEndsKnown: false,
+		isEndListComplete: false,
 		listedEnds: 0,
 		isFenceTaken: false,
 		isRetired: false,
@@ -167,9 +167,19 @@
  * Whether the end of one more run would be listed as soon as it comes. It would not while ends that
  * wait for the store fill the list.
  */
-export function willListEnd({areEndsKnown, unrecordedEnds, listedEnds, runs, deps}: LinkState) {
-	if (!areEndsKnown) return false
-	return unrecordedEnds.size === 0 || listedEnds + runs.size < deps.orders.maxListedEnds
+export function willListEnd(link: LinkState): boolean {
+	if (!link.isEndListComplete) return false
+	return link.unrecordedEnds.size === 0 || hasRoomInEndList(link)
+}
+
+/** Whether the executor's list has room for the ends of all runs there and of one more. */
+export function hasRoomInEndList({listedEnds, runs, deps}: LinkState): boolean {
+	return listedEnds + runs.size < deps.orders.maxListedEnds
+}
+
+/** Whether the executor has no ends that it has not listed, or is gone with them. */
+export function areEndsKnown(link: LinkState): boolean {
+	return link.isEndListComplete || isSilentPastLease(link)
 }
 
 /**
@@ -207,7 +217,7 @@
 	if (link.isReplaced) return true
 	if (runs.size + unlistedRuns.size > 0 || unrecordedEnds.size > 0) return false
 	if (orphans.size > 0 && mayOrphansBeClaimed(link)) return false
-	return (link.isFenceTaken && link.areEndsKnown) || isSilentPastLease(link)
+	return (link.isFenceTaken && link.isEndListComplete) || isSilentPastLease(link)
 }
 
 /** Whether the executor is silent and everything that ran there has certainly ended. */
--- a/packages/jobs/test/log-lines.test.ts
+++ b/packages/jobs/test/log-lines.test.ts
@@ -120,6 +120,29 @@
 		expect(lineOf("run_ended")).to.include({outcome: "lost", proof: "replaced"})
 	})
 
+	it("report that an executor lists only part of its ends, also in its first list", async () => {
+		const clock = createFakeClock()
+		const executor = new LeasedExecutor(clock)
+		executor.maxListedEnds = 1
+		const first = createTestPlacer({clock, orders: executor})
+		first.setExecutors([record("e1")])
+		await clock.advance(10)
+		first.submit(taskRequest(TASK), ignore, ignore)
+		await clock.advance(10)
+		executor.isLost = ({fence}) => fence < 7
+		executor.end(TASK, "done")
+		const {lines, log} = createLines()
+		const next = createTestPlacer({clock, orders: executor, fence: 7, log})
+		next.setExecutors([record("e1")])
+		await clock.advance(100)
+		const listed = lines.filter(({kind}) => kind === "end_list")
+		expect(listed.map(({outcome, count}) => [outcome, count])).to.eql([
+			["partial", 1],
+			["complete", 0],
+		])
+		expect(listed[0]).to.include({isSampled: false, executor: "e1", fence: 7})
+	})
+
 	it("report the stop order, without sampling", async () => {
 		const {clock, lineOf, run} = createWorld()
 		const handle = await run()
--- a/packages/jobs/test/partial-end-lists.test.ts
+++ b/packages/jobs/test/partial-end-lists.test.ts
@@ -68,6 +68,20 @@
 		expect(world.end()?.state).to.equal("completed")
 	})
 
+	// The next placer waited for ends of an executor that had crashed, until the list dropped it.
+	it("makes the next placer wait no longer than its lease when it falls silent", async () => {
+		const world = createWorld()
+		const previous = await world.endAllUnrecorded()
+		previous.close()
+		world.fake.isAway = false
+		const next = world.beginPlacing({}, 0, {listed: ["e1", "e2"]})
+		await world.clock.advance(2)
+		world.orders.silence("e1")
+		await world.clock.advance(LONG_MS)
+		expect(next.placer.hasTakenOver()).to.equal(true)
+		expect(world.startsOfAll().slice(MAX_LISTED_ENDS)).to.eql([2, 2, 2, 2])
+	})
+
 	// A failed run in the first list was retried elsewhere, though the task's next run had ended with a result.
 	it("makes the next placer retry no task before all its ends are known", async () => {
 		const clock = createFakeClock()
