Give up no end of a kept job while its queue is not known

Cause: a restarted process has no configuration while the store is away. Once it is back, the process claims its domain and restores the jobs; the configuration came 0.25 s after that (`jobs_restored` 20.364, `config_in_force` 20.621). In between the jobs have no queue, so no occurrence, and `noteUnclaimedEnd` told the executors to forget their ends. A configuration that drops a queue does the same to a successor, for as long as it is in force.

Change: runs and ends found at executors are offered to the kept jobs once there is a configuration. Where it lacks the queue, an end is recorded in the job's record without running anything. Why it works: an end is forgotten only after it is in the store, whatever is known of the queue.

Tests: `kept jobs whose queue is not known yet`, three; all failed on the code before. All of packages/jobs: 472 passing.

--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -186,6 +186,7 @@
 		hosts,
 		candidates: () => dispatcher.candidates(),
 		queueOf: name => config.current()?.queues.find(queue => queue.name === name),
+		isConfigured: () => config.current() !== undefined,
 		executorsOf: slicing.executorsOf,
 	})
 
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -51,6 +51,8 @@
 	readonly store: TransactionalStore
 	readonly spacingMs: () => number
 	readonly queueOf: (name: string) => Queue | undefined
+	/** Whether any configuration is known. */
+	readonly isConfigured: () => boolean
 	readonly onDeposed: () => void
 }
 
@@ -101,6 +103,8 @@
 		if (isClosed) return ledger?.close()
 		while (!isClosed && !(await loadRecords())) await clock.sleep(RESTORE_RETRY_MS)
 		isRestored = true
+		// Without a configuration no job has a queue, and runs found at executors would be stopped.
+		while (!isClosed && !deps.isConfigured()) await clock.sleep(TAKEOVER_POLL_MS)
 		placer?.offerOrphans()
 		const fields = {failureDomain: home, fence: claim.fence, count: jobs.count()}
 		log.alarm("placer", "jobs_restored", "placer: restored the kept jobs of its domain.", fields)
@@ -259,7 +263,7 @@
 			return count
 		},
 		jobCount: () => jobs.count(),
-		isRestoring: () => !isRestored && !isClosed,
+		isRestoring: () => !isClosed && !(isRestored && deps.isConfigured()),
 		knows: task => jobs.has(jobIdOf(task)),
 		adopt: (executor, task, run) => jobs.get(jobIdOf(task))?.adopt(task, run, executor) ?? false,
 		noteUnclaimedEnd: (task: string, end: TaskEnd): EndRecorded =>
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -42,6 +42,7 @@
 	readonly failureDomains: readonly string[]
 	readonly candidates: () => readonly Claim[]
 	readonly queueOf: (name: string) => Queue | undefined
+	readonly isConfigured: () => boolean
 	/** The executors of a failure domain or slice by the last list; empty while the list is not followed. */
 	readonly executorsOf: (failureDomain: string) => readonly ExecutorRecord[]
 }
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -154,6 +154,20 @@
 	/** Finds the occurrence of a task, whose name is ID.OCCURRENCE.STEP.INDEX. */
 	const occurrenceOfTask = (task: string) => occurrenceOf(Number(shortName(task).split(".")[0]))
 
+	/** Records an end while the configuration lacks the queue, so that the task does not run again once it is back. */
+	function recordWithoutQueue(task: string, end: TaskEnd): EndRecorded {
+		const name = shortName(task)
+		const [index = NaN, at = NaN] = name.split(".").map(Number)
+		const step = record.steps[at]
+		const isPast = index >= occurrences || endedOccurrences.has(index) || record.done.includes(name)
+		if (!step || step.isLasting || isPast) return undefined
+		// A gang ends as a whole, and counts its failures at its first member.
+		const members = Array.from({length: step.count}, (_, member) => `${index}.${at}.${member}`)
+		const ended = step.isGang ? members : [name]
+		if (end.type === "done") return save({done: [...record.done, ...ended]})
+		return end.type === "failed" ? recordFailure(ended[0] as string).recorded : undefined
+	}
+
 	function markEndedOccurrences() {
 		const countOf = new Map<number, number>()
 		for (const name of record.done) {
@@ -178,8 +192,11 @@
 		adopt(task, run, executor) {
 			return !isOver && (occurrenceOfTask(task)?.adopt(task, run, executor) ?? false)
 		},
-		noteUnclaimedEnd: (task, end) =>
-			isOver ? undefined : occurrenceOfTask(task)?.noteUnclaimedEnd(task, end),
+		noteUnclaimedEnd(task, end) {
+			if (isOver) return undefined
+			const occurrence = occurrenceOfTask(task)
+			return occurrence ? occurrence.noteUnclaimedEnd(task, end) : recordWithoutQueue(task, end)
+		},
 		idleMs() {
 			const isIdle = active.size > 0 && [...active.values()].every(run => run.isIdle())
 			if (!isIdle || isOver) idleSince = undefined
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -26,8 +26,8 @@
 /** How a link hands runs and ends that nobody here started to the kept jobs. */
 export interface KeptRuns {
 	/**
-	 * Whether the store has not been read yet, so that any run or end may still belong to a kept
-	 * job.
+	 * Whether the store or the configuration has not been read yet, so that any run or end may still
+	 * belong to a kept job.
 	 */
 	isRestoring(): boolean
 	/** Whether the task belongs to a kept job. */
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -204,6 +204,7 @@
 		wall: createWallClock(clock),
 		spacingMs: () => 10,
 		queueOf: name => (name === "orders" ? QUEUE : undefined),
+		isConfigured: () => true,
 		findRoom: async () => "no other executor could run it",
 		notifyHome: () => undefined,
 		onDeposed: () => undefined,
--- a/packages/jobs/test/job-moves.test.ts
+++ b/packages/jobs/test/job-moves.test.ts
@@ -54,6 +54,7 @@
 		failureDomains: DOMAINS,
 		candidates: () => claims,
 		queueOf: () => QUEUE,
+		isConfigured: () => true,
 		executorsOf: name => listed.get(name) ?? [],
 	})
 	for (const claim of claims) {
--- a/packages/jobs/test/support/keeper-world.ts
+++ b/packages/jobs/test/support/keeper-world.ts
@@ -61,6 +61,7 @@
 			claim,
 			spacingMs: () => 10,
 			queueOf: () => QUEUE,
+			isConfigured: () => true,
 			findRoom: async () => "no other executor could run it",
 			notifyHome: () => undefined,
 			onDeposed: () => void deposed++,
