--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -162,13 +162,11 @@
 	const unknown = new Set<string>()
 	for (const row of reply.running) {
 		const run = awaitedRun(link, row.task, row.run)
-		const {runs, deps, record} = link
 		if (run) {
 			listed.add(row.task)
 			// This may be an older list than the one that lacked the run.
 			if (isCurrent(link, run)) noteProgress(link, run, row.percent, now)
-		} else if (!runs.has(row.task) && deps.kept.adopt(record.id, row.task, row.run))
-			listed.add(row.task)
+		} else if (isAdopted(link, row)) listed.add(row.task)
 		else unknown.add(noteOrphan(link, row))
 	}
 	offerUnclaimedEnds(link)
@@ -179,6 +177,11 @@
 	else if (hadOrphans && unknown.size === 0) link.deps.onRoomFreed()
 }
 
+/** Whether a kept job takes over the run; a task that has a run here needs no other. */
+function isAdopted({runs, deps, record}: LinkState, {task, run}: RunningTask): boolean {
+	return !runs.has(task) && deps.kept.adopt(record.id, task, run)
+}
+
 /** Notes how many ends the executor lists and whether it may have more; logs when that changes. */
 function noteEndList(link: LinkState, {ends}: Held) {
 	const {orders, log, metrics, fence} = link.deps
@@ -209,9 +212,9 @@
 
 /** Settles the runs that are gone without a result, or awaits their ends while the list is partial. */
 function settleUnlisted(link: LinkState, listed: ReadonlySet<string>, sentAt: number) {
-	const isGone = ({absenceProvesEndFrom: from, req}: Run) =>
-		from !== undefined && from <= sentAt && !listed.has(req.task)
-	for (const run of awaitedRuns(link).filter(isGone)) {
+	for (const run of awaitedRuns(link)) {
+		if (run.absenceProvesEndFrom === undefined || run.absenceProvesEndFrom > sentAt) continue
+		if (listed.has(run.req.task)) continue
 		if (link.isEndListComplete)
 			void settleRun(link, run, endWithoutResult(link, run, "not there"), "not in a list")
 		else if (isCurrent(link, run)) awaitUnlistedEnd(link, run)
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -275,11 +275,10 @@
 
 /** The awaited run of this task and number, if any. */
 export function awaitedRun(link: LinkState, task: string, number: number): Run | undefined {
-	const isIt = (run: Run | undefined) => run?.req.run === number
 	const run = link.runs.get(task)
-	if (isIt(run)) return run
+	if (run?.req.run === number) return run
 	const unlisted = link.unlistedRuns.get(task)
-	return isIt(unlisted) ? unlisted : undefined
+	return unlisted?.req.run === number ? unlisted : undefined
 }
 
 /** Drops all runs without reporting an end, since another placer watches them now. */
