Put back reasons and numbers that comments gave before their wording

Put back, in today's names, where the old comment held them and they are still true: why the backlog is bounded and shares exist, why admission forecasts, what the outlier bound and the weights of speeds rest on, why domains are sliced and small instances place none, what a list of executors costs on a narrow link, why small instances get a domain back late, when a broken connection is noticed. Read: `decide` and `place` in full, and the removed lines with a number or a reason of `link`, `fleet`, `coordinate`, `keep`, `utils` and `platform/src`.

Only comments differ; no code.

--- a/packages/jobs/src/coordinate/candidates.ts
+++ b/packages/jobs/src/coordinate/candidates.ts
@@ -13,7 +13,7 @@
 const PLACER_SILENT_MS = 650
 /**
  * A placer with open calls confirms them every 100 ms. After three missed confirmations new jobs go to others: a job sent
- * to a lost machine may not be tried again.
+ * to a lost machine may not be tried again, and its domain's callers may send a hundred of them a second.
  */
 const STREAM_QUIET_MS = 300
 
--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -31,7 +31,8 @@
 const MUCH_LARGER = 1.5
 /**
  * A domain goes back to an instance of its own that is much smaller than its placer only after this long; a restarted
- * larger one is back sooner.
+ * larger one is back sooner. When the larger ones are restarted in turn, the small one would be overloaded meanwhile, and refuse
+ * callers or serve them late.
  */
 const SMALL_SETTLED_MS = 20_000
 
--- a/packages/jobs/src/decide/admission.ts
+++ b/packages/jobs/src/decide/admission.ts
@@ -1,8 +1,9 @@
 /**
  * Admission control under overload: decides whether a placer admits an arriving job, and whether a waiting job keeps waiting.
  *
- * A job that cannot meet its objective is refused at once, while another domain may still take it. The backlog is bounded, and
- * the bound is lower for a queue that received more than its fair share. A late job that is useful until its deadline waits
+ * A job that cannot meet its objective is refused at once, while another domain may still take it and its caller has time to
+ * retry. The backlog is bounded, since behind a long one every job is late. The bound is lower for a queue that received more
+ * than its fair share, so that no kind of request pays for all. A late job that is useful until its deadline waits
  * behind all others while there is spare capacity.
  */
 import type {Forecast} from "./forecast.js"
--- a/packages/jobs/src/decide/crashes.ts
+++ b/packages/jobs/src/decide/crashes.ts
@@ -25,11 +25,11 @@
 	readonly possible: number
 }
 
-/** Possible crashes that make a task a suspect. */
+/** Possible crashes that make a task a suspect; a single one may be a coincidence. */
 const SUSPECT_POSSIBLE_CRASHES = 2
 /** Known crashes, the last one alone, that fail a task. */
 const FAILING_CRASHES = 2
-/** Crashes, possible ones included, after which a task is not started again. */
+/** Crashes, possible ones included, after which a task is given up without proof. */
 const MAX_CRASHES = 5
 
 export const NO_CRASHES: CrashCount = Object.freeze({known: 0, possible: 0})
--- a/packages/jobs/src/decide/domain-choice.ts
+++ b/packages/jobs/src/decide/domain-choice.ts
@@ -143,7 +143,7 @@
 
 const sum = (figures: readonly number[]) => figures.reduce((total, figure) => total + figure, 0)
 
-/** How many whole tasks of a size fit. */
+/** How many whole tasks of a size fit; what is left over on each executor is of no use to them. */
 const countFitting = (freeCpu: readonly number[], cpu: number) =>
 	sum(freeCpu.map(free => Math.floor(Math.max(0, free) / cpu)))
 
--- a/packages/jobs/src/decide/forecast.ts
+++ b/packages/jobs/src/decide/forecast.ts
@@ -2,13 +2,15 @@
  * Forecasts when a job could start and end at its placer, for admission: from the work ahead of it, the running tasks and the
  * cores of the healthy executors.
  *
- * Run time estimates are rough, so the forecast is scaled by a correction learnt from the waits of earlier jobs.
+ * In a burst all room is taken within a tenth of a second. A job that is refused only after it has waited for room in vain has
+ * lost the time in which another domain would have taken it, so admission relies on the forecast. Run time estimates are rough,
+ * so the forecast is scaled by a correction learnt from the waits of earlier jobs.
  */
 import type {PlacerLoad} from "./load.js"
 
 /** The share of an executor that whole tasks fill, for executors of two or three times the tasks' size. */
 const PACKING_RATIO = 0.8
-/** How far one wait moves the correction. */
+/** How far one wait moves the correction; a burst brings hundreds of waits. */
 const CORRECTION_STEP = 0.03
 const MIN_CORRECTION = 0.5
 const MAX_CORRECTION = 4
--- a/packages/jobs/src/decide/lease-rule.ts
+++ b/packages/jobs/src/decide/lease-rule.ts
@@ -21,7 +21,10 @@
 /** The shortest lease for a start: two unanswered holds would end a shorter one. */
 const MIN_START_LEASE_MS = 400
 
-/** A run with an older confirmation is stopped, since it halves its neighbours' leases. */
+/**
+ * A run with an older confirmation is stopped, since it halves its neighbours' leases. A broken connection is noticed within
+ * 600 ms.
+ */
 const MAX_CONFIRMATION_AGE_MS = 700
 
 export interface LeaseRule {
--- a/packages/jobs/src/decide/shares.ts
+++ b/packages/jobs/src/decide/shares.ts
@@ -1,6 +1,7 @@
 /**
  * Fair shares of capacity among queues under overload, from exponentially decaying sums of requested and served work.
  *
+ * When something must be refused, an order by urgency and a bound on the backlog alone would let one kind of request pay for all.
  * Without weights each queue is due the same ratio of its requested work. Otherwise capacity above the floors is divided by
  * weight, and the unused share of a queue goes to the others.
  */
--- a/packages/jobs/src/decide/slices.ts
+++ b/packages/jobs/src/decide/slices.ts
@@ -1,6 +1,7 @@
 /**
  * Slices of a failure domain with too many executors for one placer: names, assignment of executors, and number.
  *
+ * With too many executors a placer cannot ask all of them in time: it learns late which are leaving, and starts waiting tasks late.
  * Each slice has its own claim, fence and placer. Two rules keep an executor from serving two slices:
  *
  * - Executors are assigned by rendezvous hashing of their addresses. When a slice is added, an executor stays or moves to the
@@ -15,7 +16,10 @@
 const SLICE_NAME = /^(.+)\/slice-([1-9]\d{0,3})$/
 /** Exceeds the placer changes of a slice in a fleet's lifetime. */
 const FENCES_PER_SLICE = 1_000_000
-/** The smallest instance that can place a slice, relative to the domain's largest instance. */
+/**
+ * The smallest instance that can place a slice, relative to the domain's largest instance; a smaller one would not keep up with
+ * it.
+ */
 const MIN_SIZE_RATIO = 2 / 3
 
 interface Slice {
--- a/packages/jobs/src/decide/speed-cost.ts
+++ b/packages/jobs/src/decide/speed-cost.ts
@@ -2,7 +2,8 @@
  * The cost of an executor's speed for one task, for the choice of an executor.
  *
  * A slow executor costs nothing for a task that still ends in time there, so fast executors stay free for urgent tasks.
- * Otherwise the cost is how late the task would be, so the fastest executor wins when the task would be late on all.
+ * Otherwise the cost is how late the task would be, so the fastest executor wins when the task would be late on all. The tasks of
+ * a job are due together, so it matters little which of them gets which executor.
  */
 import type {TaskRequest} from "../place/run.js"
 
--- a/packages/jobs/src/decide/speeds.ts
+++ b/packages/jobs/src/decide/speeds.ts
@@ -1,7 +1,8 @@
 /**
  * Learns executors' speeds from run times, robustly against noisy estimates and long-tailed runs.
  *
- * A speed is a weighted mean of the logarithm of run time over estimate, so that twice as slow and twice as fast weigh alike.
+ * Estimates are off by some 40%, and a few runs in a hundred take many times as long, so a single run says little; an executor
+ * that turns slow shows it in every run. A speed is a weighted mean of the logarithm of run time over estimate, so that twice as slow and twice as fast weigh alike.
  * An executor with few runs is expected to be like others with its label, and a label with few runs to be ordinary.
  */
 
@@ -15,17 +16,20 @@
 	readonly outliers: number
 }
 
-/** The deviation, as a logarithm, beyond which a run is an outlier: two and a half times the expected. */
+/**
+ * The deviation, as a logarithm, beyond which a run is an outlier: two and a half times the expected, which is more than
+ * estimates are off by.
+ */
 const OUTLIER_LOG = 0.9
 /** Outliers in a row that show a changed speed. */
 const CHANGE_OUTLIERS = 3
 /** A changed speed is based on the latest run only. */
 const CHANGED_WEIGHT = 1
-/** Bounded so that a speed follows a drift. */
+/** Bounded so that a speed follows a drift; a single run then moves it by a twentieth. */
 const MAX_WEIGHT = 20
 /** Higher, since a label has the runs of many executors. */
 const MAX_LABEL_WEIGHT = 60
-/** The weight of a label's speed as a prior for its executors, in runs. */
+/** The weight of a label's speed as a prior for its executors, in runs: these differ by as much as single runs do. */
 const LABEL_PRIOR_RUNS = 1
 /** The weight of an ordinary speed as a prior for labels, in runs. */
 const ORDINARY_PRIOR_RUNS = 4
--- a/packages/jobs/src/fleet/reachability.ts
+++ b/packages/jobs/src/fleet/reachability.ts
@@ -9,8 +9,9 @@
 /** Number of executors probed per domain. */
 const REACH_SAMPLES = 3
 /**
- * How long a list that was read serves all domains: executors seldom move, and reading it for each
- * probe would fill a narrow link.
+ * How long a list that was read serves all domains: executors seldom move, and reading it (25 KB for
+ * 66 executors) for each probe would fill a link of 2 Mbit/s, so that no heartbeat gets through and the
+ * probes go on.
  */
 const LIST_MS = 5_000
 
--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -13,7 +13,7 @@
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
-/** A job without a running task for this long is moved. */
+/** A job without a running task for this long is moved; the users allow 3 s. */
 const MAX_IDLE_MS = 700
 /**
  * That time doubles with each move after which nothing started, up to this often: what keeps the job from starting is
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -1,7 +1,8 @@
 /**
  * The platform's list of executors in the store, followed by all placers: listed, leaving and gone executors.
  *
- * The list grows with the fleet, so it is read whole once and then followed by its changes.
+ * The list grows with the fleet and every placer reads it, so it is read whole once and then followed by its changes. 66 entries
+ * are some 25 KB, which keep a link of 2 Mbit/s busy for 100 ms.
  *
  * Some executors leave without notice: their entry is deleted while they still serve, so a missing entry means that its executor
  * is leaving. Entries also lapse while the store is unavailable; executors that stay renew them within two seconds of its return.
@@ -15,7 +16,10 @@
 
 /** With the answer's timeout (0.9 s) and the batching, within the notice of a leaving executor (2 s). */
 const WATCH_TIMEOUT_MS = 600
-/** Batches changes, since each executor renews its entry about once a second. */
+/**
+ * Batches changes, since each executor renews its entry about once a second. Otherwise a placer of 378 executors would call the
+ * store 158 times a second, and go through its list as often.
+ */
 const BATCH_MS = 400
 /** By the platform's contract, entries that lapsed while the store was unavailable are renewed by then. */
 const RETURN_GRACE_MS = 2_000
