--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -5,9 +5,9 @@
 import {adoptRun, holdLoop, offerOrphans} from "./hold.js"
 import {isConfirmed} from "./lease.js"
 import {adoptedRun, startRun, stopRun} from "./orders.js"
+import {areEndsKnown, willListEnd} from "./end-list.js"
 import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./room.js"
 import {
-	areEndsKnown,
 	awaitedRuns,
 	closeLink,
 	hasOrphanOf,
@@ -16,7 +16,6 @@
 	isUsable,
 	newLinkState,
 	releaseRuns,
-	willListEnd,
 	type LinkDeps,
 } from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -8,6 +8,7 @@
  */
 import type {HoldReply, RunEnd, RunningTask} from "../types/executor.js"
 import {shortSession} from "../utils/log.js"
+import {noteEndList} from "./end-list.js"
 import {shouldRenewLease, nextLeaseUntil} from "./lease.js"
 import {stopOrphan, stopRun, stopSettledUnanswered, stopUnheard} from "./orders.js"
 import {
@@ -18,7 +19,6 @@
 	closeLink,
 	forgettableSerial,
 	forgetUnwatched,
-	hasRoomInEndList,
 	isCurrent,
 	isSilentPastLease,
 	isIdle,
@@ -30,7 +30,6 @@
 	runName,
 	settleAllLost,
 	settleRun,
-	willListEnd,
 	type LinkState,
 } from "./state.js"
 import type {Run, TaskEnd, EndRecorded} from "../place/run.js"
@@ -157,7 +156,7 @@
 	const isOvertaken = link.unrecordedEnds.size === 0 && reportedSerial < link.seenSerial
 	for (const end of reply.ends) noteEnd(link, end)
 	if (isOvertaken) return
-	noteEndList(link, reply)
+	noteEndList(link, reply.ends.length)
 	const listed = new Set<string>()
 	const unknown = new Set<string>()
 	for (const row of reply.running) {
@@ -182,28 +181,6 @@
 	return !runs.has(task) && deps.kept.adopt(record.id, task, run)
 }
 
-/** Notes how many ends the executor lists and whether it may have more; logs when that changes. */
-function noteEndList(link: LinkState, {ends}: Held) {
-	const {orders, log, metrics, fence} = link.deps
-	const isComplete = ends.length < orders.maxListedEnds
-	const wasComplete = link.isEndListComplete
-	const wasFull = !wasComplete || !hasRoomInEndList(link)
-	link.isEndListComplete = isComplete
-	link.listedEnds = ends.length
-	if (wasFull && willListEnd(link)) link.deps.onRoomFreed()
-	if (!isComplete) metrics.count("partial_end_lists")
-	// A first list that is complete is nothing new.
-	if (link.isFenceTaken ? isComplete === wasComplete : isComplete) return
-	const outcome = isComplete ? "complete" : "partial"
-	const fields = {executor: link.record.id, fence, outcome, count: ends.length}
-	log.alarm(
-		"executor",
-		"end_list",
-		"executor: its list of ends became partial or complete.",
-		fields,
-	)
-}
-
 function noteOrphan(link: LinkState, row: RunningTask): string {
 	const name = runName(row.task, row.run)
 	if (!mayOrphansBeClaimed(link)) void stopOrphan(link, row.task, row.run)
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -163,25 +163,6 @@
 	return isNotPaused(link)
 }
 
-/**
- * Whether the end of one more run would be listed as soon as it comes. It would not while ends that
- * wait for the store fill the list.
- */
-export function willListEnd(link: LinkState): boolean {
-	if (!link.isEndListComplete) return false
-	return link.unrecordedEnds.size === 0 || hasRoomInEndList(link)
-}
-
-/** Whether the executor's list has room for the ends of all runs there and of one more. */
-export function hasRoomInEndList({listedEnds, runs, deps}: LinkState): boolean {
-	return listedEnds + runs.size < deps.orders.maxListedEnds
-}
-
-/** Whether the executor has no ends that it has not listed, or is gone with them. */
-export function areEndsKnown(link: LinkState): boolean {
-	return link.isEndListComplete || isSilentPastLease(link)
-}
-
 /**
  * Whether no stopped orphan may still use capacity unlisted, and the executor has not just reported
  * that it is unhealthy.
