Keep kept tasks that no executor can run apart from the queue

Related path of the fault before: a job that stays at home while its label is away waits in the domain's queue. There its work counted as ahead of others, for forecasts, waits and refusals, and its needs hid the room that is free from other domains: with 30 such jobs on two idle executors the placer told of no room and of all their work.

Change: a pass takes kept tasks that no usable executor could run (service, label, size) out of the queue, by requirements, and puts them back once one could. That replaces their being passed over, so the 24 groups of a pass are still left to others. Tasks whose callers wait stay in the queue, as they may go to other domains.

Tests: `count neither as work ahead of others nor as a need for free room` failed on the commit before; `are cancelled as others are`; the three tests of passes and gangs pass as before. All of packages/jobs: 474 passing.

--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -11,6 +11,7 @@
 import type {LossDetector} from "../link/loss-detector.js"
 import type {Speeds} from "./executor-speeds.js"
 import type {StallDetector} from "./stall-detector.js"
+import type {ParkedTasks} from "./parked-tasks.js"
 import type {Run, StopCause} from "./run.js"
 import type {TaskQueue, WaitingTask} from "./task-queue.js"
 import type {Tickets} from "./tickets.js"
@@ -57,6 +58,7 @@
 	readonly deps: PlacerDeps
 	readonly createdAt: number
 	readonly queue: TaskQueue
+	readonly parked: ParkedTasks
 	readonly links: Map<string, ExecutorLink>
 	readonly assessment: ExecutorAssessment
 	readonly tickets: Tickets
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -21,6 +21,7 @@
 	usableLinks,
 	waitBeforeMs,
 } from "../decide/room.js"
+import {createParkedTasks} from "./parked-tasks.js"
 import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
 import {adopt, handOverAll, handOverExecutors, relinquish, hasTakenOver} from "./succession.js"
 import {createTaskQueue, type WaitingTask} from "./task-queue.js"
@@ -96,11 +97,14 @@
 }
 
 export function createPlacer(deps: PlacerDeps): Placer {
+	const queue = createTaskQueue()
+	const links: PlacerState["links"] = new Map()
 	const state: PlacerState = {
 		deps,
 		createdAt: deps.clock.now(),
-		queue: createTaskQueue(),
-		links: new Map(),
+		queue,
+		parked: createParkedTasks(links, queue),
+		links,
 		assessment: createAssessment(deps),
 		losses: createLossDetector(deps.clock),
 		tickets: createTickets({...deps, onTickets: () => schedulePass(state)}),
@@ -132,7 +136,7 @@
 			for (const link of state.links.values()) if (!link.isClosed()) link.offerOrphans()
 		},
 		placeWaiting() {
-			if (state.queue.size() > 0) schedulePass(state)
+			if (state.queue.size() + state.parked.size() > 0) schedulePass(state)
 		},
 		noteEvacuation() {
 			returnForeignTasks(state)
@@ -171,7 +175,7 @@
 	const handle: TaskHandle = {
 		cancel() {
 			isCancelled = true
-			if (state.queue.remove(item)) onEnd({type: "stopped"})
+			if (state.queue.remove(item) || state.parked.remove(item)) onEnd({type: "stopped"})
 			else stop?.()
 		},
 	}
@@ -222,8 +226,8 @@
 	return countThatFit(available, step) >= step.count
 }
 
-function countsOf({queue, links}: PlacerState): PlacerCounts {
+function countsOf({queue, parked, links}: PlacerState): PlacerCounts {
 	let running = 0
 	for (const link of links.values()) running += link.runCount()
-	return {waiting: queue.size(), running, usable: usableLinks(links).length}
+	return {waiting: queue.size() + parked.size(), running, usable: usableLinks(links).length}
 }
--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -5,7 +5,6 @@
 import type {Links, PlacerState} from "./placer-state.js"
 import type {TaskRequest} from "./run.js"
 import {chooseExecutor} from "../decide/selection.js"
-import {couldRun} from "../decide/suitability.js"
 import {stepNameOf, type TaskGroup, type WaitingTask} from "./task-queue.js"
 
 /** Groups tried in one pass; those behind rarely find room either. */
@@ -34,6 +33,7 @@
 	state.isPassDue = false
 	if (state.isClosed) return
 	state.awaitsConfirmation = false
+	state.parked.unpark()
 	if (state.queue.size() > 0) placeInOrder(state)
 	state.deps.onRoomChange()
 }
@@ -43,20 +43,12 @@
 	const freest = createFreestExecutor(state.links)
 	let tried = 0
 	for (const group of groups) {
-		if (mustWait(state.links, group)) continue
+		if (state.parked.park(group)) continue
 		if (tried++ === MAX_GROUPS_PER_PASS) break
 		if (placeGroup(state, group, freest) === "hold back") break
 	}
 }
 
-/** Whether a group stays here though no executor could run it now, so that a pass need not try it. */
-function mustWait(links: Links, {waiting: [first]}: TaskGroup): boolean {
-	if (!first?.req.isKept) return false
-	for (const link of links.values())
-		if (link.isUsableSoon() && couldRun(link.record, first.req)) return false
-	return true
-}
-
 /** The executors that may run a group's step; asks for missing tickets. */
 function allowedLinks({links, tickets}: PlacerState, {waiting}: TaskGroup): Links {
 	const req = waiting[0]?.req
--- a/packages/jobs/test/unrunnable-tasks.test.ts
+++ b/packages/jobs/test/unrunnable-tasks.test.ts
@@ -53,6 +53,28 @@
 		expect(executorOf("k.0.0.0")).to.equal("e2")
 	})
 
+	// Their work counted as ahead of others, and hid the free room from other domains for as long as they waited.
+	it("count neither as work ahead of others nor as a need for free room", async () => {
+		const {clock, placer, submit} = await createWorld()
+		const free = placer.room()
+		for (let at = 0; at < JOBS; at++) submit(`j${at}.0.0.0`, {label: "absent"})
+		await clock.advance(10)
+		expect(placer.room()).to.eql(free)
+		expect([placer.work(), placer.workBefore(Infinity)]).to.eql([0, 0])
+		expect(placer.counts().waiting).to.equal(JOBS)
+	})
+
+	it("are cancelled as others are", async () => {
+		const {clock, placer, submit, orders} = await createWorld()
+		const handle = submit("j.0.0.0", {label: "absent"})
+		await clock.advance(10)
+		handle.cancel()
+		expect(placer.counts().waiting).to.equal(0)
+		placer.setExecutors([record("e3", {labels: ["absent"]})])
+		await clock.advance(50)
+		expect(orders.starts).to.have.length(0)
+	})
+
 	// A gang was taken to fit on executors without its label, and room was held back for it for ever.
 	it("have no room held back for them as a gang", async () => {
 		const {clock, submit, executorOf} = await createWorld()
