--- a/packages/jobs/src/decide/speeds.ts
+++ b/packages/jobs/src/decide/speeds.ts
@@ -2,8 +2,9 @@
  * Learns executors' speeds from run times, robustly against noisy estimates and long-tailed runs.
  *
  * Estimates are off by some 40%, and a few runs in a hundred take many times as long, so a single run says little; an executor
- * that turns slow shows it in every run. A speed is a weighted mean of the logarithm of run time over estimate, so that twice as slow and twice as fast weigh alike.
- * An executor with few runs is expected to be like others with its label, and a label with few runs to be ordinary.
+ * that turns slow shows it in every run. A speed is a weighted mean of the logarithm of run time over estimate, so that twice as
+ * slow and twice as fast weigh alike. An executor with few runs is expected to be like others with its label, and a label with
+ * few runs to be ordinary.
  */
 
 /** The speed of one executor, or of all executors with one label. */
--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -16,8 +16,8 @@
 /** A job without a running task for this long is moved; the users allow 3 s. */
 const MAX_IDLE_MS = 700
 /**
- * That time doubles with each move after which nothing started, up to this often: what keeps the job from starting is
- * not known, and a new placer may need longer than the move.
+ * That time doubles with each move after which nothing started, up to this often. A placer does not see every reason that
+ * keeps a job from starting, such as tickets that are still to come.
  */
 const MAX_DOUBLINGS = 3
 /** Offset between the run numbers of two placers of a job; more than any job's runs. */
