Replace the files of the bundle by renaming

A build in a checkout whose processes run ended all of them by SIGBUS or SIGSEGV: the bundler wrote to the native library in place, which they have mapped.

Each file is written under a new name and renamed into place, the compiled code too, of which a process that starts meanwhile could read half.

Test: bundle-beside.test.ts; on the code before: connect ECONNREFUSED, its instance was gone after the first build.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,8 +5,8 @@
  * Compiling the source took 0.13 of the 0.36 s of processor time of a start.
  */
 import {spawnSync} from "node:child_process"
-import {copyFileSync} from "node:fs"
-import {arch, platform} from "node:process"
+import {mkdirSync, readFileSync, renameSync, writeFileSync} from "node:fs"
+import {arch, pid, platform} from "node:process"
 import {build} from "esbuild"
 
 /** As in deploy/system.toml: compiled code is refused under other arguments. */
@@ -15,7 +15,18 @@
 /** The library that calls the C library, built for the machine that the bundle is made on. */
 const NATIVE = `./node_modules/@koromix/koffi-${platform}-${arch}/${platform}_${arch}/koffi.node`
 
-await build({
+/**
+ * Replaces a file as a whole. Processes that run from the folder have the library mapped, and are ended by a signal when it is
+ * written to in place.
+ */
+function replaceFile(path, contents) {
+	const written = `${path}.${pid}`
+	writeFileSync(written, contents)
+	renameSync(written, path)
+}
+
+const {outputFiles} = await build({
+	write: false,
 	entryPoints: ["platform/src/main.ts"],
 	outfile: "target/program.cjs",
 	bundle: true,
@@ -39,7 +50,9 @@
 	loader: {".node": "copy"},
 	logLevel: "warning",
 })
-copyFileSync("scripts/start.cjs", START)
+mkdirSync("target", {recursive: true})
+for (const {path, contents} of outputFiles) replaceFile(path, contents)
+replaceFile(START, readFileSync("scripts/start.cjs"))
 const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
 	// What the rehearsal logs is of no interest.
 	stdio: ["ignore", "ignore", "inherit"],
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -5,7 +5,7 @@
  * usual. `--compile` writes that part, after a rehearsal. In the older module format, since the loader of the newer one costs a
  * start 15 ms.
  */
-const {existsSync, readFileSync, writeFileSync} = require("node:fs")
+const {existsSync, readFileSync, renameSync, writeFileSync} = require("node:fs")
 const {join} = require("node:path")
 const {Script} = require("node:vm")
 
@@ -33,6 +33,9 @@
 	const failure = await Promise.race([program.exports.rehearse(), isOver]).catch(err => err.message)
 	// A build goes on without: what is not compiled now is compiled when it is needed.
 	if (failure) process.stderr.write(`cottonwood: the rehearsal failed: ${failure}\n`)
-	writeFileSync(compiled, script.createCachedData())
+	// Renamed into place, so that a process that starts meanwhile reads no half of it.
+	const written = `${compiled}.${process.pid}`
+	writeFileSync(written, script.createCachedData())
+	renameSync(written, compiled)
 	process.exit(0)
 }
