Count each failed attempt of a kept job once

Callers saw kept jobs as failed below max-attempts (LOST). An end failed is in the store before its executor may forget it; when the placer died in between, its successor found the end in the executor's list and counted it again: an unclaimed end was noted without the number of its run.

The record of a job now holds the numbers of the runs that are counted, by task, and a run in it is not counted again, while its write is under way neither.

Related paths: the end of a job whose queue the configuration lacks (the same); members of a gang, which share a run and failed one attempt twice; ends done (kept by name, never twice); crashes (written as a total by the placer that saw them, not listed again).

--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -50,11 +50,15 @@
 	/** Records tasks as done, by their short names; resolves when it is in the store. */
 	readonly recordDone: (tasks: readonly string[]) => Promise<void>
 	/**
-	 * Records a failed attempt; returns their number; `recorded` resolves when it is in the store.
+	 * Records a failed attempt, once for each run; returns their number; `recorded` resolves when it is in the store, and is
+	 * absent when it was there before.
 	 */
-	readonly recordFailure: (task: string) => {
+	readonly recordFailure: (
+		task: string,
+		run: number,
+	) => {
 		readonly count: number
-		readonly recorded: Promise<void>
+		readonly recorded: Promise<void> | undefined
 	}
 	/** Records how many executors are known to have crashed under a task. */
 	readonly recordCrash: (task: string, known: number) => Promise<void>
@@ -69,7 +73,7 @@
 	/** Takes over a run that an executor lists; returns whether the run is still wanted. */
 	adopt(task: string, run: number, executor: string): boolean
 	/** Handles an end that an executor lists of a run that was not managed here. */
-	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
+	noteUnclaimedEnd(task: string, run: number, end: TaskEnd): EndRecorded
 	/** Whether the steps have begun and none of the tasks is on an executor. */
 	isIdle(): boolean
 	/** The steps of which tasks are due and not on an executor. */
@@ -134,7 +138,7 @@
 
 	const stepOf = ({step}: TaskState) => record.steps[step] as Step
 
-	function handleEnd(task: TaskState, end: TaskEnd): EndRecorded {
+	function handleEnd(task: TaskState, end: TaskEnd, endedRun = task.run): EndRecorded {
 		const ranMs = clock.now() - task.startedAt
 		task.handle = undefined
 		task.isStarted = false
@@ -144,13 +148,13 @@
 		task.run += end.type === "outnumbered" ? RUN_NUMBER_STEP : 1
 		if (end.type === "done" && !step.isLasting) return handleTaskDone(task)
 		if ("executor" in end && end.type !== "done") avoid(task, end.executor)
-		const recorded = handleMissingResult(task, end)
+		const recorded = handleMissingResult(task, end, endedRun)
 		if (!isOver) retry(task, end)
 		return recorded
 	}
 
-	function handleMissingResult(task: TaskState, end: TaskEnd): EndRecorded {
-		if (end.type === "failed" && !stepOf(task).isLasting) return handleTaskFailed(task)
+	function handleMissingResult(task: TaskState, end: TaskEnd, run: number): EndRecorded {
+		if (end.type === "failed" && !stepOf(task).isLasting) return handleTaskFailed(task, run)
 		return end.type === "lost" && end.crash ? handleTaskCrashed(task, end.crash) : undefined
 	}
 
@@ -196,9 +200,9 @@
 		return recorded
 	}
 
-	function handleTaskFailed(task: TaskState): EndRecorded {
+	function handleTaskFailed(task: TaskState, run: number): EndRecorded {
 		const counted = stepOf(task).isGang ? (tasks[task.step]?.[0] as TaskState) : task
-		const {count, recorded} = deps.recordFailure(shortName(counted.name))
+		const {count, recorded} = deps.recordFailure(shortName(counted.name), run)
 		if (count >= queue.maxAttempts) finish("failed", `${task.name} failed ${count} times`)
 		return recorded
 	}
@@ -255,11 +259,11 @@
 			handleStart(task)
 			return true
 		},
-		noteUnclaimedEnd(name, end) {
+		noteUnclaimedEnd(name, run, end) {
 			const task = byName.get(name)
 			const isCounted = end.type === "done" || end.type === "failed"
 			if (!task || isOver || task.isDone || task.handle || !isCounted) return undefined
-			return handleEnd(task, end)
+			return handleEnd(task, end, run)
 		},
 		isIdle: () => hasBegun && !isOver && [...byName.values()].every(({isStarted}) => !isStarted),
 		waitingSteps() {
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -266,8 +266,8 @@
 		isRestoring: () => !isClosed && !(isRestored && deps.isConfigured()),
 		knows: task => jobs.has(jobIdOf(task)),
 		adopt: (executor, task, run) => jobs.get(jobIdOf(task))?.adopt(task, run, executor) ?? false,
-		noteUnclaimedEnd: (task: string, end: TaskEnd): EndRecorded =>
-			jobs.get(jobIdOf(task))?.noteUnclaimedEnd(task, end),
+		noteUnclaimedEnd: (task: string, run: number, end: TaskEnd): EndRecorded =>
+			jobs.get(jobIdOf(task))?.noteUnclaimedEnd(task, run, end),
 		close() {
 			isClosed = true
 			ledger?.close()
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -38,7 +38,7 @@
 	/** Starts the occurrences that are due. */
 	begin(): void
 	adopt(task: string, run: number, executor: string): boolean
-	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
+	noteUnclaimedEnd(task: string, run: number, end: TaskEnd): EndRecorded
 	/** How long tasks have been due while none was on an executor, in milliseconds. */
 	idleMs(): number
 	/** The steps of which tasks are due and not on an executor, each once. */
@@ -56,6 +56,8 @@
 	const occurrences = first.schedule?.times ?? 1
 	const active = new Map<number, JobOccurrence>()
 	const endedOccurrences = new Set<number>()
+	/** Writes of failed attempts that are under way, by task and run. */
+	const failureWrites = new Map<string, Promise<void>>()
 	let record = first
 	let hasBegun = false
 	let hasStarted = first.done.length > 0
@@ -89,7 +91,7 @@
 			submit: (req, onEnd, onStart) => deps.placer().submit(req, onEnd, onStart),
 			adopt: (req, from, onEnd) => deps.placer().adopt(req, from, onEnd),
 			recordDone: tasks => save({done: [...record.done, ...tasks]}),
-			recordFailure: task => recordFailure(task),
+			recordFailure,
 			recordCrash: (task, known) => save({crashes: {...record.crashes, [task]: known}}),
 			onStart() {
 				hasStarted = true
@@ -101,9 +103,20 @@
 		return occurrence
 	}
 
-	function recordFailure(task: string) {
-		const count = (record.failures[task] ?? 0) + 1
-		return {count, recorded: save({failures: {...record.failures, [task]: count}})}
+	/** Counts a run once: until its executor may forget the end, it lists it to the next placer too. */
+	function recordFailure(task: string, run: number) {
+		const name = `${task}/${run}`
+		const runs = record.failedRuns?.[task] ?? []
+		const counted = record.failures[task] ?? 0
+		if (runs.includes(run)) return {count: counted, recorded: failureWrites.get(name)}
+		const count = counted + 1
+		const recorded = save({
+			failures: {...record.failures, [task]: count},
+			failedRuns: {...record.failedRuns, [task]: [...runs, run]},
+		})
+		failureWrites.set(name, recorded)
+		void recorded.then(() => failureWrites.delete(name))
+		return {count, recorded}
 	}
 
 	function handleOccurrenceEnd(index: number, state: "completed" | "failed", cause: string) {
@@ -155,7 +168,7 @@
 	const occurrenceOfTask = (task: string) => occurrenceOf(Number(shortName(task).split(".")[0]))
 
 	/** Records an end while the configuration lacks the queue, so that the task does not run again once it is back. */
-	function recordWithoutQueue(task: string, end: TaskEnd): EndRecorded {
+	function recordWithoutQueue(task: string, run: number, end: TaskEnd): EndRecorded {
 		const name = shortName(task)
 		const [index = NaN, at = NaN] = name.split(".").map(Number)
 		const step = record.steps[at]
@@ -165,7 +178,7 @@
 		const members = Array.from({length: step.count}, (_, member) => `${index}.${at}.${member}`)
 		const ended = step.isGang ? members : [name]
 		if (end.type === "done") return save({done: [...record.done, ...ended]})
-		return end.type === "failed" ? recordFailure(ended[0] as string).recorded : undefined
+		return end.type === "failed" ? recordFailure(ended[0] as string, run).recorded : undefined
 	}
 
 	function markEndedOccurrences() {
@@ -192,10 +205,11 @@
 		adopt(task, run, executor) {
 			return !isOver && (occurrenceOfTask(task)?.adopt(task, run, executor) ?? false)
 		},
-		noteUnclaimedEnd(task, end) {
+		noteUnclaimedEnd(task, run, end) {
 			if (isOver) return undefined
 			const occurrence = occurrenceOfTask(task)
-			return occurrence ? occurrence.noteUnclaimedEnd(task, end) : recordWithoutQueue(task, end)
+			if (!occurrence) return recordWithoutQueue(task, run, end)
+			return occurrence.noteUnclaimedEnd(task, run, end)
 		},
 		idleMs() {
 			const isIdle = active.size > 0 && [...active.values()].every(run => run.isIdle())
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -257,7 +257,7 @@
 			end.how === "done" || end.how === "failed"
 				? {type: end.how, executor: link.record.id, cause: "ended unwatched"}
 				: {type: "lost", executor: link.record.id, cause: end.how}
-		forgetWhenRecorded(link, end.serial, kept.noteUnclaimedEnd(end.task, taskEnd))
+		forgetWhenRecorded(link, end.serial, kept.noteUnclaimedEnd(end.task, end.run, taskEnd))
 	}
 }
 
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -35,7 +35,7 @@
 	/** Takes over a run that an executor lists; false when no kept job wants it. */
 	adopt(executor: string, task: string, run: number): boolean
 	/** Takes an end whose run was watched by nobody here. */
-	noteUnclaimedEnd(task: string, end: TaskEnd): EndRecorded
+	noteUnclaimedEnd(task: string, run: number, end: TaskEnd): EndRecorded
 }
 
 export interface LinkDeps {
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -36,6 +36,8 @@
 	readonly done: readonly string[]
 	/** Number of failed attempts, by task. */
 	readonly failures: Readonly<Record<string, number>>
+	/** Numbers of the runs that are counted in `failures`, by task; absent in older records. */
+	readonly failedRuns?: Readonly<Record<string, readonly number[]>>
 	/** Executors known to have crashed under a task, by task; absent in older records. */
 	readonly crashes?: Readonly<Record<string, number>>
 	/** Moves to other homes since a task of the job last started; absent in older records. */
