Let the tests of uneven domains wait for what they presume

The tests now wait until both instances pass jobs to their own domain, check that the filling job ran there, and kill the receiver once it has started the job, within its run.

--- a/packages/standins/test/uneven-domains.test.ts
+++ b/packages/standins/test/uneven-domains.test.ts
@@ -20,6 +20,8 @@
 const COME_AGAIN_MS = 1_300
 /** Time for log lines to arrive. */
 const LINES_MS = 200
+const MAX_TRIES = 30
+const START_POLL_MS = 20
 
 let serial = 0
 const newId = () => (++serial + 0xd03a00).toString(16).padStart(16, "0")
@@ -37,6 +39,7 @@
 		const names = [["a-1", "a"] as const, ["a-2", "a"] as const, ["b-1", "b"] as const]
 		fleet = await startEdges(platform, names, {placing: {domainChoice: "forecast"}})
 		await untilPlaced(fleet, platform.executors.length)
+		for (const name of ["a-1", "a-2"]) await untilServedAtHome(name)
 	})
 
 	afterEach(async () => {
@@ -50,12 +53,36 @@
 			.flatMap(({lines}) => lines)
 			.filter(line => line["kind"] === kind && line["job"] === job)
 
+	const domainsOf = (job: string) => linesOf("placer_asked", job).map(line => line["failureDomain"])
+
+	/**
+	 * An instance that has not heard the placer of its own failure domain yet passes jobs to the other one, which would fill the
+	 * wrong domain.
+	 */
+	async function untilServedAtHome(name: string) {
+		for (let tries = 0; tries < MAX_TRIES; tries++) {
+			const id = newId()
+			await handIn(edgeOf(name), id, {spec: {workMs: 1}})
+			await sleep(LINES_MS)
+			if (domainsOf(id).includes("a")) return
+		}
+		throw new Error(`${name} does not pass jobs to its own failure domain`)
+	}
+
+	async function untilStarted(task: string) {
+		for (let tries = 0; tries < MAX_TRIES && platform.startsOf(task) === 0; tries++)
+			await sleep(START_POLL_MS)
+		expect(platform.startsOf(task), task).to.equal(1)
+	}
+
 	/** Uses all capacity of domain a for 2.5 seconds. */
 	async function fill() {
-		const spec = {workMs: 2_500}
-		const taken = handIn(edgeOf("a-1"), newId(), {count: 2 * EXECUTORS, spec, deadlineMs: 8_000})
-		await sleep(300)
-		return taken
+		const id = newId()
+		const options = {count: 2 * EXECUTORS, spec: {workMs: 2_500}, deadlineMs: 8_000}
+		const answer = await handIn(edgeOf("a-1"), id, options)
+		await sleep(LINES_MS)
+		expect(domainsOf(id)).to.eql(["a"])
+		return answer
 	}
 
 	it("has whole jobs run by the other domain, whichever of its instances was called", async () => {
@@ -80,7 +107,7 @@
 		await sleep(350)
 		const id = newId()
 		const first = handIn(edgeOf("a-2"), id, {count: 2, spec: {workMs: 1_000}})
-		await sleep(150)
+		await untilStarted(`${id}.0.0.0`)
 		edgeOf("b-1").child.kill("SIGKILL")
 		expect((await first).status).to.equal(502)
 		await sleep(LINES_MS)
