Do not wait for room that lasting tasks hold

Callers saw lasting tasks stay away for good (LOST): a task avoids executors where a run of it failed or was lost, as long as others are an alternative, and executors counted as such that anti-affinity forbade since a lasting sibling runs there, for ever.

An executor whose lasting runs leave the task no place (by size, by the step's limit, by isolation, by what must not share it) is no alternative. A lasting task, whose failures are not counted, uses an executor that it avoids rather than wait at all.

Related paths, the same cause: a task that ends, with its alternatives full of lasting tasks; a gang that needs an executor that it avoids (its own members' reservations hid that); a gang that can never fit beside lasting tasks or by its step's limit held back all room for ever, and nothing behind it started. Suspected and left: 24 kept jobs whose room lasting tasks hold take up all places of a scheduling pass (place/parked-tasks.ts parks by size, label and service alone).

--- a/packages/jobs/src/decide/selection.ts
+++ b/packages/jobs/src/decide/selection.ts
@@ -35,7 +35,10 @@
 	return health.isUsable(link.record.id) && link.isConfirmed(req)
 }
 
-/** Whether a usable executor that the task does not avoid has its service and label, with room now or later. */
+/**
+ * Whether a usable executor that the task does not avoid has its service and label, with room now or once other runs have ended.
+ * Lasting runs do not end.
+ */
 function hasAlternative(
 	links: ReadonlyMap<string, ExecutorLink>,
 	req: TaskRequest,
@@ -43,25 +46,41 @@
 ): boolean {
 	for (const link of links.values()) {
 		const {id} = link.record
-		const isAlternative = suits(link.record, req) && !req.avoid.includes(id)
-		if (isAlternative && link.mayStart(req) && health.isUsable(id)) return true
+		if (req.avoid.includes(id) || !suits(link.record, req) || link.isKeptOffByLasting(req)) continue
+		if (link.mayStart(req) && health.isUsable(id)) return true
 	}
 	return false
 }
 
-/** The executor with the lowest cost for a task now; undefined when none may take it. */
+/**
+ * The executor with the lowest cost for a task now; undefined when none may take it. A lasting task returns to an executor
+ * that it avoids rather than wait, since its failures are not counted.
+ */
 export function chooseExecutor(
 	links: ReadonlyMap<string, ExecutorLink>,
 	req: TaskRequest,
 	health: Health,
 	speeds: Speeds,
+): ExecutorLink | undefined {
+	const best = chooseAmong("others", links, req, health, speeds)
+	if (best || req.avoid.length === 0) return best
+	const mayReturn = req.isLasting === true || !hasAlternative(links, req, health)
+	return mayReturn ? chooseAmong("avoided", links, req, health, speeds) : undefined
+}
+
+function chooseAmong(
+	which: "avoided" | "others",
+	links: ReadonlyMap<string, ExecutorLink>,
+	req: TaskRequest,
+	health: Health,
+	speeds: Speeds,
 ): ExecutorLink | undefined {
 	let best: ExecutorLink | undefined
 	let bestCost = Infinity
-	const mayReturn = req.avoid.length > 0 && !hasAlternative(links, req, health)
+	const wantsAvoided = which === "avoided"
 	for (const link of links.values()) {
 		if (!isSuitable(link, req)) continue
-		if (!mayReturn && req.avoid.includes(link.record.id)) continue
+		if (req.avoid.includes(link.record.id) !== wantsAvoided) continue
 		const cost = costOf(link, req, speeds, bestCost)
 		if (cost >= bestCost || !isAvailable(link, req, health)) continue
 		best = link
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -6,7 +6,16 @@
 import {isConfirmed} from "./lease.js"
 import {adoptedRun, startRun, stopRun} from "./orders.js"
 import {areEndsKnown, willListEnd} from "./end-list.js"
-import {freeCpu, hasRoom, isCompatible, isShared, occupy} from "./room.js"
+import {
+	countFittingBesideLasting,
+	freeCpu,
+	hasRoom,
+	isCompatible,
+	isKeptOffByLasting,
+	isShared,
+	occupy,
+	type TaskShape,
+} from "./room.js"
 import {
 	awaitedRuns,
 	closeLink,
@@ -38,6 +47,10 @@
 	/** Free thousandths of a core. */
 	freeCpu(): number
 	hasRoom(req: Pick<TaskRequest, "need">): boolean
+	/** How many tasks of a kind would fit if only the lasting runs there were left. */
+	countFittingBesideLasting(req: TaskShape): number
+	/** Whether lasting runs there leave the task no room or must not share the executor with it. */
+	isKeptOffByLasting(req: TaskRequest): boolean
 	/** Whether the task may share the executor with the runs there. */
 	isCompatible(req: TaskRequest): boolean
 	/** Whether the task or a run there should have the executor to itself, but would share it. */
@@ -98,6 +111,8 @@
 		isUsableSoon: () => isUsableSoon(link),
 		freeCpu: () => freeCpu(link),
 		hasRoom: req => hasRoom(link, req),
+		countFittingBesideLasting: req => countFittingBesideLasting(link, req),
+		isKeptOffByLasting: req => isKeptOffByLasting(link, req),
 		isCompatible: req => isCompatible(link, req),
 		isShared: req => isShared(link, req),
 		isConfirmed: req => isConfirmed(link, req),
--- a/packages/jobs/src/link/room.ts
+++ b/packages/jobs/src/link/room.ts
@@ -3,6 +3,7 @@
  */
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Run, TaskRequest} from "../place/run.js"
+import {stepNameOf} from "../place/task-queue.js"
 
 /** The part of a link's state that determines its free capacity. */
 export interface LinkRoom {
@@ -51,11 +52,56 @@
 	const {runs} = link
 	if (hasIsolatedRun(link) || (isolation === "required" && runs.size > 0)) return false
 	if (!isFilling && !isServing) return true
-	for (const {req} of runs.values())
-		if ((isFilling && req.isServing) || (isServing && req.isFilling)) return false
+	for (const {req} of runs.values()) if (isDisturbing(req, {isFilling, isServing})) return false
 	return true
 }
 
+type Sharing = Pick<TaskRequest, "isFilling" | "isServing">
+
+/** Whether one of the tasks fills beside the other, which serves. */
+const isDisturbing = (a: Sharing, b: Sharing) =>
+	(a.isFilling && b.isServing) || (a.isServing && b.isFilling)
+
+/** Which tasks an executor could hold, by size and by tasks of their step. */
+export type TaskShape = Pick<TaskRequest, "task" | "need" | "maxPerExecutor">
+
+/**
+ * How many tasks of a kind an executor would hold if only the lasting runs there were left, which do not end by themselves.
+ */
+export function countFittingBesideLasting(link: LinkRoom, req: TaskShape): number {
+	const {capacity} = link.record
+	const lasting = lastingRunsOf(link)
+	const free = {...capacity}
+	for (const {need} of lasting) {
+		free.cpu -= need.cpu
+		free.memoryMb -= need.memoryMb
+		free.accelerators -= need.accelerators
+	}
+	const {need, maxPerExecutor = Infinity} = req
+	const fitting = Math.min(
+		countIn(free.cpu, need.cpu),
+		countIn(free.memoryMb, need.memoryMb),
+		countIn(free.accelerators, need.accelerators),
+	)
+	const step = stepNameOf(req.task)
+	const siblings = lasting.filter(({task}) => stepNameOf(task) === step).length
+	return Math.max(0, Math.min(fitting, maxPerExecutor - siblings))
+}
+
+const countIn = (free: number, need: number) => (need === 0 ? Infinity : Math.floor(free / need))
+
+function lastingRunsOf({runs}: LinkRoom): readonly TaskRequest[] {
+	return [...runs.values()].map(({req}) => req).filter(({isLasting}) => isLasting)
+}
+
+/** Whether lasting runs there leave a task no room or must not share the executor with it. */
+export function isKeptOffByLasting(link: LinkRoom, req: TaskRequest): boolean {
+	const lasting = lastingRunsOf(link)
+	if (lasting.length === 0) return false
+	if (countFittingBesideLasting(link, req) === 0 || req.isolation === "required") return true
+	return lasting.some(other => other.isolation === "required" || isDisturbing(other, req))
+}
+
 /** Reserves a task's capacity (1) or frees it (-1). */
 export function occupy({used}: LinkRoom, {need}: TaskRequest, sign: 1 | -1) {
 	used.cpu += sign * need.cpu
--- a/packages/jobs/src/place/gang.ts
+++ b/packages/jobs/src/place/gang.ts
@@ -8,11 +8,29 @@
 
 type Links = ReadonlyMap<string, ExecutorLink>
 
-/** An executor for each member, in order; undefined unless all members fit at once. */
+/**
+ * An executor for each member, in order; undefined unless all members fit at once. Executors that the gang avoids are used
+ * when it could never fit on the others.
+ */
 export function chooseGang(
 	links: Links,
 	members: readonly WaitingTask[],
 	assessment: ExecutorAssessment,
+): readonly ExecutorLink[] | undefined {
+	const first = members[0]?.req
+	const places = chooseInOneRack(links, members, assessment)
+	if (places || !first || first.avoid.length === 0) return places
+	const others = new Map([...links].filter(([id]) => !first.avoid.includes(id)))
+	if (wouldFitIdle(others, first, members.length)) return undefined
+	const returning = members.map(item => ({...item, req: {...item.req, avoid: []}}))
+	return chooseInOneRack(links, returning, assessment)
+}
+
+/** The same; a gang that wants one rack gets executors of several only if no rack has room for it. */
+function chooseInOneRack(
+	links: Links,
+	members: readonly WaitingTask[],
+	assessment: ExecutorAssessment,
 ): readonly ExecutorLink[] | undefined {
 	if (members[0]?.req.gang?.wantsOneRack) {
 		for (const rack of racksOf(links)) {
@@ -56,13 +74,12 @@
 	return new Map([...links].filter(([, link]) => isBelowLimit(link)))
 }
 
-/** Whether the whole gang would fit if the executors were idle. */
+/** Whether the whole gang would fit if only lasting tasks were left on the executors. */
 export function wouldFitIdle(links: Links, req: TaskRequest, size: number): boolean {
 	let fits = 0
 	for (const link of links.values()) {
-		const {capacity} = link.record
 		if (!link.isUsable() || !suits(link.record, req)) continue
-		fits += Math.floor(Math.min(capacity.cpu / req.need.cpu, capacity.memoryMb / req.need.memoryMb))
+		fits += link.countFittingBesideLasting(req)
 	}
 	return fits >= size
 }
