Let another probe follow one that does not end

Callers saw a lasting task stay away (LOST): an executor that is set aside takes one task as a probe and nothing else until that ends. With a lasting task as the probe it never did.

A lasting probe that is at work ends at once without a result, since it says nothing on the speed of its executor; the next task decides.

Related paths: a task that waits for an executor to be probed, in a domain where nothing ends, was started only when the executors' list was read again: the placer now looks while tasks wait.

--- a/packages/core/src/core/health.ts
+++ b/packages/core/src/core/health.ts
@@ -22,6 +22,7 @@
 	asideSince: number | undefined
 	probeAt: number
 	isProbing: boolean
+	probeBegunAt: number
 	probeDelayFactor: number
 }
 
@@ -50,6 +51,8 @@
 	endProbe(target: string): void
 	forget(target: string): void
 	asideCount(): number
+	/** Whether any target that is set aside may take a probe now. */
+	isProbeDue(): boolean
 }
 
 export function createHealth(deps: HealthDeps): Health {
@@ -65,6 +68,7 @@
 				asideSince: undefined,
 				probeAt: 0,
 				isProbing: false,
+				probeBegunAt: 0,
 				probeDelayFactor: 0,
 			}
 			records.set(target, record)
@@ -126,6 +130,12 @@
 		setAside(target, record, cause)
 	}
 
+	/** Another probe may follow one that takes longer than the delay between two, and may never end. */
+	function mayBeProbed({probeAt, isProbing, probeBegunAt}: TargetRecord): boolean {
+		const now = deps.now()
+		return now >= probeAt && (!isProbing || now - probeBegunAt >= deps.probeAfterMs())
+	}
+
 	return {
 		observe(observation) {
 			const record = recordOf(observation.target)
@@ -141,13 +151,14 @@
 		},
 		isUsable(target) {
 			const record = records.get(target)
-			if (!record || record.asideSince === undefined) return true
-			return !record.isProbing && deps.now() >= record.probeAt
+			return !record || record.asideSince === undefined || mayBeProbed(record)
 		},
 		isAside: target => records.get(target)?.asideSince !== undefined,
 		beginProbe(target) {
 			const record = records.get(target)
-			if (record?.asideSince !== undefined) record.isProbing = true
+			if (record?.asideSince === undefined) return
+			record.isProbing = true
+			record.probeBegunAt = deps.now()
 		},
 		endProbe(target) {
 			const record = records.get(target)
@@ -155,5 +166,10 @@
 		},
 		forget: target => void records.delete(target),
 		asideCount,
+		isProbeDue() {
+			for (const record of records.values())
+				if (record.asideSince !== undefined && mayBeProbed(record)) return true
+			return false
+		},
 	}
 }
--- a/packages/core/test/policy.test.ts
+++ b/packages/core/test/policy.test.ts
@@ -62,6 +62,19 @@
 		run("a", false)
 		expect(changes).to.deep.equal(["a aside", "a back"])
 	})
+
+	// A probe that never ended kept a target aside for good.
+	it("lets another probe follow one that takes longer than the delay between two", () => {
+		const {health, run, advance} = healthOf()
+		for (let i = 0; i < 6; i++) for (const target of TARGETS) run(target, target === "a")
+		advance(150)
+		expect(health.isProbeDue()).to.equal(true)
+		health.beginProbe("a")
+		advance(50)
+		expect([health.isUsable("a"), health.isProbeDue()]).to.eql([false, false])
+		advance(100)
+		expect([health.isUsable("a"), health.isProbeDue()]).to.eql([true, true])
+	})
 })
 
 describe("the retry budget", () => {
--- a/packages/jobs/src/place/executor-assessment.ts
+++ b/packages/jobs/src/place/executor-assessment.ts
@@ -31,6 +31,8 @@
 	readonly speeds: Speeds
 	/** Records the end of a run. */
 	observe(executor: string, run: Run, end: TaskEnd, proof: RunProof): void
+	/** Whether an executor that was set aside may take a probe now. */
+	isProbeDue(): boolean
 	/** Records the progress of a run. */
 	noteProgress(executor: string, run: Run): void
 	forget(executor: string): void
@@ -75,6 +77,8 @@
 	/** Learns from an overdue run's progress, long before its end shows that the executor turned slow. */
 	function noteProgress(executor: string, run: Run) {
 		const {estimateMs, isLasting, gang} = run.req
+		// It does not end, and says nothing on the executor's speed.
+		if (isLasting && run.percent >= WHOLE_PERCENT) health.endProbe(executor)
 		const ranEstimates = (clock.now() - run.startedAt) / Math.max(1, estimateMs)
 		if (run.percent === 0 || isLasting || gang || learntEarly.has(run)) return
 		if (!speeds.isOverdue(executor, ranEstimates)) return
@@ -107,6 +111,7 @@
 			metrics.observe("run_ms", tookMs)
 			if (!isLate && !learntEarly.has(run)) speeds.observe(executor, slowness)
 		},
+		isProbeDue: () => health.isProbeDue(),
 		noteProgress,
 		forget(executor) {
 			health.forget(executor)
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -209,7 +209,7 @@
 		state.isDeadlineCheckDue = false
 		for (const item of state.queue.expired(state.deps.clock.now()))
 			returnTask(state, item, "deadline")
-		if (state.awaitsConfirmation) schedulePass(state)
+		if (state.awaitsConfirmation || state.assessment.isProbeDue()) schedulePass(state)
 		scheduleDeadlineCheck(state)
 	})
 }
