Keep the jobs of a silent placer in the count of pending jobs

A placer's last answer holds for 2 s, the age that callers accept; after that the records in the store are counted.

Related paths: the state of a single job (read from the store where a placer is silent), cancels (the same): right.

--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -73,8 +73,8 @@
 	/** Loads a job that was just moved to this home. */
 	fetch(id: string): Promise<void>
 	stateOf(id: string): JobState | undefined
-	/** Returns the number of accepted jobs of a queue of which no task has started. */
-	pendingOf(queue: string): number
+	/** Returns the number of accepted jobs of a queue of which no task has started; undefined until the store has been read. */
+	pendingOf(queue: string): number | undefined
 	jobCount(): number
 	/** Leaves all jobs to the next holder of the claim. */
 	close(): void
@@ -257,6 +257,7 @@
 		},
 		stateOf: id => jobs.get(id)?.state(),
 		pendingOf(queue) {
+			if (!isRestored) return undefined
 			let count = 0
 			for (const job of jobs.all())
 				if (job.record().queue === queue && job.state() === "pending") count++
--- a/packages/jobs/src/keep/kept-job-router.ts
+++ b/packages/jobs/src/keep/kept-job-router.ts
@@ -2,7 +2,7 @@
  * Routes callers' requests to the placer that accepts, cancels or knows a kept job, and reads the
  * store when no placer can answer.
  */
-import type {Store} from "@cottonwood/core"
+import type {Clock, Store} from "@cottonwood/core"
 import {noteUnsent, type FleetView} from "../fleet/members.js"
 import type {KeptMessage, KeptReply, Peers} from "../fleet/peers.js"
 import {couldRunStep} from "../decide/suitability.js"
@@ -20,6 +20,7 @@
 } from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {AcceptReply, Keeper} from "./keeper.js"
+import {createPendingCount} from "./pending-count.js"
 
 /** A placer waits up to 900 ms for the store before it answers an acceptance or a cancellation. */
 const WRITE_TIMEOUT_MS = 1_100
@@ -33,6 +34,7 @@
 const LESS_BUSY_SHARE = 0.5
 
 export interface KeptJobRouterDeps {
+	readonly clock: Clock
 	readonly store: Store
 	readonly log: EventLog
 	readonly peers: Peers
@@ -54,7 +56,8 @@
 	/** `absent`: not open, and not ended within the retention time. `unknown`: no answer. */
 	stateOf(id: string): Promise<JobState | "absent" | "unknown">
 	cancel(id: string): Promise<"cancelled" | "ended" | "absent" | "unknown">
-	pendingOf(queue: string): Promise<number>
+	/** Accepted jobs of a queue of which no task has begun; undefined when that cannot be known now. */
+	pendingOf(queue: string): Promise<number | undefined>
 	/** Handles a request of another instance for the placers hosted here. */
 	answer(message: KeptMessage): Promise<KeptReply>
 }
@@ -158,16 +161,16 @@
 		return put.type === "done" ? "cancelled" : "unknown"
 	}
 
-	async function pendingOf(queue: string): Promise<number> {
-		const counts = await Promise.all(
-			view.claims().map(async claim => {
-				const {failureDomain} = claim
-				const reply = await ask(claim, {type: "pending", queue, failureDomain}, ASK_TIMEOUT_MS)
-				return reply.type === "pending" ? reply.count : 0
-			}),
-		)
-		return counts.reduce((sum, count) => sum + count, 0)
-	}
+	const pendingOf = createPendingCount({
+		clock: deps.clock,
+		store,
+		claims: () => view.claims(),
+		async askPlacer(claim, queue) {
+			const {failureDomain} = claim
+			const reply = await ask(claim, {type: "pending", queue, failureDomain}, ASK_TIMEOUT_MS)
+			return reply.type === "pending" ? reply.count : undefined
+		},
+	})
 
 	async function answer(message: KeptMessage): Promise<KeptReply> {
 		const keeper = keeperOf(message.failureDomain)
@@ -185,8 +188,10 @@
 			case "fetch":
 				await keeper.fetch(message.id)
 				return {type: "fetched"}
-			case "pending":
-				return {type: "pending", count: keeper.pendingOf(message.queue)}
+			case "pending": {
+				const count = keeper.pendingOf(message.queue)
+				return count === undefined ? {type: "not placer"} : {type: "pending", count}
+			}
 			case "room": {
 				const {failureDomain, service, steps} = message
 				return {type: "room", hasRoom: deps.hasRoomNow(failureDomain, service, steps)}
