Forget crashes under a lasting task that ran soundly

A lasting task counted the crashes of its executors for as long as it lived, so two hosts that died in weeks made its job fail; and executors that leave as planned without saying so (their entry goes, they serve on for a while) counted as crashed, so replacing all of them in turn made lasting jobs fail.

A lasting task's crashes are forgotten, in the store too, once a run of it has lasted for a minute. An executor that was leaving or no longer listed when it was last heard has ended as planned. A task whose executors crash soon after each start is given up after two as before.

--- a/packages/jobs/src/decide/crashes.ts
+++ b/packages/jobs/src/decide/crashes.ts
@@ -2,7 +2,8 @@
  * Poison tasks: counts executor crashes per task, and decides where a suspect runs next and when it is given up.
  *
  * All tasks on a crashed executor are suspects. A suspect is isolated if there is room, and only a crash with nothing else on
- * the executor counts as proof, so a neighbour of a poison task never fails.
+ * the executor counts as proof, so a neighbour of a poison task never fails. A lasting task outlives many executors, so its
+ * crashes count only until it has run soundly.
  */
 
 import type {EventLog, LogFields} from "../utils/log.js"
@@ -29,6 +30,8 @@
 const SUSPECT_POSSIBLE_CRASHES = 2
 /** Known crashes, the last one alone, that fail a task. */
 const FAILING_CRASHES = 2
+/** A lasting task that runs for this long, in milliseconds, has not caused the crashes before. */
+export const SOUND_RUN_MS = 60_000
 /** Crashes, possible ones included, after which a task is given up without proof. */
 const MAX_CRASHES = 5
 
--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -11,7 +11,9 @@
 import {
 	countCrash,
 	isPoisonTask,
+	NO_CRASHES,
 	reportCrash,
+	SOUND_RUN_MS,
 	type Crash,
 	type CrashCount,
 } from "../decide/crashes.js"
@@ -133,9 +135,18 @@
 	function handleStart(task: TaskState) {
 		task.isStarted = true
 		task.startedAt = clock.now()
+		if (stepOf(task).isLasting && task.crashes.known > 0) forgetCrashesOnceSound(task, task.run)
 		deps.onStart()
 	}
 
+	function forgetCrashesOnceSound(task: TaskState, run: number) {
+		clock.schedule(SOUND_RUN_MS, () => {
+			if (isOver || !task.isStarted || task.run !== run) return
+			task.crashes = NO_CRASHES
+			void deps.recordCrash(shortName(task.name), task.crashes.known)
+		})
+	}
+
 	const stepOf = ({step}: TaskState) => record.steps[step] as Step
 
 	function handleEnd(task: TaskState, end: TaskEnd, endedRun = task.run): EndRecorded {
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -111,6 +111,8 @@
 	/** Another process answered at the executor's address: all its runs are gone. */
 	isReplaced: boolean
 	silentSince: number | undefined
+	/** Whether the executor was leaving or no longer listed when it was last heard: its end is planned. */
+	isEndPlanned: boolean
 	/** A connection was refused since the executor fell silent: its process is gone. */
 	wasRefused: boolean
 	/** When an order was last answered. */
@@ -146,6 +148,7 @@
 		isClosed: false,
 		isReplaced: false,
 		silentSince: undefined,
+		isEndPlanned: false,
 		wasRefused: false,
 		answeredAt: -Infinity,
 		hasSecondHold: false,
@@ -317,8 +320,9 @@
 /**
  * What the end of the executor's process says about its runs; undefined when that end was planned.
  */
-function crashOf({record, isReplaced, wasRefused, runs, orphans}: LinkState): Crash | undefined {
-	if (record.isLeaving) return undefined
+function crashOf(link: LinkState): Crash | undefined {
+	const {record, isEndPlanned, isReplaced, wasRefused, runs, orphans} = link
+	if (record.isLeaving || isEndPlanned) return undefined
 	if (!isReplaced && !wasRefused) return "possible"
 	const begun = [...runs.values()].filter(({mayHaveStarted}) => mayHaveStarted).length
 	return begun + orphans.size > 1 ? "beside others" : "alone"
@@ -327,11 +331,15 @@
 export function noteSilence(link: LinkState, cause: string) {
 	if (link.silentSince !== undefined) return
 	link.silentSince = link.deps.clock.now()
+	link.isEndPlanned = isLeavingOrUnlisted(link)
 	const {id, address} = link.record
 	const fields = {executor: id, address, cause, count: link.runs.size}
 	link.deps.log.alarm("executor", "executor_silent", "executor: stopped answering.", fields)
 }
 
+/** Some executors that leave as planned do not say so: their entry goes, and they go on for a while. */
+const isLeavingOrUnlisted = ({record, isRetired}: LinkState) => record.isLeaving || isRetired
+
 export function noteAnswering(link: LinkState) {
 	if (link.silentSince === undefined) return
 	const inputAgeMs = Math.round(link.deps.clock.now() - link.silentSince)
@@ -346,6 +354,8 @@
 	const message = "executor: another life answers there."
 	link.deps.log.alarm("executor", "executor_replaced", message, fields)
 	link.isReplaced = true
+	// What ends without silence before has been heard until now.
+	if (link.silentSince === undefined) link.isEndPlanned = isLeavingOrUnlisted(link)
 	forgetUnwatched(link)
 	closeLink(link)
 	settleAllLost(link, "replaced", "replaced")
