Run accepted jobs to their end when their queue is dropped

A kept job whose queue the configuration lacks went on at the placer that had begun it, but its times that fell due waited, and after a takeover all its runs were stopped and none started until the queue was back: lasting tasks were away, and work was lost. Which of the two it was depended on which instance placed it.

An accepted job is kept, so it goes on to its end: its record has the queue's settings at its acceptance, which hold while the configuration lacks the queue. Calls on the queue are answered 404 as before. The line queue_dropped says it, once a job. Records of older programs have no settings; their jobs wait as before, and older programs pass the field on unread.

Related paths: moves to another domain (they ask for room by the service of the settings), ends of such jobs (counted as others are; the recording without settings remains for older records, and its tests use one).

The frozen sample of a written job has the new field.

--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -4,7 +4,6 @@
  */
 import type {Clock} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
-import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
 import type {KeptJob} from "./kept-job.js"
@@ -31,7 +30,6 @@
 	readonly log: EventLog
 	readonly metrics: JobMetrics
 	readonly claim: Claim
-	readonly queueOf: (name: string) => Queue | undefined
 	/** Returns another domain where a task of one of the steps could start now, or why there is none. */
 	readonly findRoom: (service: string, steps: readonly Step[]) => Promise<Claim | NoRoomCause>
 	/** Notifies the placer of another domain that it now owns the job. */
@@ -62,7 +60,7 @@
 	async function moveIdle() {
 		const causes = new Map<string, NoRoomCause>()
 		for (const job of jobs.all().filter(job => job.idleMs() > maxIdleMs(job))) {
-			const service = deps.queueOf(job.record().queue)?.service
+			const service = job.queue()?.service
 			const steps = job.waitingSteps()
 			if (service === undefined || steps.length === 0) continue
 			const needs = JSON.stringify([service, steps])
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -12,6 +12,7 @@
 import type {Placer} from "../place/placer.js"
 import type {TaskEnd, EndRecorded} from "../place/run.js"
 import type {KeptRuns} from "../link/state.js"
+import type {Claim} from "../types/fleet.js"
 import type {Queue} from "../types/fleet-config.js"
 import {
 	OPEN_JOBS_PREFIX,
@@ -184,17 +185,7 @@
 			return {type: "refused", cause: "the store is away"}
 		if (!ledger) return {type: "refused", cause: "its placer has only just begun"}
 		if (jobs.has(request.id)) return {type: "accepted"}
-		const record: JobRecord = {
-			...request,
-			home,
-			homeFence: claim.fence,
-			runBase: 0,
-			acceptedAtMs: wall.now(),
-			done: [],
-			failures: {},
-			isCancelled: false,
-			writer: "",
-		}
+		const record = newRecord(request, claim, deps.queueOf(request.queue), wall.now())
 		const writing = ledger.create(record).then(written => handleCreated(record, written))
 		const waited = clock.sleep(WRITE_WAIT_MS).then(() => abandonCreate(record.id))
 		return Promise.race([writing, waited])
@@ -277,6 +268,26 @@
 	}
 }
 
+function newRecord(
+	request: KeptJobRequest,
+	{failureDomain, fence}: Claim,
+	settings: Queue | undefined,
+	acceptedAtMs: number,
+): JobRecord {
+	return {
+		...request,
+		home: failureDomain,
+		homeFence: fence,
+		runBase: 0,
+		acceptedAtMs,
+		settings,
+		done: [],
+		failures: {},
+		isCancelled: false,
+		writer: "",
+	}
+}
+
 /**
  * Opens the ledger under the claim's revision; undefined if it cannot be read or has changed.
  */
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -34,6 +34,8 @@
 
 export interface KeptJob {
 	record(): JobRecord
+	/** The queue's settings, or those of the job's acceptance while the configuration lacks the queue; undefined without either. */
+	queue(): Queue | undefined
 	state(): JobState
 	/** Starts the occurrences that are due. */
 	begin(): void
@@ -64,6 +66,7 @@
 	let hasStartedHere = false
 	let idleSince: number | undefined
 	let isOver = false
+	let isQueueDropped = false
 
 	/**
 	 * Resolves when the change is in the store, and never once another placer has the claim: the
@@ -78,10 +81,22 @@
 		})
 	}
 
+	function queueNow(): Queue | undefined {
+		const queue = deps.queueOf(record.queue)
+		if (!queue && record.settings && !isQueueDropped) {
+			const fields = {job: record.id, queue: record.queue}
+			const message =
+				"job: the configuration has no such queue; it goes on under its first settings."
+			log.event("job", "queue_dropped", message, fields)
+		}
+		isQueueDropped = !queue
+		return queue ?? record.settings
+	}
+
 	function occurrenceOf(index: number): JobOccurrence | undefined {
 		const known = active.get(index)
 		if (known || index >= occurrences || endedOccurrences.has(index)) return known
-		const queue = deps.queueOf(record.queue)
+		const queue = queueNow()
 		if (!queue) return undefined
 		const occurrence = startOccurrence(record, index, dueAtMonotonic(index), queue, {
 			clock,
@@ -167,7 +182,7 @@
 	/** Finds the occurrence of a task, whose name is ID.OCCURRENCE.STEP.INDEX. */
 	const occurrenceOfTask = (task: string) => occurrenceOf(Number(shortName(task).split(".")[0]))
 
-	/** Records an end while the configuration lacks the queue, so that the task does not run again once it is back. */
+	/** Records an end while the queue's settings are not known, so that the task does not run again once they are. */
 	function recordWithoutQueue(task: string, run: number, end: TaskEnd): EndRecorded {
 		const name = shortName(task)
 		const [index = NaN, at = NaN] = name.split(".").map(Number)
@@ -195,6 +210,7 @@
 	markEndedOccurrences()
 	return {
 		record: () => record,
+		queue: queueNow,
 		state: () => (hasStarted ? "running" : "pending"),
 		begin() {
 			if (hasBegun) return
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -2,6 +2,7 @@
  * Kept jobs: durable jobs that are accepted once their record is in the store, and run until they
  * end or are cancelled, also when instances fail.
  */
+import type {Queue} from "./fleet-config.js"
 import type {Step} from "./job.js"
 
 /** A kept job as submitted. */
@@ -32,6 +33,8 @@
 	readonly runBase: number
 	/** Milliseconds since 1970. */
 	readonly acceptedAtMs: number
+	/** The queue's settings when the job was accepted, for a configuration that lacks the queue; absent in older records. */
+	readonly settings?: Queue
 	/** Completed tasks, as TIME.STEP.INDEX with the index of the occurrence first. */
 	readonly done: readonly string[]
 	/** Number of failed attempts, by task. */
--- a/packages/jobs/test/ends-without-queue.test.ts
+++ b/packages/jobs/test/ends-without-queue.test.ts
@@ -3,8 +3,9 @@
  * give up what executors have of them.
  */
 import type {Queue} from "@cottonwood/jobs"
+import {openJobKey, type JobRecord} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
-import {accept, createKeeperWorld, job, task} from "./support/keeper-world.js"
+import {accept, createKeeperWorld, ID, job, task} from "./support/keeper-world.js"
 import {step} from "./support/records.js"
 import {QUEUE} from "./support/requests.js"
 
@@ -27,7 +28,11 @@
 	first.close()
 	world.fake.isAway = false
 	const runsOf = (at: number) => world.startsOf(task(at)).map(({run}) => run)
-	return {...world, runsOf}
+	/** Makes the record one of a program that did not keep the queue's settings in it. */
+	function dropSettings() {
+		world.fake.write(openJobKey(ID), {...(world.open() as JobRecord), settings: undefined})
+	}
+	return {...world, runsOf, dropSettings}
 }
 
 describe("kept jobs whose queue is not known yet", () => {
@@ -51,6 +56,7 @@
 	// The ends of tasks whose queue was dropped were forgotten; once it was back, the tasks ran again.
 	it("have their ends recorded while the configuration lacks their queue", async () => {
 		const world = await createWorld()
+		world.dropSettings()
 		const known: {queue?: Queue} = {}
 		world.beginPlacing({queueOf: () => known.queue}, 0, ONE_EXECUTOR)
 		await world.clock.advance(UNKNOWN_MS)
@@ -64,6 +70,7 @@
 	// Of a gang only the member that was listed counted as done.
 	it("have the end of a gang recorded for all its members", async () => {
 		const world = await createWorld(2, {isGang: true})
+		world.dropSettings()
 		world.beginPlacing({queueOf: () => undefined}, 0, ONE_EXECUTOR)
 		await world.clock.advance(UNKNOWN_MS)
 		expect(world.open()?.done).to.eql(["0.0.0", "0.0.1"])
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -284,8 +284,9 @@
 		await clock.advance(20)
 		void submitted.get("0.0.2")?.end({type: "lost", executor: "e1", cause: "test", crash: "alone"})
 		await clock.advance(30)
-		// Older programs pass the runs of failed attempts on unread.
-		const written = {...parseSample(text.OPEN_JOB), failedRuns: {"0.0.1": [1]}}
+		// Older programs pass these two on unread.
+		const added = {failedRuns: {"0.0.1": [1]}, settings: QUEUE}
+		const written = {...parseSample(text.OPEN_JOB), ...added}
 		expect(value(`job/open/${ID}`)).to.eql(written)
 		void keeper.cancel(ID)
 		await clock.advance(80)
