Hold up no other record when the store does not take one

A record longer than the store's longest value, as a job with times has after some 95,000 tasks, was answered by an error of the caller's kind, which counted as an unknown outcome: it was sent for ever, and the other records of its transactions with it.

Such an answer now means rejected: nothing was written, and nothing will be. The ledger tries the records of a rejected transaction one by one; one that is rejected alone waits for its next change, logged as record_rejected, and the job's end replaces it whatever its length. A new job whose record is not taken is refused.

Related paths: writes of single keys (members, claims, speeds, marks) are short, and their outcome is read again anyway; a move whose record is rejected stays stopped (suspected only: it adds some bytes to a record that had room).

--- a/packages/core/src/types/store.ts
+++ b/packages/core/src/types/store.ts
@@ -81,8 +81,10 @@
 	| {readonly type: "done"; readonly revision: number}
 	/** Nothing was written; `current` holds those of the expected keys that exist. */
 	| {readonly type: "conflict"; readonly current: readonly StoreItem[]}
-	/** The store refused the write and wrote nothing. */
+	/** The store refused the write for now and wrote nothing. */
 	| {readonly type: "refused"}
+	/** The store never takes this write, as for a value that is too large, and wrote nothing. */
+	| {readonly type: "rejected"}
 	/** The write may have been done, or may be done seconds later if its conditions still hold. */
 	| {readonly type: "unknown"}
 
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -47,6 +47,11 @@
 	cause: "the store takes no writes",
 })
 
+const REFUSED_BY_STORE: AcceptReply = Object.freeze({
+	type: "refused",
+	cause: "the store does not take its record",
+})
+
 export interface KeeperDeps extends Omit<JobMovesDeps, "jobs" | "ledger" | "isClosed"> {
 	readonly wall: WallClock
 	readonly store: TransactionalStore
@@ -203,6 +208,7 @@
 	function handleCreated(record: JobRecord, written: string): AcceptReply {
 		if (written === "exists") return {type: "accepted"}
 		if (written === "withdrawn") return REFUSED_UNWRITTEN
+		if (written === "rejected") return REFUSED_BY_STORE
 		if (written !== "written") return {type: "unknown", cause: `its record: ${written}`}
 		metrics.count("jobs_accepted")
 		const job = jobs.get(record.id) ?? addJob(record)
--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -5,6 +5,9 @@
  * that was replaced writes nothing, and a delayed transaction has no effect after its retry.
  * Transactions without an answer are retried until their outcome is known; a record names its
  * writer, which identifies own writes.
+ *
+ * A write that the store never takes is tried again record by record, so that it holds up no other record. A record that it
+ * does not take waits for its next change; the job's end replaces it.
  */
 import type {Clock, StoreItem, Transaction, TransactionalStore} from "@cottonwood/core"
 import {
@@ -37,7 +40,14 @@
 }
 
 /** The result of a write. */
-export type WriteOutcome = "written" | "exists" | "withdrawn" | "ended elsewhere" | "deposed"
+export type WriteOutcome =
+	| "written"
+	| "exists"
+	| "withdrawn"
+	| "ended elsewhere"
+	| "deposed"
+	/** The store does not take the record of a new job. */
+	| "rejected"
 
 export interface LedgerDeps {
 	readonly clock: Clock
@@ -96,6 +106,10 @@
 	isOutcomeUnknown: boolean
 	/** A missing record may then be the effect of an own write. */
 	isEndSent: boolean
+	/** A transaction with this record was rejected, maybe because of it. */
+	goesAlone: boolean
+	/** The change that the store does not take. */
+	rejectedVersion: number | undefined
 	readonly waiters: Waiter[]
 }
 
@@ -111,20 +125,7 @@
 	let isClosed = false
 
 	function addEntry(record: JobRecord, revision: number): Entry {
-		const entry: Entry = {
-			id: record.id,
-			writerId: `${deps.writer}#${++serial}`,
-			record,
-			end: undefined,
-			isReleased: false,
-			revision,
-			version: 0,
-			written: 0,
-			isInFlight: false,
-			isOutcomeUnknown: false,
-			isEndSent: false,
-			waiters: [],
-		}
+		const entry = createEntry(record, revision, `${deps.writer}#${++serial}`)
 		entries.set(record.id, entry)
 		return entry
 	}
@@ -147,13 +148,12 @@
 
 	function flush() {
 		if (isClosed || inFlight >= MAX_IN_FLIGHT) return
-		const due = [...entries.values()].filter(
-			entry => !entry.isInFlight && entry.written < entry.version,
-		)
+		const due = [...entries.values()].filter(isDue)
 		if (due.length === 0) return
 		nextAt = clock.now() + Math.max(retryDelayMs, deps.spacingMs())
-		void send(due.slice(0, MAX_JOBS_PER_TRANSACTION))
-		if (due.length > MAX_JOBS_PER_TRANSACTION) scheduleFlush()
+		const batch = firstBatch(due)
+		void send(batch)
+		if (due.length > batch.length) scheduleFlush()
 	}
 
 	async function send(batch: readonly Entry[]) {
@@ -175,6 +175,7 @@
 			retryDelayMs = 0
 			batch.forEach((entry, at) => handleDone(entry, versions[at] as number, result.revision))
 		} else if (result.type === "conflict") handleConflict(batch, result.current)
+		else if (result.type === "rejected") handleRejected(batch, versions)
 		else handleFailure(result.type, batch.length)
 		scheduleFlush()
 	}
@@ -184,8 +185,18 @@
 		log.event("store", "ledger_write_failed", "store: retrying a failed write.", {outcome, count})
 	}
 
+	function handleRejected(batch: readonly Entry[], versions: readonly number[]) {
+		if (batch.length > 1) return batch.forEach(entry => void (entry.goesAlone = true))
+		const [entry] = batch as [Entry]
+		entry.rejectedVersion = versions[0]
+		const fields = {job: entry.id, count: entry.record.done.length}
+		log.alarm("store", "record_rejected", "store: does not take a job's record.", fields)
+		if (entry.revision === 0 && !entry.isOutcomeUnknown) drop(entry, "rejected")
+	}
+
 	function handleDone(entry: Entry, version: number, revision: number) {
 		const hasEnded = entry.isEndSent
+		entry.goesAlone = false
 		entry.revision = revision
 		entry.written = version
 		resolveWaiters(entry, entry.written, "written")
@@ -282,6 +293,37 @@
 	}
 }
 
+function createEntry(record: JobRecord, revision: number, writerId: string): Entry {
+	return {
+		id: record.id,
+		writerId,
+		record,
+		end: undefined,
+		isReleased: false,
+		revision,
+		version: 0,
+		written: 0,
+		isInFlight: false,
+		isOutcomeUnknown: false,
+		isEndSent: false,
+		goesAlone: false,
+		rejectedVersion: undefined,
+		waiters: [],
+	}
+}
+
+/** Whether an entry has a change that can be written now; an end replaces a record that the store does not take. */
+function isDue({isInFlight, written, version, rejectedVersion, end}: Entry): boolean {
+	return !isInFlight && written < version && (rejectedVersion !== version || end !== undefined)
+}
+
+/** The records of the next transaction, in order; one that may be rejected goes alone. */
+function firstBatch(due: readonly Entry[]): readonly Entry[] {
+	const [first] = due
+	if (first?.goesAlone) return [first]
+	return due.filter(({goesAlone}) => !goesAlone).slice(0, MAX_JOBS_PER_TRANSACTION)
+}
+
 /** A creation writes only the record; a requested end follows in the next transaction. */
 function sentVersion({revision, end, version}: Entry): number {
 	return revision === 0 && end ? version - 1 : version
--- a/packages/jobs/test/ledger.test.ts
+++ b/packages/jobs/test/ledger.test.ts
@@ -154,4 +154,52 @@
 		await clock.advance(400)
 		expect(fake.items.has(openJobKey("a"))).to.equal(true)
 	})
+
+	// A record that had grown too large was sent for ever, and the others of its transactions with it.
+	it("writes the other records when the store does not take one", async () => {
+		const {clock, fake, ledger, stored} = createWorld()
+		for (const id of ["a", "b", "c"]) void ledger.create(jobRecord(id))
+		await clock.advance(50)
+		fake.maxValueBytes = 1_000
+		const done = Array.from({length: 200}, (_, at) => `0.0.${at}`)
+		const outcomes: string[] = []
+		const update = (id: string, extra: Partial<JobRecord>) =>
+			void ledger.update(jobRecord(id, extra)).then(written => outcomes.push(`${id} ${written}`))
+		update("a", {done: ["0.0.0"]})
+		update("b", {done})
+		update("c", {done: ["0.0.0"]})
+		await clock.advance(200)
+		expect(outcomes).to.eql(["a written", "c written"])
+		const {length} = fake.transactions
+		await clock.advance(5_000)
+		expect(fake.transactions.length, "it is not sent again").to.equal(length)
+		update("b", {done: ["0.0.0"]})
+		await clock.advance(200)
+		expect(outcomes.slice(2)).to.eql(["b written", "b written"])
+		expect(stored("b")?.done).to.eql(["0.0.0"])
+	})
+
+	it("replaces a record that the store does not take by its end", async () => {
+		const {clock, fake, ledger} = createWorld()
+		void ledger.create(jobRecord("a"))
+		await clock.advance(50)
+		fake.maxValueBytes = 500
+		void ledger.update(jobRecord("a", {spec: "x".repeat(1_000)}))
+		await clock.advance(100)
+		const finished = ledger.finish("a", "completed", 5)
+		await clock.advance(100)
+		expect(await finished).to.equal("written")
+		expect(fake.items.has(endedJobKey("a"))).to.equal(true)
+	})
+
+	it("rejects a new job whose record the store does not take", async () => {
+		const {clock, fake, ledger} = createWorld()
+		fake.maxValueBytes = 1_000
+		const writes = [
+			ledger.create(jobRecord("a", {spec: "x".repeat(2_000)})),
+			ledger.create(jobRecord("b")),
+		]
+		await clock.advance(200)
+		expect(await Promise.all(writes)).to.eql(["rejected", "written"])
+	})
 })
--- a/packages/jobs/test/support/fake-store.ts
+++ b/packages/jobs/test/support/fake-store.ts
@@ -19,6 +19,8 @@
 	lists: number
 	transactions: Transaction[]
 	faults: TransactionFault[]
+	/** The longest value that transactions may write, as JSON. */
+	maxValueBytes: number
 	readonly items: Map<string, StoreItem>
 	watch: Store["watch"] | undefined
 	write(key: string, value: unknown): StoreItem
@@ -36,6 +38,7 @@
 		lists: 0,
 		transactions: [],
 		faults: [],
+		maxValueBytes: Infinity,
 		items,
 		watch: undefined,
 		write(key, value) {
@@ -58,6 +61,9 @@
 		fake.transactions.push(transaction)
 		const fault = fake.isAway ? "refused" : fake.faults.shift()
 		if (fault === "refused") return {type: "refused"}
+		const isTooLarge = ({value}: {value: unknown}) =>
+			JSON.stringify(value).length > fake.maxValueBytes
+		if (transaction.puts.some(isTooLarge)) return {type: "rejected"}
 		if (fault === "lost") return {type: "unknown"}
 		const result = fake.carryOut(transaction)
 		return fault ? {type: "unknown"} : result
