Keep the records of jobs with many times short

The record of a kept job listed each task that was done, of all its times, until it passed the longest value of the store (some 95,000 tasks).

Once more than 5,000 tasks are listed, a record names the times that are over by their numbers and keeps only the tasks, failures and crashes of the others. Shorter records stay as they were, which programs without this read too; a longer one needs this program, as the tasks of its ended times would run again under an older one.

Related paths: the state and the count of pending jobs from the store (a record may list no task and have ended times); a successor compared each task with each listed one (a set now).

--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -112,7 +112,8 @@
 	deps: JobOccurrenceDeps,
 ): JobOccurrence {
 	const {clock, log, metrics} = deps
-	const tasks = record.steps.map((_, at) => createTasks(record, occurrence, at, deps.runBase))
+	const done = new Set(record.done)
+	const tasks = record.steps.map((_, at) => createTasks(record, occurrence, at, deps.runBase, done))
 	const byName = new Map(tasks.flat().map(task => [task.name, task]))
 	const begunSteps = new Set<number>()
 	const slackMs = queue.stretch * criticalPathMs(record.steps) + queue.slackMs
@@ -325,6 +326,7 @@
 	occurrence: number,
 	step: number,
 	runBase: number,
+	done: ReadonlySet<string>,
 ): TaskState[] {
 	const {count, isGang} = record.steps[step] as Step
 	const shared: string[] = []
@@ -341,7 +343,7 @@
 			avoid: isGang ? shared : [],
 			handle: undefined,
 			isStarted: false,
-			isDone: record.done.includes(shortName(name)),
+			isDone: done.has(shortName(name)),
 		}
 	})
 }
--- a/packages/jobs/src/keep/kept-job-router.ts
+++ b/packages/jobs/src/keep/kept-job-router.ts
@@ -21,6 +21,7 @@
 import type {EventLog} from "../utils/log.js"
 import type {AcceptReply, Keeper} from "./keeper.js"
 import {createPendingCount} from "./pending-count.js"
+import {hasProgress} from "./record-size.js"
 
 /** A placer waits up to 900 ms for the store before it answers an acceptance or a cancellation. */
 const WRITE_TIMEOUT_MS = 1_100
@@ -133,7 +134,7 @@
 		const message = {type: "state", id: record.id, failureDomain: record.home} as const
 		const reply = claim && (await ask(claim, message, ASK_TIMEOUT_MS))
 		if (reply?.type === "state" && reply.state) return reply.state
-		return record.done.length > 0 ? "running" : "pending"
+		return hasProgress(record) ? "running" : "pending"
 	}
 
 	async function cancel(id: string) {
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -13,6 +13,7 @@
 import type {WallClock} from "../utils/wall-clock.js"
 import {shortName, startOccurrence, type JobOccurrence} from "./job-occurrence.js"
 import type {WriteOutcome} from "./ledger.js"
+import {endedTimesOf, hasProgress, isLongRecord, shortenRecord} from "./record-size.js"
 
 /** Maximum delay between checks of a scheduled time, since the time of day may be corrected. */
 const MAX_DUE_CHECK_MS = 1_000
@@ -57,12 +58,12 @@
 	const {clock, wall, log, metrics} = deps
 	const occurrences = first.schedule?.times ?? 1
 	const active = new Map<number, JobOccurrence>()
-	const endedOccurrences = new Set<number>()
+	const endedOccurrences = new Set(endedTimesOf(first))
 	/** Writes of failed attempts that are under way, by task and run. */
 	const failureWrites = new Map<string, Promise<void>>()
 	let record = first
 	let hasBegun = false
-	let hasStarted = first.done.length > 0
+	let hasStarted = hasProgress(first)
 	let hasStartedHere = false
 	let idleSince: number | undefined
 	let isOver = false
@@ -137,6 +138,8 @@
 	function handleOccurrenceEnd(index: number, state: "completed" | "failed", cause: string) {
 		active.delete(index)
 		endedOccurrences.add(index)
+		// Written with the next change.
+		if (isLongRecord(record)) record = shortenRecord(record, endedOccurrences)
 		if (state === "failed") return finish(state, cause)
 		if (endedOccurrences.size === occurrences) finish("completed", cause)
 	}
--- a/packages/jobs/src/keep/pending-count.ts
+++ b/packages/jobs/src/keep/pending-count.ts
@@ -7,6 +7,7 @@
 import type {Clock, Store} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
 import {OPEN_JOBS_PREFIX, type JobRecord} from "../types/kept-job.js"
+import {hasProgress} from "./record-size.js"
 
 /** Callers accept counts of this age. */
 const COUNT_VALID_MS = 2_000
@@ -46,7 +47,7 @@
 	async function countStored(homes: readonly string[], queue: string) {
 		const listing = await store.list(OPEN_JOBS_PREFIX)
 		if (!listing) return undefined
-		const records = listing.items.map(({value}) => value as Partial<JobRecord>)
+		const records = listing.items.map(({value}) => value as JobRecord)
 		let sum = 0
 		for (const home of homes) {
 			const pending = records.filter(record => isPending(record, home, queue))
@@ -70,5 +71,5 @@
 	}
 }
 
-const isPending = (record: Partial<JobRecord>, home: string, queue: string) =>
-	record.home === home && record.queue === queue && record.done?.length === 0
+const isPending = (record: JobRecord, home: string, queue: string) =>
+	record.home === home && record.queue === queue && !hasProgress(record)
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -37,6 +37,11 @@
 	readonly settings?: Queue
 	/** Completed tasks, as TIME.STEP.INDEX with the index of the occurrence first. */
 	readonly done: readonly string[]
+	/**
+	 * The first and last numbers of consecutive occurrences that are over, whose tasks are not listed elsewhere; absent in short
+	 * and older records.
+	 */
+	readonly endedTimes?: readonly (readonly [number, number])[]
 	/** Number of failed attempts, by task. */
 	readonly failures: Readonly<Record<string, number>>
 	/** Numbers of the runs that are counted in `failures`, by task; absent in older records. */
--- a/packages/jobs/test/pending-count.test.ts
+++ b/packages/jobs/test/pending-count.test.ts
@@ -52,7 +52,7 @@
 		write("03", {home: "a"})
 		write("04", {queue: "others"})
 		write("05", {done: ["0.0.0"]})
-		write("06", {done: undefined as never})
+		write("06", {endedTimes: [[0, 7]]})
 		expect(await pendingOf("orders")).to.equal(5)
 	})
 
