--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -77,6 +77,7 @@
 const MAX_LEASE_MS = 1_000
 /** How many ends are listed at once, oldest first. */
 const MAX_LISTED_ENDS = 500
+const MAX_WAIT_MS = 2_000
 const STOP_MS = 5
 const LEASE_CHECK_MS = 2
 /** Leaves time for the answer to the start. */
@@ -284,9 +285,11 @@
 	}
 
 	private async answerHold(order: Order, res: ServerResponse) {
+		const waitMs = order["wait-ms"] ?? 0
+		if (!Number.isInteger(waitMs) || waitMs > MAX_WAIT_MS) return this.answer(res, 400, {})
 		const [status, refusal] = this.execute("/hold", order)
 		if (status !== 200) return this.answer(res, status, refusal)
-		if (this.finished.length === 0) await this.nextEnd(order["wait-ms"] ?? 0)
+		if (this.finished.length === 0) await this.nextEnd(waitMs)
 		if (this.hasCrashed) return void res.destroy()
 		if (this.faults.mute || this.faults.loseAnswers) return
 		const finished = this.finished.slice(0, MAX_LISTED_ENDS)
--- a/packages/standins/src/leased/wire-store.ts
+++ b/packages/standins/src/leased/wire-store.ts
@@ -40,8 +40,39 @@
 }
 
 const MAX_PAGE_ITEMS = 500
+const MAX_PAGE_BYTES = 1_000_000
 const EXPIRY_CHECK_MS = 50
 const MAX_TXN_ENTRIES = 32
+const MAX_KEY_BYTES = 200
+const MAX_VALUE_BYTES = 1_048_576
+const MAX_WATCH_MS = 30_000
+const MIN_TTL_MS = 1_000
+const MAX_TTL_MS = 600_000
+/** Keys that only the operator and the executors write. */
+const FOREIGN_PREFIXES = ["op/", "servers/"]
+
+const isWhole = (value: number, min: number, max: number) =>
+	Number.isInteger(value) && value >= min && value <= max
+
+/** The status by which the service refuses keys and values of a write; undefined if it takes them. */
+function refusalOf({puts = [], remove = []}: TxnBody): number | undefined {
+	const keys = [...puts.map(({key}) => key), ...remove]
+	if (keys.some(key => FOREIGN_PREFIXES.some(prefix => key.startsWith(prefix)))) return 403
+	const isTooLong = puts.some(
+		({key, value}) =>
+			Buffer.byteLength(key) > MAX_KEY_BYTES ||
+			Buffer.byteLength(value, "base64") > MAX_VALUE_BYTES,
+	)
+	return isTooLong ? 400 : undefined
+}
+
+/** The longest beginning of sorted items that one page holds; at least one item. */
+function pageOf(items: readonly Item[]): readonly Item[] {
+	let bytes = 0
+	const isWithin = ({key, value}: Item) => (bytes += key.length + value.length) <= MAX_PAGE_BYTES
+	const end = items.slice(0, MAX_PAGE_ITEMS).findIndex((item, at) => !isWithin(item) && at > 0)
+	return items.slice(0, end === -1 ? MAX_PAGE_ITEMS : end)
+}
 
 export class WireStore {
 	readonly faults: StoreFaults = {}
@@ -134,7 +165,7 @@
 		const found = [...this.items.values()]
 			.filter(({key}) => key.startsWith(prefix) && key > after)
 			.sort((a, b) => (a.key < b.key ? -1 : 1))
-		const items = found.slice(0, MAX_PAGE_ITEMS)
+		const items = pageOf(found)
 		this.answer(res, 200, {
 			items,
 			"has-more": found.length > items.length,
@@ -145,7 +176,9 @@
 	private async answerWatch(res: ServerResponse, query: URLSearchParams) {
 		const prefix = query.get("path-prefix") ?? ""
 		const after = Number(query.get("after-rev"))
-		const until = performance.now() + Number(query.get("wait-ms"))
+		const waitMs = Number(query.get("wait-ms"))
+		if (!isWhole(waitMs, 0, MAX_WATCH_MS)) return this.answer(res, 400, {error: "wait-ms"})
+		const until = performance.now() + waitMs
 		for (;;) {
 			if (after < this.compactedRevision) return this.answer(res, 410, {})
 			const seen = this.changes.filter(({rev, key}) => rev > after && key.startsWith(prefix))
@@ -165,6 +198,8 @@
 		const removed = body.remove ?? []
 		if (conditions.length + puts.length + removed.length > MAX_TXN_ENTRIES)
 			return this.answer(res, 400, {error: "more than 32 entries"})
+		const refusal = refusalOf(body)
+		if (refusal !== undefined) return this.answer(res, refusal, {error: "key or value"})
 		const isMet = conditions.every(({key, rev}) => (this.items.get(key)?.rev ?? 0) === rev)
 		if (!isMet) {
 			const items = conditions.map(({key}) => this.items.get(key)).filter(Boolean)
@@ -185,6 +220,7 @@
 	}
 
 	private answerLease(res: ServerResponse, ttlMs: number) {
+		if (!isWhole(ttlMs, MIN_TTL_MS, MAX_TTL_MS)) return this.answer(res, 400, {error: "ttl-ms"})
 		const lease = ++this.leaseSerial
 		this.leases.set(lease, {ttlMs, expiresAt: performance.now() + ttlMs})
 		this.answer(res, 200, {lease, "ttl-ms": ttlMs})
