Pass over entries of other writers among the stored jobs

An entry under job/open/ or job/end/ that is no record of ours (null, another type, fields missing) made the placer's reading of its jobs fail, so that its takeover never ended, and the deletion of ended jobs, which then never went on.

Such entries are passed over: they are nobody's job, and are left where they are.

--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -16,6 +16,7 @@
 import type {Queue} from "../types/fleet-config.js"
 import {
 	OPEN_JOBS_PREFIX,
+	isJobRecord,
 	openJobKey,
 	type EndedState,
 	type JobRecord,
@@ -138,8 +139,8 @@
 	}
 
 	/** Adds a record from a read that began at `sentAt`, unless the job has left since then. */
-	function loadRecord({value, revision}: StoreItem, sentAt: number) {
-		const record = value as JobRecord
+	function loadRecord({value: record, revision}: StoreItem, sentAt: number) {
+		if (!isJobRecord(record)) return
 		if (record.home !== home || isClosed || jobs.hasLeftSince(record.id, sentAt)) return
 		const known = jobs.get(record.id)
 		if (known) {
--- a/packages/jobs/src/keep/kept-job-router.ts
+++ b/packages/jobs/src/keep/kept-job-router.ts
@@ -12,6 +12,8 @@
 import type {Step} from "../types/job.js"
 import {
 	endedJobKey,
+	isEndRecord,
+	isJobRecord,
 	openJobKey,
 	type EndRecord,
 	type JobRecord,
@@ -107,12 +109,14 @@
 	 */
 	async function recordOf(id: string): Promise<JobRecord | null | undefined> {
 		const item = await store.get(openJobKey(id))
-		return item ? (item.value as JobRecord) : item
+		if (!item) return item
+		return isJobRecord(item.value) ? item.value : null
 	}
 
 	async function endOf(id: string): Promise<EndRecord | null | undefined> {
 		const item = await store.get(endedJobKey(id))
-		return item ? (item.value as EndRecord) : item
+		if (!item) return item
+		return isEndRecord(item.value) ? item.value : null
 	}
 
 	/** Reads the end after the record, since one transaction replaces the record by the end. */
--- a/packages/jobs/src/keep/pending-count.ts
+++ b/packages/jobs/src/keep/pending-count.ts
@@ -6,7 +6,7 @@
  */
 import type {Clock, Store} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
-import {OPEN_JOBS_PREFIX, type JobRecord} from "../types/kept-job.js"
+import {isJobRecord, OPEN_JOBS_PREFIX, type JobRecord} from "../types/kept-job.js"
 import {hasProgress} from "./record-size.js"
 
 /** Callers accept counts of this age. */
@@ -47,7 +47,7 @@
 	async function countStored(homes: readonly string[], queue: string) {
 		const listing = await store.list(OPEN_JOBS_PREFIX)
 		if (!listing) return undefined
-		const records = listing.items.map(({value}) => value as JobRecord)
+		const records = listing.items.map(({value}) => value).filter(isJobRecord)
 		let sum = 0
 		for (const home of homes) {
 			const pending = records.filter(record => isPending(record, home, queue))
--- a/packages/jobs/src/keep/sweeper.ts
+++ b/packages/jobs/src/keep/sweeper.ts
@@ -2,7 +2,7 @@
  * Deletes the ends of kept jobs after their retention time; one instance of the fleet does it.
  */
 import type {Clock, StoreItem, TransactionalStore} from "@cottonwood/core"
-import {ENDED_JOBS_PREFIX, type EndRecord} from "../types/kept-job.js"
+import {ENDED_JOBS_PREFIX, isEndRecord} from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {WallClock} from "../utils/wall-clock.js"
 
@@ -29,7 +29,7 @@
 	let isClosed = false
 
 	const isExpired = ({value}: StoreItem) =>
-		wall.now() - (value as EndRecord).endedAtMs > retentionMs + CLOCK_MARGIN_MS
+		isEndRecord(value) && wall.now() - value.endedAtMs > retentionMs + CLOCK_MARGIN_MS
 
 	async function sweep() {
 		const listing = await store.list(ENDED_JOBS_PREFIX)
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -55,6 +55,19 @@
 	readonly writer: string
 }
 
+/** Whether a stored value is a job's record; other writers may leave anything under its key. */
+export function isJobRecord(value: unknown): value is JobRecord {
+	const {id, home, queue, steps, done} = (value ?? {}) as Partial<JobRecord>
+	const areNames = [id, home, queue].every(name => typeof name === "string")
+	return areNames && Array.isArray(steps) && Array.isArray(done)
+}
+
+/** Whether a stored value is the end of a job. */
+export function isEndRecord(value: unknown): value is EndRecord {
+	const {state, endedAtMs} = (value ?? {}) as Partial<EndRecord>
+	return typeof state === "string" && Number.isFinite(endedAtMs)
+}
+
 export type EndedState = "completed" | "failed" | "cancelled"
 export type JobState = "pending" | "running" | EndedState
 
--- a/packages/jobs/test/pending-count.test.ts
+++ b/packages/jobs/test/pending-count.test.ts
@@ -28,7 +28,7 @@
 		askPlacer: async ({failureDomain}) => answers.get(failureDomain),
 	})
 	function write(id: string, extra: Partial<JobRecord>) {
-		fake.write(openJobKey(id), {id, queue: "orders", home: "b", done: [], ...extra})
+		fake.write(openJobKey(id), {id, queue: "orders", home: "b", steps: [], done: [], ...extra})
 	}
 	return {clock, fake, answers, pendingOf, write}
 }
@@ -43,7 +43,7 @@
 	})
 
 	it("has the jobs in the store of a placer that has not answered for long", async () => {
-		const {clock, answers, pendingOf, write} = createWorld()
+		const {clock, answers, fake, pendingOf, write} = createWorld()
 		await pendingOf("orders")
 		answers.set("b", undefined)
 		await clock.advance(COUNT_VALID_MS)
@@ -53,6 +53,8 @@
 		write("04", {queue: "others"})
 		write("05", {done: ["0.0.0"]})
 		write("06", {endedTimes: [[0, 7]]})
+		for (const value of [null, "text", 7, [], {home: "b", queue: "orders"}])
+			fake.write(openJobKey(`other ${String(value)}`), value)
 		expect(await pendingOf("orders")).to.equal(5)
 	})
 
