Start tasks again during a takeover whose run was found

After a takeover no task of the domain's kept jobs started until each listed executor had answered, so that one silent executor held up all others for as long.

A task whose run was found at an executor that obeys the new fence has none elsewhere, and is started again at once when that run ends.

Tests: silent-at-takeover.test.ts (three; the first failed before, two guard what must wait).

--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -97,6 +97,8 @@
 	readonly avoid: string[]
 	handle: TaskHandle | undefined
 	isStarted: boolean
+	/** Whether a run of the previous placer was taken over, so that none can be at an executor that has not answered yet. */
+	isAdopted: boolean
 	isDone: boolean
 }
 
@@ -124,8 +126,11 @@
 	const requestOf = (task: TaskState) =>
 		createRequest(task, record, queue, dueAt + slackOf(stepOf(task)))
 
+	/** Before the takeover is complete, members of a gang may still run where one of them does not. */
+	const mayStart = (task: TaskState) => hasBegun || (task.isAdopted && !stepOf(task).isGang)
+
 	function submitTask(task: TaskState) {
-		if (!hasBegun || isOver || task.isDone || task.handle) return
+		if (!mayStart(task) || isOver || task.isDone || task.handle) return
 		task.handle = deps.submit(
 			requestOf(task),
 			end => handleEnd(task, end),
@@ -267,6 +272,7 @@
 			alignGang(task.step, task.run)
 			const adopted = {...requestOf(task), run}
 			const from = {executor, isStarted: true}
+			task.isAdopted = true
 			task.handle = deps.adopt(adopted, from, end => handleEnd(task, end))
 			handleStart(task)
 			return true
@@ -343,6 +349,7 @@
 			avoid: isGang ? shared : [],
 			handle: undefined,
 			isStarted: false,
+			isAdopted: false,
 			isDone: done.has(shortName(name)),
 		}
 	})
