--- a/packages/standins/test/kept.test.ts
+++ b/packages/standins/test/kept.test.ts
@@ -8,6 +8,8 @@
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 const KEPT = {"best-effort": false}
+/** Of the queue that the stand-in configures. */
+const MAX_ATTEMPTS = 2
 
 let serial = 0
 const newId = () => (++serial + 0xdef000).toString(16).padStart(16, "0")
@@ -132,4 +134,25 @@
 		await sleep(1_500)
 		expect(platform.startsOf(`${id}.0.0.0`)).to.equal(0)
 	})
+
+	// A placer that was killed right after its write of a failed attempt left the end at its executor, and the next placer counted it again.
+	it("counts a failed attempt once when its placer is killed right after the write", async () => {
+		const id = newId()
+		const killed: string[] = []
+		const {onWrite} = platform.store
+		platform.store.onWrite = (key, value) => {
+			onWrite(key, value)
+			const failures = (value as {failures?: Record<string, number>} | undefined)?.failures
+			if (key !== `job/open/${id}` || !failures?.["0.0.0"] || killed.length > 0) return
+			const placer = placerOf((value as {home: string}).home)
+			killed.push(placer)
+			edgeOf(placer).child.kill("SIGKILL")
+		}
+		await accept(edgeOf("a-1"), id, {spec: {workMs: 100, fails: true}})
+		await sleep(500)
+		expect(killed).to.have.length(1)
+		await untilState(edgeOf(killed.includes("b-1") ? "a-1" : "b-1"), id, "failed")
+		expect(platform.startsOf(`${id}.0.0.0`)).to.equal(MAX_ATTEMPTS)
+		expect(platform.violations).to.eql([])
+	})
 })
