Keep lasting suspects apart for a while only, and look at waiting tasks with time

The placer now looks at waiting tasks, parked ones too, every 250 ms; that replaces the look for due probes.

Suspected and left: a task that must run alone where each executor has a lasting task never starts.

--- a/packages/core/src/core/health.ts
+++ b/packages/core/src/core/health.ts
@@ -51,8 +51,6 @@
 	endProbe(target: string): void
 	forget(target: string): void
 	asideCount(): number
-	/** Whether any target that is set aside may take a probe now. */
-	isProbeDue(): boolean
 }
 
 export function createHealth(deps: HealthDeps): Health {
@@ -166,10 +164,5 @@
 		},
 		forget: target => void records.delete(target),
 		asideCount,
-		isProbeDue() {
-			for (const record of records.values())
-				if (record.asideSince !== undefined && mayBeProbed(record)) return true
-			return false
-		},
 	}
 }
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -113,7 +113,7 @@
 		hasRoom: req => hasRoom(link, req),
 		countFittingBesideLasting: req => countFittingBesideLasting(link, req),
 		isKeptOffByLasting: req => isKeptOffByLasting(link, req),
-		isCompatible: req => isCompatible(link, req),
+		isCompatible: req => isCompatible(link, req, () => deps.clock.now()),
 		isShared: req => isShared(link, req),
 		isConfirmed: req => isConfirmed(link, req),
 		reserve: req => occupy(link, req, 1),
--- a/packages/jobs/src/link/room.ts
+++ b/packages/jobs/src/link/room.ts
@@ -5,6 +5,9 @@
 import type {Run, TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
 
+/** How long a lasting task that may crash its executor keeps others away: it would have done so by then. */
+const ISOLATION_MS = 3_000
+
 /** The part of a link's state that determines its free capacity. */
 export interface LinkRoom {
 	readonly record: ExecutorRecord
@@ -25,9 +28,11 @@
 	)
 }
 
-/** Whether a run there must have the executor to itself, since it may crash it. */
-function hasIsolatedRun({runs}: LinkRoom): boolean {
-	for (const {req} of runs.values()) if (req.isolation === "required") return true
+/** Whether a run there must have the executor to itself, since it may crash it; a lasting one only while it is young. */
+function hasIsolatedRun({runs}: LinkRoom, now: () => number): boolean {
+	for (const {req, startedAt} of runs.values())
+		if (req.isolation === "required" && !(req.isLasting && now() - startedAt >= ISOLATION_MS))
+			return true
 	return false
 }
 
@@ -48,9 +53,10 @@
 export function isCompatible(
 	link: LinkRoom,
 	{isFilling, isServing, isolation}: TaskRequest,
+	now: () => number,
 ): boolean {
 	const {runs} = link
-	if (hasIsolatedRun(link) || (isolation === "required" && runs.size > 0)) return false
+	if (hasIsolatedRun(link, now) || (isolation === "required" && runs.size > 0)) return false
 	if (!isFilling && !isServing) return true
 	for (const {req} of runs.values()) if (isDisturbing(req, {isFilling, isServing})) return false
 	return true
@@ -99,7 +105,7 @@
 	const lasting = lastingRunsOf(link)
 	if (lasting.length === 0) return false
 	if (countFittingBesideLasting(link, req) === 0 || req.isolation === "required") return true
-	return lasting.some(other => other.isolation === "required" || isDisturbing(other, req))
+	return lasting.some(other => isDisturbing(other, req))
 }
 
 /** Reserves a task's capacity (1) or frees it (-1). */
--- a/packages/jobs/src/place/executor-assessment.ts
+++ b/packages/jobs/src/place/executor-assessment.ts
@@ -31,8 +31,6 @@
 	readonly speeds: Speeds
 	/** Records the end of a run. */
 	observe(executor: string, run: Run, end: TaskEnd, proof: RunProof): void
-	/** Whether an executor that was set aside may take a probe now. */
-	isProbeDue(): boolean
 	/** Records the progress of a run. */
 	noteProgress(executor: string, run: Run): void
 	forget(executor: string): void
@@ -111,7 +109,6 @@
 			metrics.observe("run_ms", tookMs)
 			if (!isLate && !learntEarly.has(run)) speeds.observe(executor, slowness)
 		},
-		isProbeDue: () => health.isProbeDue(),
 		noteProgress,
 		forget(executor) {
 			health.forget(executor)
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -71,6 +71,8 @@
 	/** Receives all tasks once the placer has transferred everything to its successor. */
 	successor: ((item: WaitingTask, from?: RunLocation) => void) | undefined
 	isPassDue: boolean
+	/** When the last scheduling pass was made, in milliseconds on the monotonic clock. */
+	passedAt: number
 	/** Whether a waiting task lacks a recent confirmation, so that a later pass may be able to start it. */
 	awaitsConfirmation: boolean
 	isDeadlineCheckDue: boolean
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -34,6 +34,8 @@
 const STARTUP_MS = 400
 /** The interval of deadline checks. */
 const DEADLINE_CHECK_MS = 25
+/** A silent, paused or set-aside executor becomes usable with time, without an event that would start a pass. */
+const MAX_PASS_INTERVAL_MS = 250
 
 export interface Placer {
 	submit(req: TaskRequest, onEnd: OnTaskEnd, onStart: () => void): TaskHandle
@@ -113,6 +115,7 @@
 		started: new Map(),
 		successor: undefined,
 		isPassDue: false,
+		passedAt: -Infinity,
 		awaitsConfirmation: false,
 		isDeadlineCheckDue: false,
 		isClosed: false,
@@ -201,15 +204,17 @@
 	if (queue.remove(item)) item.onEnd({type: "returned", cause})
 }
 
-/** Checks deadlines while a task waits. */
+/** Checks deadlines while a task waits, and looks at the queue now and then. */
 function scheduleDeadlineCheck(state: PlacerState) {
-	if (state.isDeadlineCheckDue || state.isClosed || state.queue.size() === 0) return
+	const {queue, parked} = state
+	if (state.isDeadlineCheckDue || state.isClosed || queue.size() + parked.size() === 0) return
 	state.isDeadlineCheckDue = true
 	state.deps.clock.schedule(DEADLINE_CHECK_MS, () => {
 		state.isDeadlineCheckDue = false
 		for (const item of state.queue.expired(state.deps.clock.now()))
 			returnTask(state, item, "deadline")
-		if (state.awaitsConfirmation || state.assessment.isProbeDue()) schedulePass(state)
+		const passAgeMs = state.deps.clock.now() - state.passedAt
+		if (state.awaitsConfirmation || passAgeMs >= MAX_PASS_INTERVAL_MS) schedulePass(state)
 		scheduleDeadlineCheck(state)
 	})
 }
--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -31,6 +31,7 @@
 
 function placeAll(state: PlacerState) {
 	state.isPassDue = false
+	state.passedAt = state.deps.clock.now()
 	if (state.isClosed) return
 	state.awaitsConfirmation = false
 	state.parked.unpark()
--- a/packages/jobs/test/lasting-crashes.test.ts
+++ b/packages/jobs/test/lasting-crashes.test.ts
@@ -3,9 +3,12 @@
  * crash now and then, or leave as planned, is not.
  */
 import {expect} from "chai"
-import {record} from "./support/fake-executors.js"
+import {createFakeClock} from "./support/fake-clock.js"
+import {FakeFleet, record} from "./support/fake-executors.js"
 import {accept, createKeeperWorld, ID, job, task} from "./support/keeper-world.js"
+import {createTestPlacer} from "./support/placers.js"
 import {step} from "./support/records.js"
+import {taskRequest} from "./support/requests.js"
 
 /** Longer than a run after which crashes are forgotten. */
 const SOUND_MS = 61_000
@@ -77,3 +80,27 @@
 		expect([end(), open()?.crashes, starts()]).to.eql([undefined, undefined, 3])
 	})
 })
+
+describe("a lasting task that may crash its executor", () => {
+	// It had its executor to itself for good, and others that could run nowhere else never started.
+	it("has its executor to itself for a while only", async () => {
+		const clock = createFakeClock()
+		const orders = new FakeFleet(clock)
+		const placer = createTestPlacer({clock, orders})
+		placer.setExecutors([record("e1")])
+		await clock.advance(10)
+		const submit = (name: string, extra: Parameters<typeof taskRequest>[1] = {}) =>
+			placer.submit(
+				taskRequest(name, {isKept: true, ...extra}),
+				() => undefined,
+				() => undefined,
+			)
+		submit("s.0.0.0", {isLasting: true, isolation: "required"})
+		await clock.advance(10)
+		submit("k.0.0.0")
+		await clock.advance(2_500)
+		expect(orders.starts.map(({task: started}) => started)).to.eql(["s.0.0.0"])
+		await clock.advance(1_000)
+		expect(orders.starts.map(({task: started}) => started)).to.eql(["s.0.0.0", "k.0.0.0"])
+	})
+})
