Count an executor that left the list as gone in a takeover

Its link is dropped with the next reading of the list, and counted as unknown until then, though its lease was over.

Such a link counts as gone.

--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -140,6 +140,9 @@
 	deps.clock.schedule(Math.max(0, endAt - now), () => void onEnd(end))
 }
 
+/** Whether an executor has left the list, and whatever ran there is over; its link goes with the next list. */
+const isGone = (link: ExecutorLink) => link.isRetired() && link.isIdle()
+
 /**
  * Whether all runs of the previous placer have ended or are known here. A replaced placer may go on renewing leases at executors
  * that have not seen the new fence, so each known executor must obey it, or have been replaced. An executor that lists only part
@@ -150,6 +153,6 @@
 	const areAllKnown = deps.knowsAllExecutors && links.size > 0
 	// The previous placer's runs on a replaced executor have ended with its process.
 	const isKnown = (link: ExecutorLink) =>
-		(link.isFenceTaken() && link.areEndsKnown()) || link.isReplaced()
+		(link.isFenceTaken() && link.areEndsKnown()) || link.isReplaced() || isGone(link)
 	return (isTimeOver || areAllKnown) && [...links.values()].every(isKnown)
 }
--- a/packages/jobs/test/silent-at-takeover.test.ts
+++ b/packages/jobs/test/silent-at-takeover.test.ts
@@ -3,6 +3,7 @@
  * there must not start elsewhere; what is known to be elsewhere need not wait for it.
  */
 import {expect} from "chai"
+import {record} from "./support/fake-executors.js"
 import {accept, createKeeperWorld, job, task} from "./support/keeper-world.js"
 import {step} from "./support/records.js"
 
@@ -11,7 +12,7 @@
 const RESTART_MS = 500
 
 /** Two tasks, each on an executor of its own; the second one's falls silent as the placer changes. */
-async function createWorld(extra: Parameters<typeof step>[0]) {
+async function createWorld(extra: Parameters<typeof step>[0], waitMs = TAKEOVER_MS) {
 	const world = createKeeperWorld()
 	const first = world.beginPlacing({}, 0, {listed: ["e1", "e2"]})
 	await world.clock.advance(200)
@@ -20,10 +21,11 @@
 	const executorOf = (at: number) => world.startsOf(task(at))[0]?.executor as string
 	const starts = (at: number) => world.startsOf(task(at)).length
 	first.close()
-	world.orders.silence(executorOf(1))
-	world.beginPlacing({}, 0, {listed: ["e1", "e2"]})
-	await world.clock.advance(TAKEOVER_MS)
-	return {...world, starts}
+	const silent = executorOf(1)
+	world.orders.silence(silent)
+	const second = world.beginPlacing({}, 0, {listed: ["e1", "e2"]})
+	await world.clock.advance(waitMs)
+	return {...world, second, silent, starts}
 }
 
 describe("a takeover with a silent executor", () => {
@@ -49,4 +51,14 @@
 		await clock.advance(RESTART_MS)
 		expect([starts(0), starts(1)]).to.eql([1, 1])
 	})
+
+	// The jobs waited for an executor that had left the list until the list was read again.
+	it("starts the other tasks once it has left the list and its lease is over", async () => {
+		// Its lease is not over yet.
+		const world = await createWorld({isLasting: true}, 300)
+		const others = ["e1", "e2", "e3"].filter(id => id !== world.silent)
+		world.second.placer.setExecutors(others.map(id => record(id)))
+		await world.clock.advance(TAKEOVER_MS)
+		expect([world.starts(0), world.starts(1)]).to.eql([1, 2])
+	})
 })
