Leave a moved record to its new home when the answer of the move was lost

The ledger told a job that has gone by comparing the home in the store with its own record's, which names the new home during a move.

For a record that is being moved the new home in the store means that the move was done. The same comparison took a cancel mark during a move for a move that was done; mended with it.

Such an end is no longer held against an executor.

--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -230,7 +230,7 @@
 			return resolveWaiters(entry, entry.written, "written")
 		}
 		if (entry.revision === 0) return drop(entry, "exists")
-		if (stored.home !== entry.record.home) return handleMissing(entry)
+		if (hasMoved(entry, stored)) return handleMissing(entry)
 		entry.revision = open.revision
 		if (stored.isCancelled) deps.onCancelAsked(entry.id)
 	}
@@ -324,6 +324,14 @@
 	return due.filter(({goesAlone}) => !goesAlone).slice(0, MAX_JOBS_PER_TRANSACTION)
 }
 
+/**
+ * Whether the job has another home than this ledger's. The record of a released entry has the new home, whose placer may have
+ * written progress since an own write without an answer.
+ */
+function hasMoved({isReleased, record}: Entry, stored: JobRecord): boolean {
+	return isReleased === (stored.home === record.home)
+}
+
 /** A creation writes only the record; a requested end follows in the next transaction. */
 function sentVersion({revision, end, version}: Entry): number {
 	return revision === 0 && end ? version - 1 : version
--- a/packages/jobs/src/place/executor-assessment.ts
+++ b/packages/jobs/src/place/executor-assessment.ts
@@ -103,6 +103,8 @@
 			const slowness = ranMs / Math.max(1, run.req.estimateMs)
 			if (run.stopCause === "stuck") return observeStuck(executor, slowness)
 			if (end.type !== "done" && end.type !== "failed") return health.endProbe(executor)
+			// A lasting task may fail at any time, through no fault of its executor.
+			if (run.req.isLasting && run.percent >= WHOLE_PERCENT) return health.endProbe(executor)
 			const cappedSlowness = speeds.cappedSlowness(executor, slowness)
 			health.observe({target: executor, failed: end.type === "failed", slowness: cappedSlowness})
 			if (end.type === "failed") return
--- a/packages/jobs/test/lasting-probes.test.ts
+++ b/packages/jobs/test/lasting-probes.test.ts
@@ -73,3 +73,31 @@
 		expect(executorOf("l.0.0.0")).to.equal(undefined)
 	})
 })
+
+describe("an executor whose lasting tasks fail", () => {
+	// They may fail at any time, and kept it set aside for ever longer.
+	it("is not set aside for those that were at work", async () => {
+		const clock = createFakeClock()
+		const orders = new FakeFleet(clock)
+		const metrics = createJobMetrics()
+		const placer = createTestPlacer({clock, orders, metrics})
+		placer.setExecutors([record("e1"), record("e2")])
+		await clock.advance(10)
+		async function run(task: string, extra: Parameters<typeof taskRequest>[1]) {
+			placer.submit(
+				taskRequest(task, {isKept: true, ...extra}),
+				() => undefined,
+				() => undefined,
+			)
+			await clock.advance(500)
+			orders.end(task, extra?.isLasting ? "failed" : "done")
+			await clock.advance(20)
+		}
+		orders.percent = 100
+		for (let at = 0; at < 2 * RUNS; at++) {
+			await run(`g.0.0.${at}`, {avoid: ["e1"]})
+			await run(`l.0.0.${at}`, {isLasting: true, avoid: ["e2"]})
+		}
+		expect(await metrics.text()).to.not.include('cottonwood_executors_aside{reason="aside"}')
+	})
+})
--- a/packages/jobs/test/ledger.test.ts
+++ b/packages/jobs/test/ledger.test.ts
@@ -202,4 +202,31 @@
 		await clock.advance(200)
 		expect(await Promise.all(writes)).to.eql(["rejected", "written"])
 	})
+
+	// A move whose answer was lost was written again over what the new home's placer had recorded, so its tasks ran again.
+	it("leaves a moved record to its new home when the answer of the move was lost", async () => {
+		const {clock, fake, ledger, seen, stored} = createWorld()
+		void ledger.create(jobRecord("a"))
+		await clock.advance(50)
+		fake.faults = ["done but not answered", "lost", "refused"]
+		const released = ledger.release(jobRecord("a", {home: "b"}))
+		await clock.advance(15)
+		const progress = {...(stored("a") as JobRecord), done: ["0.0.0"], writer: "other:1#1/1"}
+		expect(progress.home).to.equal("b")
+		fake.write(openJobKey("a"), progress)
+		await clock.advance(1_000)
+		expect(await released).to.equal("written")
+		expect(stored("a")?.done).to.eql(["0.0.0"])
+		expect(seen.gone).to.eql([])
+	})
+
+	it("moves a record that another writer has marked as cancelled meanwhile", async () => {
+		const {clock, fake, ledger, seen, stored} = createWorld()
+		void ledger.create(jobRecord("a"))
+		await clock.advance(50)
+		fake.write(openJobKey("a"), {...(stored("a") as JobRecord), isCancelled: true, writer: ""})
+		void ledger.release(jobRecord("a", {home: "b"}))
+		await clock.advance(200)
+		expect(seen.cancelAsked).to.eql(["a"])
+	})
 })
