review: give each run of a case loopback addresses of its own

Cause: cases beside each other shared addresses, and one run without its disruption could not start.

--- a/review/shared-2/world.mjs
+++ b/review/shared-2/world.mjs
@@ -17,6 +17,8 @@
 const HOST_NAME = "nony24.example"
 const PREFIX = "/jobs/"
 const READY_LIMIT_MS = 25_000
+/** Loopback addresses of this run, so that cases may run beside each other. */
+const NET = `127.${20 + (process.pid % 200)}`
 
 /** The bounds of the site files for small deployments. */
 const BOUNDS = {
@@ -226,7 +228,7 @@
 			executors.push(
 				await startExecutor({
 					store,
-					host: `127.0.${10 + z}.${100 + at}`,
+					host: `${NET}.${10 + z}.${100 + at}`,
 					name: `${zone}-${at + 1}`,
 					zone,
 					service: SERVICE,
@@ -251,7 +253,7 @@
 	})
 	const instances = []
 	async function addInstance(zone, at) {
-		const host = `127.0.${10 + names.indexOf(zone)}.${1 + at}`
+		const host = `${NET}.${10 + names.indexOf(zone)}.${1 + at}`
 		const name = `edge-${zone}-${1 + at}`
 		instances.push(await startInstance({folder, store, zones: names, zone, name, host}))
 	}
