Have the kept jobs of a lost zone run elsewhere, and end them in one that is cut off

Cause: an instance claims another zone only if one of its executors has answered for 2 s. That rule is what keeps a zone that is merely cut off, and at work, from being run twice: from outside the two look alike, and nothing bounded how long a cut-off placer goes on with kept jobs, as no caller waits for them. So the claim could not simply be let through.

Change: - A placer with kept jobs confirms its claim from the store (a read each 500 ms, and each write of records). Its kept runs have certainly ended 6.5 s after the last confirmation, by the rule that bounds callers' runs already: no longer lease, a stop, no start. An executor that holds an end which the store lacks gets no lease beyond that either, until its lease has lapsed once; otherwise the end would be acknowledged after the heal, though its task had run again. - A zone of which no executor has answered for 1.5 s, no instance is registered, and whose placer is not either, is claimed if the store has kept jobs of it.

Why it holds: whoever reads the claim after the new one was written is deposed, so each confirmation was sent before it.

frozen-samples.test.ts expected no bound for a kept run; it expects the confirmed one now, exactly.

--- a/packages/jobs/src/coordinate/hosted-placers.ts
+++ b/packages/jobs/src/coordinate/hosted-placers.ts
@@ -87,6 +87,8 @@
 	of(failureDomain: string): HostedPlacer | undefined
 	/** Starts or stops placing after a claim has changed. */
 	noteClaim(claim: Claim): void
+	/** Announces a claim of a failure domain of which no executor answers. */
+	expectCutOff(claim: Pick<Claim, "failureDomain" | "fence">): void
 	/** Announces a handover: the previous placer will hand over its runs on these executors. */
 	expectHandover(
 		claim: Pick<Claim, "failureDomain" | "fence">,
@@ -135,11 +137,26 @@
 	return first !== undefined && placer.hasRoomFor(first, service)
 }
 
+/** What a new placer presumes of the one before. */
+function takeoverOf(
+	{fence}: Claim,
+	handover: ExpectedHandover | undefined,
+	cutOffFence: number | undefined,
+): Pick<PlacerDeps, "orphansWaitMs" | "knowsAllExecutors" | "isCutOff"> {
+	return {
+		orphansWaitMs: handover ? HANDOVER_WAIT_MS : 0,
+		knowsAllExecutors: handover !== undefined || fence === FIRST_FENCE,
+		isCutOff: fence === cutOffFence,
+	}
+}
+
 export function createHostedPlacers(deps: HostedPlacersDeps): HostedPlacers {
 	const {clock, log, metrics, self} = deps
 	const hosts = new Map<string, HostedPlacer>()
 	/** Announced handovers by failure domain. */
 	const expectedHandovers = new Map<string, ExpectedHandover>()
+	/** Announced claims without executors in reach, by failure domain. */
+	const cutOffFences = new Map<string, number>()
 	/** Failure domains being handed over, with the cause that would have ended their placing meanwhile. */
 	const beingHandedOver = new Map<string, string | undefined>()
 	let reportedRooms: Readonly<Record<string, Room>> = {}
@@ -149,17 +166,14 @@
 		const {failureDomain, fence} = claim
 		const onFenced = (executor: ExecutorRecord) => sliceMoves.noteFenced(claim, executor)
 		const handover = takeExpected(claim)
-		const orphansWaitMs = handover ? HANDOVER_WAIT_MS : 0
-		const knowsAllExecutors = handover !== undefined || fence === FIRST_FENCE
+		const takeover = takeoverOf(claim, handover, cutOffFences.get(failureDomain))
 		const onDeposed = () => endPlacing(failureDomain, fence, "the store has another claim")
 		const keeper = deps.createKeeper(claim, onDeposed)
-		const fenced = {failureDomain, fence, onFenced, orphansWaitMs, knowsAllExecutors}
 		const isEvacuated = () => deps.isEvacuated(failureDomain)
 		const speedStore = deps.openSpeedStore?.(claim)
-		const {speeds} = speedStore ?? {}
 		const handOver = (item: WaitingTask) => handOverFrom({claim, placer}, item)
-		const own = {isEvacuated, kept: keeper, speeds, handOver}
-		const placer: Placer = createPlacer({...deps, ...fenced, ...own})
+		const own = {failureDomain, fence, onFenced, isEvacuated, kept: keeper, handOver}
+		const placer: Placer = createPlacer({...deps, ...takeover, ...own, speeds: speedStore?.speeds})
 		const {forecasting} = deps
 		const admission = forecasting && createAdmission({clock, log, metrics, placer, ...forecasting})
 		const host = {claim, keeper, placer, admission, jobs: new Set<JobRun>(), speedStore}
@@ -225,6 +239,7 @@
 		expectHandover({failureDomain, fence}, executors) {
 			expectedHandovers.set(failureDomain, {fence, until: clock.now() + CLAIM_WAIT_MS, executors})
 		},
+		expectCutOff: ({failureDomain, fence}) => void cutOffFences.set(failureDomain, fence),
 		offerHandover(failureDomain) {
 			beingHandedOver.set(failureDomain, undefined)
 		},
--- a/packages/jobs/src/decide/lease-rule.ts
+++ b/packages/jobs/src/decide/lease-rule.ts
@@ -27,6 +27,12 @@
  */
 const MAX_CONFIRMATION_AGE_MS = 700
 
+/**
+ * How long after the last confirmation of its placer's claim a kept job's run has certainly ended, on the placer's clock. Shorter
+ * times end runs when the store is away for seconds; longer ones delay the jobs of a failure domain that is lost.
+ */
+const KEPT_ENDS_WITHIN_MS = 6_500
+
 export interface LeaseRule {
 	/** How long after its caller's last confirmation a run has certainly ended, in milliseconds. */
 	readonly endsWithinMs: number
@@ -74,6 +80,19 @@
 	return confirmedAt + endsWithinMs / SLOWEST_RATE
 }
 
+/** The confirmation of a kept job's run whose placer's claim was last confirmed at `claimConfirmedAt`; it may lie ahead. */
+export function keptConfirmedAt({endsWithinMs}: LeaseRule, claimConfirmedAt: number): number {
+	return claimConfirmedAt + KEPT_ENDS_WITHIN_MS - endsWithinMs
+}
+
+/**
+ * When all kept runs of the previous placers have certainly ended, on the clock of a successor whose claim was in the store by
+ * `claimedAt`: whatever they read of the claim since then deposes them. Their clocks may be as slow as an executor's.
+ */
+export function keptRunsOverAt(claimedAt: number): number {
+	return claimedAt + KEPT_ENDS_WITHIN_MS / SLOWEST_RATE
+}
+
 /** Whether the last confirmation of a run is too old. */
 export function isUnheard(confirmedAt: number, now: number): boolean {
 	return now - confirmedAt > MAX_CONFIRMATION_AGE_MS
@@ -98,14 +117,15 @@
 }
 
 /**
- * Whether a run may start: the leases requested already do not outlast its confirmation, and its neighbours allow a lease that
- * is long enough.
+ * Whether a run may start: it would not be stopped at once, the leases requested already do not outlast its confirmation, and its
+ * neighbours allow a lease that is long enough.
  */
 export function mayStart(
 	rule: LeaseRule,
 	{confirmedAt, neighboursConfirmedAt, leasesEndAt}: RunStart,
 	now: number,
 ): boolean {
+	if (isUnheard(confirmedAt, now)) return false
 	if (leasesEndAt > certainEndAt(rule, confirmedAt)) return false
 	const leaseMs = leaseMsFor(rule, Math.min(confirmedAt, neighboursConfirmedAt), now)
 	return leaseMs >= Math.min(MIN_START_LEASE_MS, rule.longestLeaseMs)
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -1,16 +1,22 @@
 /**
  * Decides when this instance becomes the placer of a failure domain, and writes the claim.
  *
+ * A failure domain of another one's instances is taken over when its executors are in reach here. When none is, it is lost or cut
+ * off and at work, which cannot be told apart from outside; it is taken over only for its kept jobs, which its successor starts
+ * elsewhere once the previous placer has certainly ended them by itself.
+ *
  * A claim is written by compare-and-set and each change raises the fence. So of two instances that
  * try at once only one succeeds, and the previous placer is refused by every executor that has seen
  * the new fence. Silence only decides when to try; see silence-limits.
  */
-import type {Clock, Store} from "@cottonwood/core"
+import type {Store} from "@cottonwood/core"
 import {failureDomainOf, fenceFloorOf, sliceIndexOf} from "../decide/slices.js"
 import type {Claim, Member} from "../types/fleet.js"
 import {shortSession, type EventLog} from "../utils/log.js"
+import {isStoreAway} from "../utils/store-silence.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {claimKey, isClaimAt, type FleetView} from "./members.js"
+import {trackReach, type ReachDeps} from "./reach.js"
 import {latenessAllowanceMs, PLACER_SILENT_MS, silenceLimitMs} from "./silence-limits.js"
 import {createRank} from "./rank.js"
 
@@ -21,6 +27,8 @@
 const FOREIGN_SILENT_MS = 2_500
 /** Heartbeats, leases and connections recover within this time after a network partition. */
 const REACHABLE_MS = 2_000
+/** No executor of a failure domain has answered for this long: three probes. */
+const UNREACHABLE_MS = 1_500
 /** When a fleet starts for the first time, the domain's own instances register within this time. */
 const START_GRACE_MS = 1_500
 /**
@@ -39,8 +47,7 @@
 	return Promise.any(yes).catch(() => false)
 }
 
-export interface ClaimsDeps {
-	readonly clock: Clock
+export interface ClaimsDeps extends ReachDeps {
 	readonly store: Store
 	readonly log: EventLog
 	readonly metrics: JobMetrics
@@ -55,8 +62,10 @@
 	readonly ping: (member: Member, allowanceMs: number) => Promise<string | undefined>
 	/** How late this instance's own timers recently fired, in milliseconds. */
 	readonly ownLateMs: () => number
-	/** Whether any executor of the domain answers this instance. */
-	readonly canReachExecutors: (failureDomain: string) => Promise<boolean>
+	/** Whether the store has kept jobs of the domain or slice; false without an answer. */
+	readonly hasKeptJobs: (failureDomain: string) => Promise<boolean>
+	/** Called before a claim is written of a domain of which no executor is in reach. */
+	readonly onCutOff: (claim: Pick<Claim, "failureDomain" | "fence">) => void
 }
 
 interface PingResult {
@@ -95,8 +104,9 @@
 	const startedAt = clock.now()
 	const learnedAt = new Map<string, {readonly fence: number; readonly at: number}>()
 	const triedAt = new Map<string, number>()
-	const reachableSince = new Map<string, number>()
-	const probedAt = new Map<string, number>()
+	const reach = trackReach(deps)
+	/** Since when the store has answered; Infinity while it does not, as where it is this instance that is cut off. */
+	let storeHeardSince = startedAt
 	/** Last pings of other domains' placers, by domain. */
 	const pings = new Map<string, PingResult>()
 	let isClosed = false
@@ -131,7 +141,7 @@
 		pings.set(failureDomain, {session, at: clock.now(), isSilent})
 		void isAlive(placer).then(isAnswered => {
 			pings.set(failureDomain, {session, at: clock.now(), isSilent: !isAnswered})
-			if (isAnswered) reachableSince.delete(failureDomain)
+			if (isAnswered) reach.forget(failureDomain)
 		})
 	}
 
@@ -150,20 +160,8 @@
 	 * executors answer before their placer is heard again.
 	 */
 	function isReachableLongEnough(failureDomain: string): boolean {
-		probeExecutors(failureDomain)
-		const since = reachableSince.get(failureDomain)
-		return since !== undefined && clock.now() - since >= REACHABLE_MS
-	}
-
-	/** Probes some executors of the domain; the answer is known at the next check. */
-	function probeExecutors(failureDomain: string) {
-		const lastProbedAt = probedAt.get(failureDomain) ?? -Infinity
-		if (clock.now() - lastProbedAt < RETRY_MS) return
-		probedAt.set(failureDomain, clock.now())
-		void deps.canReachExecutors(failureDomainOf(failureDomain)).then(canReach => {
-			if (!canReach) reachableSince.delete(failureDomain)
-			else if (!reachableSince.has(failureDomain)) reachableSince.set(failureDomain, clock.now())
-		})
+		reach.probe(failureDomain)
+		return (reach.reachableMs(failureDomain) ?? 0) >= REACHABLE_MS
 	}
 
 	function requiredWaitMs(failureDomain: string, claim: Claim | undefined): number {
@@ -179,6 +177,9 @@
 		return ranked + FOREIGN_SILENT_MS + (claim ? 0 : START_GRACE_MS)
 	}
 
+	const isRegistered = ({session}: Member) =>
+		view.members().some(member => member.session === session)
+
 	const isAnother = (placer: Member | undefined) => (member: Member) =>
 		member.session !== placer?.session
 
@@ -216,15 +217,23 @@
 		if (clock.now() - (triedAt.get(failureDomain) ?? -Infinity) < RETRY_MS) return
 		triedAt.set(failureDomain, clock.now())
 		if (!isOwnPreviousSession(claim)) {
-			if (claim && (await isAlive(claim.placer))) {
-				reachableSince.delete(failureDomain)
-				return
-			}
+			if (claim && (await isAlive(claim.placer))) return reach.forget(failureDomain)
 			if (await isIsolated(claim?.placer)) return noteHeldBack(failureDomain, "nobody answers us")
 		}
-		if (!isOwn && !isForeignReachable)
+		const cause = `no word for ${Math.round(vacantForMs)} ms`
+		if (isOwn || isForeignReachable) await write(failureDomain, claim?.fence, cause)
+		else await considerCutOff(failureDomain, claim, cause)
+	}
+
+	/** Claims a domain of which no executor is in reach, if it has kept jobs that somebody else has to run. */
+	async function considerCutOff(failureDomain: string, claim: Claim | undefined, cause: string) {
+		const sinceMs = Math.min(reach.unreachableMs(failureDomain) ?? 0, clock.now() - storeHeardSince)
+		const isCutOff = sinceMs >= UNREACHABLE_MS && claim && !isRegistered(claim.placer)
+		if (!isCutOff || !(await deps.hasKeptJobs(failureDomain)))
 			return noteHeldBack(failureDomain, "its executors were not in reach for long enough")
-		await write(failureDomain, claim?.fence, `no word for ${Math.round(vacantForMs)} ms`)
+		// Before the write, since one that is not answered is learnt of like a claim of somebody else.
+		deps.onCutOff({failureDomain, fence: claim.fence + 1})
+		await write(failureDomain, claim.fence, `nothing there answers; ${cause}`)
 	}
 
 	function isForeignVacant(claim: Claim | undefined, vacantForMs: number): boolean {
@@ -283,6 +292,7 @@
 	async function loop() {
 		while (!isClosed) {
 			await pause()
+			storeHeardSince = isStoreAway(store) ? Infinity : Math.min(storeHeardSince, clock.now())
 			if (deps.isLeaving()) continue
 			for (const failureDomain of deps.failureDomains()) {
 				if (!isClosed) await considerClaim(failureDomain)
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -254,6 +254,8 @@
 		isLeaving: () => isLeaving,
 		ping: heartbeats.ping,
 		ownLateMs: lagMonitor.lateMs,
+		hasKeptJobs: keptJobs.hasOpenJobs,
+		onCutOff: hosts.expectCutOff,
 		...createReachabilityProbe({...deps, clock, latestExecutors: executors.latest}),
 	})
 
@@ -275,18 +277,10 @@
 		isWorking: () => dispatcher.workCount() > 0,
 		async close() {
 			await registration.end()
-			const deciding = [
-				lagMonitor,
-				watermark,
-				claims as ClaimsLoop,
-				handover,
-				slicing,
-				keptJobs,
-				heartbeats,
-				config,
-			]
+			const deciding = [lagMonitor, watermark, claims as ClaimsLoop, handover, slicing]
+			const telling = [keptJobs, heartbeats, config]
 			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
-			for (const part of [...deciding, ...serving]) part.close()
+			for (const part of [...deciding, ...telling, ...serving]) part.close()
 		},
 	}
 }
--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -2,13 +2,15 @@
  * Moves kept jobs of which no task can start in their failure domain to one whose placer has room at an executor that
  * could run such a task. Without one a job stays where it is.
  */
-import type {Clock} from "@cottonwood/core"
+import type {Clock, Store} from "@cottonwood/core"
+import type {Placer} from "../place/placer.js"
 import type {Claim} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
 import type {KeptJob} from "./kept-job.js"
 import type {Ledger} from "./ledger.js"
 import type {OpenJobs} from "./open-jobs.js"
+import {isStoreAway} from "../utils/store-silence.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 
@@ -19,6 +21,8 @@
  * keeps a job from starting, such as tickets that are still to come.
  */
 const MAX_DOUBLINGS = 3
+/** How many jobs leave a lost failure domain together. */
+const MOVES_AT_ONCE = 10
 /** Offset between the run numbers of two placers of a job; more than any job's runs. */
 const RUNS_PER_FENCE = 10_000
 
@@ -34,6 +38,8 @@
 	readonly findRoom: (service: string, steps: readonly Step[]) => Promise<Claim | NoRoomCause>
 	/** Notifies the placer of another domain that it now owns the job. */
 	readonly notifyHome: (claim: Claim, id: string) => void
+	readonly store: Pick<Store, "silentMs">
+	readonly placer: Pick<Placer, "isStranded">
 	readonly jobs: OpenJobs
 	readonly ledger: Ledger
 	readonly isClosed: () => boolean
@@ -52,24 +58,37 @@
 	const waits = createWaitLog(deps)
 	async function loop() {
 		while (!isClosed()) {
+			// A job cannot leave without a write.
+			if (!isStoreAway(deps.store)) await moveIdle()
 			await clock.sleep(MAX_IDLE_MS / 2)
-			await moveIdle()
 		}
 	}
-	/** Asks once for jobs with the same needs while none of them finds room. */
+
+	/**
+	 * Jobs leave one by one, since each takes room that the next one may have been promised; but soon and together a failure domain
+	 * that was lost.
+	 */
 	async function moveIdle() {
 		const causes = new Map<string, NoRoomCause>()
-		for (const job of jobs.all().filter(job => job.idleMs() > maxIdleMs(job))) {
-			const service = job.queue()?.service
-			const steps = job.waitingSteps()
-			if (service === undefined || steps.length === 0) continue
-			const needs = JSON.stringify([service, steps])
-			const found = causes.get(needs) ?? (await deps.findRoom(service, steps))
-			if (typeof found === "string") causes.set(needs, found)
-			if (typeof found === "string") waits.note(job, found)
-			else await move(job, found, deps)
-		}
+		const isStranded = deps.placer.isStranded()
+		const idle = jobs.all().filter(job => job.idleMs() > (isStranded ? 0 : maxIdleMs(job)))
+		const atOnce = isStranded ? MOVES_AT_ONCE : 1
+		for (let at = 0; at < idle.length; at += atOnce)
+			await Promise.all(idle.slice(at, at + atOnce).map(job => moveOrWait(job, causes)))
 	}
+
+	/** Asks once for jobs with the same needs while none of them finds room. */
+	async function moveOrWait(job: KeptJob, causes: Map<string, NoRoomCause>) {
+		const service = job.queue()?.service
+		const steps = job.waitingSteps()
+		if (service === undefined || steps.length === 0) return
+		const needs = JSON.stringify([service, steps])
+		const found = causes.get(needs) ?? (await deps.findRoom(service, steps))
+		if (typeof found === "string") causes.set(needs, found)
+		if (typeof found === "string") waits.note(job, found)
+		else await move(job, found, deps)
+	}
+
 	void loop()
 }
 
--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -39,6 +39,8 @@
 	readonly metrics: JobMetrics
 	/** The first run has the number after this one. */
 	readonly runBase: number
+	/** The confirmation of the runs, in milliseconds on the monotonic clock; it may lie ahead. */
+	readonly confirmedAt: () => number
 	readonly submit: (
 		req: TaskRequest,
 		onEnd: (end: TaskEnd) => EndRecorded,
@@ -123,8 +125,10 @@
 	let isOver = false
 
 	const slackOf = ({estimateMs}: Step) => slackMs - estimateMs
-	const requestOf = (task: TaskState) =>
-		createRequest(task, record, queue, dueAt + slackOf(stepOf(task)))
+	function requestOf(task: TaskState): TaskRequest {
+		const startBy = dueAt + slackOf(stepOf(task))
+		return createRequest(task, record, queue, {startBy, confirmedAt: deps.confirmedAt})
+	}
 
 	/** Before the takeover is complete, members of a gang may still run where one of them does not. */
 	const mayStart = (task: TaskState) => hasBegun || (task.isAdopted && !stepOf(task).isGang)
@@ -295,20 +299,18 @@
 	}
 }
 
-/** `startBy` is in milliseconds on the monotonic clock. */
 function createRequest(
 	task: TaskState,
 	record: JobRecord,
 	queue: Queue,
-	startBy: number,
+	times: Pick<TaskRequest, "startBy" | "confirmedAt">,
 ): TaskRequest {
 	const step = record.steps[task.step] as Step
 	return {
 		...taskRequestBase(record, task, step, queue),
-		startBy,
+		...times,
 		uselessAt: Infinity,
 		deadlineAt: Infinity,
-		confirmedAt: () => Infinity,
 		isBegun: task.shortRuns > 0,
 		isKept: true,
 		isLasting: step.isLasting,
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -8,7 +8,7 @@
  * unseen run of the previous placer can still be active.
  */
 import type {StoreItem, TransactionalStore} from "@cottonwood/core"
-import {claimKey, isClaim} from "../fleet/members.js"
+import {keptConfirmedAt, type LeaseRule} from "../decide/lease-rule.js"
 import type {Placer} from "../place/placer.js"
 import type {TaskEnd, EndRecorded} from "../place/run.js"
 import type {KeptRuns} from "../link/state.js"
@@ -24,10 +24,13 @@
 	type KeptJobRequest,
 } from "../types/kept-job.js"
 import type {WallClock} from "../utils/wall-clock.js"
+import type {ClaimConfirmation} from "./claim-confirmation.js"
 import {startJobMoves, runBaseFor, type JobMovesDeps} from "./job-moves.js"
 import {startKeptJob, type KeptJob} from "./kept-job.js"
-import {createLedger, type Ledger, type LedgerDeps} from "./ledger.js"
+import type {Ledger} from "./ledger.js"
 import {createOpenJobs} from "./open-jobs.js"
+import {openLedger} from "./open-ledger.js"
+import {isStoreAway} from "../utils/store-silence.js"
 
 /** Delay between attempts to read the store after a takeover. */
 const RESTORE_RETRY_MS = 150
@@ -38,8 +41,6 @@
  * the write has certainly not been done, and its outcome is unknown otherwise.
  */
 const WRITE_WAIT_MS = 900
-/** New jobs are refused at once while the store has not answered for this long. */
-const MAX_STORE_SILENCE_MS = 600
 /** Interval between full listings, which find jobs whose move to this home was not announced. */
 const RELIST_MS = 2_500
 
@@ -53,9 +54,10 @@
 	cause: "the store does not take its record",
 })
 
-export interface KeeperDeps extends Omit<JobMovesDeps, "jobs" | "ledger" | "isClosed"> {
+export interface KeeperDeps extends Omit<JobMovesDeps, "jobs" | "ledger" | "placer" | "isClosed"> {
 	readonly wall: WallClock
 	readonly store: TransactionalStore
+	readonly leaseRule: LeaseRule
 	readonly spacingMs: () => number
 	readonly queueOf: (name: string) => Queue | undefined
 	/** Whether any configuration is known. */
@@ -87,27 +89,33 @@
 	close(): void
 }
 
+function closeAll(...parts: readonly ({close(): void} | undefined)[]) {
+	for (const part of parts) part?.close()
+}
+
 const jobIdOf = (task: string) => task.slice(0, task.indexOf("."))
 
 export function createKeeper(deps: KeeperDeps): Keeper {
 	const {clock, wall, store, log, metrics, claim} = deps
 	const home = claim.failureDomain
 	const jobs = createOpenJobs(clock)
+	const createdAt = clock.now()
 	let ledger: Ledger | undefined
+	let confirmation: ClaimConfirmation | undefined
 	let placer: Placer | undefined
 	let isRestored = false
 	let isTakeoverComplete = false
 	let isClosed = false
 
 	async function begin() {
+		const callbacks = {onCancelAsked: (id: string) => void cancel(id), onGone: drop}
 		while (!isClosed && !ledger) {
-			ledger = await openLedger(deps, {
-				onCancelAsked: id => void cancel(id),
-				onGone: drop,
-			})
+			const opened = await openLedger({...deps, ...callbacks, jobs})
+			ledger = opened?.ledger
+			confirmation = opened?.confirmation
 			if (!ledger) await clock.sleep(RESTORE_RETRY_MS)
 		}
-		if (isClosed) return ledger?.close()
+		if (isClosed) return closeAll(ledger, confirmation)
 		while (!isClosed && !(await loadRecords())) await clock.sleep(RESTORE_RETRY_MS)
 		isRestored = true
 		// Without a configuration no job has a queue, and runs found at executors would be stopped.
@@ -119,7 +127,13 @@
 		isTakeoverComplete = true
 		for (const job of jobs.all()) job.begin()
 		void relistLoop()
-		if (ledger) startJobMoves({...deps, jobs, ledger, isClosed: () => isClosed})
+		if (ledger && placer) startJobMoves({...deps, jobs, ledger, placer, isClosed: () => isClosed})
+	}
+
+	/** Without kept jobs nothing is bound; before the first reading the claim was written just now. */
+	function confirmedAt(): number {
+		if (isRestored && jobs.count() === 0) return Infinity
+		return keptConfirmedAt(deps.leaseRule, confirmation?.confirmedAt() ?? createdAt)
 	}
 
 	/** Reads all records and adds the jobs of this home that are not known yet. */
@@ -161,11 +175,13 @@
 			metrics,
 			queueOf: deps.queueOf,
 			runBase: runBaseFor(record, claim),
+			confirmedAt,
 			placer: () => placer as Placer,
 			save: next => (ledger as Ledger).update(next),
 			onEnd: (state, cause) => void end(record.id, state, cause),
 		})
 		jobs.add(record.id, job)
+		confirmation?.renew()
 		return job
 	}
 
@@ -187,8 +203,7 @@
 	}
 
 	async function accept(request: KeptJobRequest): Promise<AcceptReply> {
-		if (store.silentMs() > MAX_STORE_SILENCE_MS)
-			return {type: "refused", cause: "the store is away"}
+		if (isStoreAway(store)) return {type: "refused", cause: "the store is away"}
 		if (!ledger) return {type: "refused", cause: "its placer has only just begun"}
 		if (jobs.has(request.id)) return {type: "accepted"}
 		const record = newRecord(request, claim, deps.queueOf(request.queue), wall.now())
@@ -256,12 +271,11 @@
 		stateOf: id => jobs.get(id)?.state(),
 		pendingOf(queue) {
 			if (!isRestored) return undefined
-			let count = 0
-			for (const job of jobs.all())
-				if (job.record().queue === queue && job.state() === "pending") count++
-			return count
+			const isPending = (job: KeptJob) => job.record().queue === queue && job.state() === "pending"
+			return jobs.all().filter(isPending).length
 		},
 		jobCount: () => jobs.count(),
+		confirmedAt,
 		isRestoring: () => !isClosed && !(isRestored && deps.isConfigured()),
 		knows: task => jobs.has(jobIdOf(task)),
 		adopt: (executor, task, run) => jobs.get(jobIdOf(task))?.adopt(task, run, executor) ?? false,
@@ -269,7 +283,7 @@
 			jobs.get(jobIdOf(task))?.noteUnclaimedEnd(task, run, end),
 		close() {
 			isClosed = true
-			ledger?.close()
+			closeAll(ledger, confirmation)
 			for (const job of jobs.all()) job.abandon()
 		},
 	}
@@ -294,29 +308,3 @@
 		writer: "",
 	}
 }
-
-/**
- * Opens the ledger under the claim's revision; undefined if it cannot be read or has changed.
- */
-async function openLedger(
-	{store, claim, onDeposed, ...deps}: KeeperDeps,
-	callbacks: Pick<LedgerDeps, "onCancelAsked" | "onGone">,
-): Promise<Ledger | undefined> {
-	const key = claimKey(claim.failureDomain)
-	const item = await store.get(key)
-	if (!item) return undefined
-	const stored = item.value
-	if (!isClaim(stored)) return undefined
-	if (stored.fence !== claim.fence || stored.placer.session !== claim.placer.session) {
-		onDeposed()
-		return undefined
-	}
-	return createLedger({
-		...deps,
-		...callbacks,
-		store,
-		onDeposed,
-		writer: `${claim.placer.session}:${claim.fence}`,
-		claimRevision: {key, revision: item.revision},
-	})
-}
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -5,11 +5,13 @@
 import type {HostedPlacers} from "../coordinate/hosted-placers.js"
 import type {FleetView} from "../fleet/members.js"
 import type {KeptMessage, Peers} from "../fleet/peers.js"
+import type {LeaseRule} from "../decide/lease-rule.js"
 import {couldRunStep} from "../decide/suitability.js"
 import type {ExecutorRecord} from "../types/executor.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
+import {isJobRecord, OPEN_JOBS_PREFIX} from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createWallClock} from "../utils/wall-clock.js"
@@ -36,6 +38,7 @@
 	readonly peers: Peers
 	readonly view: FleetView
 	readonly hosts: HostedPlacers
+	readonly leaseRule: LeaseRule
 	readonly storeWritesPerSecond: number
 	/** How long the state of an ended job can be queried, in milliseconds. */
 	readonly endedStateMs: number
@@ -49,6 +52,8 @@
 
 export interface KeptJobService {
 	readonly front: KeptJobRouter
+	/** Whether the store has open jobs of this home; false without an answer. */
+	hasOpenJobs(home: string): Promise<boolean>
 	createKeeper(claim: Claim, onDeposed: () => void): Keeper
 	close(): void
 }
@@ -133,8 +138,14 @@
 		// One instance of the fleet sweeps: the one that places the first failure domain.
 		isOnDuty: () => hosts.of([...deps.failureDomains].sort()[0] as string) !== undefined,
 	})
+	async function hasOpenJobs(home: string): Promise<boolean> {
+		const listing = await deps.store.list(OPEN_JOBS_PREFIX)
+		return (listing?.items ?? []).some(({value}) => isJobRecord(value) && value.home === home)
+	}
+
 	return {
 		front,
+		hasOpenJobs,
 		createKeeper: (claim, onDeposed) =>
 			createKeeper({
 				...deps,
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -27,6 +27,8 @@
 	readonly metrics: JobMetrics
 	readonly queueOf: (name: string) => Queue | undefined
 	readonly runBase: number
+	/** The confirmation of the job's runs, in milliseconds on the monotonic clock; it may lie ahead. */
+	readonly confirmedAt: () => number
 	readonly placer: () => Placer
 	/** Writes the record; resolves when it is in the store. */
 	readonly save: (record: JobRecord) => Promise<WriteOutcome>
@@ -104,6 +106,7 @@
 			log,
 			metrics,
 			runBase: deps.runBase,
+			confirmedAt: deps.confirmedAt,
 			submit: (req, onEnd, onStart) => deps.placer().submit(req, onEnd, onStart),
 			adopt: (req, from, onEnd) => deps.placer().adopt(req, from, onEnd),
 			recordDone: tasks => save({done: [...record.done, ...tasks]}),
--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -59,6 +59,8 @@
 	readonly claimRevision: ClaimRevision
 	/** Minimum interval between transactions, from this placer's share of the store's write rate. */
 	readonly spacingMs: () => number
+	/** Called with the time of its sending when a transaction was done, and the claim thus in force. */
+	readonly onClaimConfirmed: (sentAt: number) => void
 	/** Called when the claim belongs to another placer; nothing more is written. */
 	readonly onDeposed: () => void
 	/** Called when another writer has marked the record as cancelled. */
@@ -163,6 +165,7 @@
 			entry.isInFlight = true
 			entry.isEndSent ||= entry.end !== undefined && entry.revision > 0
 		}
+		const sentAt = clock.now()
 		const result = await store.transact(buildTransaction(batch, deps))
 		inFlight--
 		for (const entry of batch) {
@@ -173,6 +176,7 @@
 		if (isClosed) return
 		if (result.type === "done") {
 			retryDelayMs = 0
+			deps.onClaimConfirmed(sentAt)
 			batch.forEach((entry, at) => handleDone(entry, versions[at] as number, result.revision))
 		} else if (result.type === "conflict") handleConflict(batch, result.current)
 		else if (result.type === "rejected") handleRejected(batch, versions)
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -40,6 +40,8 @@
 	mayStart(req: TaskRequest): boolean
 	/** Whether the executor has accepted this placer's fence. */
 	isFenceTaken(): boolean
+	/** Whether the executor does not answer. */
+	isSilent(): boolean
 	/** Whether the executor has no ends that it has not listed, or is gone with them. */
 	areEndsKnown(): boolean
 	/** Whether the executor is usable or likely to become usable within a moment. */
@@ -107,6 +109,7 @@
 		isUsable: () => isUsable(link) && willListEnd(link),
 		mayStart: req => isUsable(link) && (req.isKept === true || willListEnd(link)),
 		isFenceTaken: () => link.isFenceTaken,
+		isSilent: () => link.silentSince !== undefined,
 		areEndsKnown: () => areEndsKnown(link),
 		isUsableSoon: () => isUsableSoon(link),
 		freeCpu: () => freeCpu(link),
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -9,7 +9,7 @@
 import type {HoldReply, RunEnd, RunningTask} from "../types/executor.js"
 import {shortSession} from "../utils/log.js"
 import {noteEndList} from "./end-list.js"
-import {shouldRenewLease, nextLeaseUntil} from "./lease.js"
+import {nextLeaseUntil, noteLapse, shouldRenewLease} from "./lease.js"
 import {stopOrphan, stopRun, stopSettledUnanswered, stopUnheard} from "./orders.js"
 import {
 	addRun,
@@ -99,6 +99,7 @@
 	const {clock, orders, fence} = link.deps
 	const sentAt = clock.now()
 	stopUnheard(link)
+	noteLapse(link)
 	// A silent executor may still receive orders. They must not renew its lease, or its runs could
 	// never be known to have ended.
 	const isSilent = link.silentSince !== undefined
--- a/packages/jobs/src/link/lease.ts
+++ b/packages/jobs/src/link/lease.ts
@@ -17,13 +17,30 @@
 	return mayStart(leaseRule, {confirmedAt: confirmedAt(), neighboursConfirmedAt, leasesEndAt}, now)
 }
 
-/** The oldest time as of which every run there is confirmed by its caller. */
-function oldestConfirmation({runs}: LinkState): number {
-	let oldest = Infinity
-	for (const {req} of runs.values()) oldest = Math.min(oldest, req.confirmedAt())
+/** The oldest time as of which every run there, and every end that needs a lapse, is confirmed. */
+function oldestConfirmation(link: LinkState): number {
+	let oldest = hasBindingEnds(link) ? link.deps.kept.confirmedAt() : Infinity
+	for (const {req} of link.runs.values()) oldest = Math.min(oldest, req.confirmedAt())
 	return oldest
 }
 
+/**
+ * Whether the executor holds ends that the store lacks, or may yet list some, under a lease that has not lapsed since. A
+ * successor that cannot see them runs their tasks again, which is sound only once the lease has lapsed.
+ */
+function hasBindingEnds(link: LinkState): boolean {
+	const {unrecordedEnds, unlistedRuns, lapsedSerial} = link
+	if (unlistedRuns.size > 0) return true
+	for (const serial of unrecordedEnds) if (serial > lapsedSerial) return true
+	return false
+}
+
+/** Notes when all leases have ended: ends that are listed already need no further lapse. */
+export function noteLapse(link: LinkState) {
+	if (link.unrecordedEnds.size === 0) return
+	if (link.executorClock.haveLeasesEnded(link.deps.clock.now())) link.lapsedSerial = link.seenSerial
+}
+
 /**
  * The end of the lease to request, on the executor's clock. Undefined before the executor's first
  * answer, and while a run there has been unconfirmed for so long that no lease may be requested.
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -25,6 +25,8 @@
 
 /** How a link hands runs and ends that nobody here started to the kept jobs. */
 export interface KeptRuns {
+	/** The confirmation of the placer's kept runs, in milliseconds on the monotonic clock; it may lie ahead. */
+	confirmedAt(): number
 	/**
 	 * Whether the store or the configuration has not been read yet, so that any run or end may still
 	 * belong to a kept job.
@@ -98,6 +100,8 @@
 	seenSerial: number
 	/** Serials of ends that the executor must keep listing until the store has them. */
 	readonly unrecordedEnds: Set<number>
+	/** The lease has lapsed since the executor listed the ends up to this serial. */
+	lapsedSerial: number
 	/**
 	 * Whether the executor's last list of ends was complete. Until then a run that is in neither list
 	 * may have ended with a result.
@@ -141,6 +145,7 @@
 		used: {cpu: 0, memoryMb: 0, accelerators: 0},
 		seenSerial: 0,
 		unrecordedEnds: new Set(),
+		lapsedSerial: 0,
 		isEndListComplete: false,
 		listedEnds: 0,
 		isFenceTaken: false,
@@ -297,6 +302,7 @@
 		case "stuck":
 			return {type: "lost", executor, cause: "stuck"}
 		case "unheard":
+			if (run.req.isKept) return {type: "stopped"}
 			return {type: "lost", executor, cause: "its caller was not heard"}
 		default:
 			return {type: "lost", executor, cause}
--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -32,6 +32,8 @@
 	readonly orphansWaitMs: number
 	/** Whether all runs of previous placers are on executors that are linked here. */
 	readonly knowsAllExecutors: boolean
+	/** Whether no executor answered when the claim was written: the domain is lost, or cut off and at work under the previous placer. */
+	readonly isCutOff: boolean
 	readonly kept: KeptRuns
 	/** Speeds that outlast the placer; by default it learns its own. */
 	readonly speeds?: Speeds
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -47,6 +47,8 @@
 	counts(): PlacerCounts
 	/** Whether any executor is usable, or will be soon. */
 	canServe(): boolean
+	/** Whether the failure domain was cut off or lost when it was taken over, and still has no usable executor. */
+	isStranded(): boolean
 	/** Whether the placer was created just now and no executor has answered yet. */
 	isStartingUp(): boolean
 	/** Whether every executor obeys this placer, or has certainly ended the previous placer's runs. */
@@ -127,6 +129,7 @@
 		room: () => reportedRoom(state.links, state.queue, state.assessment),
 		counts: () => countsOf(state),
 		canServe: () => hasSoonUsable(state.links),
+		isStranded: () => deps.isCutOff && !hasSoonUsable(state.links),
 		isStartingUp: () => isStartingUp(state),
 		hasTakenOver: () => hasTakenOver(state),
 		expectedWaitMs: startBy =>
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -22,7 +22,7 @@
 	readonly deadlineAt: number
 	/**
 	 * The caller's last confirmation that it still waits, in milliseconds on the monotonic clock. Constant once the caller has left;
-	 * Infinity where no caller waits, as for kept jobs.
+	 * Infinity where nothing bounds the run. For kept jobs, which no caller waits for, the placer confirms its claim instead.
 	 */
 	readonly confirmedAt: () => number
 	/** Whether other tasks of the job have started, whose work would be lost with this one. */
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -2,7 +2,7 @@
 import type {ExecutorRecord} from "../types/executor.js"
 import {shortSession} from "../utils/log.js"
 import type {ExecutorLink} from "../link/executor-link.js"
-import {certainEndAt} from "../decide/lease-rule.js"
+import {certainEndAt, keptRunsOverAt} from "../decide/lease-rule.js"
 import {addLink, closeLinks} from "./placer-links.js"
 import type {PlacerState, RunLocation} from "./placer-state.js"
 import type {OnTaskEnd, Run, TaskHandle, TaskRequest} from "./run.js"
@@ -144,15 +144,21 @@
 const isGone = (link: ExecutorLink) => link.isRetired() && link.isIdle()
 
 /**
- * Whether all runs of the previous placer have ended or are known here. A replaced placer may go on renewing leases at executors
- * that have not seen the new fence, so each known executor must obey it, or have been replaced. An executor that lists only part
- * of its ends may have more of them. Unlisted executors are covered by time, unless all executors are known.
+ * Whether all kept runs of the previous placer have ended or are known here. A replaced placer may go on renewing leases at
+ * executors that have not seen the new fence, so each known executor must obey it, or have been replaced. An executor that lists
+ * only part of its ends may have more of them. Unlisted executors are covered by time, unless all executors are known. Where that
+ * placer may be cut off with its executors, and for executors that stay silent, the time is the one after which it has ended its
+ * kept runs by itself.
  */
 export function hasTakenOver({links, deps, createdAt}: PlacerState): boolean {
-	const isTimeOver = deps.clock.now() - createdAt >= TAKEOVER_MS
+	const now = deps.clock.now()
+	const areRunsOver = now >= keptRunsOverAt(createdAt)
+	const isTimeOver = areRunsOver || (!deps.isCutOff && now - createdAt >= TAKEOVER_MS)
 	const areAllKnown = deps.knowsAllExecutors && links.size > 0
 	// The previous placer's runs on a replaced executor have ended with its process.
 	const isKnown = (link: ExecutorLink) =>
 		(link.isFenceTaken() && link.areEndsKnown()) || link.isReplaced() || isGone(link)
-	return (isTimeOver || areAllKnown) && [...links.values()].every(isKnown)
+	const isLost = (link: ExecutorLink) => link.isSilent() && !link.isFenceTaken()
+	const isSettled = (link: ExecutorLink) => isKnown(link) || (areRunsOver && isLost(link))
+	return (isTimeOver || areAllKnown) && [...links.values()].every(isSettled)
 }
--- a/packages/jobs/test/fleet.test.ts
+++ b/packages/jobs/test/fleet.test.ts
@@ -39,6 +39,7 @@
 	readonly claims?: readonly Claim[]
 	readonly answers?: (member: Member) => boolean
 	readonly canReachExecutors?: () => boolean
+	readonly hasKeptJobs?: boolean
 	readonly domains?: readonly string[]
 	/** The session that answers at a member's address. */
 	readonly sessionAt?: (member: Member) => string
@@ -49,6 +50,7 @@
 	const clock = createFakeClock()
 	const {fake, store} = createFakeStore()
 	const view = createFleetView(clock, () => undefined)
+	const cutOff: Pick<Claim, "failureDomain" | "fence">[] = []
 	for (const one of options.members) fake.write(memberKey(one.name), one)
 	for (const claim of options.claims ?? []) fake.write(claimKey(claim.failureDomain), claim)
 	view.applyListing([...fake.items.values()])
@@ -69,9 +71,18 @@
 		},
 		ownLateMs: () => options.ownLateMs?.() ?? 0,
 		canReachExecutors: () => Promise.resolve(options.canReachExecutors?.() ?? true),
+		hasKeptJobs: () => Promise.resolve(options.hasKeptJobs ?? false),
+		onCutOff: claim => void cutOff.push(claim),
 	}
 	const loop = createClaimsLoop(deps)
-	return {clock, fake, view, loop, fenceOf: (domain = "a") => view.claimOf(domain)?.fence}
+	return {
+		cutOff,
+		clock,
+		fake,
+		view,
+		loop,
+		fenceOf: (domain = "a") => view.claimOf(domain)?.fence,
+	}
 }
 
 describe("claims", () => {
@@ -273,6 +284,62 @@
 		expect(world.fenceOf("b")).to.equal(3)
 	})
 
+	describe("of a domain of which nothing answers", () => {
+		const heldByFar: Claim = {failureDomain: "b", fence: 2, placer: far}
+		const lost = {
+			self: one,
+			members: [one],
+			claims: [heldByFar],
+			domains: ["b"],
+			canReachExecutors: () => false,
+		}
+
+		// The kept jobs of a zone that was lost whole were never run: nobody claimed it, as no executor answered.
+		it("are taken for its kept jobs alone, and announced as cut off", async () => {
+			const idle = createWorld(lost)
+			const busy = createWorld({...lost, hasKeptJobs: true})
+			await Promise.all([idle.clock.advance(6_000), busy.clock.advance(4_500)])
+			expect([idle.fenceOf("b"), busy.fenceOf("b")]).to.eql([2, 3])
+			expect(busy.cutOff.map(({fence}) => fence)).to.eql([3])
+		})
+
+		it("are left alone while its instances are registered, or its placer answers", async () => {
+			const registered = [one, member("b-2", "b")]
+			const native = createWorld({...lost, hasKeptJobs: true, members: registered})
+			const heard = createWorld({...lost, hasKeptJobs: true, answers: () => true})
+			await Promise.all([native.clock.advance(8_000), heard.clock.advance(8_000)])
+			expect([native.fenceOf("b"), heard.fenceOf("b")]).to.eql([2, 2])
+		})
+
+		// An instance that had been cut off itself took the other domains over as soon as it reached the store again.
+		it("are left alone while its placer is registered, and right after the store was away", async () => {
+			const placed = createWorld({...lost, hasKeptJobs: true, members: [one, far]})
+			const cutOff = createWorld({...lost, hasKeptJobs: true})
+			cutOff.fake.silentMs = 700
+			await Promise.all([placed.clock.advance(8_000), cutOff.clock.advance(8_000)])
+			cutOff.fake.silentMs = 0
+			await cutOff.clock.advance(1_400)
+			expect([placed.fenceOf("b"), cutOff.fenceOf("b")]).to.eql([2, 2])
+			await cutOff.clock.advance(1_000)
+			expect(cutOff.fenceOf("b")).to.equal(3)
+		})
+
+		it("are not announced as cut off when an executor answers", async () => {
+			const world = createWorld({...lost, hasKeptJobs: true, canReachExecutors: () => true})
+			await world.clock.advance(6_000)
+			expect([world.fenceOf("b"), world.cutOff.length]).to.eql([3, 0])
+		})
+
+		it("are taken slice by slice", async () => {
+			const slice: Claim = {failureDomain: "b/slice-1", fence: 1_000_001, placer: far}
+			const domains = ["b", "b/slice-1"]
+			const claims = [heldByFar, slice]
+			const world = createWorld({...lost, hasKeptJobs: true, domains, claims})
+			await world.clock.advance(5_500)
+			expect(world.cutOff.map(({failureDomain}) => failureDomain)).to.have.members(domains)
+		})
+	})
+
 	it("lets the largest instance of a domain try first", async () => {
 		const small = {...member("a-1"), cpuShare: 0.3}
 		const large = {...member("a-2"), cpuShare: 1.3}
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -23,6 +23,7 @@
 	createWallClock,
 	decodeSpeeds,
 	encodeSpeeds,
+	keptConfirmedAt,
 	type FleetDatagram,
 	type KeptJobRequest,
 	type OnTaskEnd,
@@ -166,6 +167,8 @@
 			ping: () => Promise.resolve(undefined),
 			ownLateMs: () => 0,
 			canReachExecutors: () => Promise.resolve(false),
+			hasKeptJobs: () => Promise.resolve(false),
+			onCutOff: () => undefined,
 		})
 		view.noteClaim({failureDomain: "b", fence: 2, placer: OTHER})
 		await claims.claimNow("b", 2)
@@ -187,6 +190,9 @@
 	})
 })
 
+/** By then a keeper has read the store. */
+const READ_AFTER_MS = 100
+
 /** Creates the keeper of a domain with a placer that records submitted tasks and starts none. */
 async function createTestKeeper(fence: number, stored?: unknown) {
 	const clock = createFakeClock()
@@ -202,6 +208,7 @@
 		log: silentLog,
 		metrics: createJobMetrics(),
 		wall: createWallClock(clock),
+		leaseRule: LEASE_RULE,
 		spacingMs: () => 10,
 		queueOf: name => (name === "orders" ? QUEUE : undefined),
 		isConfigured: () => true,
@@ -211,13 +218,14 @@
 	})
 	keeper.begin({
 		hasTakenOver: () => true,
+		isStranded: () => false,
 		offerOrphans: () => undefined,
 		submit(req: TaskRequest, end: OnTaskEnd) {
 			submitted.set(req.task.slice(ID.length + 1), {req, end})
 			return {cancel: () => undefined}
 		},
 	} as never)
-	await clock.advance(100)
+	await clock.advance(READ_AFTER_MS)
 	return {
 		clock,
 		fake,
@@ -236,7 +244,8 @@
 		// Completed tasks and steps with an incomplete predecessor are not submitted.
 		expect([...submitted.keys()]).to.eql(["0.0.1", "0.0.2", "0.1.0", "0.1.1"])
 		const {confirmedAt, ...suspect} = submitted.get("0.0.2")!.req
-		expect(confirmedAt()).to.equal(Infinity)
+		// The placer read its claim when it began.
+		expect(confirmedAt()).to.equal(keptConfirmedAt(LEASE_RULE, clock.now() - READ_AFTER_MS))
 		expect(suspect).to.deep.include({
 			spec: "spec",
 			run: 10_021,
--- a/packages/jobs/test/job-moves.test.ts
+++ b/packages/jobs/test/job-moves.test.ts
@@ -18,7 +18,7 @@
 import {accept, createKeeperWorld, ID, job, task} from "./support/keeper-world.js"
 import {createTestPlacer} from "./support/placers.js"
 import {step} from "./support/records.js"
-import {QUEUE} from "./support/requests.js"
+import {LEASE_RULE, QUEUE} from "./support/requests.js"
 
 const DOMAINS = ["a", "b", "c"]
 /** The longest that a job may have nothing running while an executor could run it. */
@@ -49,6 +49,7 @@
 		peers: undefined as never,
 		view: view as unknown as KeptJobServiceDeps["view"],
 		hosts: {of: (name: string) => hosted.get(name)} as unknown as KeptJobServiceDeps["hosts"],
+		leaseRule: LEASE_RULE,
 		storeWritesPerSecond: 400,
 		endedStateMs: 120_000,
 		failureDomains: DOMAINS,
--- a/packages/jobs/test/late-placers.test.ts
+++ b/packages/jobs/test/late-placers.test.ts
@@ -98,6 +98,8 @@
 			ping,
 			ownLateMs: toldLateMs,
 			canReachExecutors: () => Promise.resolve(true),
+			hasKeptJobs: () => Promise.resolve(false),
+			onCutOff: () => undefined,
 		})
 		own.clock.schedule(BEAT_MS, beat)
 		return {self, view}
--- a/packages/jobs/test/ledger.test.ts
+++ b/packages/jobs/test/ledger.test.ts
@@ -28,6 +28,7 @@
 		writer: "me:1",
 		claimRevision,
 		spacingMs: () => 10,
+		onClaimConfirmed: () => undefined,
 		onDeposed: () => void seen.deposed++,
 		onCancelAsked: id => void seen.cancelAsked.push(id),
 		onGone: id => void seen.gone.push(id),
--- a/packages/jobs/test/silent-placers.test.ts
+++ b/packages/jobs/test/silent-placers.test.ts
@@ -6,7 +6,7 @@
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
 import {createFakeStore} from "./support/fake-store.js"
-import {QUEUE} from "./support/requests.js"
+import {LEASE_RULE, QUEUE} from "./support/requests.js"
 
 const PENDING = 16
 
@@ -28,6 +28,7 @@
 			peers: peers as unknown as KeptJobServiceDeps["peers"],
 			view: {claims: () => [claim]} as unknown as KeptJobServiceDeps["view"],
 			hosts: {of: () => undefined} as unknown as KeptJobServiceDeps["hosts"],
+			leaseRule: LEASE_RULE,
 			storeWritesPerSecond: 400,
 			endedStateMs: 120_000,
 			failureDomains: ["a"],
--- a/packages/jobs/test/support/fake-store.ts
+++ b/packages/jobs/test/support/fake-store.ts
@@ -15,6 +15,7 @@
 
 export interface FakeStore {
 	isAway: boolean
+	silentMs: number
 	puts: number
 	lists: number
 	transactions: Transaction[]
@@ -34,6 +35,7 @@
 	const unused = () => Promise.reject(new Error("not used"))
 	const fake: FakeStore = {
 		isAway: false,
+		silentMs: 0,
 		puts: 0,
 		lists: 0,
 		transactions: [],
@@ -92,7 +94,7 @@
 		keepAlive: unused,
 		revoke: unused,
 		watch: (...args) => (fake.watch ? fake.watch(...args) : Promise.resolve(undefined)),
-		silentMs: () => 0,
+		silentMs: () => fake.silentMs,
 		close: () => Promise.resolve(),
 	}
 	return {fake, store}
--- a/packages/jobs/test/support/keeper-world.ts
+++ b/packages/jobs/test/support/keeper-world.ts
@@ -19,7 +19,7 @@
 import {createFakeStore} from "./fake-store.js"
 import {createTestPlacer} from "./placers.js"
 import {step} from "./records.js"
-import {QUEUE} from "./requests.js"
+import {LEASE_RULE, QUEUE} from "./requests.js"
 
 export const ID = "00000000000000aa"
 
@@ -59,6 +59,7 @@
 			wall: createWallClock(clock),
 			store: store.store,
 			claim,
+			leaseRule: LEASE_RULE,
 			spacingMs: () => 10,
 			queueOf: () => QUEUE,
 			isConfigured: () => true,
--- a/packages/jobs/test/support/placers.ts
+++ b/packages/jobs/test/support/placers.ts
@@ -14,6 +14,7 @@
 		leaseRule: LEASE_RULE,
 		orphansWaitMs: 0,
 		knowsAllExecutors: true,
+		isCutOff: false,
 		stopGraceMs: 50,
 		isEvacuated: () => false,
 		handOver: () => false,
--- a/packages/jobs/test/support/requests.ts
+++ b/packages/jobs/test/support/requests.ts
@@ -55,6 +55,7 @@
 
 /** A placer whose domain has no kept jobs. */
 export const NO_KEPT_RUNS: KeptRuns = {
+	confirmedAt: () => Infinity,
 	isRestoring: () => false,
 	knows: () => false,
 	adopt: () => false,
--- a/packages/jobs/test/support/sliced-domain.ts
+++ b/packages/jobs/test/support/sliced-domain.ts
@@ -256,6 +256,8 @@
 				(await peers.beat(address, ownBeat(), PING_TIMEOUT_MS + patienceMs))?.from.session,
 			ownLateMs: () => 0,
 			canReachExecutors: () => Promise.resolve(true),
+			hasKeptJobs: () => Promise.resolve(false),
+			onCutOff: () => undefined,
 		})
 		const handover = createHandover({
 			...common,
--- a/packages/standins/src/leased/wire-executor.ts
+++ b/packages/standins/src/leased/wire-executor.ts
@@ -138,6 +138,11 @@
 		return this.running.size
 	}
 
+	/** The number of a job's runs. */
+	runningCountOf(job: string): number {
+		return [...this.running.keys()].filter(task => task.startsWith(`${job}.`)).length
+	}
+
 	/** Ends all runs as `crashed`, closes open holds and refuses later orders with status 503. */
 	crash() {
 		this.hasCrashed = true
