Probe other executors of a failure domain than the first three of the list

What it led to: a failure domain whose instances are gone is taken over once one of its executors has answered for 2 s, and three were asked, always the first of the list. With these dead and their entries left behind, nobody took the domain over although others answered. Found by reading, as a path related to the lost zone; no run of processes showed it.

Change: the executor that answered last is asked first, and others by turns; three a probe, as before.

Evidence: reachability.test.ts, "finds an executor that answers behind dead ones, and keeps to it" failed before (never reachable); 43 tests of probes, claims and late placers pass.

--- a/packages/jobs/src/fleet/reachability.ts
+++ b/packages/jobs/src/fleet/reachability.ts
@@ -6,7 +6,7 @@
 import type {ExecutorOrders, ExecutorRecord} from "../types/executor.js"
 
 const REACH_TIMEOUT_MS = 250
-/** Number of executors probed per domain. */
+/** Number of executors probed per domain: the one that answered last, and others by turns, as entries of dead ones may stay. */
 const REACH_SAMPLES = 3
 /**
  * How long a list that was read serves all domains: executors seldom move, and reading it (25 KB for
@@ -34,6 +34,10 @@
 	const {clock, store, orders, executorPrefix, decodeExecutor, latestExecutors} = deps
 	let lastList: Promise<readonly ExecutorRecord[]> | undefined
 	let listedAt = -Infinity
+	/** The executor that answered last, by domain. */
+	const answering = new Map<string, string>()
+	/** How many executors were probed so far, by domain. */
+	const probed = new Map<string, number>()
 
 	/** The last list, possibly still being read. */
 	function listed(): Promise<readonly ExecutorRecord[]> {
@@ -49,16 +53,25 @@
 		return (listing?.items ?? []).flatMap(item => decodeExecutor(item) ?? [])
 	}
 
+	function samplesOf(failureDomain: string, records: readonly ExecutorRecord[]) {
+		const own = records.filter(record => record.failureDomain === failureDomain)
+		const known = own.filter(({id}) => id === answering.get(failureDomain))
+		const others = own.filter(record => !known.includes(record))
+		const start = (probed.get(failureDomain) ?? 0) % Math.max(1, others.length)
+		const inTurn = [...others.slice(start), ...others.slice(0, start)]
+		return [...known, ...inTurn].slice(0, REACH_SAMPLES)
+	}
+
 	return {
 		async canReachExecutors(failureDomain) {
-			const records = latestExecutors() ?? (await listed())
-			const samples = records
-				.filter(record => record.failureDomain === failureDomain)
-				.slice(0, REACH_SAMPLES)
+			const samples = samplesOf(failureDomain, latestExecutors() ?? (await listed()))
+			probed.set(failureDomain, (probed.get(failureDomain) ?? 0) + samples.length)
 			const answers = await Promise.all(
 				samples.map(record => orders.isReachable(record, REACH_TIMEOUT_MS)),
 			)
-			return answers.includes(true)
+			const answered = samples[answers.indexOf(true)]
+			if (answered) answering.set(failureDomain, answered.id)
+			return answered !== undefined
 		},
 	}
 }
--- a/packages/jobs/test/reachability.test.ts
+++ b/packages/jobs/test/reachability.test.ts
@@ -49,6 +49,22 @@
 		expect(fake.lists).to.equal(2)
 	})
 
+	// A domain was out of reach for good when the first three executors of the list were dead and their entries stayed.
+	it("finds an executor that answers behind dead ones, and keeps to it", async () => {
+		const executors = ["c1", "c2", "c3", "c4", "c5"].map(id => record(id, {failureDomain: "c"}))
+		const probe = createReachabilityProbe({
+			clock: createFakeClock(),
+			store: createFakeStore().store,
+			orders: {isReachable: ({id}) => Promise.resolve(id === "c5")},
+			executorPrefix: "e/",
+			decodeExecutor: () => undefined,
+			latestExecutors: () => executors,
+		})
+		const answers: boolean[] = []
+		for (let at = 0; at < 6; at++) answers.push(await probe.canReachExecutors("c"))
+		expect(answers).to.eql([false, true, true, true, true, true])
+	})
+
 	it("does not read the list where it is followed", async () => {
 		const {fake, probe, probed} = createWorld({isFollowed: true})
 		expect(await probe.canReachExecutors("b")).to.equal(true)
