Hand a cut-off failure domain on only once its old runs are certainly over

What it led to: the placer of a domain that was claimed while nothing there answered waits 6.5 s for the kept runs of the one before. An overloaded or leaving instance, or one whose domain's own instances are back, may hand the domain to a successor meanwhile. That one presumes that its predecessor knew all runs, and would start the jobs within 2 s, beside runs behind the cut.

Change: such a domain is not among those handed over until the wait is over. If the instance ends before, the next claim waits anew.

Evidence: cut-off-domain.test.ts, "is not handed on before its kept runs have certainly ended" (the check did not exist before); 66 tests of cuts, handovers and hosted placers pass.

--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -45,7 +45,7 @@
 	readonly hosts: HostedPlacers
 	readonly overflow: Overflow
 	readonly claims: () => ClaimsLoop
-	/** The failure domains and slices that this instance places. */
+	/** The failure domains and slices that this instance places and may hand over. */
 	readonly placedDomains: () => readonly string[]
 	readonly isLeaving: () => boolean
 	/** Whether this instance is overloaded. */
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -242,7 +242,8 @@
 		hosts,
 		overflow,
 		claims: () => claims as ClaimsLoop,
-		placedDomains: () => Object.keys(hosts.rooms()),
+		placedDomains: () =>
+			Object.keys(hosts.rooms()).filter(name => hosts.of(name)?.placer.mayHandOver()),
 		isLeaving: () => isLeaving,
 		isStrained: lagMonitor.isStrained,
 	})
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -53,6 +53,11 @@
 	isStartingUp(): boolean
 	/** Whether every executor obeys this placer, or has certainly ended the previous placer's runs. */
 	hasTakenOver(): boolean
+	/**
+	 * Whether the failure domain may go to a successor. It would presume that this placer knows all runs there, which is not so
+	 * while the one before may be cut off and at work.
+	 */
+	mayHandOver(): boolean
 	/**
 	 * The expected wait of a task with this latest useful start by the estimates, in milliseconds; Infinity if no executor is
 	 * usable, or will be soon.
@@ -132,6 +137,7 @@
 		isStranded: () => deps.isCutOff && !hasSoonUsable(state.links),
 		isStartingUp: () => isStartingUp(state),
 		hasTakenOver: () => hasTakenOver(state),
+		mayHandOver: () => !deps.isCutOff || hasTakenOver(state),
 		expectedWaitMs: startBy =>
 			waitBeforeMs(state.links, state.queue, state.assessment.speeds, startBy, deps.clock.now()),
 		load: () => loadOf(state.links, state.started.keys(), state.assessment),
--- a/packages/jobs/test/cut-off-domain.test.ts
+++ b/packages/jobs/test/cut-off-domain.test.ts
@@ -146,6 +146,22 @@
 		expect(await world.breaks([call])).to.eql([])
 	})
 
+	// A successor took the domain from the placer that had just claimed it, and presumed that no other run was left.
+	it("is not handed on before its kept runs have certainly ended", async () => {
+		const world = await startWorld({outcomeOf: () => LASTING})
+		await accept(world, lastingJob())
+		world.setCut(true)
+		await takeOver(world, ENTRY_TTL_MS)
+		const isRunningThere = () => world.runningAt(task(0)).some(isAt("a"))
+		const placer = world.placerOf("other", "a")
+		for (let ms = 0; ms < MAX_AWAY_MS && !placer?.mayHandOver(); ms += 50) {
+			expect(world.runningAt(task(0)).filter(isAt("b"))).to.have.length(0)
+			await world.clock.advance(50)
+		}
+		expect([placer?.mayHandOver(), isRunningThere()]).to.eql([true, false])
+		expect(world.placerOf("lost", "a")?.mayHandOver()).to.equal(true)
+	})
+
 	it("starts nothing again when its placer was frozen meanwhile", async () => {
 		for (const frozenMs of [2_000, 5_000, 8_000, 12_000]) {
 			const world = await startWorld({outcomeOf: () => LASTING, lateMs: () => 4_000})
--- a/packages/jobs/test/support/cut-world.ts
+++ b/packages/jobs/test/support/cut-world.ts
@@ -282,6 +282,7 @@
 				.filter(({type}) => type === "start" || type === "end")
 				.map(event => ("task" in event && event.task.startsWith(NEIGHBOUR.id) ? event.type : ""))
 				.reduce((count, type) => count + (type === "start" ? 1 : type === "end" ? -1 : 0), 0),
+		placerOf: (side: Side, home: string) => hosted.get(`${side}:${home}`)?.placer,
 		keeperOf: (side: Side, home: string) => hosted.get(`${side}:${home}`)?.keeper,
 		/** Cuts the lost side off from everybody else, or heals the cut. */
 		setCut(isCut: boolean) {
