--- a/packages/jobs/test/silent-at-takeover.test.ts
+++ b/packages/jobs/test/silent-at-takeover.test.ts
@@ -45,6 +45,16 @@
 		expect([starts(0), starts(1)]).to.eql([1, 1])
 	})
 
+	// Restored kept jobs waited for as long as the entry of a dead executor stayed in the list.
+	it("starts the other tasks once the placer before has ended its kept runs by itself", async () => {
+		const world = await createWorld({isLasting: true}, 300)
+		world.second.placer.setExecutors(["e1", "e2", "e3"].map(id => record(id)))
+		await world.clock.advance(TAKEOVER_MS)
+		expect([world.starts(0), world.starts(1)]).to.eql([1, 1])
+		await world.clock.advance(TAKEOVER_MS)
+		expect([world.starts(0), world.starts(1)]).to.eql([1, 2])
+	})
+
 	it("starts no gang of which a member may run there", async () => {
 		const {orders, clock, starts} = await createWorld({isGang: true})
 		orders.end(task(0), "failed")
