--- a/packages/jobs/src/link/end-list.ts
+++ b/packages/jobs/src/link/end-list.ts
@@ -2,7 +2,8 @@
  * How far the ends of an executor's runs are known here. It lists a limited number of ends at once,
  * oldest first, and further ones once these are forgotten.
  */
-import {isSilentPastLease, type LinkState} from "./state.js"
+import {isSilentPastLease} from "./availability.js"
+import type {LinkState} from "./state.js"
 
 /** Notes how many ends the executor lists and whether it may have more; logs when that changes. */
 export function noteEndList(link: LinkState, count: number) {
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -16,17 +16,10 @@
 	occupy,
 	type TaskShape,
 } from "./room.js"
-import {
-	awaitedRuns,
-	closeLink,
-	hasOrphanOf,
-	isIdle,
-	isUsableSoon,
-	isUsable,
-	newLinkState,
-	releaseRuns,
-	type LinkDeps,
-} from "./state.js"
+import {hasOrphanOf, isIdle, isUsableSoon, isUsable} from "./availability.js"
+import {closeLink} from "./replies.js"
+import {awaitedRuns, releaseRuns} from "./runs.js"
+import {newLinkState, type LinkDeps} from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
 
--- a/packages/jobs/src/link/hold.ts
+++ b/packages/jobs/src/link/hold.ts
@@ -11,27 +11,22 @@
 import {noteEndList} from "./end-list.js"
 import {nextLeaseUntil, noteLapse, shouldRenewLease} from "./lease.js"
 import {stopOrphan, stopRun, stopSettledUnanswered, stopUnheard} from "./orders.js"
+import {isSilentPastLease, isIdle, mayOrphansBeClaimed} from "./availability.js"
+import {closeLink, isOwnReply, noteAnswering, noteSilence} from "./replies.js"
 import {
 	addRun,
 	awaitedRun,
 	awaitedRuns,
 	awaitUnlistedEnd,
-	closeLink,
 	forgettableSerial,
 	forgetUnwatched,
 	isCurrent,
-	isSilentPastLease,
-	isIdle,
-	isOwnReply,
-	mayOrphansBeClaimed,
 	endWithoutResult,
-	noteAnswering,
-	noteSilence,
 	runName,
 	settleAllLost,
 	settleRun,
-	type LinkState,
-} from "./state.js"
+} from "./runs.js"
+import type {LinkState} from "./state.js"
 import type {Run, TaskEnd, EndRecorded} from "../place/run.js"
 
 /**
--- a/packages/jobs/src/link/orders.ts
+++ b/packages/jobs/src/link/orders.ts
@@ -7,16 +7,10 @@
  */
 import type {StartReply} from "../types/executor.js"
 import {shortSession} from "../utils/log.js"
-import {
-	addRun,
-	isCurrent,
-	isOwnReply,
-	isSilentPastLease,
-	noteSilence,
-	runName,
-	settleRun,
-	type LinkState,
-} from "./state.js"
+import {isSilentPastLease} from "./availability.js"
+import {isOwnReply, noteSilence} from "./replies.js"
+import {addRun, isCurrent, runName, settleRun} from "./runs.js"
+import type {LinkState} from "./state.js"
 import {freeCpu} from "./room.js"
 import {isUnheard} from "../decide/lease-rule.js"
 import {isConfirmed, nextLeaseUntil} from "./lease.js"
