--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,14 +6,13 @@
  */
 import {spawnSync} from "node:child_process"
 import {mkdirSync, readFileSync, renameSync, writeFileSync} from "node:fs"
-import {arch, pid, platform} from "node:process"
+import {pid} from "node:process"
 import {build} from "esbuild"
+import {NATIVE} from "./packages.mjs"
 
 /** As in deploy/system.toml: compiled code is refused under other arguments. */
 const RUNTIME_ARGS = ["--max-old-space-size=160"]
 const START = "target/cottonwood.cjs"
-/** The library that calls the C library, built for the machine that the bundle is made on. */
-const NATIVE = `./node_modules/@koromix/koffi-${platform}-${arch}/${platform}_${arch}/koffi.node`
 
 /**
  * Replaces a file as a whole. Processes that run from the folder have the library mapped, and are ended by a signal when it is
