--- a/packages/standins/test/bundle-damaged.test.ts
+++ b/packages/standins/test/bundle-damaged.test.ts
@@ -23,10 +23,12 @@
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {arch, version} from "node:process"
+import {setTimeout as sleep} from "node:timers/promises"
 import {request} from "undici"
 
 /** As in the deploy file; the runtime refuses compiled code under others. */
 const RUNTIME_ARGS = ["--max-old-space-size=160"]
+const LINE_POLL_MS = 10
 const ZEROS = 4_096
 /** Where an ELF file names its kind of machine. */
 const ELF_MACHINE_AT = 18
@@ -67,11 +69,20 @@
 	"is of another machine": makeForeign,
 }
 
+/** The line that an instance writes once it serves; lines arrive some time after they are written. */
+async function startedLine(edge: Edge) {
+	for (;;) {
+		const line = edge.lines.find(({kind}) => kind === "started")
+		if (line) return line
+		await sleep(LINE_POLL_MS)
+	}
+}
+
 describe("a damaged bundle", () => {
 	let made: string
 	let folder: string
 	let platform: LeasedPlatform
-	let fleet: EdgeFleet
+	let fleet: EdgeFleet | undefined
 
 	before(async () => {
 		expect(spawnSync(process.execPath, ["scripts/bundle.mjs"]).status).to.equal(0)
@@ -92,7 +103,8 @@
 	})
 
 	afterEach(async () => {
-		await fleet.close()
+		await fleet?.close()
+		fleet = undefined
 		rmSync(folder, {recursive: true, force: true})
 	})
 
@@ -107,8 +119,7 @@
 		const metrics = await res.body.text()
 		const counts = (reason: string) =>
 			metrics.includes(`cottonwood_broken_assumptions{reason="${reason}"} 1`)
-		const started = edge.lines.find(({kind}) => kind === "started")
-		return {counts, detail: started?.["detail"]}
+		return {counts, detail: (await startedLine(edge))["detail"]}
 	}
 
 	it("serves with all its parts, and reports nothing", async () => {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,7 +6,9 @@
  */
 import {spawnSync} from "node:child_process"
 import {mkdirSync, readFileSync, renameSync, writeFileSync} from "node:fs"
+import {Buffer} from "node:buffer"
 import {pid} from "node:process"
+import {crc32} from "node:zlib"
 import {build} from "esbuild"
 import {NATIVE} from "./packages.mjs"
 
@@ -24,6 +26,12 @@
 	renameSync(written, path)
 }
 
+/** Ends the source with the checksum of all before it, as scripts/start.cjs checks it. */
+function sealed(contents) {
+	const text = Buffer.concat([contents, Buffer.from("\n//")])
+	return Buffer.concat([text, Buffer.from(crc32(text).toString(16).padStart(8, "0"))])
+}
+
 const {outputFiles} = await build({
 	write: false,
 	entryPoints: ["platform/src/main.ts"],
@@ -35,6 +43,7 @@
 	sourcemap: false,
 	// Half the text to read; names stay, for stack traces.
 	minifyWhitespace: true,
+	charset: "ascii",
 	legalComments: "none",
 	alias: {
 		"@cottonwood/core/clock": "./packages/core/src/utils/clock.ts",
@@ -50,7 +59,8 @@
 	logLevel: "warning",
 })
 mkdirSync("target", {recursive: true})
-for (const {path, contents} of outputFiles) replaceFile(path, contents)
+for (const {path, contents} of outputFiles)
+	replaceFile(path, path.endsWith(".cjs") ? sealed(contents) : contents)
 replaceFile(START, readFileSync("scripts/start.cjs"))
 const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
 	// What the rehearsal logs is of no interest.
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -1,41 +1,97 @@
 /**
  * Starts the bundled program from its source and from what the runtime compiled of it when it was bundled.
  *
- * Should the runtime refuse the compiled part (another version, other arguments), it compiles the source as
- * usual. `--compile` writes that part, after a rehearsal. In the older module format, since the loader of the newer one costs a
- * start 15 ms.
+ * Each part is checked before it is used: the runtime runs damaged compiled code, or that of another source. Without compiled code that can be used, the source is compiled as usual. `--compile` writes
+ * the compiled code, after a rehearsal. In the older module format, since the loader of the newer one costs a start 15 ms.
  */
-const {existsSync, readFileSync, renameSync, writeFileSync} = require("node:fs")
+const {Buffer} = require("node:buffer")
+const {readFileSync, renameSync, writeFileSync} = require("node:fs")
 const {join} = require("node:path")
 const {Script} = require("node:vm")
+const {crc32} = require("node:zlib")
 
 const COMPILE = "--compile"
 /** Five times what it takes. */
 const REHEARSAL_MS = 15_000
+const EXIT_START_FAILED = 1
+/** Hexadecimal digits of a checksum. */
+const SUM_CHARS = 8
+/** What compiled code is made for; arguments of the runtime are compared by the runtime. */
+const MACHINE = `${process.version} ${process.platform} ${process.arch}`
 const source = join(__dirname, "program.cjs")
 const compiled = join(__dirname, "program.compiled")
 
-const text = `(function (require, exports, module) {${readFileSync(source, "utf8")}\n})`
-const isCompiling = process.argv[2] === COMPILE
-const script = new Script(text, {
-	filename: source,
-	cachedData: !isCompiling && existsSync(compiled) ? readFileSync(compiled) : undefined,
-})
-const program = {exports: {}}
-script.runInThisContext()(require, program.exports, program)
+const sumOf = contents => crc32(contents).toString(16).padStart(SUM_CHARS, "0")
 
-if (isCompiling) void compile()
-else program.exports.main({isCompiledCodeUsed: script.cachedDataRejected === false})
+/** Reads the source, which ends with the checksum of all before it; throws when it is damaged. */
+function readSource() {
+	const contents = readFileSync(source)
+	const sum = sumOf(contents.subarray(0, -SUM_CHARS))
+	if (contents.toString("latin1", contents.length - SUM_CHARS) !== sum)
+		throw new Error("it is not as it was built; build it again")
+	// The bundler writes ASCII alone.
+	return {text: contents.toString("latin1"), sum}
+}
+
+/** The last line of the compiled code. */
+const sealOf = (code, sourceSum) => `\n${sumOf(code)} ${sourceSum} ${MACHINE}`
+
+/** Returns what was compiled of the source on such a machine, or why there is none that can be used. */
+function readCompiled(sourceSum) {
+	let contents
+	try {
+		contents = readFileSync(compiled)
+	} catch (err) {
+		return {refusal: `can't be read (${err.code})`}
+	}
+	const code = contents.subarray(0, Math.max(contents.lastIndexOf("\n"), 0))
+	const seal = contents.toString("latin1", code.length)
+	if (seal === sealOf(code, sourceSum)) return {code}
+	if (!seal.startsWith(`\n${sumOf(code)} `)) return {refusal: "is damaged"}
+	return {
+		refusal: seal.endsWith(` ${MACHINE}`)
+			? "is of another source"
+			: "is of another machine or runtime",
+	}
+}
+
+/** Loads the program; `refusal` says why its compiled code is not used. */
+function load(isCompiling) {
+	const {text, sum} = readSource()
+	const {code, refusal} = isCompiling ? {} : readCompiled(sum)
+	const wrapped = `(function (require, exports, module) {${text}\n})`
+	const script = new Script(wrapped, {filename: source, cachedData: code})
+	const program = {exports: {}}
+	script.runInThisContext()(require, program.exports, program)
+	const isRefused = script.cachedDataRejected === true
+	return {program, script, sum, refusal: isRefused ? "was refused by the runtime" : refusal}
+}
 
 /** Functions are compiled when they are first called, so the program serves some jobs before it is written. */
-async function compile() {
+async function compile({program, script, sum}) {
 	const isOver = new Promise(resolve => setTimeout(resolve, REHEARSAL_MS, "it took too long"))
 	const failure = await Promise.race([program.exports.rehearse(), isOver]).catch(err => err.message)
 	// A build goes on without: what is not compiled now is compiled when it is needed.
 	if (failure) process.stderr.write(`cottonwood: the rehearsal failed: ${failure}\n`)
 	// Renamed into place, so that a process that starts meanwhile reads no half of it.
 	const written = `${compiled}.${process.pid}`
-	writeFileSync(written, script.createCachedData())
+	const code = script.createCachedData()
+	writeFileSync(written, Buffer.concat([code, Buffer.from(sealOf(code, sum), "latin1")]))
 	renameSync(written, compiled)
 	process.exit(0)
 }
+
+function start() {
+	const isCompiling = process.argv[2] === COMPILE
+	let loaded
+	try {
+		loaded = load(isCompiling)
+	} catch (err) {
+		process.stderr.write(`cottonwood: ${source} can't be run: ${err.message}\n`)
+		process.exit(EXIT_START_FAILED)
+	}
+	if (isCompiling) void compile(loaded)
+	else loaded.program.exports.main({compiledCodeRefusal: loaded.refusal})
+}
+
+start()
