--- a/packages/standins/test/bundle-damaged.test.ts
+++ b/packages/standins/test/bundle-damaged.test.ts
@@ -142,8 +142,9 @@
 
 	for (const [name, damage] of Object.entries(LIBRARY_DAMAGE)) {
 		it(`serves where the native library ${name}, and says so`, async () => {
-			const library = readdirSync(folder).find(file => file.endsWith(".node")) ?? ""
-			damage(join(folder, library))
+			const libraries = readdirSync(folder).filter(file => file.endsWith(".node"))
+			expect(libraries).not.to.eql([])
+			for (const library of libraries) damage(join(folder, library))
 			expect((await serve()).counts("boot_clock")).to.equal(true)
 		})
 	}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,69 +1,95 @@
 /**
  * Bundles the platform's program into target/, from the sources, so that a deployment needs no built packages:
- * its source in one file, what the runtime compiles of it, and the script that starts it from both.
+ * its source in one file, what the runtime compiles of it, the native library, and the script that starts it from these.
  *
  * Compiling the source took 0.13 of the 0.36 s of processor time of a start.
  */
 import {spawnSync} from "node:child_process"
 import {mkdirSync, readFileSync, renameSync, writeFileSync} from "node:fs"
-import {Buffer} from "node:buffer"
+import {join} from "node:path"
 import {pid} from "node:process"
 import {crc32} from "node:zlib"
 import {build} from "esbuild"
-import {NATIVE} from "./packages.mjs"
+import {isNativeUsable, NATIVE} from "./packages.mjs"
 
 /** As in deploy/system.toml: compiled code is refused under other arguments. */
 const RUNTIME_ARGS = ["--max-old-space-size=160"]
+const FOLDER = "target"
 const START = "target/cottonwood.cjs"
 
+/** As scripts/start.cjs checks it. */
+const sumOf = contents => crc32(contents).toString(16).padStart(8, "0")
+
 /**
  * Replaces a file as a whole. Processes that run from the folder have the library mapped, and are ended by a signal when it is
  * written to in place.
  */
-function replaceFile(path, contents) {
+function replaceFile(name, contents) {
+	const path = join(FOLDER, name)
 	const written = `${path}.${pid}`
 	writeFileSync(written, contents)
 	renameSync(written, path)
 }
 
-/** Ends the source with the checksum of all before it, as scripts/start.cjs checks it. */
-function sealed(contents) {
-	const text = Buffer.concat([contents, Buffer.from("\n//")])
-	return Buffer.concat([text, Buffer.from(crc32(text).toString(16).padStart(8, "0"))])
+/** Lays the native library beside the program; returns its name, by which the program loads it. */
+function layNative() {
+	if (!isNativeUsable()) {
+		process.stderr.write("bundle: no native library works here; suspensions will not be counted.\n")
+		return "no-native-library"
+	}
+	const contents = readFileSync(NATIVE)
+	const name = `koffi-${sumOf(contents)}.node`
+	replaceFile(name, contents)
+	return name
+}
+
+async function bundleSource(native) {
+	const {outputFiles} = await build({
+		write: false,
+		entryPoints: ["platform/src/main.ts"],
+		bundle: true,
+		platform: "node",
+		target: "node20",
+		format: "cjs",
+		// A library that is missing or foreign is then an error of the import, which the program handles.
+		supported: {"dynamic-import": false},
+		sourcemap: false,
+		// Half the text to read; names stay, for stack traces.
+		minifyWhitespace: true,
+		charset: "ascii",
+		legalComments: "none",
+		alias: {
+			"@cottonwood/core/clock": "./packages/core/src/utils/clock.ts",
+			"@cottonwood/core/health": "./packages/core/src/core/health.ts",
+			"@cottonwood/wire/json": "./packages/wire/src/json-service.ts",
+			"@cottonwood/wire/datagrams": "./packages/wire/src/datagrams.ts",
+			"@cottonwood/jobs": "./packages/jobs/src/index.ts",
+			// Of the library's parts only this one is used; loading the others took 40 ms of a start.
+			undici: "./scripts/undici-agent.mjs",
+		},
+		plugins: [
+			{
+				name: "native",
+				setup: ({onResolve}) =>
+					onResolve({filter: /^koffi$/}, () => ({path: `./${native}`, external: true})),
+			},
+		],
+		logLevel: "warning",
+	})
+	return outputFiles[0].text
+}
+
+function compile() {
+	const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
+		// What the rehearsal logs is of no interest.
+		stdio: ["ignore", "ignore", "inherit"],
+	})
+	return status ?? 1
 }
 
-const {outputFiles} = await build({
-	write: false,
-	entryPoints: ["platform/src/main.ts"],
-	outfile: "target/program.cjs",
-	bundle: true,
-	platform: "node",
-	target: "node20",
-	format: "cjs",
-	sourcemap: false,
-	// Half the text to read; names stay, for stack traces.
-	minifyWhitespace: true,
-	charset: "ascii",
-	legalComments: "none",
-	alias: {
-		"@cottonwood/core/clock": "./packages/core/src/utils/clock.ts",
-		"@cottonwood/core/health": "./packages/core/src/core/health.ts",
-		"@cottonwood/wire/json": "./packages/wire/src/json-service.ts",
-		"@cottonwood/wire/datagrams": "./packages/wire/src/datagrams.ts",
-		"@cottonwood/jobs": "./packages/jobs/src/index.ts",
-		// Of the library's parts only this one is used; loading the others took 40 ms of a start.
-		undici: "./scripts/undici-agent.mjs",
-		koffi: NATIVE,
-	},
-	loader: {".node": "copy"},
-	logLevel: "warning",
-})
-mkdirSync("target", {recursive: true})
-for (const {path, contents} of outputFiles)
-	replaceFile(path, path.endsWith(".cjs") ? sealed(contents) : contents)
-replaceFile(START, readFileSync("scripts/start.cjs"))
-const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
-	// What the rehearsal logs is of no interest.
-	stdio: ["ignore", "ignore", "inherit"],
-})
-process.exit(status ?? 1)
+mkdirSync(FOLDER, {recursive: true})
+const native = layNative()
+const text = `${await bundleSource(native)}\n//`
+replaceFile("program.cjs", `${text}${sumOf(text)}`)
+replaceFile("cottonwood.cjs", readFileSync("scripts/start.cjs"))
+process.exit(compile())
--- a/scripts/packages.mjs
+++ b/scripts/packages.mjs
@@ -2,7 +2,7 @@
  * Tells whether the installed packages are those of the lock file and work on this machine, and installs them anew.
  */
 import {spawnSync} from "node:child_process"
-import {readFileSync} from "node:fs"
+import {readFileSync, rmSync} from "node:fs"
 import {join} from "node:path"
 import {arch, platform} from "node:process"
 
@@ -14,16 +14,14 @@
 const KIND = ["--include=dev", "--include=optional", `--os=${platform}`, `--cpu=${arch}`]
 const INSTALL = ["ci", ...KIND, "--loglevel=error", "--no-progress"]
 /** For when the user's cache is missing, damaged or read-only. */
-const OWN_CACHE = ["--cache", "target/npm-cache"]
+const OWN_CACHE = "target/npm-cache"
 
 /** The library that calls the C library, built for this kind of machine. */
 export const NATIVE = `./node_modules/@koromix/koffi-${platform}-${arch}/${platform}_${arch}/koffi.node`
 
-/** Programs that use what a bundle needs of this machine. Run as processes, since a damaged binary may end the one that loads it. */
-const PROBES = {
-	"the bundler": `await (await import("esbuild")).transform("1"); process.exit(0)`,
-	"the native library": `process.dlopen({exports: {}}, ${JSON.stringify(NATIVE)})`,
-}
+/** Run as processes of their own, since a damaged binary may end the one that uses it. */
+const USE_BUNDLER = `await (await import("esbuild")).transform("1"); process.exit(0)`
+const USE_NATIVE = `process.dlopen({exports: {}}, ${JSON.stringify(NATIVE)})`
 
 function readJson(path) {
 	try {
@@ -52,12 +50,19 @@
 	return undefined
 }
 
+function runs(program) {
+	const args = ["--input-type=module", "--eval", program]
+	return spawnSync(process.execPath, args, {stdio: "ignore", timeout: PROBE_MS}).status === 0
+}
+
+/** Whether the native library is there, whole and for this kind of machine. */
+export function isNativeUsable() {
+	return runs(USE_NATIVE)
+}
+
 function findBrokenBinary() {
-	for (const [name, program] of Object.entries(PROBES)) {
-		const args = ["--input-type=module", "--eval", program]
-		const {status} = spawnSync(process.execPath, args, {stdio: "ignore", timeout: PROBE_MS})
-		if (status !== 0) return `${name} does not work on this machine`
-	}
+	if (!runs(USE_BUNDLER)) return "the bundler does not work on this machine"
+	if (!isNativeUsable()) return "the native library does not work on this machine"
 	return undefined
 }
 
@@ -68,9 +73,10 @@
 
 /** Installs the packages of the lock file for this kind of machine; returns what is still wrong with them. */
 export function install() {
-	for (const cache of [[], OWN_CACHE]) {
+	for (const cache of [[], ["--cache", OWN_CACHE]]) {
 		spawnSync("npm", [...INSTALL, ...cache], {stdio: ["ignore", 2, 2]})
-		if (!findFault()) return undefined
+		if (!findFault()) break
 	}
+	rmSync(OWN_CACHE, {recursive: true, force: true})
 	return findFault()
 }
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -1,7 +1,8 @@
 /**
  * Starts the bundled program from its source and from what the runtime compiled of it when it was bundled.
  *
- * Each part is checked before it is used: the runtime runs damaged compiled code, or that of another source. Without compiled code that can be used, the source is compiled as usual. `--compile` writes
+ * Each part is checked before it is used: the runtime runs damaged compiled code, or that of another source, and a library that
+ * was cut short ends the process. Without compiled code that can be used, the source is compiled as usual. `--compile` writes
  * the compiled code, after a rehearsal. In the older module format, since the loader of the newer one costs a start 15 ms.
  */
 const {Buffer} = require("node:buffer")
@@ -55,6 +56,14 @@
 	}
 }
 
+/** Loads a module for the program; a native library, whose name ends with its checksum, only when it is whole. */
+function requireWhole(name) {
+	const sum = /-([0-9a-f]{8})\.node$/.exec(name)?.[1]
+	if (sum !== undefined && sumOf(readFileSync(join(__dirname, name))) !== sum)
+		throw new Error(`${name} is not as it was built`)
+	return require(name)
+}
+
 /** Loads the program; `refusal` says why its compiled code is not used. */
 function load(isCompiling) {
 	const {text, sum} = readSource()
@@ -62,7 +71,7 @@
 	const wrapped = `(function (require, exports, module) {${text}\n})`
 	const script = new Script(wrapped, {filename: source, cachedData: code})
 	const program = {exports: {}}
-	script.runInThisContext()(require, program.exports, program)
+	script.runInThisContext()(requireWhole, program.exports, program)
 	const isRefused = script.cachedDataRejected === true
 	return {program, script, sum, refusal: isRefused ? "was refused by the runtime" : refusal}
 }
