--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,7 +5,15 @@
  * Compiling the source took 0.13 of the 0.36 s of processor time of a start.
  */
 import {spawnSync} from "node:child_process"
-import {mkdirSync, readFileSync, renameSync, writeFileSync} from "node:fs"
+import {
+	mkdirSync,
+	readdirSync,
+	readFileSync,
+	renameSync,
+	rmSync,
+	statSync,
+	writeFileSync,
+} from "node:fs"
 import {join} from "node:path"
 import {pid} from "node:process"
 import {crc32} from "node:zlib"
@@ -16,6 +24,11 @@
 const RUNTIME_ARGS = ["--max-old-space-size=160"]
 const FOLDER = "target"
 const START = "target/cottonwood.cjs"
+const NATIVE_FILE = /^koffi.*\.node$/
+/** A file that is being written, by the process whose id ends its name. */
+const WRITTEN_FILE = /\.\d+$/
+/** A build that takes longer is ended by the platform. */
+const BUILD_MS = 900_000
 
 /** As scripts/start.cjs checks it. */
 const sumOf = contents => crc32(contents).toString(16).padStart(8, "0")
@@ -87,9 +100,20 @@
 	return status ?? 1
 }
 
+/** Removes what other builds or other machines left; what a build beside this one is writing stays. */
+function removeLeftovers(native) {
+	for (const name of readdirSync(FOLDER)) {
+		const path = join(FOLDER, name)
+		const isOver = WRITTEN_FILE.test(name) && Date.now() - statSync(path).mtimeMs > BUILD_MS
+		if (isOver || (NATIVE_FILE.test(name) && name !== native)) rmSync(path, {force: true})
+	}
+}
+
 mkdirSync(FOLDER, {recursive: true})
 const native = layNative()
 const text = `${await bundleSource(native)}\n//`
 replaceFile("program.cjs", `${text}${sumOf(text)}`)
 replaceFile("cottonwood.cjs", readFileSync("scripts/start.cjs"))
-process.exit(compile())
+const status = compile()
+removeLeftovers(native)
+process.exit(status)
