--- a/packages/jobs/src/decide/suitability.ts
+++ b/packages/jobs/src/decide/suitability.ts
@@ -25,6 +25,26 @@
 	return isLargeEnough && suits(executor, req)
 }
 
+/** How many of the tasks an executor could run at the same time if it were idle. */
+export function countThatCouldRun(
+	executor: Executor,
+	req: TaskRequirements & {readonly maxPerExecutor?: number},
+): number {
+	if (!couldRun(executor, req)) return 0
+	const {cpu, memoryMb, accelerators} = executor.capacity
+	const {need, maxPerExecutor = Infinity} = req
+	return Math.min(
+		countIn(cpu, need.cpu),
+		countIn(memoryMb, need.memoryMb),
+		countIn(accelerators, need.accelerators),
+		maxPerExecutor,
+	)
+}
+
+/** How often a need goes into a capacity. */
+export const countIn = (free: number, need: number) =>
+	need === 0 ? Infinity : Math.floor(free / need)
+
 /** Whether one of the executors could run a step's tasks and is not leaving. */
 export function couldRunStep(
 	executors: readonly ExecutorRecord[],
--- a/packages/jobs/src/keep/job-occurrence.ts
+++ b/packages/jobs/src/keep/job-occurrence.ts
@@ -15,15 +15,15 @@
 	reportCrash,
 	SOUND_RUN_MS,
 	type Crash,
-	type CrashCount,
 } from "../decide/crashes.js"
-import type {TaskEnd, EndRecorded, TaskHandle, TaskRequest} from "../place/run.js"
+import type {TaskEnd, EndRecorded, SuppliedTask, TaskHandle, TaskRequest} from "../place/run.js"
 import {taskRequestBase} from "../coordinate/task-request.js"
 import type {Queue} from "../types/fleet-config.js"
 import type {Step} from "../types/job.js"
 import type {JobRecord} from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import {createStepTasks, type StepTasks, type TaskState} from "./step-tasks.js"
 
 /** Delay before a lasting task starts again, doubled with each short run. */
 const MIN_LASTING_RETRY_MS = 50
@@ -46,6 +46,8 @@
 		onEnd: (end: TaskEnd) => EndRecorded,
 		onStart: () => void,
 	) => TaskHandle
+	/** Called when the tasks of a step may start that have not been made yet: they are to be taken with `next`. */
+	readonly onStepBegun: (step: number) => void
 	readonly adopt: (
 		req: TaskRequest,
 		from: RunLocation,
@@ -74,6 +76,10 @@
 export interface JobOccurrence {
 	/** Starts the tasks that are due; before this call runs can only be adopted. */
 	begin(): void
+	/** Makes the next task of a step that has begun; undefined when none is left. */
+	next(step: number): SuppliedTask | undefined
+	/** A request like those of a step's tasks. */
+	requestLike(step: number): TaskRequest
 	/** Takes over a run that an executor lists; returns whether the run is still wanted. */
 	adopt(task: string, run: number, executor: string): boolean
 	/** Handles an end that an executor lists of a run that was not managed here. */
@@ -88,45 +94,28 @@
 	abandon(): void
 }
 
-interface TaskState {
-	readonly step: number
-	readonly name: string
-	run: number
-	/** Consecutive short runs that ended without a result. */
-	shortRuns: number
-	startedAt: number
-	crashes: CrashCount
-	readonly avoid: string[]
-	handle: TaskHandle | undefined
-	isStarted: boolean
-	/** Whether a run of the previous placer was taken over, so that none can be at an executor that has not answered yet. */
-	isAdopted: boolean
-	isDone: boolean
-}
-
 /** Returns a task's name without the job's id. */
 export const shortName = (task: string) => task.slice(task.indexOf(".") + 1)
 
-/** Starts an occurrence of a kept job, given by its index. */
+/** Starts an occurrence of a kept job, given by its index; `done` are the short names of its completed tasks. */
 export function startOccurrence(
 	record: JobRecord,
 	occurrence: number,
 	dueAt: number,
 	queue: Queue,
+	done: readonly string[],
 	deps: JobOccurrenceDeps,
 ): JobOccurrence {
 	const {clock, log, metrics} = deps
-	const done = new Set(record.done)
-	const tasks = record.steps.map((_, at) => createTasks(record, occurrence, at, deps.runBase, done))
-	const byName = new Map(tasks.flat().map(task => [task.name, task]))
+	const tasks = createTasks(record, occurrence, deps.runBase, done)
+	let started = 0 // The number of tasks on executors.
 	const begunSteps = new Set<number>()
 	const slackMs = queue.stretch * criticalPathMs(record.steps) + queue.slackMs
 	let hasBegun = false
 	let isOver = false
 
-	const slackOf = ({estimateMs}: Step) => slackMs - estimateMs
 	function requestOf(task: TaskState): TaskRequest {
-		const startBy = dueAt + slackOf(stepOf(task))
+		const startBy = dueAt + slackMs - stepOf(task).estimateMs
 		return createRequest(task, record, queue, {startBy, confirmedAt: deps.confirmedAt})
 	}
 
@@ -143,13 +132,14 @@
 	}
 
 	function handleStart(task: TaskState) {
+		if (!task.isStarted) started++
 		task.isStarted = true
 		task.startedAt = clock.now()
-		if (stepOf(task).isLasting && task.crashes.known > 0) forgetCrashesOnceSound(task, task.run)
+		if (stepOf(task).isLasting && task.crashes.known > 0) forgetCrashesOnceSound(task)
 		deps.onStart()
 	}
 
-	function forgetCrashesOnceSound(task: TaskState, run: number) {
+	function forgetCrashesOnceSound(task: TaskState, run = task.run) {
 		clock.schedule(SOUND_RUN_MS, () => {
 			if (isOver || !task.isStarted || task.run !== run) return
 			task.crashes = NO_CRASHES
@@ -158,10 +148,12 @@
 	}
 
 	const stepOf = ({step}: TaskState) => record.steps[step] as Step
+	const tasksOf = (step: number) => tasks[step] as StepTasks
 
 	function handleEnd(task: TaskState, end: TaskEnd, endedRun = task.run): EndRecorded {
 		const ranMs = clock.now() - task.startedAt
 		task.handle = undefined
+		if (task.isStarted) started--
 		task.isStarted = false
 		if (isOver || task.isDone) return undefined
 		const step = stepOf(task)
@@ -197,24 +189,14 @@
 		const fields = {job: record.id, task: task.name, run: task.run, outcome: end.type, cause}
 		log.event("job", "task_retry", "job: retrying a task.", fields)
 		const step = stepOf(task)
-		if (step.isGang) return restartGang(task.step)
+		if (step.isGang) return restartGang(tasksOf(task.step).all(), clock, submitTask)
 		clock.schedule(step.isLasting ? lastingRetryMs(task) : RETRY_MS, () => submitTask(task))
 	}
 
-	/** Cancels the rest of a gang that lost a member, then starts it under one run number. */
-	function restartGang(step: number) {
-		const members = tasks[step] as TaskState[]
-		const running = members.filter(({handle}) => handle)
-		if (running.length > 0) return running.forEach(({handle}) => handle?.cancel())
-		const run = Math.max(...members.map(member => member.run))
-		for (const member of members) member.run = run
-		clock.schedule(RETRY_MS, () => members.forEach(submitTask))
-	}
-
 	function handleTaskDone(task: TaskState): EndRecorded {
-		const finished = stepOf(task).isGang ? (tasks[task.step] as TaskState[]) : [task]
+		const finished = stepOf(task).isGang ? tasksOf(task.step).all() : [task]
 		// A gang ends as a whole, so one member's completion counts for all.
-		for (const one of finished) one.isDone = true
+		for (const one of finished) tasksOf(task.step).noteDone(one)
 		const recorded = deps.recordDone(finished.map(({name}) => shortName(name)))
 		beginSteps()
 		finishIfDone()
@@ -222,14 +204,14 @@
 	}
 
 	function handleTaskFailed(task: TaskState, run: number): EndRecorded {
-		const counted = stepOf(task).isGang ? (tasks[task.step]?.[0] as TaskState) : task
+		const counted = stepOf(task).isGang ? tasksOf(task.step).at(0) : task
 		const {count, recorded} = deps.recordFailure(shortName(counted.name), run)
 		if (count >= queue.maxAttempts) finish("failed", `${task.name} failed ${count} times`)
 		return recorded
 	}
 
 	function finishIfDone() {
-		if (tasks.flat().every(({isDone}) => isDone)) finish("completed", "all tasks are done")
+		if (tasks.every(step => step.isDone())) finish("completed", "all tasks are done")
 	}
 
 	function finish(state: "completed" | "failed", cause: string) {
@@ -240,26 +222,25 @@
 
 	function stop() {
 		isOver = true
-		for (const task of byName.values()) if (!task.isDone) task.handle?.cancel()
+		for (const task of tasks.flatMap(step => step.made())) if (!task.isDone) task.handle?.cancel()
 	}
 
-	function isStepDone(step: number): boolean {
-		return (tasks[step] as TaskState[]).every(({isDone}) => isDone)
-	}
+	const isStepDone = (step: number) => tasksOf(step).isDone()
 
 	function beginSteps() {
 		if (!hasBegun || isOver) return
 		record.steps.forEach((step, at) => {
 			if (begunSteps.has(at) || !step.after.every(isStepDone)) return
 			begunSteps.add(at)
-			for (const task of tasks[at] as TaskState[]) submitTask(task)
+			for (const task of foundTasks(step, tasksOf(at))) submitTask(task)
+			if (tasksOf(at).unmade() > 0) deps.onStepBegun(at)
 		})
 	}
 
-	/** Raises all members of a gang to the same run number. */
-	function alignGang(step: number, run: number) {
-		if (!record.steps[step]?.isGang) return
-		for (const member of tasks[step] as TaskState[]) member.run = Math.max(member.run, run)
+	/** The task of this name, unless it is yet to be made and waits for its turn at the placer. */
+	function findTask(name: string): TaskState | undefined {
+		const [, step = NaN] = shortName(name).split(".").map(Number)
+		return tasks[step]?.named(name, begunSteps.has(step))
 	}
 
 	return {
@@ -268,30 +249,44 @@
 			beginSteps()
 			finishIfDone()
 		},
+		next(step) {
+			const task = !isOver && begunSteps.has(step) ? tasksOf(step).next() : undefined
+			if (!task) return undefined
+			return {
+				req: requestOf(task),
+				dueAt,
+				onEnd: end => handleEnd(task, end),
+				onStart: () => handleStart(task),
+				onQueued: handle => void (task.handle = handle),
+			}
+		},
+		requestLike(step) {
+			const like = createTasks(record, occurrence, deps.runBase, [])[step] as StepTasks
+			return requestOf(like.at(0))
+		},
 		adopt(name, run, executor) {
-			const task = byName.get(name)
+			const task = findTask(name)
 			if (!task || isOver || task.isDone || task.handle) return false
 			// The next run needs a higher number than this one.
 			task.run = Math.max(task.run, run)
-			alignGang(task.step, task.run)
-			const adopted = {...requestOf(task), run}
+			// All members of a gang have the same number.
+			if (stepOf(task).isGang)
+				for (const one of tasksOf(task.step).all()) one.run = Math.max(one.run, task.run)
 			const from = {executor, isStarted: true}
 			task.isAdopted = true
-			task.handle = deps.adopt(adopted, from, end => handleEnd(task, end))
+			task.handle = deps.adopt({...requestOf(task), run}, from, end => handleEnd(task, end))
 			handleStart(task)
 			return true
 		},
 		noteUnclaimedEnd(name, run, end) {
-			const task = byName.get(name)
+			const task = findTask(name)
 			const isCounted = end.type === "done" || end.type === "failed"
 			if (!task || isOver || task.isDone || task.handle || !isCounted) return undefined
 			return handleEnd(task, end, run)
 		},
-		isIdle: () => hasBegun && !isOver && [...byName.values()].every(({isStarted}) => !isStarted),
-		waitingSteps() {
-			const isWaiting = ({isDone, isStarted}: TaskState) => !isDone && !isStarted
-			return record.steps.filter((_, at) => begunSteps.has(at) && tasks[at]?.some(isWaiting))
-		},
+		isIdle: () => hasBegun && !isOver && started === 0,
+		waitingSteps: () =>
+			record.steps.filter((_, at) => begunSteps.has(at) && hasWaiting(tasksOf(at))),
 		stop,
 		abandon() {
 			isOver = true
@@ -299,6 +294,26 @@
 	}
 }
 
+/** Cancels the rest of a gang that lost a member, then starts it under one run number. */
+function restartGang(
+	members: readonly TaskState[],
+	clock: Clock,
+	submitTask: (task: TaskState) => void,
+) {
+	const running = members.filter(({handle}) => handle)
+	if (running.length > 0) return running.forEach(({handle}) => handle?.cancel())
+	const run = Math.max(...members.map(member => member.run))
+	for (const member of members) member.run = run
+	clock.schedule(RETRY_MS, () => members.forEach(submitTask))
+}
+
+/** The tasks of which a run or an end was found before their step began; of a gang it is found for all. */
+const foundTasks = ({isGang}: Step, tasks: StepTasks) =>
+	isGang && tasks.made().length > 0 ? tasks.all() : tasks.made()
+
+const hasWaiting = (step: StepTasks) =>
+	step.unmade() > 0 || step.made().some(({isDone, isStarted}) => !isDone && !isStarted)
+
 function createRequest(
 	task: TaskState,
 	record: JobRecord,
@@ -332,27 +347,22 @@
 function createTasks(
 	record: JobRecord,
 	occurrence: number,
-	step: number,
 	runBase: number,
-	done: ReadonlySet<string>,
-): TaskState[] {
-	const {count, isGang} = record.steps[step] as Step
-	const shared: string[] = []
-	return Array.from({length: count}, (_, index) => {
-		const name = `${record.id}.${occurrence}.${step}.${index}`
-		return {
+	done: readonly string[],
+): readonly StepTasks[] {
+	const doneOf = record.steps.map(() => new Set<number>())
+	for (const name of done) {
+		const [, step = NaN, index = NaN] = name.split(".").map(Number)
+		doneOf[step]?.add(index)
+	}
+	return record.steps.map((step, at) =>
+		createStepTasks({
 			step,
-			name,
-			run: runBase + 1,
-			shortRuns: 0,
-			startedAt: -Infinity,
-			crashes: {known: record.crashes?.[shortName(name)] ?? 0, possible: 0},
-			// A gang is placed as a whole, so its members avoid the same executors.
-			avoid: isGang ? shared : [],
-			handle: undefined,
-			isStarted: false,
-			isAdopted: false,
-			isDone: done.has(shortName(name)),
-		}
-	})
+			at,
+			name: `${record.id}.${occurrence}.${at}`,
+			firstRun: runBase + 1,
+			done: doneOf[at] as Set<number>,
+			crashesOf: name => record.crashes?.[shortName(name)] ?? 0,
+		}),
+	)
 }
--- a/packages/jobs/src/keep/kept-job.ts
+++ b/packages/jobs/src/keep/kept-job.ts
@@ -13,7 +13,8 @@
 import type {WallClock} from "../utils/wall-clock.js"
 import {shortName, startOccurrence, type JobOccurrence} from "./job-occurrence.js"
 import type {WriteOutcome} from "./ledger.js"
-import {endedTimesOf, hasProgress, isLongRecord, shortenRecord} from "./record-size.js"
+import {endedTimesOf, hasProgress, isLongRecord, shortenRecord, timesOf} from "./record-size.js"
+import {createJobSupplies} from "./task-supply.js"
 
 /** Maximum delay between checks of a scheduled time, since the time of day may be corrected. */
 const MAX_DUE_CHECK_MS = 1_000
@@ -61,15 +62,26 @@
 	const occurrences = first.schedule?.times ?? 1
 	const active = new Map<number, JobOccurrence>()
 	const endedOccurrences = new Set(endedTimesOf(first))
-	/** Writes of failed attempts that are under way, by task and run. */
-	const failureWrites = new Map<string, Promise<void>>()
 	let record = first
 	let hasBegun = false
 	let hasStarted = hasProgress(first)
 	let hasStartedHere = false
 	let idleSince: number | undefined
 	let isOver = false
-	let isQueueDropped = false
+	/** The number of occurrences that are due. */
+	let due = 0
+	/** The completed tasks of the record that was read, by occurrence. */
+	const readDone = timesOf(first.done)
+	/** Occurrences of which tasks have run before this placer. */
+	const resumed = [...timesOf([...first.done, ...Object.keys(first.failures)]).keys()]
+	const supplies = createJobSupplies(first.steps, {
+		due: () => due,
+		occurrenceOf,
+		isOver: () => isOver,
+		submit: supply => deps.placer().submitAll(supply),
+	})
+	const recordFailure = createFailureCount(() => record, save)
+	const queues = createQueueLookup(first, deps)
 
 	/**
 	 * Resolves when the change is in the store, and never once another placer has the claim: the
@@ -84,24 +96,14 @@
 		})
 	}
 
-	function queueNow(): Queue | undefined {
-		const queue = deps.queueOf(record.queue)
-		if (!queue && record.settings && !isQueueDropped) {
-			const fields = {job: record.id, queue: record.queue}
-			const message =
-				"job: the configuration has no such queue; it goes on under its first settings."
-			log.event("job", "queue_dropped", message, fields)
-		}
-		isQueueDropped = !queue
-		return queue ?? record.settings
-	}
-
 	function occurrenceOf(index: number): JobOccurrence | undefined {
 		const known = active.get(index)
-		if (known || index >= occurrences || endedOccurrences.has(index)) return known
-		const queue = queueNow()
+		const isPast = !(index >= 0 && index < occurrences) || endedOccurrences.has(index)
+		if (known || isPast) return known
+		const queue = queues.now() ?? queues.last()
 		if (!queue) return undefined
-		const occurrence = startOccurrence(record, index, dueAtMonotonic(index), queue, {
+		const done = readDone.get(index) ?? []
+		const occurrence = startOccurrence(record, index, dueAtMonotonic(index), queue, done, {
 			clock,
 			log,
 			metrics,
@@ -109,6 +111,7 @@
 			confirmedAt: deps.confirmedAt,
 			submit: (req, onEnd, onStart) => deps.placer().submit(req, onEnd, onStart),
 			adopt: (req, from, onEnd) => deps.placer().adopt(req, from, onEnd),
+			onStepBegun: step => supplies.submitStep(index, step),
 			recordDone: tasks => save({done: [...record.done, ...tasks]}),
 			recordFailure,
 			recordCrash: (task, known) => save({crashes: {...record.crashes, [task]: known}}),
@@ -118,24 +121,10 @@
 			},
 			onEnd: (state, cause) => handleOccurrenceEnd(index, state, cause),
 		})
+		readDone.delete(index)
 		active.set(index, occurrence)
-		return occurrence
-	}
-
-	/** Counts a run once: until its executor may forget the end, it lists it to the next placer too. */
-	function recordFailure(task: string, run: number) {
-		const name = `${task}/${run}`
-		const runs = record.failedRuns?.[task] ?? []
-		const counted = record.failures[task] ?? 0
-		if (runs.includes(run)) return {count: counted, recorded: failureWrites.get(name)}
-		const count = counted + 1
-		const recorded = save({
-			failures: {...record.failures, [task]: count},
-			failedRuns: {...record.failedRuns, [task]: [...runs, run]},
-		})
-		failureWrites.set(name, recorded)
-		void recorded.then(() => failureWrites.delete(name))
-		return {count, recorded}
+		if (hasBegun && index < due) occurrence.begin()
+		return active.get(index)
 	}
 
 	function handleOccurrenceEnd(index: number, state: "completed" | "failed", cause: string) {
@@ -161,19 +150,27 @@
 
 	const dueAtMonotonic = (index: number) => clock.now() + (dueAtWall(index) - wall.now())
 
+	/** Only occurrences of which something has run begin at once; the others when the placer gets to them. */
 	function beginOccurrences() {
 		if (isOver) return
-		for (let index = 0; index < occurrences; index++) {
-			if (endedOccurrences.has(index)) continue
-			const dueInMs = record.schedule ? dueAtWall(index) - wall.now() : 0
-			if (dueInMs > 0)
-				return void clock.schedule(Math.min(dueInMs, MAX_DUE_CHECK_MS), beginOccurrences)
-			const occurrence = occurrenceOf(index)
-			if (!occurrence) return retryQueueLookup()
-			occurrence.begin()
+		if (!queues.now()) return retryQueueLookup()
+		const before = due
+		while (due < occurrences && dueInMs(due) <= 0) due++
+		const isNew = (index: number) => index >= before && index < due
+		for (const index of [...new Set([...resumed, ...active.keys()])].filter(isNew)) {
+			const wasActive = active.get(index)
+			if (wasActive) wasActive.begin()
+			else occurrenceOf(index)
 		}
+		// An occurrence without tasks ends as it begins.
+		if (supplies.isEmpty) for (let index = before; index < due; index++) occurrenceOf(index)
+		supplies.submitDue()
+		if (isOver || due === occurrences) return
+		clock.schedule(Math.min(dueInMs(due), MAX_DUE_CHECK_MS), beginOccurrences)
 	}
 
+	const dueInMs = (index: number) => (record.schedule ? dueAtWall(index) - wall.now() : 0)
+
 	function retryQueueLookup() {
 		const fields = {job: record.id, queue: record.queue}
 		log.event("job", "queue_unknown", "job: the configuration has no such queue.", fields)
@@ -198,7 +195,11 @@
 		// A gang ends as a whole, and counts its failures at its first member.
 		const members = Array.from({length: step.count}, (_, member) => `${index}.${at}.${member}`)
 		const ended = step.isGang ? members : [name]
-		if (end.type === "done") return save({done: [...record.done, ...ended]})
+		if (end.type === "done") {
+			readDone.set(index, [...(readDone.get(index) ?? []), ...ended])
+			resumed.push(index)
+			return save({done: [...record.done, ...ended]})
+		}
 		return end.type === "failed" ? recordFailure(ended[0] as string, run).recorded : undefined
 	}
 
@@ -216,7 +217,7 @@
 	markEndedOccurrences()
 	return {
 		record: () => record,
-		queue: queueNow,
+		queue: queues.now,
 		state: () => (hasStarted ? "running" : "pending"),
 		begin() {
 			if (hasBegun) return
@@ -234,12 +235,16 @@
 			return occurrence.noteUnclaimedEnd(task, run, end)
 		},
 		idleMs() {
-			const isIdle = active.size > 0 && [...active.values()].every(run => run.isIdle())
+			const hasTasks = active.size > 0 || supplies.waitingSteps().length > 0
+			const isIdle = hasTasks && [...active.values()].every(run => run.isIdle())
 			if (!isIdle || isOver) idleSince = undefined
 			else idleSince ??= clock.now()
 			return idleSince === undefined ? 0 : clock.now() - idleSince
 		},
-		waitingSteps: () => [...new Set([...active.values()].flatMap(run => run.waitingSteps()))],
+		waitingSteps() {
+			const begun = [...active.values()].flatMap(run => run.waitingSteps())
+			return [...new Set([...begun, ...supplies.waitingSteps()])]
+		},
 		fruitlessMoves: () => (hasStartedHere ? 0 : (record.fruitlessMoves ?? 0)),
 		stop,
 		abandon() {
@@ -248,3 +253,54 @@
 		},
 	}
 }
+
+/** Looks the job's queue up in the configuration. */
+function createQueueLookup(
+	{id, queue: name, settings}: JobRecord,
+	{log, queueOf}: Pick<KeptJobDeps, "log" | "queueOf">,
+) {
+	let isDropped = false
+	let last: Queue | undefined
+
+	/** The settings, or those of the job's acceptance while the configuration lacks the queue. */
+	function now(): Queue | undefined {
+		const queue = queueOf(name)
+		if (!queue && settings && !isDropped) {
+			const fields = {job: id, queue: name}
+			const message =
+				"job: the configuration has no such queue; it goes on under its first settings."
+			log.event("job", "queue_dropped", message, fields)
+		}
+		isDropped = !queue
+		last = queue ?? settings ?? last
+		return queue ?? settings
+	}
+
+	return {now, last: () => last}
+}
+
+/** Counts the failed attempts of a job's tasks in its record. */
+function createFailureCount(
+	record: () => JobRecord,
+	save: (change: Partial<JobRecord>) => Promise<void>,
+) {
+	/** Writes that are under way, by task and run. */
+	const writes = new Map<string, Promise<void>>()
+
+	/** Counts a run once: until its executor may forget the end, it lists it to the next placer too. */
+	return (task: string, run: number) => {
+		const {failures, failedRuns} = record()
+		const name = `${task}/${run}`
+		const runs = failedRuns?.[task] ?? []
+		const counted = failures[task] ?? 0
+		if (runs.includes(run)) return {count: counted, recorded: writes.get(name)}
+		const count = counted + 1
+		const recorded = save({
+			failures: {...failures, [task]: count},
+			failedRuns: {...failedRuns, [task]: [...runs, run]},
+		})
+		writes.set(name, recorded)
+		void recorded.then(() => writes.delete(name))
+		return {count, recorded}
+	}
+}
--- a/packages/jobs/src/keep/record-size.ts
+++ b/packages/jobs/src/keep/record-size.ts
@@ -38,6 +38,18 @@
 export const hasProgress = ({done, endedTimes}: JobRecord) =>
 	done.length > 0 || (endedTimes?.length ?? 0) > 0
 
+/** The tasks by occurrence. */
+export function timesOf(tasks: readonly string[]): Map<number, string[]> {
+	const byTime = new Map<number, string[]>()
+	for (const task of tasks) {
+		const time = occurrenceIndexOf(task)
+		const known = byTime.get(time)
+		if (known) known.push(task)
+		else byTime.set(time, [task])
+	}
+	return byTime
+}
+
 const occurrenceIndexOf = (task: string) => Number(task.slice(0, task.indexOf(".")))
 
 function spansOf(numbers: ReadonlySet<number>): readonly Span[] {
--- a/packages/jobs/src/link/room.ts
+++ b/packages/jobs/src/link/room.ts
@@ -2,6 +2,7 @@
  * Free capacity of one executor, and which tasks may share it.
  */
 import type {ExecutorRecord} from "../types/executor.js"
+import {countIn} from "../decide/suitability.js"
 import type {Run, TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
 
@@ -94,8 +95,6 @@
 	return Math.max(0, Math.min(fitting, maxPerExecutor - siblings))
 }
 
-const countIn = (free: number, need: number) => (need === 0 ? Infinity : Math.floor(free / need))
-
 function lastingRunsOf({runs}: LinkRoom): readonly TaskRequest[] {
 	return [...runs.values()].map(({req}) => req).filter(({isLasting}) => isLasting)
 }
--- a/packages/jobs/src/place/parked-tasks.ts
+++ b/packages/jobs/src/place/parked-tasks.ts
@@ -1,13 +1,25 @@
 /**
- * Kept tasks that no executor of the domain could run now. They wait apart from the queue, so that they hold up no other task and
- * count neither as work ahead of others nor as a need for free room.
+ * Kept tasks that no executor of the domain could run now, and gangs that would not fit on all of them together. They wait apart
+ * from the queue, so that they hold up no other task and count neither as work ahead of others nor as a need for free room.
+ *
+ * A group moves as a whole, whatever its size, and is looked at again only when the usable executors have changed.
  */
-import {couldRun, type TaskRequirements} from "../decide/suitability.js"
+import type {ExecutorRecord} from "../types/executor.js"
+import {countThatCouldRun} from "../decide/suitability.js"
 import type {Links} from "./placer-state.js"
-import type {TaskGroup, TaskQueue, WaitingTask} from "./task-queue.js"
+import type {TaskRequest} from "./run.js"
+import {
+	keyOf,
+	mergeGroup,
+	removeFromGroup,
+	sizeOf,
+	type TaskGroup,
+	type TaskQueue,
+	type WaitingTask,
+} from "./task-queue.js"
 
 export interface ParkedTasks {
-	/** Takes a group's tasks out of the queue if they are kept and no executor could run them now; returns whether it did. */
+	/** Takes a group out of the queue if its tasks are kept and no executor could run them now; returns whether it did. */
 	park(group: TaskGroup): boolean
 	/** Puts the tasks back into the queue that an executor could run now. */
 	unpark(): void
@@ -16,22 +28,37 @@
 	size(): number
 }
 
-interface ParkedGroup {
-	readonly req: TaskRequirements
-	readonly items: Set<WaitingTask>
+interface ParkedGroups {
+	readonly req: TaskRequest
+	/** By their keys. */
+	readonly groups: Map<string, TaskGroup>
 }
 
-function keyOf({service, label, need}: TaskRequirements): string {
-	return [service, label, need.cpu, need.memoryMb, need.accelerators].join("|")
+function needKeyOf({service, label, need, gang, maxPerExecutor}: TaskRequest): string {
+	const {cpu, memoryMb, accelerators} = need
+	return [service, label, cpu, memoryMb, accelerators, gang?.size, gang && maxPerExecutor].join("|")
 }
 
 export function createParkedTasks(links: Links, queue: TaskQueue): ParkedTasks {
 	/** By requirements, so that each is compared with the executors once. */
-	const groups = new Map<string, ParkedGroup>()
+	const parked = new Map<string, ParkedGroups>()
+	/** The executors with which the parked groups were compared. */
+	let compared: readonly ExecutorRecord[] = []
 
-	function isRunnable(req: TaskRequirements): boolean {
-		for (const link of links.values())
-			if (link.isUsableSoon() && couldRun(link.record, req)) return true
+	function usableRecords(): readonly ExecutorRecord[] {
+		const records: ExecutorRecord[] = []
+		for (const link of links.values()) if (link.isUsableSoon()) records.push(link.record)
+		return records
+	}
+
+	/** Whether one task could run, or all members of a gang at once. */
+	function isRunnable(req: TaskRequest): boolean {
+		const wanted = req.gang?.size ?? 1
+		let count = 0
+		for (const link of links.values()) {
+			if (link.isUsableSoon()) count += countThatCouldRun(link.record, req)
+			if (count >= wanted) return true
+		}
 		return false
 	}
 
@@ -39,30 +66,44 @@
 		park(group) {
 			const req = group.waiting[0]?.req
 			if (!req?.isKept || isRunnable(req)) return false
-			const key = keyOf(req)
-			const {items} = groups.get(key) ?? {items: new Set()}
-			groups.set(key, {req, items})
-			for (let item = queue.take(group); item; item = queue.take(group)) items.add(item)
+			const key = needKeyOf(req)
+			const {groups} = parked.get(key) ?? {groups: new Map<string, TaskGroup>()}
+			parked.set(key, {req, groups})
+			queue.detach(group)
+			const known = groups.get(group.key)
+			if (known) mergeGroup(known, group)
+			else groups.set(group.key, group)
 			return true
 		},
 		unpark() {
-			for (const [key, {req, items}] of groups) {
+			const usable = parked.size > 0 ? usableRecords() : []
+			if (isSame(usable, compared)) return
+			compared = usable
+			for (const [key, {req, groups}] of parked) {
 				if (!isRunnable(req)) continue
-				groups.delete(key)
-				for (const item of items) queue.push(item)
+				parked.delete(key)
+				for (const group of groups.values()) queue.attach(group)
 			}
 		},
 		remove(item) {
-			const key = keyOf(item.req)
-			const group = groups.get(key)
-			if (!group?.items.delete(item)) return false
-			if (group.items.size === 0) groups.delete(key)
-			return true
+			for (const [key, {groups}] of parked) {
+				const group = groups.get(keyOf(item))
+				if (!group || !removeFromGroup(group, item)) continue
+				if (group.waiting.length === 0) groups.delete(group.key)
+				if (groups.size === 0) parked.delete(key)
+				return true
+			}
+			return false
 		},
 		size() {
 			let size = 0
-			for (const {items} of groups.values()) size += items.size
+			for (const {groups} of parked.values())
+				for (const group of groups.values()) size += sizeOf(group)
 			return size
 		},
 	}
 }
+
+function isSame(some: readonly ExecutorRecord[], others: readonly ExecutorRecord[]): boolean {
+	return some.length === others.length && some.every((record, at) => record === others[at])
+}
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -22,9 +22,9 @@
 	waitBeforeMs,
 } from "../decide/room.js"
 import {createParkedTasks} from "./parked-tasks.js"
-import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
+import type {OnTaskEnd, TaskHandle, TaskRequest, TaskSupply} from "./run.js"
 import {adopt, handOverAll, handOverExecutors, relinquish, hasTakenOver} from "./succession.js"
-import {createTaskQueue, type WaitingTask} from "./task-queue.js"
+import {createTaskQueue, sourceKeyOf, type TaskSource, type WaitingTask} from "./task-queue.js"
 import {createTickets} from "./tickets.js"
 import {schedulePass} from "./scheduling-pass.js"
 
@@ -39,6 +39,8 @@
 
 export interface Placer {
 	submit(req: TaskRequest, onEnd: OnTaskEnd, onStart: () => void): TaskHandle
+	/** Submits tasks that are made when their turn comes; they are cancelled one by one, and the supply by having no more. */
+	submitAll(supply: TaskSupply): void
 	/** Replaces the list of this domain's executors. */
 	setExecutors(records: readonly ExecutorRecord[]): void
 	/** The linked executors; those no longer listed are marked as leaving. */
@@ -129,6 +131,7 @@
 	}
 	return {
 		submit: (req, onEnd, onStart) => submit(state, req, onEnd, onStart),
+		submitAll: supply => submitAll(state, supply),
 		setExecutors: records => setExecutors(state, records),
 		executors: () => [...state.links.values()].filter(link => !link.isClosed()).map(recordOf),
 		room: () => reportedRoom(state.links, state.queue, state.assessment),
@@ -165,24 +168,23 @@
 const recordOf = (link: ExecutorLink): ExecutorRecord =>
 	link.isRetired() ? {...link.record, isLeaving: true} : link.record
 
-function submit(
+/** A task for the queue, and the handle of its submitter. */
+function newWaiting(
 	state: PlacerState,
-	req: TaskRequest,
-	onEnd: OnTaskEnd,
-	onStart: () => void,
-): TaskHandle {
-	const {clock} = state.deps
+	{req, since, onEnd, onStart, groupKey}: Omit<WaitingTask, "onStart"> & {onStart: () => void},
+): {readonly item: WaitingTask; readonly handle: TaskHandle} {
 	let stop: (() => void) | undefined
 	let isCancelled = false
 	const item: WaitingTask = {
 		req,
-		since: clock.now(),
+		since,
 		onEnd,
 		onStart(stopRun) {
 			stop = stopRun
 			onStart()
 			if (isCancelled) stopRun()
 		},
+		...(groupKey !== undefined && {groupKey}),
 	}
 	const handle: TaskHandle = {
 		cancel() {
@@ -191,6 +193,17 @@
 			else stop?.()
 		},
 	}
+	return {item, handle}
+}
+
+function submit(
+	state: PlacerState,
+	req: TaskRequest,
+	onEnd: OnTaskEnd,
+	onStart: () => void,
+): TaskHandle {
+	const {clock} = state.deps
+	const {item, handle} = newWaiting(state, {req, since: clock.now(), onEnd, onStart})
 	if (state.successor) {
 		state.successor(item)
 		return handle
@@ -203,6 +216,32 @@
 	return handle
 }
 
+/** The successor of a placer reads the kept jobs from the store, so nothing is sent there. */
+function submitAll(state: PlacerState, supply: TaskSupply) {
+	if (state.successor) return
+	state.queue.pushSource(sourceOf(state, supply))
+	scheduleDeadlineCheck(state)
+	schedulePass(state)
+}
+
+function sourceOf(state: PlacerState, supply: TaskSupply): TaskSource {
+	const submittedAt = state.deps.clock.now()
+	const groupKey = sourceKeyOf(supply.req)
+	return {
+		groupKey,
+		req: supply.req,
+		size: () => supply.size(),
+		next() {
+			const task = supply.next()
+			if (!task) return undefined
+			const since = Math.max(submittedAt, task.dueAt)
+			const {item, handle} = newWaiting(state, {...task, since, groupKey})
+			task.onQueued(handle)
+			return item
+		},
+	}
+}
+
 /** Returns the tasks of other placers at once while the domain is evacuated. */
 function returnForeignTasks(state: PlacerState) {
 	if (!state.deps.isEvacuated()) return
--- a/packages/jobs/src/place/run.ts
+++ b/packages/jobs/src/place/run.ts
@@ -65,6 +65,27 @@
 	cancel(): void
 }
 
+/** A task that a supply has just made. */
+export interface SuppliedTask {
+	readonly req: TaskRequest
+	/** When its turn came, in milliseconds on the monotonic clock. */
+	readonly dueAt: number
+	readonly onEnd: OnTaskEnd
+	readonly onStart: () => void
+	/** Called at once with the handle of the task. */
+	readonly onQueued: (handle: TaskHandle) => void
+}
+
+/** Tasks of a kept job with the same requirements, made one by one when the placer gets to them. */
+export interface TaskSupply {
+	/** A request like those of its tasks. */
+	readonly req: TaskRequest
+	/** The number of tasks that are still to be made; not exact where some have run before. */
+	size(): number
+	/** Makes the next task; undefined when none is left, and the placer then drops the supply. */
+	next(): SuppliedTask | undefined
+}
+
 export type TaskEnd =
 	| {readonly type: "done"; readonly executor: string}
 	/** The task or its executor failed. */
--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -5,7 +5,7 @@
 import type {Links, PlacerState} from "./placer-state.js"
 import type {TaskRequest} from "./run.js"
 import {chooseExecutor} from "../decide/selection.js"
-import {stepNameOf, type TaskGroup, type WaitingTask} from "./task-queue.js"
+import {sizeOf, stepNameOf, type TaskGroup, type WaitingTask} from "./task-queue.js"
 
 /** Groups tried in one pass; those behind rarely find room either. */
 const MAX_GROUPS_PER_PASS = 24
@@ -79,7 +79,7 @@
 	const links = allowedLinks(state, group)
 	if (group.waiting[0]?.req.gang) {
 		freest.noteStart()
-		return placeGang(state, group, links)
+		return placeGangs(state, group, links)
 	}
 	for (;;) {
 		const next = group.waiting[0]
@@ -136,23 +136,42 @@
 	return false
 }
 
+/** Starts as many gangs of a group as there is room for. */
+function placeGangs(state: PlacerState, group: TaskGroup, links: Links): "hold back" | undefined {
+	for (;;) {
+		const placed = placeGang(state, group, links)
+		if (placed !== "placed") return placed
+	}
+}
+
 /** Starts a gang if there is room for all its members. */
-function placeGang(state: PlacerState, group: TaskGroup, links: Links): "hold back" | undefined {
+function placeGang(
+	state: PlacerState,
+	group: TaskGroup,
+	links: Links,
+): "placed" | "hold back" | undefined {
 	const {queue, assessment, deps} = state
 	const [first] = group.waiting
 	const gang = first?.req.gang
-	if (!first || !gang || group.waiting.length < gang.size) return undefined
-	const members = group.waiting.slice(0, gang.size)
-	const places = chooseGang(links, members, assessment)
+	if (!first || !gang || sizeOf(group) < gang.size) return undefined
+	const places = chooseGang(links, membersOf(group, gang.size), assessment)
 	if (!places) {
 		const isPatient = deps.clock.now() - first.since < GANG_PATIENCE_MS
 		return isPatient || !wouldFitIdle(links, first.req, gang.size) ? undefined : "hold back"
 	}
-	for (const link of places) {
-		const item = queue.take(group)
+	// All are taken before one starts, so that an early end cannot change which tasks follow.
+	const taken = places.map(() => queue.take(group))
+	places.forEach((link, at) => {
+		const item = taken[at]
 		if (item) startOn(state, link, item)
-	}
-	return undefined
+	})
+	return "placed"
+}
+
+/** The members to find room for; those still to be made are like the first. */
+function membersOf({waiting, sources}: TaskGroup, size: number): readonly WaitingTask[] {
+	if (sources.length === 0) return waiting.slice(0, size)
+	return Array.from({length: size}, () => waiting[0] as WaitingTask)
 }
 
 function startOn(state: PlacerState, link: ExecutorLink, item: WaitingTask) {
--- a/packages/jobs/src/place/succession.ts
+++ b/packages/jobs/src/place/succession.ts
@@ -88,9 +88,10 @@
 ) {
 	state.successor = send
 	// Kept jobs are not sent: the successor reads them from the store and finds their runs at the executors.
-	for (const group of state.queue.inOrder(state.deps.clock.now()))
-		for (let item = state.queue.take(group); item; item = state.queue.take(group))
-			if (!item.req.isKept) send(item)
+	for (const group of state.queue.inOrder(state.deps.clock.now())) {
+		state.queue.detach(group)
+		for (const item of group.waiting) if (!item.req.isKept) send(item)
+	}
 	const running = [...state.links.values()].flatMap(runsOf)
 	closeLinks(state)
 	for (const {run, isStarted, record} of running) {
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -28,6 +28,7 @@
 	type KeptJobRequest,
 	type OnTaskEnd,
 	type TaskRequest,
+	type TaskSupply,
 } from "@cottonwood/jobs/internals"
 import {connectJson, listenJson} from "@cottonwood/wire/json"
 import {expect} from "chai"
@@ -216,13 +217,17 @@
 		notifyHome: () => undefined,
 		onDeposed: () => undefined,
 	})
+	function submit(req: TaskRequest, end: OnTaskEnd) {
+		submitted.set(req.task.slice(ID.length + 1), {req, end})
+		return {cancel: () => undefined}
+	}
 	keeper.begin({
 		hasTakenOver: () => true,
 		isStranded: () => false,
 		offerOrphans: () => undefined,
-		submit(req: TaskRequest, end: OnTaskEnd) {
-			submitted.set(req.task.slice(ID.length + 1), {req, end})
-			return {cancel: () => undefined}
+		submit,
+		submitAll({next}: TaskSupply) {
+			for (let task = next(); task; task = next()) submit(task.req, task.onEnd)
 		},
 	} as never)
 	await clock.advance(READ_AFTER_MS)
