--- a/packages/jobs/src/fleet/registration.ts
+++ b/packages/jobs/src/fleet/registration.ts
@@ -8,7 +8,8 @@
 import type {Clock, Store} from "@cottonwood/core"
 import type {Member} from "../types/fleet.js"
 import {shortSession, type EventLog} from "../utils/log.js"
-import {memberKey} from "./members.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {isMember, memberKey} from "./members.js"
 
 /** Survives two lost renewals; a dead instance is forgotten in seconds. */
 const LEASE_MS = 3_000
@@ -20,10 +21,18 @@
 	end(): Promise<void>
 }
 
+export interface RegistrationDeps {
+	readonly clock: Clock
+	readonly store: Store
+	readonly log: EventLog
+	readonly metrics: Pick<JobMetrics, "count">
+}
+
 export function beginRegistration(
 	self: Member,
-	{clock, store, log}: {clock: Clock; store: Store; log: EventLog},
+	{clock, store, log, metrics}: RegistrationDeps,
 ): Registration {
+	let isFirstWrite = true
 	let lease: string | undefined
 	let isEnded = false
 
@@ -33,6 +42,15 @@
 	 */
 	let knownRevision: number | undefined = 0
 
+	/** An entry that stands at the first write is of a life whose lease still runs, since it did not sign off. */
+	function noteFormerLife(entry: unknown) {
+		if (!isFirstWrite || !isMember(entry) || entry.session === self.session) return
+		metrics.count("former_lives", "not_signed_off")
+		const message = "fleet: the life before ended lately without signing off."
+		const fields = {peer: entry.name, session: shortSession(entry.session), address: entry.address}
+		log.alarm("fleet", "former_life", message, fields)
+	}
+
 	/**
 	 * Writes the entry; a previous process's entry may still be there for the rest of its lease.
 	 */
@@ -40,9 +58,11 @@
 		const options = () => ({lease: granted, expect: knownRevision})
 		let put = await store.put(memberKey(self.name), self, options())
 		if (put.type === "conflict") {
+			noteFormerLife(put.current?.value)
 			knownRevision = put.current?.revision
 			put = await store.put(memberKey(self.name), self, options())
 		}
+		isFirstWrite = false
 		if (put.type === "done") knownRevision = put.revision
 		return put.type === "done"
 	}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -18,7 +18,15 @@
 export {isRetryAfter} from "./decide/admission.js"
 export {leaseRuleFor} from "./decide/lease-rule.js"
 export type {LeaseRule} from "./decide/lease-rule.js"
-export {createEventLog, LOG_FLUSH_MS, silentLog} from "./utils/log.js"
+export {BoundedOutput, createEventLog, LOG_FLUSH_MS, silentLog} from "./utils/log.js"
 export type {EventLog, LazyFields, LogFields, LogPart} from "./utils/log.js"
+export {
+	causeOf,
+	EXIT_ASKED,
+	EXIT_FAILED,
+	EXIT_INVALID_SETTINGS,
+	reportEnd,
+} from "./utils/process-end.js"
+export type {ProcessEnd, ProcessObservers} from "./utils/process-end.js"
 export {createJobMetrics} from "./utils/metrics.js"
 export type {JobMetrics} from "./utils/metrics.js"
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -235,7 +235,7 @@
 		return home !== undefined && peers.unansweredMs(home.address) > HOME_QUIET_LIMIT_MS
 	}
 
-	const registration = beginRegistration(self, {clock, store, log})
+	const registration = beginRegistration(self, {clock, store, log, metrics})
 
 	const handover = createHandover({
 		...common,
--- a/packages/jobs/src/utils/log.ts
+++ b/packages/jobs/src/utils/log.ts
@@ -83,6 +83,8 @@
 	/** The enabled optional features of placing. */
 	readonly placing?: PlacingSettings
 	readonly detail?: string
+	/** Signals that arrived during the start. */
+	readonly signals?: readonly string[]
 }
 
 /** Fields, or a function that is called only if the line is written. */
@@ -122,6 +124,8 @@
 const SECOND_MS = 1_000
 /** Lines are collected for this long, since each write wakes a thread. */
 export const LOG_FLUSH_MS = 100
+/** A write takes less than a millisecond when somebody reads. */
+const STALLED_AFTER_MS = 500
 const STDOUT = 1
 
 /** The keys under which winston expects a line's level and text. */
@@ -150,6 +154,8 @@
 	private isWriting = false
 	private isFlushDue = false
 	private dropped = 0
+	/** When the last write began, on the runtime's monotonic clock. */
+	private progressAt = -Infinity
 
 	constructor(private readonly writeOut: Write = writeStdout) {
 		super()
@@ -177,13 +183,24 @@
 		this.isFlushDue = false
 		if (this.isWriting || this.chunks.length === 0) return
 		this.isWriting = true
+		this.writeAll(Buffer.from(this.takeAll()))
+	}
+
+	/** Removes and returns the lines that are not being written yet. */
+	takeAll(): string {
 		const text = this.chunks.join("") + this.describeDrops()
 		this.chunks = []
 		this.waitingBytes = 0
-		this.writeAll(Buffer.from(text))
+		return text
+	}
+
+	/** Whether the reader has taken nothing for long. */
+	isStalled(): boolean {
+		return this.isWriting && performance.now() - this.progressAt > STALLED_AFTER_MS
 	}
 
 	private writeAll(bytes: Buffer) {
+		this.progressAt = performance.now()
 		this.writeOut(bytes, (err, written) => {
 			// On an error the chunk is lost, since there is nowhere to report it.
 			const rest = err ? bytes.subarray(bytes.length) : bytes.subarray(written)
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -153,7 +153,7 @@
 		const clock = createFakeClock()
 		const {fake, store} = createFakeStore()
 		const leased = {...store, grantLease: () => Promise.resolve("1")}
-		beginRegistration(SELF, {clock, store: leased, log: silentLog})
+		beginRegistration(SELF, {clock, store: leased, log: silentLog, metrics: createJobMetrics()})
 		const view = createFleetView(clock, () => undefined)
 		const claims = createClaimsLoop({
 			clock,
--- a/packages/jobs/test/log.test.ts
+++ b/packages/jobs/test/log.test.ts
@@ -52,6 +52,9 @@
 		// The reader takes nothing: one write is in flight and no second one begins.
 		await new Promise(resolve => setTimeout(resolve, 300))
 		expect(written).to.have.length(1)
+		expect(output.isStalled()).to.equal(false)
+		await new Promise(resolve => setTimeout(resolve, 500))
+		expect(output.isStalled()).to.equal(true)
 		log.event("placer", "task_started", "placer: starts a task.")
 		finish?.()
 		await new Promise(resolve => setTimeout(resolve, 300))
--- a/packages/jobs/test/registration.test.ts
+++ b/packages/jobs/test/registration.test.ts
@@ -64,10 +64,14 @@
 		clock.schedule(50, lapse)
 	}
 	lapse()
-	const begin = (self = SELF) => beginRegistration(self, {clock, store: leased, log: silentLog})
+	const counts: string[] = []
+	const metrics = {count: (name: string, reason?: string) => void counts.push(`${name} ${reason}`)}
+	const begin = (self = SELF) =>
+		beginRegistration(self, {clock, store: leased, log: silentLog, metrics})
 	return {
 		clock,
 		calls,
+		counts,
 		begin,
 		entry: () => fake.items.get(memberKey(SELF.name))?.value,
 		losePuts: (count: number) => void (losesPuts = count),
@@ -102,6 +106,21 @@
 		expect(world.entry()).to.eql(SELF)
 	})
 
+	/* Guards against lives that end unnoticed: nothing else tells operators that a process was killed. */
+	it("counts a life before it that did not sign off, and not its own late write", async () => {
+		const world = createWorld()
+		world.write({...SELF, session: "before"})
+		world.begin()
+		await world.clock.advance(10_000)
+		expect(world.counts).to.eql(["former_lives not_signed_off"])
+		const other = createWorld()
+		other.losePuts(1)
+		other.begin()
+		other.carryOut()
+		await other.clock.advance(1_000)
+		expect(other.counts).to.eql([])
+	})
+
 	/* Renewals cost as much as reads; rewriting the entry would cost a write each second. */
 	it("is renewed and not written again", async () => {
 		const world = createWorld()
