--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -93,9 +93,15 @@
 		listen: {front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`},
 		"port-range": [ports[2], ports[2]],
 		orders: "rpc",
-		limits: {"cpu-share": cpuShare},
-		platform: {address: storeAddress},
-		bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
+		limits: {"cpu-share": cpuShare, cores: 1, "link-mbps": 1_000},
+		platform: {address: storeAddress, "writes-per-s": 400, "value-bytes": 1_048_576},
+		bounds: {
+			"max-hold-ms": 1_000,
+			"grace-s": 6,
+			"stop-grace-ms": 50,
+			"retransmit-ms": 1_300,
+			status_s: 120,
+		},
 	}
 }
 
