--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -5,13 +5,24 @@
  * was cut short ends the process. Without compiled code that can be used, the source is compiled as usual. `--compile` writes
  * the compiled code, after a rehearsal. In the older module format, since the loader of the newer one costs a start 15 ms.
  */
+const COMPILE = "--compile"
+const isCompiling = process.argv[2] === COMPILE
+
+/**
+ * Until a handler is set, these signals end the process. So it is set before anything is loaded; the program sets `notify` once it
+ * can act on them.
+ */
+const earlySignals = {received: [], notify: undefined}
+const note = signal =>
+	earlySignals.notify ? earlySignals.notify(signal) : earlySignals.received.push(signal)
+if (!isCompiling) for (const signal of ["SIGHUP", "SIGINT", "SIGTERM"]) process.on(signal, note)
+
 const {Buffer} = require("node:buffer")
 const {readFileSync, renameSync, writeFileSync} = require("node:fs")
 const {join} = require("node:path")
 const {Script} = require("node:vm")
 const {crc32} = require("node:zlib")
 
-const COMPILE = "--compile"
 /** Five times what it takes. */
 const REHEARSAL_MS = 15_000
 const EXIT_START_FAILED = 1
@@ -65,7 +76,7 @@
 }
 
 /** Loads the program; `refusal` says why its compiled code is not used. */
-function load(isCompiling) {
+function load() {
 	const {text, sum} = readSource()
 	const {code, refusal} = isCompiling ? {} : readCompiled(sum)
 	const wrapped = `(function (require, exports, module) {${text}\n})`
@@ -91,16 +102,15 @@
 }
 
 function start() {
-	const isCompiling = process.argv[2] === COMPILE
 	let loaded
 	try {
-		loaded = load(isCompiling)
+		loaded = load()
 	} catch (err) {
 		process.stderr.write(`cottonwood: ${source} can't be run: ${err.message}\n`)
 		process.exit(EXIT_START_FAILED)
 	}
 	if (isCompiling) void compile(loaded)
-	else loaded.program.exports.main({compiledCodeRefusal: loaded.refusal})
+	else loaded.program.exports.main({compiledCodeRefusal: loaded.refusal, earlySignals})
 }
 
 start()
