--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,6 +24,11 @@
 const RUNTIME_ARGS = ["--max-old-space-size=160"]
 const FOLDER = "target"
 const START = "target/cottonwood.cjs"
+const COMPILED = "target/program.compiled"
+/** A rehearsal gives up after 15 s. */
+const START_MS = 60_000
+/** Of the start script: the program can be loaded, without compiled code. */
+const EXIT_NOT_COMPILED = 3
 const NATIVE_FILE = /^koffi.*\.node$/
 /** A file that is being written, by the process whose id ends its name. */
 const WRITTEN_FILE = /\.\d+$/
@@ -92,12 +97,23 @@
 	return outputFiles[0].text
 }
 
-function compile() {
-	const {status} = spawnSync(process.execPath, [...RUNTIME_ARGS, START, "--compile"], {
-		// What the rehearsal logs is of no interest.
+/** Runs the start script as a deployment does; what a rehearsal logs is of no interest. */
+function runStart(argument) {
+	return spawnSync(process.execPath, [...RUNTIME_ARGS, START, argument], {
+		// Options of the runtime in the user's variables would make compiled code that a deployment refuses.
+		env: {PATH: process.env.PATH},
 		stdio: ["ignore", "ignore", "inherit"],
-	})
-	return status ?? 1
+		timeout: START_MS,
+		killSignal: "SIGKILL",
+	}).status
+}
+
+/** Returns whether the program can be loaded, with compiled code or, where that can't be made or used, without. */
+function compile() {
+	runStart("--compile")
+	if (runStart("--check") === 0) return true
+	rmSync(COMPILED, {force: true})
+	return runStart("--check") === EXIT_NOT_COMPILED
 }
 
 /** Removes what other builds or other machines left; what a build beside this one is writing stays. */
@@ -109,11 +125,13 @@
 	}
 }
 
+// The user who builds need not be the one who runs.
+process.umask(0o022)
 mkdirSync(FOLDER, {recursive: true})
 const native = layNative()
 const text = `${await bundleSource(native)}\n//`
 replaceFile("program.cjs", `${text}${sumOf(text)}`)
 replaceFile("cottonwood.cjs", readFileSync("scripts/start.cjs"))
-const status = compile()
+const isLoadable = compile()
 removeLeftovers(native)
-process.exit(status)
+process.exit(isLoadable ? 0 : 1)
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -3,7 +3,8 @@
  *
  * Each part is checked before it is used: the runtime runs damaged compiled code, or that of another source, and a library that
  * was cut short ends the process. Without compiled code that can be used, the source is compiled as usual. `--compile` writes
- * the compiled code, after a rehearsal. In the older module format, since the loader of the newer one costs a start 15 ms.
+ * the compiled code, after a rehearsal; `--check` loads the program and ends, with 0 if its compiled code is used, 3 if not, and
+ * 1 if the program can't be loaded. In the older module format, since the loader of the newer one costs a start 15 ms.
  */
 const {Buffer} = require("node:buffer")
 const {readFileSync, renameSync, writeFileSync} = require("node:fs")
@@ -12,9 +13,11 @@
 const {crc32} = require("node:zlib")
 
 const COMPILE = "--compile"
+const CHECK = "--check"
 /** Five times what it takes. */
 const REHEARSAL_MS = 15_000
 const EXIT_START_FAILED = 1
+const EXIT_NOT_COMPILED = 3
 /** Hexadecimal digits of a checksum. */
 const SUM_CHARS = 8
 /** What compiled code is made for; arguments of the runtime are compared by the runtime. */
@@ -79,7 +82,9 @@
 /** Functions are compiled when they are first called, so the program serves some jobs before it is written. */
 async function compile({program, script, sum}) {
 	const isOver = new Promise(resolve => setTimeout(resolve, REHEARSAL_MS, "it took too long"))
-	const failure = await Promise.race([program.exports.rehearse(), isOver]).catch(err => err.message)
+	const hasCrashed = new Promise((_, reject) => process.on("uncaughtException", reject))
+	const rehearsal = Promise.race([program.exports.rehearse(), isOver, hasCrashed])
+	const failure = await rehearsal.catch(err => err.message)
 	// A build goes on without: what is not compiled now is compiled when it is needed.
 	if (failure) process.stderr.write(`cottonwood: the rehearsal failed: ${failure}\n`)
 	// Renamed into place, so that a process that starts meanwhile reads no half of it.
@@ -90,6 +95,11 @@
 	process.exit(0)
 }
 
+function check({refusal}) {
+	if (refusal) process.stderr.write(`cottonwood: the compiled code ${refusal}\n`)
+	process.exit(refusal ? EXIT_NOT_COMPILED : 0)
+}
+
 function start() {
 	const isCompiling = process.argv[2] === COMPILE
 	let loaded
@@ -100,6 +110,7 @@
 		process.exit(EXIT_START_FAILED)
 	}
 	if (isCompiling) void compile(loaded)
+	else if (process.argv[2] === CHECK) check(loaded)
 	else loaded.program.exports.main({compiledCodeRefusal: loaded.refusal})
 }
 
