--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -18,13 +18,13 @@
 import {borrowableCoresOf} from "./coordinate/borrowable-cores.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {createWholeJobMoves} from "./coordinate/whole-job-moves.js"
-import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {createHeartbeats, type FleetDatagram} from "./fleet/heartbeats.js"
 import {createClaimsLoop, type ClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
 import {createFleetView, type FleetView} from "./fleet/members.js"
-import {createPeers, listenPeers} from "./fleet/peers.js"
+import {openPeerPort, type PortRange} from "./fleet/peer-port.js"
+import {createPeers} from "./fleet/peers.js"
 import {createReachabilityProbe} from "./fleet/reachability.js"
 import type {InvalidReport} from "./fleet/room-validation.js"
 import {beginRegistration} from "./fleet/registration.js"
@@ -53,8 +53,8 @@
 	readonly name: string
 	readonly failureDomain: string
 	readonly failureDomains: readonly string[]
-	/** Host and port for peers. */
-	readonly peerAddress: string
+	/** The host for peers, and the ports that may be used. */
+	readonly peers: {readonly host: string; readonly ports: PortRange}
 	/** How long runs may continue while their caller is not heard. */
 	readonly leaseRule: LeaseRule
 	/** Time that a stopping run may take, in milliseconds. */
@@ -85,6 +85,8 @@
 	readonly decodeEvacuation: (item: StoreItem) => Result<string, string> | undefined
 	readonly executorPrefix: string
 	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
+	/** Whether the process was asked to end meanwhile; a start then waits for no port. */
+	readonly isUnwanted?: () => boolean
 }
 
 export interface JobInstance {
@@ -109,7 +111,7 @@
 	close(): Promise<void>
 }
 
-/** Starts an instance; rejects when its port is taken. */
+/** Starts an instance; rejects when its ports stay taken. */
 export async function startJobInstance(
 	settings: InstanceSettings,
 	deps: InstanceDeps,
@@ -117,7 +119,12 @@
 	const clock = systemClock
 	const {store, log, metrics} = deps
 	const {leaseRule, placing} = settings
-	const self = newMember(settings)
+	const isUnwanted = deps.isUnwanted ?? (() => false)
+	const peerPort = await openPeerPort(settings.peers.host, settings.peers.ports, {
+		...deps,
+		isUnwanted,
+	})
+	const self = newMember(settings, peerPort.address)
 	let isLeaving = false
 	let claims: ClaimsLoop | undefined = undefined
 	let isListed = false
@@ -205,24 +212,9 @@
 		isListed = true
 		claims?.checkNow()
 	})
-	const server = await listenPeers(self.address, {
-		beat(heartbeat) {
-			heartbeatHandler.applyHeartbeat(heartbeat)
-			return heartbeatHandler.own()
-		},
-		runJob: (message, caller) => dispatcher.runJob(message, caller),
-		runTask: (message, caller) => dispatcher.runTask(message, caller),
-		takeOver: message => handover.takeOver(message),
-		kept: message => keptJobs.front.answer(message),
-	})
-	const datagrams = await openDatagrams(
-		self.address,
-		message => heartbeats.receive(message as FleetDatagram),
-		error => logDatagramError(deps, error),
-	)
 	const heartbeats = createHeartbeats({
 		...common,
-		send: datagrams.send,
+		send: peerPort.send,
 		ownHeartbeat: heartbeatHandler.own,
 		rooms: hosts.rooms,
 		onHeartbeat: heartbeatHandler.applyHeartbeat,
@@ -259,6 +251,17 @@
 		onCutOff: hosts.expectCutOff,
 		...createReachabilityProbe({...deps, clock, latestExecutors: executors.latest}),
 	})
+	peerPort.serve({
+		beat(heartbeat) {
+			heartbeatHandler.applyHeartbeat(heartbeat)
+			return heartbeatHandler.own()
+		},
+		runJob: dispatcher.runJob,
+		runTask: dispatcher.runTask,
+		takeOver: handover.takeOver,
+		kept: keptJobs.front.answer,
+		receive: message => heartbeats.receive(message as FleetDatagram),
+	})
 
 	if (isListed) claims.checkNow()
 	registerInstanceMetrics(clock, metrics, hosts, store, watermark, config)
@@ -280,14 +283,14 @@
 			await registration.end()
 			const deciding = [lagMonitor, watermark, claims as ClaimsLoop, handover, slicing]
 			const telling = [keptJobs, heartbeats, config]
-			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
+			const serving = [fleetFollower, executors, hosts, peerPort, peers]
 			for (const part of [...deciding, ...telling, ...serving]) part.close()
 		},
 	}
 }
 
-function newMember({name, failureDomain, peerAddress, cpuShare}: InstanceSettings): Member {
-	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
+function newMember({name, failureDomain, cpuShare}: InstanceSettings, address: string): Member {
+	return {name, session: randomUUID(), failureDomain, address, cpuShare}
 }
 
 /** Defined only when jobs are admitted by forecast. */
@@ -328,11 +331,6 @@
 	log.alarm("fleet", "claim_dropped", "fleet: ignored a claim that no slice can have.", fields)
 }
 
-function logDatagramError({metrics, log}: InstanceDeps, error: Error) {
-	metrics.count("broken_assumptions", "datagram")
-	log.event("fleet", "datagram_failed", "fleet: datagram error.", {cause: error.message})
-}
-
 function logLeaving(log: EventLog, count: number) {
 	log.alarm("instance", "leaving", "instance: finishing work in progress.", {count})
 }
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -41,6 +41,7 @@
 	peer_calls: "Calls to peers, by call and outcome",
 	crashed_runs: "Runs under which an executor ended, by what is known of it",
 	suspensions: "Times that the machine was suspended",
+	ports_taken: "Attempts to open a port that another process held, by port",
 	settings_defaulted: "Settings that were missing, invalid or late, by field",
 	former_lives: "Starts that found what their life before had left, by how it ended",
 	broken_assumptions: "Things that should not happen, by name",
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -371,6 +371,7 @@
 async function createPair() {
 	const [address, otherAddress] = [await freeAddress(), await freeAddress()]
 	const other = {...OTHER, address: otherAddress}
+	const port = Number(address.split(":")[1])
 	const {fake, store} = createFakeStore()
 	fake.write("fleet/node/a-1", other)
 	fake.write("executor/e1", (parseSample(text.TAKE_OVER)["executors"] as object[])[0])
@@ -381,7 +382,7 @@
 			name: "b-1",
 			failureDomain: "b",
 			failureDomains: [],
-			peerAddress: address,
+			peers: {host: "127.0.0.1", ports: [port, port]},
 			leaseRule: LEASE_RULE,
 			stopGraceMs: 50,
 			cpuShare: 2,
--- a/packages/wire/src/datagrams.ts
+++ b/packages/wire/src/datagrams.ts
@@ -6,12 +6,14 @@
 import {createSocket} from "node:dgram"
 
 export interface Datagrams {
+	/** The bound port. */
+	readonly port: number
 	/** Sends without confirmation. */
 	send(address: string, message: unknown): void
 	close(): void
 }
 
-/** Opens a socket at an address (host and port); rejects when it is taken. */
+/** Opens a socket at an address (host and port, 0 for any); rejects when it is taken. */
 export function openDatagrams(
 	address: string,
 	onMessage: (message: unknown) => void,
@@ -28,11 +30,16 @@
 		}
 	})
 	return new Promise((resolve, reject) => {
-		socket.once("error", reject)
+		const fail = (error: Error) => {
+			socket.close()
+			reject(error)
+		}
+		socket.once("error", fail)
 		socket.bind(Number(port), host, () => {
-			socket.off("error", reject)
+			socket.off("error", fail)
 			socket.on("error", onError)
 			resolve({
+				port: socket.address().port,
 				send(to, message) {
 					if (isClosed) return
 					const [toHost = "", toPort = "0"] = to.split(":")
