--- a/packages/wire/src/json-server.ts
+++ b/packages/wire/src/json-server.ts
@@ -43,6 +43,8 @@
 export type JsonHandler = (message: unknown, caller: JsonCaller) => Promise<unknown>
 
 export interface JsonServer {
+	/** The bound port. */
+	readonly port: number
 	/** Stops listening and closes all connections. */
 	close(): void
 }
@@ -52,6 +54,7 @@
 	service: string,
 	address: string,
 	handlers: Readonly<Record<string, JsonHandler>>,
+	_onBadFrame: (error: Error) => void = () => undefined,
 ): Promise<JsonServer> {
 	const server = new grpc.Server(CHANNEL_OPTIONS)
 	const exchange = {
@@ -66,9 +69,9 @@
 	const serve = (stream: ExchangeStream) => serveExchange(stream, handlers)
 	server.addService({exchange}, {exchange: serve})
 	return new Promise((resolve, reject) => {
-		server.bindAsync(address, grpc.ServerCredentials.createInsecure(), err => {
+		server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (err, port) => {
 			if (err) reject(err)
-			else resolve({close: () => server.forceShutdown()})
+			else resolve({port, close: () => server.forceShutdown()})
 		})
 	})
 }
