--- a/packages/jobs/src/fleet/peer-port.ts
+++ b/packages/jobs/src/fleet/peer-port.ts
@@ -51,6 +51,11 @@
 		opening.log.event("fleet", "datagram_failed", "fleet: datagram error.", {cause: error.message})
 	}
 
+	function noteBadFrame({message}: Error) {
+		opening.metrics.count("broken_assumptions", "peer_frame")
+		opening.log.event("fleet", "frame_failed", "fleet: a bad message.", {cause: message})
+	}
+
 	/** Rejects unless the port is free by both. */
 	async function open(port: number) {
 		const datagrams = await openDatagrams(
@@ -60,7 +65,7 @@
 		)
 		const address = `${host}:${datagrams.port}`
 		try {
-			return {address, datagrams, server: await listenPeers(address, handlers)}
+			return {address, datagrams, server: await listenPeers(address, handlers, noteBadFrame)}
 		} catch (error) {
 			datagrams.close()
 			throw error
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -5,7 +5,13 @@
  * An open call proves that its caller still wants the work: when it is cancelled or its connection
  * breaks, the work behind it is stopped.
  */
-import {connectJson, listenJson, type JsonClient, type JsonServer} from "@cottonwood/wire/json"
+import {
+	connectJson,
+	listenJson,
+	type JsonClient,
+	type JsonHandler,
+	type JsonServer,
+} from "@cottonwood/wire/json"
 import type {RunLocation} from "../place/placer-state.js"
 import type {TaskEnd, TaskRequest} from "../place/run.js"
 import type {ExecutorRecord} from "../types/executor.js"
@@ -97,15 +103,23 @@
 	kept(message: KeptMessage): Promise<KeptReply>
 }
 
-/** Serves peers' calls; rejects when the port is taken. */
-export function listenPeers(address: string, handlers: PeerHandlers): Promise<JsonServer> {
-	return listenJson(SERVICE, address, {
+/**
+ * Serves peers' calls; rejects when the port is taken. `onBadFrame` is called for each message of unexpected shape, which is
+ * dropped.
+ */
+export function listenPeers(
+	address: string,
+	handlers: PeerHandlers,
+	onBadFrame: (error: Error) => void,
+): Promise<JsonServer> {
+	const methods: Readonly<Record<string, JsonHandler>> = {
 		beat: async message => handlers.beat(message as Heartbeat),
 		runJob: (message, caller) => handlers.runJob(message as JobMessage, caller),
 		runTask: (message, caller) => handlers.runTask(message as TaskMessage, caller),
 		takeOver: message => handlers.takeOver(message as TakeOverMessage),
 		kept: message => handlers.kept(message as KeptMessage),
-	})
+	}
+	return listenJson(SERVICE, address, methods, onBadFrame)
 }
 
 export interface PeerCall<T> {
--- a/packages/wire/src/json-client.ts
+++ b/packages/wire/src/json-client.ts
@@ -14,6 +14,7 @@
 	decode,
 	exchangePath,
 	floorToTenth,
+	forEachFrame,
 	type AnswerFrame,
 	type ClientFrame,
 	type ServerFrame,
@@ -247,9 +248,10 @@
 		)
 		const timer = setTimeout(reconnect, connectTimeoutMs)
 		client.waitForReady(Date.now() + connectTimeoutMs, err => (wasConnected ||= !err))
-		stream.on("data", (frames: readonly ServerFrame[]) => {
+		stream.on("data", (frames: unknown) => {
 			readAt = systemClock.now()
-			frames.forEach(handleFrame)
+			// A lost answer ends its call in time.
+			forEachFrame<ServerFrame>(frames, handleFrame, () => undefined)
 		})
 		stream.on("error", (err: grpc.ServiceError) => fail(err.details || err.message))
 		stream.on("end", () => fail("the stream ended"))
--- a/packages/wire/src/json-frames.ts
+++ b/packages/wire/src/json-frames.ts
@@ -30,7 +30,8 @@
 
 /** Frames are serialized before they are written. */
 export const encode = (bytes: Buffer) => bytes
-export const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8"))
+/** A message of null would end the stream that carries it, so it becomes another one of unexpected shape. */
+export const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString("utf8")) ?? {}
 
 export const exchangePath = (service: string) => `/${service}/exchange`
 
@@ -80,6 +81,26 @@
 /** Rounds down to a tenth of a millisecond, so that a time is never later than the exact one. */
 export const floorToTenth = (ms: number) => Math.floor(ms * 10) / 10
 
+/** The text of whatever was thrown. */
+export const messageOf = (error: unknown) =>
+	error instanceof Error ? error.message : String(error)
+
+/** Handles each frame of a message; one of unexpected shape is reported, and the others are handled. */
+export function forEachFrame<T extends object>(
+	frames: unknown,
+	handle: (frame: T) => void,
+	onBadFrame: (error: Error) => void,
+) {
+	if (!Array.isArray(frames)) return onBadFrame(new Error("a message that is no list of frames"))
+	for (const frame of frames) {
+		try {
+			handle(frame as T)
+		} catch (error) {
+			onBadFrame(error as Error)
+		}
+	}
+}
+
 /**
  * Sends the frames of one turn of the event loop as one message, or as several if they are long.
  */
--- a/packages/wire/src/json-server.ts
+++ b/packages/wire/src/json-server.ts
@@ -14,6 +14,8 @@
 	encode,
 	exchangePath,
 	floorToTenth,
+	forEachFrame,
+	messageOf,
 	type AnswerFrame,
 	type ClientFrame,
 	type CallFrame,
@@ -49,12 +51,15 @@
 	close(): void
 }
 
-/** Serves methods at an address; rejects when the port is taken. */
+/**
+ * Serves methods at an address; rejects when the port is taken. `onBadFrame` is called for each frame of unexpected shape, which is
+ * dropped.
+ */
 export function listenJson(
 	service: string,
 	address: string,
 	handlers: Readonly<Record<string, JsonHandler>>,
-	_onBadFrame: (error: Error) => void = () => undefined,
+	onBadFrame: (error: Error) => void = () => undefined,
 ): Promise<JsonServer> {
 	const server = new grpc.Server(CHANNEL_OPTIONS)
 	const exchange = {
@@ -66,7 +71,7 @@
 		responseSerialize: encode,
 		responseDeserialize: decode,
 	}
-	const serve = (stream: ExchangeStream) => serveExchange(stream, handlers)
+	const serve = (stream: ExchangeStream) => serveExchange(stream, handlers, onBadFrame)
 	server.addService({exchange}, {exchange: serve})
 	return new Promise((resolve, reject) => {
 		server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (err, port) => {
@@ -85,7 +90,16 @@
 	confirmedAt: number
 }
 
-function serveExchange(stream: ExchangeStream, handlers: Readonly<Record<string, JsonHandler>>) {
+/** Calls a handler; one that throws at once counts as one that rejects. */
+async function callHandler(handler: JsonHandler, message: unknown, caller: JsonCaller) {
+	return handler(message, caller)
+}
+
+function serveExchange(
+	stream: ExchangeStream,
+	handlers: Readonly<Record<string, JsonHandler>>,
+	onBadFrame: (error: Error) => void,
+) {
 	const pending = new Map<number, ServedCall>()
 	let isBroken = false
 	let timer: NodeJS.Timeout | undefined
@@ -119,10 +133,13 @@
 	}
 
 	function answer(id: number, frame: AnswerFrame) {
-		if (pending.delete(id)) send(frame)
+		if (!pending.has(id)) return
+		send(frame)
+		pending.delete(id)
 	}
 
 	function confirm({confirmedAt, older}: ConfirmFrame) {
+		if (!Number.isFinite(confirmedAt)) throw new Error("a confirmation without its time")
 		const exceptions = new Map(older)
 		for (const [id, served] of pending)
 			served.confirmedAt = Math.max(served.confirmedAt, exceptions.get(id) ?? confirmedAt)
@@ -142,10 +159,11 @@
 			if (pending.has(id)) served.listeners.push(listener)
 			else listener()
 		}
-		handler(message, {onCancel, madeAt, confirmedAt: () => served.confirmedAt}).then(
-			value => answer(id, {id, value}),
-			(err: Error) => answer(id, {id, error: err.message}),
-		)
+		const caller = {onCancel, madeAt, confirmedAt: () => served.confirmedAt}
+		callHandler(handler, message, caller)
+			.then(value => answer(id, {id, value}))
+			// Also for a value that is no JSON.
+			.catch((err: unknown) => answer(id, {id, error: messageOf(err)}))
 	}
 
 	function handleFrame(frame: ClientFrame) {
@@ -163,7 +181,7 @@
 
 	// Clients send nothing before they have a reading of this clock.
 	tick()
-	stream.on("data", (frames: readonly ClientFrame[]) => frames.forEach(handleFrame))
+	stream.on("data", (frames: unknown) => forEachFrame<ClientFrame>(frames, handleFrame, onBadFrame))
 	stream.on("cancelled", handleClose)
 	stream.on("error", handleClose)
 	stream.on("end", () => {
