--- a/packages/standins/src/bench/jobs-bench.ts
+++ b/packages/standins/src/bench/jobs-bench.ts
@@ -2,7 +2,14 @@
  * Measures the fleet's processor time per job: real instances on the platform stand-in, with jobs of three shapes
  * arriving at an even rate. Processor time is read from the operating system, without startup and warm-up.
  */
-import {startEdges, handIn, untilPlaced, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {
+	endEdge,
+	startEdges,
+	handIn,
+	untilPlaced,
+	type Edge,
+	type EdgeFleet,
+} from "../leased/edges.js"
 import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
 import {readUsage} from "./usage.js"
 import {sleep} from "../utils/sleep.js"
@@ -149,7 +156,7 @@
 
 /** Sends SIGTERM first, because Node.js writes a profile only on a regular exit. */
 async function stopAll(fleet: EdgeFleet) {
-	for (const {child} of fleet.edges) child.kill("SIGTERM")
+	for (const edge of fleet.edges) endEdge(edge, "SIGTERM")
 	const timeout = sleep(12 * MS_PER_S)
 	await Promise.race([Promise.all(fleet.edges.map(({exited}) => exited)), timeout])
 	await fleet.close()
--- a/packages/standins/src/bench/return-bench.ts
+++ b/packages/standins/src/bench/return-bench.ts
@@ -2,7 +2,14 @@
  * Measures how soon a fleet serves again after all instances were killed together, with real processes on the platform
  * stand-in. Jobs arrive at an even rate throughout, and callers resubmit as the contract says.
  */
-import {handIn, startEdges, untilPlaced, type Edge, type EdgeFleet} from "../leased/edges.js"
+import {
+	endEdge,
+	handIn,
+	startEdges,
+	untilPlaced,
+	type Edge,
+	type EdgeFleet,
+} from "../leased/edges.js"
 import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
 import {sleep} from "../utils/sleep.js"
 import {readUsage} from "./usage.js"
@@ -119,7 +126,7 @@
 }
 
 async function killAndRestartAll(fleet: EdgeFleet, processes: readonly Edge[], downMs: number) {
-	for (const {child} of processes) child.kill("SIGKILL")
+	for (const edge of processes) endEdge(edge, "SIGKILL")
 	const lostAt = Date.now()
 	await Promise.all(processes.map(({exited}) => exited))
 	await sleep(downMs)
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -2,13 +2,16 @@
  * Starts real instances of the program on loopback against the platform stand-in, and sends them jobs.
  * Used by tests, soaks and benchmarks.
  */
-import {spawn, type ChildProcess} from "node:child_process"
+import {spawn, type ChildProcess, type StdioOptions} from "node:child_process"
 import {mkdtempSync, rmSync, writeFileSync} from "node:fs"
-import {createServer} from "node:net"
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {fileURLToPath} from "node:url"
 import {request} from "undici"
+import {sleep} from "../utils/sleep.js"
+import {earlyHangUpsOf, faultsOf, watchLife, type Life, type ProcessEnd} from "./ends.js"
+import {freePort} from "./ports.js"
+import {laySettings, settingsOf, type Settings} from "./settings-file.js"
 import {HOST, PREFIX, type LeasedPlatform} from "./platform.js"
 import type {StandInSpec} from "./wire-executor.js"
 
@@ -21,10 +24,9 @@
 const DEFAULT_DEADLINE_MS = 10_000
 const READY_POLL_MS = 50
 const READY_TRIES = 200
-/** Below the ephemeral ports, which begin at 32,768 on Linux. */
-const FIRST_PORT = 10_000
-const PORTS_PER_BLOCK = 100
-const PORT_BLOCKS = 220
+/** How long the platform waits until it starts a process that ended by itself again. */
+const RESTART_DELAY_MS = 100
+const BEGUN = new URL("./begun.js", import.meta.url).href
 
 export interface Edge {
 	readonly name: string
@@ -37,6 +39,9 @@
 	/** Log lines written so far, parsed. */
 	readonly lines: readonly Readonly<Record<string, unknown>>[]
 	readonly exited: Promise<number | null>
+	readonly life: Life
+	/** The settings file, and what stands in it. */
+	readonly settings: {readonly file: string; readonly value: Settings}
 }
 
 export interface EdgeFleet {
@@ -47,6 +52,11 @@
 	restart(edge: Edge): Promise<Edge>
 	/** Like `restart`, without waiting for readiness. */
 	relaunch(edge: Edge): Promise<Edge>
+	/** One line for each process that ended although nobody asked for it, and for each that was not ready in time. */
+	faults(): readonly string[]
+	/** One line for each process that a SIGHUP ended before the program began. */
+	earlyHangUps(): readonly string[]
+	/** Kills all processes. Rejects when there were faults, unless ended processes are restarted. */
 	close(): Promise<void>
 }
 
@@ -56,46 +66,12 @@
 	readonly retryAfter: string | undefined
 }
 
-let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK
-
-/** Returns a free port of this process's own block. */
-async function freePort(ip: string): Promise<number> {
-	for (;;) {
-		const port = nextPort++
-		if (nextPort >= FIRST_PORT + PORT_BLOCKS * PORTS_PER_BLOCK) nextPort = FIRST_PORT
-		if (await isFree(ip, port)) return port
-	}
-}
-
-function isFree(ip: string, port: number): Promise<boolean> {
-	const server = createServer()
-	return new Promise(resolve => {
-		server.once("error", () => resolve(false))
-		server.listen(port, ip, () => server.close(() => resolve(true)))
-	})
-}
-
-function settingsOf(
-	name: string,
-	failureDomain: string,
-	platform: LeasedPlatform,
-	at: {readonly ip: string; readonly ports: readonly number[]},
-	storeAddress: string,
-	cpuShare: number,
-): object {
-	const {ip, ports} = at
-	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
-	return {
-		node: name,
-		ip,
-		zone: failureDomain,
-		zones: Object.fromEntries(domains.map(domain => [domain, "region"])),
-		listen: {front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`},
-		"port-range": [ports[2], ports[2]],
-		orders: "rpc",
-		limits: {"cpu-share": cpuShare},
-		platform: {address: storeAddress},
-		bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
+/** The last line of a process that is killed may be cut off. */
+function parseLine(line: string): Record<string, unknown> {
+	try {
+		return JSON.parse(line) as Record<string, unknown>
+	} catch {
+		return {kind: "unreadable", line}
 	}
 }
 
@@ -104,19 +80,10 @@
 	child.stdout?.on("data", (chunk: Buffer) => {
 		const parts = (rest + chunk.toString("utf8")).split("\n")
 		rest = parts.pop() ?? ""
-		for (const part of parts) lines.push(JSON.parse(part) as Record<string, unknown>)
+		for (const part of parts) if (part.startsWith("{")) lines.push(parseLine(part))
 	})
 }
 
-async function untilReady(edge: Edge, limitMs = READY_TRIES * READY_POLL_MS) {
-	const until = performance.now() + limitMs
-	while (performance.now() < until) {
-		if (await isReady(edge)) return
-		await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
-	}
-	throw new Error(`${edge.name} is not ready in time`)
-}
-
 /** Waits until as many `fence_taken` events as executors are logged; rejects after 10 s. */
 export async function untilPlaced(fleet: EdgeFleet, executors: number) {
 	for (let tries = 0; tries < READY_TRIES; tries++) {
@@ -210,8 +177,21 @@
 	readonly readyMs?: number
 	/** Called for each process that is started. */
 	readonly onLaunch?: (edge: Edge) => void
+	/**
+	 * Starts a process that ended by itself again, as the platform does, and leaves the faults to whoever started the
+	 * instances.
+	 */
+	readonly restartsEnded?: boolean
+	/** Marks when a program that consists of a start script and its code begins to load its code. */
+	readonly marksBegin?: boolean
 }
 
+/** Ends an instance's process on purpose. Any other end is a fault. */
+export const endEdge = ({life}: Edge, signal: NodeJS.Signals) => life.end(signal)
+
+/** Whether the instance's process has not ended. */
+export const isRunning = ({child}: Edge) => child.exitCode === null && child.signalCode === null
+
 export async function startEdges(
 	platform: LeasedPlatform,
 	names: readonly (readonly [name: string, failureDomain: string])[],
@@ -219,48 +199,86 @@
 ): Promise<EdgeFleet> {
 	const folder = mkdtempSync(join(tmpdir(), "cottonwood-edges-"))
 	const edges: Edge[] = []
+	const ends: ProcessEnd[] = []
+	const unready: string[] = []
+	let isClosing = false
 
 	const program = options.program ?? PROGRAM
 	const placingFile = join(folder, "placing.json")
 	writeFileSync(placingFile, JSON.stringify(options.placing ?? {}))
-	const cpuShareOf = options.cpuShareOf ?? (() => 1)
+	const failureDomains = [...new Set(platform.executors.map(edge => edge.failureDomain))]
 	const ipOf = options.ipOf ?? (() => "127.0.0.1")
+	const marks = options.marksBegin ? ["--import", BEGUN] : []
+	const args = [...(options.nodeArgs ?? []), ...marks, program, "edge"]
 
-	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
+	function settingsFor(name: string, failureDomain: string, ports: readonly number[]): Settings {
+		const storeAddress = options.storeAddressOf?.(name) ?? platform.storeAddress
+		const cpuShare = options.cpuShareOf?.(name) ?? 1
 		const ip = ipOf(name)
+		return settingsOf({name, failureDomain, failureDomains, ip, ports, storeAddress, cpuShare})
+	}
+
+	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
 		const file = join(folder, `${name}.json`)
-		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
-		writeFileSync(
-			file,
-			JSON.stringify(
-				settingsOf(name, failureDomain, platform, {ip, ports}, store, cpuShareOf(name)),
-			),
-		)
+		const settings = {file, value: settingsFor(name, failureDomain, ports)}
+		void laySettings(file, settings.value)
 		const settingsEnv = {COTTONWOOD_CONFIG: file, COTTONWOOD_PLACING: placingFile}
 		const env = {...process.env, ...settingsEnv, ...options.envOf?.(name)}
-		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), program, "edge"], {
+		const stdio: StdioOptions = ["ignore", "pipe", "pipe"]
+		const child = spawn(process.execPath, args, {
 			env,
-			stdio: ["ignore", "pipe", "inherit"],
+			stdio: options.marksBegin ? [...stdio, "pipe"] : stdio,
 		})
+		child.stderr?.on("data", (chunk: Buffer) => process.stderr.write(chunk))
 		const lines: Record<string, unknown>[] = []
 		collectLines(child, lines)
+		const life = watchLife(name, child)
 		const exited = new Promise<number | null>(resolve => child.once("exit", resolve))
-		const [callers, readiness, peers] = ports.map(port => `${ip}:${port}`) as [
+		const [callers, readiness, peers] = ports.map(port => `${ipOf(name)}:${port}`) as [
 			string,
 			string,
 			string,
 		]
-		const edge: Edge = {name, failureDomain, callers, readiness, peers, child, lines, exited}
+		const addresses = {callers, readiness, peers}
+		const edge: Edge = {name, failureDomain, ...addresses, child, lines, exited, life, settings}
 		edges.push(edge)
+		void life.ended.then(end => void ends.push(end))
+		if (options.restartsEnded) void exited.then(() => startAgain(edge))
 		options.onLaunch?.(edge)
 		return edge
 	}
 
+	async function startAgain(edge: Edge) {
+		if (edge.life.isEndAsked()) return
+		await sleep(RESTART_DELAY_MS)
+		if (!isClosing) await relaunch(edge)
+	}
+
+	const newest = (name: string) => edges.findLast(one => one.name === name) as Edge
+
+	/** Waits until the instance's newest process is ready. Each that is started meanwhile has the whole time. */
+	async function untilReady(name: string, limitMs = READY_TRIES * READY_POLL_MS) {
+		let edge = newest(name)
+		let until = performance.now() + limitMs
+		while (performance.now() < until && !isClosing) {
+			if (await isReady(edge)) return
+			if (!options.restartsEnded && !isRunning(edge))
+				throw new Error(faultsOf([await edge.life.ended])[0] ?? `${name} was ended`)
+			if (edge !== newest(name)) until = performance.now() + limitMs
+			edge = newest(name)
+			await sleep(READY_POLL_MS)
+		}
+		if (isClosing) return
+		const late = `FAULT: ${name} is not ready ${limitMs} ms after its start`
+		if (!options.restartsEnded) throw new Error(late)
+		unready.push(late)
+	}
+
 	async function start(name: string, failureDomain: string): Promise<Edge> {
 		const ip = ipOf(name)
 		const ports = [await freePort(ip), await freePort(ip), await freePort(ip)]
 		const edge = launch(name, failureDomain, ports)
-		await untilReady(edge, options.readyMs)
+		await untilReady(name, options.readyMs)
 		return edge
 	}
 
@@ -271,17 +289,19 @@
 	}
 
 	function killAll() {
-		for (const {child} of edges) child.kill("SIGKILL")
+		isClosing = true
+		for (const edge of edges) endEdge(edge, "SIGKILL")
 	}
 	process.once("exit", killAll)
 
 	async function close() {
 		process.off("exit", killAll)
 		killAll()
-		await Promise.all(edges.map(({exited}) => exited))
+		await Promise.all(edges.map(({life}) => life.ended))
 		rmSync(folder, {recursive: true, force: true})
 	}
 
+	const faults = () => [...faultsOf(ends), ...unready]
 	try {
 		await Promise.all(names.map(([name, failureDomain]) => start(name, failureDomain)))
 	} catch (err) {
@@ -294,9 +314,15 @@
 		relaunch,
 		async restart(edge) {
 			const next = await relaunch(edge)
-			await untilReady(next)
+			await untilReady(next.name)
 			return next
 		},
-		close,
+		faults,
+		earlyHangUps: () => earlyHangUpsOf(ends),
+		async close() {
+			await close()
+			const found = faults()
+			if (!options.restartsEnded && found.length > 0) throw new Error(found.join("\n"))
+		},
 	}
 }
--- /dev/null
+++ b/packages/standins/src/leased/settings-file.ts
@@ -0,0 +1,73 @@
+/**
+ * The settings file of an instance, as the platform lays it: whole or in two steps, with fields that may be unknown,
+ * null or missing.
+ */
+import {writeFileSync} from "node:fs"
+import {sleep} from "../utils/sleep.js"
+
+export type Settings = Readonly<Record<string, unknown>>
+
+export interface SettingsPlan {
+	readonly name: string
+	readonly failureDomain: string
+	readonly failureDomains: readonly string[]
+	readonly ip: string
+	/** For callers, readiness and peers. */
+	readonly ports: readonly number[]
+	readonly storeAddress: string
+	/** In cores. */
+	readonly cpuShare: number
+}
+
+export const settingsOf = (plan: SettingsPlan): Settings => ({
+	node: plan.name,
+	ip: plan.ip,
+	zone: plan.failureDomain,
+	zones: Object.fromEntries(plan.failureDomains.map(domain => [domain, "region"])),
+	listen: {front: `${plan.ip}:${plan.ports[0]}`, ready: `${plan.ip}:${plan.ports[1]}`},
+	"port-range": [plan.ports[2], plan.ports[2]],
+	orders: "rpc",
+	limits: {"cpu-share": plan.cpuShare},
+	platform: {address: plan.storeAddress},
+	bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
+})
+
+/** Fields that a deployment need not give, by section; an empty section name is the file itself. */
+const OPTIONAL_FIELDS: readonly (readonly [section: string, field: string])[] = [
+	["", "advice"],
+	["limits", "cores"],
+	["limits", "link-mbps"],
+	["platform", "writes-per-s"],
+	["platform", "value-bytes"],
+	["bounds", "stop-grace-ms"],
+	["bounds", "status_s"],
+]
+const NULL_SHARE = 0.3
+const UNKNOWN_SHARE = 0.5
+
+function withField(settings: Settings, section: string, field: string, value: unknown): Settings {
+	if (section === "") return {...settings, [field]: value}
+	return {...settings, [section]: {...(settings[section] as Settings), [field]: value}}
+}
+
+/** Adds fields that the program doesn't know, and gives optional fields as null; the others stay missing. */
+export function varySettings(settings: Settings, random: () => number): Settings {
+	let varied = settings
+	for (const [section, field] of OPTIONAL_FIELDS)
+		if (random() < NULL_SHARE) varied = withField(varied, section, field, null)
+	for (const section of ["", "listen", "limits", "platform", "bounds"])
+		if (random() < UNKNOWN_SHARE) varied = withField(varied, section, "unknown-field", {a: [1]})
+	return varied
+}
+
+/** Writes the file whole or, if `halfMs` is not 0, empties it, writes half of it and the rest after that time. */
+export async function laySettings(file: string, settings: Settings, halfMs = 0) {
+	const text = JSON.stringify(settings)
+	if (halfMs > 0) {
+		writeFileSync(file, "")
+		await sleep(halfMs / 2)
+		writeFileSync(file, text.slice(0, text.length / 2))
+		await sleep(halfMs / 2)
+	}
+	writeFileSync(file, text)
+}
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -2,7 +2,7 @@
  * Faults of the platform soak, injected from outside the program: links that are cut, slow or reset, signals, and a
  * failing store or executors. Faults overlap.
  */
-import type {Edge, EdgeFleet} from "../leased/edges.js"
+import {endEdge, isRunning, type Edge, type EdgeFleet} from "../leased/edges.js"
 import type {HostedExecutor, LeasedPlatform} from "../leased/platform.js"
 import type {Link} from "../fleet/link.js"
 import {sleep} from "../utils/sleep.js"
@@ -68,9 +68,7 @@
 
 /** Returns the newest process of each instance that is still running. */
 export function runningEdges(fleet: EdgeFleet): readonly Edge[] {
-	return [...newestEdges(fleet).values()].filter(
-		({child}) => child.exitCode === null && !child.signalCode,
-	)
+	return [...newestEdges(fleet).values()].filter(isRunning)
 }
 
 /** Processes that are being replaced. A second fault may signal them again but starts no second replacement. */
@@ -82,7 +80,9 @@
 	edge: Edge,
 	signal: "SIGKILL" | "SIGTERM",
 ) {
-	edge.child.kill(signal)
+	// One that ended by itself is started again by the fleet.
+	if (!isRunning(edge)) return
+	endEdge(edge, signal)
 	if (replacing.has(edge)) return
 	replacing.add(edge)
 	await edge.exited
--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -4,7 +4,7 @@
  */
 import {openLink, type Link} from "../fleet/link.js"
 import {startEdges, type EdgeFleet} from "../leased/edges.js"
-import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
+import {startLeasedPlatform} from "../leased/platform.js"
 import {seededRandom} from "../utils/random.js"
 import {planConnectionFaults, runConnectionFault} from "./connection-faults.js"
 import {runLeasedCallers, waitUntilEnded, type CalledJob} from "./leased-callers.js"
@@ -50,6 +50,8 @@
 	readonly completed: number
 	readonly refused: number
 	readonly open: number
+	/** Processes that a SIGHUP ended before the program began. */
+	readonly earlyHangUps: number
 	readonly violations: readonly string[]
 }
 
@@ -82,6 +84,7 @@
 	const fleet = await startEdges(platform, names, {
 		storeAddressOf,
 		nodeArgs: ["--import", SUSPENDABLE],
+		restartsEnded: true,
 	})
 	const {faultMs: durationMs} = plan
 	const links = {executorLinks, storeLinks}
@@ -133,7 +136,7 @@
 
 function createVerdict(
 	jobs: readonly CalledJob[],
-	platform: LeasedPlatform,
+	{platform, fleet}: LeasedWorld,
 	behind: readonly string[],
 ): LeasedVerdict {
 	const count = (isWanted: (job: CalledJob) => boolean) => jobs.filter(isWanted).length
@@ -143,7 +146,9 @@
 		completed: count(({state}) => state === "completed"),
 		refused: count(({statuses}) => statuses.at(-1) === 503),
 		open: count(({statuses}) => ![200, 503].includes(statuses.at(-1) ?? 0)),
+		earlyHangUps: fleet.earlyHangUps().length,
 		violations: [
+			...fleet.faults(),
 			...platform.violations,
 			...behind,
 			...jobs.flatMap(job => violationsOf(job, platform)),
@@ -181,7 +186,7 @@
 		})
 		const behind = await checked
 		await waitUntilEnded(world.fleet, jobs, FINISH_MS)
-		return createVerdict(jobs, world.platform, behind)
+		return createVerdict(jobs, world, behind)
 	} finally {
 		await closeWorld(world)
 	}
--- a/packages/standins/src/soak/machine-faults.ts
+++ b/packages/standins/src/soak/machine-faults.ts
@@ -67,7 +67,8 @@
 	const edge = pick(runningEdges(world.fleet), random)
 	const times = 1 + Math.floor(random() * MAX_SUSPENSIONS)
 	for (let at = 0; at < times; at++) {
-		edge?.child.kill("SIGUSR2")
+		// Before its first line the instance may not listen for the signal yet, which would end it.
+		if (edge && edge.lines.length > 0) edge.child.kill("SIGUSR2")
 		await sleep(SUSPENSION_INTERVAL_MS)
 	}
 }
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -78,6 +78,8 @@
 	/** Jobs that were resubmitted after a try with an unknown outcome. */
 	readonly returned: number
 	readonly open: number
+	/** Processes that a SIGHUP ended before the program began. */
+	readonly earlyHangUps: number
 	/** Instances that did not become ready in time after the last fault. */
 	readonly unready: readonly string[]
 	/** Longest event-loop delay of the soak process, which delays executors and links too. */
@@ -151,6 +153,9 @@
 	}
 }
 
+const lateLine = (name: string) =>
+	`FAULT: ${name} is not ready ${FINISH_MS} ms after the last fault`
+
 function countJobs(jobs: readonly ReturnedJob[]) {
 	const count = (isWanted: (job: ReturnedJob) => boolean) => jobs.filter(isWanted).length
 	const isOpen = (status: number) => ![200, 503].includes(status)
@@ -168,7 +173,7 @@
 	const plan = {...ROUGH_SOAK_DEFAULTS, ...changes}
 	const {seed, callers, keepIn} = plan
 	const platformRecords: RecordLine[] = []
-	const faults: RecordLine[] = []
+	const faultLines: RecordLine[] = []
 	const failureDomains = Array.from({length: plan.domains}, (_, at) => `zone-${at + 1}`)
 	const random = seededRandom(seed + WORLD_SEED)
 	const record = (line: RecordLine) => void platformRecords.push(line)
@@ -177,7 +182,7 @@
 	lag.enable()
 	try {
 		let isNeeded = true
-		const ended = runFaults(world, plan, faults)
+		const ended = runFaults(world, plan, faultLines)
 			.finally(() => (isNeeded = false))
 			.then(() => checkOperators(world, seed, plan.machineFaults))
 		const jobs = await runRoughCallers(world, {
@@ -191,13 +196,15 @@
 		const unready = await waitUntilReady(world)
 		await waitUntilEnded(world.fleet, jobs, FINISH_MS)
 		const broken = jobs.flatMap(job => violationsOf(job, world.platform))
-		const violations = [...world.platform.violations, ...behind, ...broken]
+		const faults = [...world.fleet.faults(), ...unready.map(lateLine)]
+		const violations = [...faults, ...world.platform.violations, ...behind, ...broken]
 		const lagMs = Math.round(lag.max / NS_PER_MS)
-		const verdict = {seed, ...countJobs(jobs), unready, lagMs, violations}
+		const earlyHangUps = world.fleet.earlyHangUps().length
+		const verdict = {seed, ...countJobs(jobs), earlyHangUps, unready, lagMs, violations}
 		const {edges} = world.fleet
 		const shouldSave = keepIn !== undefined && (plan.keepsAll || violations.length > 0)
 		const kept = shouldSave
-			? saveRun(keepIn, {verdict, faults, platformRecords, jobs, edges})
+			? saveRun(keepIn, {verdict, faults: faultLines, platformRecords, jobs, edges})
 			: undefined
 		return {...verdict, kept}
 	} finally {
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -113,6 +113,7 @@
 		nodeArgs: ["--import", PRELOAD, "--import", SUSPENDABLE],
 		program: plan.program,
 		readyMs: READY_MS,
+		restartsEnded: true,
 		onLaunch: edge => void peers.set(edge.name, edge.peers),
 	})
 	return {
--- a/packages/standins/test/cancelled.test.ts
+++ b/packages/standins/test/cancelled.test.ts
@@ -1,7 +1,7 @@
 /**
  * Cancellation on real processes: no task of a job starts or keeps running after the cancellation was acknowledged.
  */
-import {askJob, handIn} from "@cottonwood/standins"
+import {endEdge, askJob, handIn} from "@cottonwood/standins"
 import type {Edge} from "@cottonwood/standins"
 import {expect} from "chai"
 import {dropStopOrders} from "./support/leased-scene.js"
@@ -105,7 +105,7 @@
 		await accept(world.edgeOf("a-1"), id, 2)
 		await until("its runs", () => runs() === 2, 2_000)
 		const placer = world.placerOf("a")
-		world.edgeOf(placer).child.kill("SIGKILL")
+		endEdge(world.edgeOf(placer), "SIGKILL")
 		await cancel(world.edgeOf("b-1"), id)
 		const before = starts()
 		await sleep(CANCEL_MS + STOP_GRACE_MS)
--- a/packages/standins/test/kept.test.ts
+++ b/packages/standins/test/kept.test.ts
@@ -1,7 +1,7 @@
 /**
  * Kept jobs on real processes against the platform stand-in.
  */
-import {askJob, handIn} from "@cottonwood/standins"
+import {endEdge, askJob, handIn} from "@cottonwood/standins"
 import type {Edge, EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
 import {expect} from "chai"
 import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
@@ -80,7 +80,7 @@
 			),
 		)
 		await sleep(300)
-		for (const {child} of first) child.kill("SIGKILL")
+		for (const edge of first) endEdge(edge, "SIGKILL")
 		await sleep(300)
 		await Promise.all(first.map(edge => fleet.restart(edge)))
 		for (const id of ids) await untilState(edgeOf("b-1"), id, "completed")
@@ -92,7 +92,7 @@
 		await accept(edgeOf("a-1"), id, {count: 2, spec: {workMs: 100}})
 		await untilState(edgeOf("a-1"), id, "completed")
 		const victims = ["a", "b"].map(placerOf)
-		for (const name of victims) edgeOf(name).child.kill("SIGKILL")
+		for (const name of victims) endEdge(edgeOf(name), "SIGKILL")
 		await sleep(300)
 		await Promise.all(victims.map(name => fleet.restart(edgeOf(name))))
 		await sleep(3_000)
@@ -105,7 +105,7 @@
 		const edge = edgeOf(placerOf("a"))
 		await accept(edge, id, {count: 2, spec: {workMs: 2_500}})
 		await sleep(200)
-		edge.child.kill("SIGTERM")
+		endEdge(edge, "SIGTERM")
 		expect(await edge.exited).to.equal(0)
 		await untilState(edgeOf("b-1"), id, "completed")
 		for (let at = 0; at < 2; at++) expect(platform.startsOf(`${id}.0.0.${at}`)).to.equal(1)
@@ -146,7 +146,7 @@
 			if (key !== `job/open/${id}` || !failures?.["0.0.0"] || killed.length > 0) return
 			const placer = placerOf((value as {home: string}).home)
 			killed.push(placer)
-			edgeOf(placer).child.kill("SIGKILL")
+			endEdge(edgeOf(placer), "SIGKILL")
 		}
 		await accept(edgeOf("a-1"), id, {spec: {workMs: 100, fails: true}})
 		await sleep(500)
--- a/packages/standins/test/leased.test.ts
+++ b/packages/standins/test/leased.test.ts
@@ -1,7 +1,7 @@
 /**
  * Jobs on real processes against the platform stand-in.
  */
-import {handIn, isReady} from "@cottonwood/standins"
+import {endEdge, handIn, isReady} from "@cottonwood/standins"
 import type {Edge, EdgeFleet, LeasedPlatform} from "@cottonwood/standins"
 import {expect} from "chai"
 import {startLeasedWorld, type LeasedTestWorld} from "./support/leased-world.js"
@@ -102,7 +102,7 @@
 		const early = Array.from({length: 6}, newId)
 		const pending = early.map(id => handIn(other, id, {count: 2, spec: {workMs: 600}}))
 		await sleep(150)
-		victim.child.kill("SIGKILL")
+		endEdge(victim, "SIGKILL")
 		const answers = await Promise.all(pending)
 		for (const {status} of answers) expect(status).to.be.oneOf([200, 502, 503])
 		for (let tries = 0; tries < 100 && placerOf("a") !== other.name; tries++) await sleep(100)
@@ -165,7 +165,7 @@
 		const edge = edgeOf(placerOf("a"))
 		const pending = handIn(edge, newId(), {count: 2, spec: {workMs: 800}})
 		await sleep(200)
-		edge.child.kill("SIGTERM")
+		endEdge(edge, "SIGTERM")
 		// The instance stays ready until it has handled the signal.
 		await untilSaid(edge, "leaving", HEARD_WITHIN_MS)
 		expect(await isReady(edge)).to.equal(false)
@@ -183,7 +183,7 @@
 		const caller = edgeOf(placer === "a-1" ? "a-2" : "a-1")
 		const pending = handIn(caller, id, {count: 4, spec: {workMs: 1_500}})
 		await sleep(400)
-		edgeOf(placer).child.kill("SIGTERM")
+		endEdge(edgeOf(placer), "SIGTERM")
 		expect((await pending).status).to.equal(200)
 		const starts = [0, 1, 2, 3].map(at => platform.startsOf(`${id}.0.0.${at}`))
 		expect(starts).to.eql([1, 1, 1, 1])
--- a/packages/standins/test/lost-zone.test.ts
+++ b/packages/standins/test/lost-zone.test.ts
@@ -4,6 +4,7 @@
  * the store all the while.
  */
 import {
+	endEdge,
 	askJob,
 	closeRoughWorld,
 	executorsPlace,
@@ -67,7 +68,7 @@
 		executorsIn(failureDomain).reduce((sum, {executor}) => sum + executor.runningCountOf(id), 0)
 
 	function lose() {
-		for (const {child} of edgesIn(LOST)) child.kill("SIGKILL")
+		for (const edge of edgesIn(LOST)) endEdge(edge, "SIGKILL")
 		for (const {executor, server} of executorsIn(LOST)) {
 			executor.crash()
 			server.close()
--- a/packages/standins/test/placed-anew.test.ts
+++ b/packages/standins/test/placed-anew.test.ts
@@ -2,7 +2,7 @@
  * Rescheduling by the coordinator on real processes, when a placer is lost while the caller of a running job waits.
  * Executors check that no task runs twice at once.
  */
-import {handIn} from "@cottonwood/standins"
+import {endEdge, handIn} from "@cottonwood/standins"
 import {expect} from "chai"
 import {RESUBMIT_MS, sleep} from "./support/late-callers.js"
 import {startScene, until, type Scene} from "./support/leased-scene.js"
@@ -37,7 +37,7 @@
 		const answer = handIn(caller, id, options)
 		await until("its start", () => scene.platform.startsOf(task) === 1)
 		const lostAt = performance.now()
-		scene.placerOf("a").child.kill(signal)
+		endEdge(scene.placerOf("a"), signal)
 		return {answer, task, caller, lostAt}
 	}
 
--- a/packages/standins/test/slices.test.ts
+++ b/packages/standins/test/slices.test.ts
@@ -2,6 +2,7 @@
  * Slices of a failure domain on real processes: four instances, forty executors, at most ten for a placer.
  */
 import {
+	endEdge,
 	handIn,
 	startEdges,
 	startLeasedPlatform,
@@ -75,7 +76,7 @@
 	it("keeps serving after a slice's placer is killed", async () => {
 		await until("four slices", () => placers().length === 4)
 		const killed = placers()[2] as string
-		edgeOf(killed).child.kill("SIGKILL")
+		endEdge(edgeOf(killed), "SIGKILL")
 		await until("another placer of the slice", () => placers()[2] !== killed)
 		await sleep(1_500)
 		const edges = fleet.edges.filter(({name}) => name !== killed)
@@ -90,7 +91,7 @@
 		const edges = fleet.edges.filter(({name}) => name !== stopped)
 		const answers = load(edges, 2_000)
 		await sleep(500)
-		edgeOf(stopped).child.kill("SIGTERM")
+		endEdge(edgeOf(stopped), "SIGTERM")
 		expect(new Set(await answers)).to.eql(new Set([200]))
 		expect(placers()[1]).to.not.equal(stopped)
 		expect(platform.violations).to.eql([])
--- a/packages/standins/test/speeds-kept.test.ts
+++ b/packages/standins/test/speeds-kept.test.ts
@@ -2,7 +2,7 @@
  * Persistent executor speeds on real instances: learned from runs, written to the store, and read back after all
  * instances were killed.
  */
-import {handIn, startEdges, startLeasedPlatform, untilPlaced} from "@cottonwood/standins"
+import {endEdge, handIn, startEdges, startLeasedPlatform, untilPlaced} from "@cottonwood/standins"
 import {expect} from "chai"
 import {until} from "./support/leased-scene.js"
 
@@ -53,7 +53,7 @@
 		const steps = Object.values(world.told()!.executors).map(([mean]) => mean)
 		expect(Math.max(...steps) - Math.min(...steps)).to.be.greaterThan(8)
 		const before = [...world.fleet.edges]
-		for (const {child} of before) child.kill("SIGKILL")
+		for (const edge of before) endEdge(edge, "SIGKILL")
 		await Promise.all(before.map(({exited}) => exited))
 		for (const edge of before) await world.fleet.relaunch(edge)
 		const after = world.fleet.edges.slice(before.length)
--- a/packages/standins/test/two-runs.test.ts
+++ b/packages/standins/test/two-runs.test.ts
@@ -2,7 +2,7 @@
  * No two runs of one task may overlap, whichever processes are paused or killed while a job changes hands. Each scenario
  * runs on real processes and is checked from the records of executors and callers.
  */
-import {openLink} from "@cottonwood/standins"
+import {endEdge, openLink} from "@cottonwood/standins"
 import type {Edge, HostedExecutor} from "@cottonwood/standins"
 import {expect} from "chai"
 import {
@@ -199,7 +199,7 @@
 		const {id, calls, caller, between, hosts} = await handOut()
 		hosts.forEach(dropStopOrders)
 		between.child.kill("SIGSTOP")
-		caller.child.kill("SIGKILL")
+		endEdge(caller, "SIGKILL")
 		await until("the second try runs", () => startsOf(id) === 2)
 		between.child.kill("SIGCONT")
 		expect(calls.statuses).to.eql([0])
@@ -211,7 +211,7 @@
 		await begin(FOUR_DOMAINS)
 		const {id, calls, caller, between} = await handOut()
 		between.child.kill("SIGSTOP")
-		caller.child.kill("SIGKILL")
+		endEdge(caller, "SIGKILL")
 		await sleep(NOTICED_MS)
 		const placers = ["b", "d"].map(domain => scene.placerOf(domain))
 		for (const {child} of placers) child.kill("SIGSTOP")
@@ -279,7 +279,7 @@
 		const options = {spec: {workMs: WORK_MS}}
 		const calls = callWithResubmits([caller, scene.edgeOf("b-1")], id, options)
 		await sleep(UNDER_WAY_MS)
-		caller.child.kill("SIGKILL")
+		endEdge(caller, "SIGKILL")
 		await until("the second try runs", () => startsOf(id) === 1)
 		await sleep(UNDER_WAY_MS)
 		placer.child.kill("SIGCONT")
@@ -300,7 +300,7 @@
 		const options = {spec: {workMs: WORK_MS}}
 		const calls = callWithResubmits([first, scene.edgeOf("c-1")], id, options)
 		await sleep(UNDER_WAY_MS)
-		first.child.kill("SIGKILL")
+		endEdge(first, "SIGKILL")
 		await until("the second try runs", () => startsOf(id) === 1)
 		await sleep(UNDER_WAY_MS)
 		host.child.kill("SIGCONT")
--- a/packages/standins/test/uneven-domains.test.ts
+++ b/packages/standins/test/uneven-domains.test.ts
@@ -3,6 +3,7 @@
  * receiving instance is killed.
  */
 import {
+	endEdge,
 	handIn,
 	startEdges,
 	startLeasedPlatform,
@@ -108,7 +109,7 @@
 		const id = newId()
 		const first = handIn(edgeOf("a-2"), id, {count: 2, spec: {workMs: 1_000}})
 		await untilStarted(`${id}.0.0.0`)
-		edgeOf("b-1").child.kill("SIGKILL")
+		endEdge(edgeOf("b-1"), "SIGKILL")
 		expect((await first).status).to.equal(502)
 		await sleep(LINES_MS)
 		expect(linesOf("whole_job_moved", id)[0]).to.include({outcome: "given up"})
