--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -1,5 +1,5 @@
 /**
- * Starts real instances of the program on loopback against the platform stand-in, and sends them jobs.
+ * Starts real instances of the program on loopback against the platform stand-in.
  * Used by tests, soaks and benchmarks.
  */
 import {spawn, type ChildProcess, type StdioOptions} from "node:child_process"
@@ -7,21 +7,19 @@
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {fileURLToPath} from "node:url"
-import {request} from "undici"
 import {sleep} from "../utils/sleep.js"
+import {isReady} from "./calls.js"
 import {earlyHangUpsOf, faultsOf, watchLife, type Life, type ProcessEnd} from "./ends.js"
 import {freePort} from "./ports.js"
 import {laySettings, settingsOf, type Settings} from "./settings-file.js"
-import {HOST, PREFIX, type LeasedPlatform} from "./platform.js"
-import type {StandInSpec} from "./wire-executor.js"
+import type {LeasedPlatform} from "./platform.js"
+
+export {askJob, handIn, isReady, type EdgeAnswer} from "./calls.js"
 
 /** `COTTONWOOD_PROGRAM` runs another build of the program. */
 const PROGRAM =
 	process.env["COTTONWOOD_PROGRAM"] ??
 	fileURLToPath(new URL("../../../../platform/dist/bin.js", import.meta.url))
-/** Generous, so that a busy test machine doesn't cause refusals for jobs that cannot be in time. */
-const MIN_ESTIMATE_MS = 2_000
-const DEFAULT_DEADLINE_MS = 10_000
 const READY_POLL_MS = 50
 const READY_TRIES = 200
 /** How long the platform waits until it starts a process that ended by itself again. */
@@ -44,6 +42,13 @@
 	readonly settings: {readonly file: string; readonly value: Settings}
 }
 
+export interface RelaunchChanges {
+	/** A new one by default. */
+	readonly peerPort?: number | undefined
+	/** Changes the settings that the process starts with. */
+	readonly vary?: (settings: Settings) => Settings
+}
+
 export interface EdgeFleet {
 	readonly edges: readonly Edge[]
 	/** Starts another instance and waits until it is ready. */
@@ -51,7 +56,11 @@
 	/** Starts an instance again under its name and addresses, on a new peer port, and waits until it is ready. */
 	restart(edge: Edge): Promise<Edge>
 	/** Like `restart`, without waiting for readiness. */
-	relaunch(edge: Edge): Promise<Edge>
+	relaunch(edge: Edge, changes?: RelaunchChanges): Promise<Edge>
+	/** Lays an instance's settings file again; see `laySettings`. Does nothing once a newer process has its own. */
+	laySettings(edge: Edge, vary: (settings: Settings) => Settings, halfMs: number): Promise<void>
+	/** The ends of all processes so far. */
+	readonly ends: readonly ProcessEnd[]
 	/** One line for each process that ended although nobody asked for it, and for each that was not ready in time. */
 	faults(): readonly string[]
 	/** One line for each process that a SIGHUP ended before the program began. */
@@ -60,12 +69,6 @@
 	close(): Promise<void>
 }
 
-export interface EdgeAnswer {
-	readonly status: number
-	readonly body: unknown
-	readonly retryAfter: string | undefined
-}
-
 /** The last line of a process that is killed may be cut off. */
 function parseLine(line: string): Record<string, unknown> {
 	try {
@@ -95,69 +98,6 @@
 	throw new Error("not every executor has taken a fence in time")
 }
 
-export async function isReady(edge: Edge): Promise<boolean> {
-	try {
-		const res = await request(`http://${edge.readiness}/ready`)
-		await res.body.dump()
-		return res.statusCode === 200
-	} catch {
-		return false
-	}
-}
-
-/** Submits a job of identical tasks; rejects when the connection breaks. */
-export async function handIn(
-	edge: Edge,
-	id: string,
-	options: {
-		readonly count?: number
-		readonly cpu?: number
-		readonly estimateMs?: number
-		readonly deadlineMs?: number
-		readonly spec?: Partial<StandInSpec>
-		readonly body?: object
-		readonly signal?: AbortSignal
-	} = {},
-): Promise<EdgeAnswer> {
-	const cpu = options.cpu ?? 27_000
-	const spec: StandInSpec = {workMs: 60, cpu, ...options.spec}
-	const estimate = options.estimateMs ?? Math.max(spec.workMs, MIN_ESTIMATE_MS)
-	const step = {count: options.count ?? 1, cpu, "mem-mb": 64, "est-ms": estimate}
-	const body = {spec: JSON.stringify(spec), steps: [step], "best-effort": true, ...options.body}
-	const res = await request(`http://${edge.callers}${PREFIX}${id}`, {
-		method: "POST",
-		headers: {
-			host: HOST,
-			"content-type": "application/json",
-			"x-deadline-ms": String(options.deadlineMs ?? DEFAULT_DEADLINE_MS),
-		},
-		body: JSON.stringify(body),
-		signal: options.signal,
-	})
-	const text = await res.body.text()
-	return {
-		status: res.statusCode,
-		body: text === "" ? undefined : JSON.parse(text),
-		retryAfter: res.headers["retry-after"]?.toString(),
-	}
-}
-
-/** Reads a kept job's state, or cancels the job with DELETE. */
-export async function askJob(
-	edge: Edge,
-	id: string,
-	method: "GET" | "DELETE" = "GET",
-): Promise<EdgeAnswer> {
-	const headers = {host: HOST}
-	const res = await request(`http://${edge.callers}${PREFIX}${id}`, {method, headers})
-	const text = await res.body.text()
-	return {
-		status: res.statusCode,
-		body: text === "" ? undefined : JSON.parse(text),
-		retryAfter: res.headers["retry-after"]?.toString(),
-	}
-}
-
 export interface EdgesOptions {
 	/** The store address for an instance; the platform's own by default. */
 	readonly storeAddressOf?: (name: string) => string
@@ -218,10 +158,15 @@
 		return settingsOf({name, failureDomain, failureDomains, ip, ports, storeAddress, cpuShare})
 	}
 
-	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
+	function launch(
+		name: string,
+		failureDomain: string,
+		ports: readonly number[],
+		vary: (settings: Settings) => Settings = settings => settings,
+	): Edge {
 		const file = join(folder, `${name}.json`)
 		const settings = {file, value: settingsFor(name, failureDomain, ports)}
-		void laySettings(file, settings.value)
+		writeFileSync(file, JSON.stringify(vary(settings.value)))
 		const settingsEnv = {COTTONWOOD_CONFIG: file, COTTONWOOD_PLACING: placingFile}
 		const env = {...process.env, ...settingsEnv, ...options.envOf?.(name)}
 		const stdio: StdioOptions = ["ignore", "pipe", "pipe"]
@@ -282,10 +227,11 @@
 		return edge
 	}
 
-	async function relaunch(edge: Edge): Promise<Edge> {
+	async function relaunch(edge: Edge, {peerPort, vary}: RelaunchChanges = {}): Promise<Edge> {
 		const portOf = (address: string) => Number(address.split(":")[1])
-		const ports = [portOf(edge.callers), portOf(edge.readiness), await freePort(ipOf(edge.name))]
-		return launch(edge.name, edge.failureDomain, ports)
+		const peers = peerPort ?? (await freePort(ipOf(edge.name)))
+		const ports = [portOf(edge.callers), portOf(edge.readiness), peers]
+		return launch(edge.name, edge.failureDomain, ports, vary)
 	}
 
 	function killAll() {
@@ -317,6 +263,12 @@
 			await untilReady(next.name)
 			return next
 		},
+		async laySettings(edge, vary, halfMs) {
+			const {file, value} = edge.settings
+			const isCurrent = () => newest(edge.name) === edge && !isClosing
+			await laySettings(file, vary(value), halfMs, isCurrent)
+		},
+		ends,
 		faults,
 		earlyHangUps: () => earlyHangUpsOf(ends),
 		async close() {
--- a/packages/standins/src/leased/ends.ts
+++ b/packages/standins/src/leased/ends.ts
@@ -26,6 +26,8 @@
 	end(signal: NodeJS.Signals): void
 	/** Sends SIGHUP, which must not end the process. */
 	hangUp(): void
+	/** Resolves when the program begins to load its code, or at once when that is not marked. */
+	readonly begun: Promise<void>
 	/** Whether an end was asked for. */
 	isEndAsked(): boolean
 	/** Resolves when the process has ended and its output is read. */
@@ -59,7 +61,14 @@
 	let hangUps = 0
 	const mark = child.stdio[MARK_PIPE]
 	let hasBegun = mark ? false : undefined
-	mark?.on("data", () => (hasBegun = true))
+	const begun = new Promise<void>(resolve => {
+		if (!mark) return resolve()
+		mark.once("data", () => {
+			hasBegun = true
+			resolve()
+		})
+		mark.once("close", resolve)
+	})
 	const lastLines = keepLastLines(child)
 	let afterMs = 0
 	child.once("exit", () => (afterMs = Math.round(performance.now() - began)))
@@ -78,6 +87,7 @@
 			hangUps++
 			child.kill("SIGHUP")
 		},
+		begun,
 		isEndAsked: () => asked.length > 0,
 		ended,
 	}
--- a/packages/standins/src/leased/settings-file.ts
+++ b/packages/standins/src/leased/settings-file.ts
@@ -60,14 +60,24 @@
 	return varied
 }
 
-/** Writes the file whole or, if `halfMs` is not 0, empties it, writes half of it and the rest after that time. */
-export async function laySettings(file: string, settings: Settings, halfMs = 0) {
+/**
+ * Writes the file whole or, if `halfMs` is not 0, empties it, writes half of it and the rest after that time. Leaves the
+ * file alone as soon as it is not current.
+ */
+export async function laySettings(
+	file: string,
+	settings: Settings,
+	halfMs: number,
+	isCurrent: () => boolean,
+) {
 	const text = JSON.stringify(settings)
+	const half = text.slice(0, text.length / 2)
+	const write = (content: string) => isCurrent() && writeFileSync(file, content)
 	if (halfMs > 0) {
-		writeFileSync(file, "")
+		write("")
 		await sleep(halfMs / 2)
-		writeFileSync(file, text.slice(0, text.length / 2))
+		write(half)
 		await sleep(halfMs / 2)
 	}
-	writeFileSync(file, text)
+	write(text)
 }
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -74,18 +74,27 @@
 /** Processes that are being replaced. A second fault may signal them again but starts no second replacement. */
 const replacing = new WeakSet<Edge>()
 
+/**
+ * Ends an instance with the signal. Resolves, once it has ended, to whether the caller has to start it again; otherwise
+ * another fault or the fleet does.
+ */
+export async function endForReplacement(edge: Edge, signal: "SIGKILL" | "SIGTERM") {
+	// One that ended by itself is started again by the fleet.
+	if (!isRunning(edge)) return false
+	endEdge(edge, signal)
+	if (replacing.has(edge)) return false
+	replacing.add(edge)
+	await edge.exited
+	return true
+}
+
 /** Ends an instance with the signal and restarts it once. */
 export async function replace(
 	{fleet, waitsForReadiness}: LeasedWorld,
 	edge: Edge,
 	signal: "SIGKILL" | "SIGTERM",
 ) {
-	// One that ended by itself is started again by the fleet.
-	if (!isRunning(edge)) return
-	endEdge(edge, signal)
-	if (replacing.has(edge)) return
-	replacing.add(edge)
-	await edge.exited
+	if (!(await endForReplacement(edge, signal))) return
 	await (waitsForReadiness ? fleet.restart(edge) : fleet.relaunch(edge))
 }
 
--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -8,9 +8,10 @@
 import {seededRandom} from "../utils/random.js"
 import {planConnectionFaults, runConnectionFault} from "./connection-faults.js"
 import {runLeasedCallers, waitUntilEnded, type CalledJob} from "./leased-callers.js"
-import {violationsOf} from "./leased-verdict.js"
+import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {checkOperators, planMachineFaults, runMachineFault, SUSPENDABLE} from "./machine-faults.js"
 import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
+import {deployed, planProcessFaults, runProcessFault} from "./process-faults.js"
 import {sleep} from "../utils/sleep.js"
 
 export interface LeasedSoakPlan {
@@ -27,6 +28,8 @@
 	readonly connectionFaults: number
 	/** Number of machine faults. */
 	readonly machineFaults: number
+	/** Number of process faults. With any, the instances run the deployed bundle. */
+	readonly processFaults: number
 	readonly onFault: (text: string) => void
 }
 
@@ -41,6 +44,7 @@
 	callers: 6,
 	connectionFaults: 0,
 	machineFaults: 0,
+	processFaults: 0,
 	onFault: () => undefined,
 })
 
@@ -50,8 +54,7 @@
 	readonly completed: number
 	readonly refused: number
 	readonly open: number
-	/** Processes that a SIGHUP ended before the program began. */
-	readonly earlyHangUps: number
+	readonly processes: ProcessCounts
 	readonly violations: readonly string[]
 }
 
@@ -85,6 +88,7 @@
 		storeAddressOf,
 		nodeArgs: ["--import", SUSPENDABLE],
 		restartsEnded: true,
+		...(plan.processFaults > 0 && deployed(["--import", SUSPENDABLE])),
 	})
 	const {faultMs: durationMs} = plan
 	const links = {executorLinks, storeLinks}
@@ -134,6 +138,19 @@
 	await Promise.all(pending)
 }
 
+async function runProcessFaults(
+	world: LeasedWorld,
+	{seed, processFaults, onFault}: LeasedSoakPlan,
+) {
+	const began = performance.now()
+	const pending: Promise<void>[] = []
+	for (const fault of planProcessFaults(seed, processFaults)) {
+		await sleep(began + fault.atMs - performance.now())
+		pending.push(runProcessFault(world, fault, onFault))
+	}
+	await Promise.all(pending)
+}
+
 function createVerdict(
 	jobs: readonly CalledJob[],
 	{platform, fleet}: LeasedWorld,
@@ -146,7 +163,7 @@
 		completed: count(({state}) => state === "completed"),
 		refused: count(({statuses}) => statuses.at(-1) === 503),
 		open: count(({statuses}) => ![200, 503].includes(statuses.at(-1) ?? 0)),
-		earlyHangUps: fleet.earlyHangUps().length,
+		processes: countProcesses(fleet),
 		violations: [
 			...fleet.faults(),
 			...platform.violations,
@@ -173,6 +190,7 @@
 			runFaults(world, plan),
 			runConnectionFaults(world, plan),
 			runMachineFaults(world, plan),
+			runProcessFaults(world, plan),
 		])
 		const checked = faults
 			.finally(() => (isNeeded = false))
--- a/packages/standins/src/soak/leased-verdict.ts
+++ b/packages/standins/src/soak/leased-verdict.ts
@@ -1,9 +1,24 @@
 /**
  * Checks the platform contract for one job after a soak, from the job's answers and the runs that executors recorded.
  */
+import type {EdgeFleet} from "../leased/edges.js"
 import type {LeasedPlatform} from "../leased/platform.js"
 import type {CalledJob} from "./leased-callers.js"
 
+export interface ProcessCounts {
+	readonly started: number
+	/** SIGHUP sent to processes that ended since. */
+	readonly hangUps: number
+	/** Processes that a SIGHUP ended before the program began to load its code, which no program can prevent. */
+	readonly earlyHangUps: number
+}
+
+export const countProcesses = ({edges, ends, earlyHangUps}: EdgeFleet): ProcessCounts => ({
+	started: edges.length,
+	hangUps: ends.reduce((sum, {hangUps}) => sum + hangUps, 0),
+	earlyHangUps: earlyHangUps().length,
+})
+
 const taskNames = ({id, tasks}: CalledJob) =>
 	Array.from({length: tasks}, (_, at) => `${id}.0.0.${at}`)
 
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -11,10 +11,11 @@
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--on platform|rough|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--fault NAME ...]
+	  $ npm run soak -- [--on platform|rough|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--processes N] [--fault NAME ...]
 
 	--on platform  the program on the stand-in of the users' platform (the default);
 	               --faults N of them are drawn in each run, while --callers N hand in jobs
+	               --domains N --instances N (for each domain) say its size
 	--on rough     the same stand-in, with faults between instances and of whole failure domains, long jobs and
 	               callers that come back; --domains N --instances N --executors N (both for each domain) say
 	               its size, --closing SHARE how many callers close their connection
@@ -26,6 +27,9 @@
 	--machines N   so many faults beside the others in which failure domains are emptied, executors shrink or are
 	               crashed by tasks, and machines are suspended; as many as --connections by default
 
+	--processes N  so many faults beside the others in which instances get SIGHUP at any moment, ports are taken and starts
+	               interrupted; none by default; with any, the instances run the bundle (npm run bundle)
+
 	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
@@ -36,8 +40,9 @@
 			on: {type: "string", choices: ["platform", "rough", "product"], default: "platform"},
 			faults: {type: "number"},
 			callers: {type: "number"},
-			domains: {type: "number", default: ROUGH_SOAK_DEFAULTS.domains},
-			instances: {type: "number", default: ROUGH_SOAK_DEFAULTS.instancesPerDomain},
+			processes: {type: "number", default: 0},
+			domains: {type: "number"},
+			instances: {type: "number"},
 			executors: {type: "number", default: ROUGH_SOAK_DEFAULTS.executorsPerDomain},
 			closing: {type: "number", default: ROUGH_SOAK_DEFAULTS.shareClosing},
 			program: {type: "string"},
@@ -53,6 +58,7 @@
 )
 
 const {flags} = cli
+const FIRST_LETTER = "a".charCodeAt(0)
 interface Verdict {
 	readonly violations: readonly string[]
 }
@@ -74,7 +80,21 @@
 	const {faults: count = LEASED_SOAK_DEFAULTS.count, callers = LEASED_SOAK_DEFAULTS.callers} = flags
 	const connectionFaults = connectionFaultsBeside(count)
 	const machineFaults = machineFaultsBeside(count)
-	return runLeasedSoak({seed, faults, count, callers, connectionFaults, machineFaults, onFault})
+	const {domains = LEASED_SOAK_DEFAULTS.failureDomains.length} = flags
+	return runLeasedSoak({
+		seed,
+		faults,
+		count,
+		callers,
+		connectionFaults,
+		machineFaults,
+		processFaults: flags.processes,
+		failureDomains: Array.from({length: domains}, (_, at) =>
+			String.fromCharCode(FIRST_LETTER + at),
+		),
+		instancesPerDomain: flags.instances ?? LEASED_SOAK_DEFAULTS.instancesPerDomain,
+		onFault,
+	})
 }
 
 function soakRough(seed: number, onFault: (text: string) => void) {
@@ -86,8 +106,9 @@
 		faults: flags.fault,
 		connectionFaults: connectionFaultsBeside(count),
 		machineFaults: machineFaultsBeside(count),
-		domains: flags.domains,
-		instancesPerDomain: flags.instances,
+		processFaults: flags.processes,
+		domains: flags.domains ?? ROUGH_SOAK_DEFAULTS.domains,
+		instancesPerDomain: flags.instances ?? ROUGH_SOAK_DEFAULTS.instancesPerDomain,
 		executorsPerDomain: flags.executors,
 		shareClosing: flags.closing,
 		program: flags.program,
--- a/packages/standins/src/soak/rough-record.ts
+++ b/packages/standins/src/soak/rough-record.ts
@@ -4,6 +4,7 @@
 import {mkdirSync, writeFileSync} from "node:fs"
 import {join} from "node:path"
 import type {Edge} from "../leased/edges.js"
+import type {ProcessEnd} from "../leased/ends.js"
 
 export type RecordLine = Readonly<Record<string, unknown>>
 
@@ -15,6 +16,7 @@
 	readonly platformRecords: readonly RecordLine[]
 	readonly jobs: readonly object[]
 	readonly edges: readonly Edge[]
+	readonly ends: readonly ProcessEnd[]
 }
 
 const toLines = (lines: readonly object[]) =>
@@ -23,7 +25,7 @@
 /** Writes a run's records, one log file per instance process, and returns the folder's path. */
 export function saveRun(
 	folder: string,
-	{verdict, faults, platformRecords, jobs, edges}: RunRecords,
+	{verdict, faults, platformRecords, jobs, edges, ends}: RunRecords,
 ): string {
 	const path = join(folder, `seed-${verdict.seed}-${new Date().toISOString().replaceAll(":", "")}`)
 	mkdirSync(path, {recursive: true})
@@ -31,6 +33,7 @@
 	writeFileSync(join(path, "faults.jsonl"), toLines(faults))
 	writeFileSync(join(path, "judge.jsonl"), toLines(platformRecords))
 	writeFileSync(join(path, "jobs.jsonl"), toLines(jobs))
+	writeFileSync(join(path, "ends.jsonl"), toLines(ends))
 	const lives = new Map<string, number>()
 	for (const {name, lines} of edges) {
 		const life = (lives.get(name) ?? 0) + 1
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -20,8 +20,14 @@
 	runMachineFault,
 	type PlannedMachineFault,
 } from "./machine-faults.js"
-import {violationsOf} from "./leased-verdict.js"
+import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
+import {
+	isProcessFault,
+	planProcessFaults,
+	runProcessFault,
+	type PlannedProcessFault,
+} from "./process-faults.js"
 import {runRoughFault} from "./rough-faults.js"
 import {saveRun, type RecordLine} from "./rough-record.js"
 import {isRoughFault, planFaults, type PlannedFault} from "./rough-schedule.js"
@@ -42,6 +48,8 @@
 	readonly connectionFaults: number
 	/** Number of machine faults. */
 	readonly machineFaults: number
+	/** Number of process faults. With any, the instances run the deployed bundle unless `program` is given. */
+	readonly processFaults: number
 	/** Share of jobs whose caller closes the connection when it stops waiting. */
 	readonly shareClosing: number
 	/** Path of another build's program to run instead. */
@@ -63,6 +71,7 @@
 	callers: 70,
 	connectionFaults: 0,
 	machineFaults: 0,
+	processFaults: 0,
 	shareClosing: 0.5,
 	program: undefined,
 	keepIn: undefined,
@@ -78,8 +87,7 @@
 	/** Jobs that were resubmitted after a try with an unknown outcome. */
 	readonly returned: number
 	readonly open: number
-	/** Processes that a SIGHUP ended before the program began. */
-	readonly earlyHangUps: number
+	readonly processes: ProcessCounts
 	/** Instances that did not become ready in time after the last fault. */
 	readonly unready: readonly string[]
 	/** Longest event-loop delay of the soak process, which delays executors and links too. */
@@ -102,11 +110,12 @@
 
 async function runFault(
 	world: RoughWorld,
-	fault: PlannedFault | PlannedConnectionFault | PlannedMachineFault,
+	fault: PlannedFault | PlannedConnectionFault | PlannedMachineFault | PlannedProcessFault,
 	report: (text: string) => void,
 ) {
 	if (isConnectionFault(fault)) return runConnectionFault(world, fault, report)
 	if (isMachineFault(fault)) return runMachineFault(world, fault, report)
+	if (isProcessFault(fault)) return runProcessFault(world, fault, report)
 	const random = seededRandom(fault.seed)
 	if (isRoughFault(fault.name)) return runRoughFault(world, fault.name, random, report)
 	const durationMs = 500 + random() * 2_000
@@ -117,11 +126,13 @@
 }
 
 /** Returns all planned faults in the order of time. */
-function planAll({seed, count, faults, connectionFaults, machineFaults}: RoughSoakPlan) {
+function planAll({seed, count, faults, ...plan}: RoughSoakPlan) {
 	const others = planFaults(seed, count, faults)
-	const ofConnections = planConnectionFaults(seed, connectionFaults)
-	const ofMachines = planMachineFaults(seed, machineFaults)
-	return [...others, ...ofConnections, ...ofMachines].sort((a, b) => a.atMs - b.atMs)
+	const ofConnections = planConnectionFaults(seed, plan.connectionFaults)
+	const ofMachines = planMachineFaults(seed, plan.machineFaults)
+	const ofProcesses = planProcessFaults(seed, plan.processFaults)
+	const all = [...others, ...ofConnections, ...ofMachines, ...ofProcesses]
+	return all.sort((a, b) => a.atMs - b.atMs)
 }
 
 async function runFaults(world: RoughWorld, plan: RoughSoakPlan, faults: RecordLine[]) {
@@ -177,7 +188,8 @@
 	const failureDomains = Array.from({length: plan.domains}, (_, at) => `zone-${at + 1}`)
 	const random = seededRandom(seed + WORLD_SEED)
 	const record = (line: RecordLine) => void platformRecords.push(line)
-	const world = await startRoughWorld({...plan, failureDomains, random, record})
+	const isDeployed = plan.processFaults > 0
+	const world = await startRoughWorld({...plan, isDeployed, failureDomains, random, record})
 	const lag = monitorEventLoopDelay({resolution: LAG_RESOLUTION_MS})
 	lag.enable()
 	try {
@@ -199,12 +211,12 @@
 		const faults = [...world.fleet.faults(), ...unready.map(lateLine)]
 		const violations = [...faults, ...world.platform.violations, ...behind, ...broken]
 		const lagMs = Math.round(lag.max / NS_PER_MS)
-		const earlyHangUps = world.fleet.earlyHangUps().length
-		const verdict = {seed, ...countJobs(jobs), earlyHangUps, unready, lagMs, violations}
-		const {edges} = world.fleet
+		const processes = countProcesses(world.fleet)
+		const verdict = {seed, ...countJobs(jobs), processes, unready, lagMs, violations}
+		const {edges, ends} = world.fleet
 		const shouldSave = keepIn !== undefined && (plan.keepsAll || violations.length > 0)
 		const kept = shouldSave
-			? saveRun(keepIn, {verdict, faults: faultLines, platformRecords, jobs, edges})
+			? saveRun(keepIn, {verdict, faults: faultLines, platformRecords, jobs, edges, ends})
 			: undefined
 		return {...verdict, kept}
 	} finally {
--- a/packages/standins/src/soak/rough-world.ts
+++ b/packages/standins/src/soak/rough-world.ts
@@ -8,6 +8,7 @@
 import {startLeasedPlatform} from "../leased/platform.js"
 import type {LeasedWorld} from "./leased-faults.js"
 import {SUSPENDABLE} from "./machine-faults.js"
+import {deployed} from "./process-faults.js"
 
 export interface RoughWorld extends LeasedWorld {
 	readonly network: Network
@@ -24,11 +25,14 @@
 	readonly executorsPerDomain: number
 	/** Path of another build's program to run instead. */
 	readonly program: string | undefined
+	/** Whether the instances run as deployed unless `program` is given. */
+	readonly isDeployed?: boolean
 	readonly random: () => number
 	readonly record: (line: Readonly<Record<string, unknown>>) => void
 }
 
 const PRELOAD = new URL("../leased/reroute.js", import.meta.url).href
+const PRELOADS = ["--import", PRELOAD, "--import", SUSPENDABLE]
 /** Share of executors in the first failure domain, so that tasks must move to other domains. */
 const SHORT_DOMAIN_SHARE = 0.34
 const SLOW_CLOCK_SHARE = 0.3
@@ -110,8 +114,9 @@
 		cpuShareOf: name => shares.get(name) ?? 1,
 		ipOf: name => ips.get(name) ?? "127.0.0.1",
 		envOf: name => ({COTTONWOOD_ROUTES: JSON.stringify(network.routesOf(name))}),
-		nodeArgs: ["--import", PRELOAD, "--import", SUSPENDABLE],
+		nodeArgs: PRELOADS,
 		program: plan.program,
+		...(plan.isDeployed && !plan.program && deployed(PRELOADS)),
 		readyMs: READY_MS,
 		restartsEnded: true,
 		onLaunch: edge => void peers.set(edge.name, edge.peers),
