--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -11,6 +11,7 @@
 import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {checkOperators, planMachineFaults, runMachineFault, SUSPENDABLE} from "./machine-faults.js"
 import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
+import {planHopelessBursts, runHopelessBurst} from "./hopeless-jobs.js"
 import {deployed, planProcessFaults, runProcessFault} from "./process-faults.js"
 import {sleep} from "../utils/sleep.js"
 
@@ -30,6 +31,8 @@
 	readonly machineFaults: number
 	/** Number of process faults. With any, the instances run the deployed bundle. */
 	readonly processFaults: number
+	/** Number of bursts of kept jobs that can never be done. */
+	readonly hopelessBursts: number
 	readonly onFault: (text: string) => void
 }
 
@@ -45,6 +48,7 @@
 	connectionFaults: 0,
 	machineFaults: 0,
 	processFaults: 0,
+	hopelessBursts: 0,
 	onFault: () => undefined,
 })
 
@@ -88,7 +92,7 @@
 		storeAddressOf,
 		nodeArgs: ["--import", SUSPENDABLE],
 		restartsEnded: true,
-		...(plan.processFaults > 0 && deployed(["--import", SUSPENDABLE])),
+		...(plan.processFaults + plan.hopelessBursts > 0 && deployed(["--import", SUSPENDABLE])),
 	})
 	const {faultMs: durationMs} = plan
 	const links = {executorLinks, storeLinks}
@@ -125,30 +129,34 @@
 	}
 }
 
-async function runMachineFaults(
+/** Runs each fault at its time, beside those before it. */
+async function runPlanned<Fault extends {readonly atMs: number}>(
 	world: LeasedWorld,
-	{seed, machineFaults, onFault}: LeasedSoakPlan,
+	faults: readonly Fault[],
+	run: (world: LeasedWorld, fault: Fault, onFault: (text: string) => void) => Promise<void>,
+	onFault: (text: string) => void,
 ) {
 	const began = performance.now()
 	const pending: Promise<void>[] = []
-	for (const fault of planMachineFaults(seed, machineFaults)) {
+	for (const fault of faults) {
 		await sleep(began + fault.atMs - performance.now())
-		pending.push(runMachineFault(world, fault, onFault))
+		pending.push(run(world, fault, onFault))
 	}
 	await Promise.all(pending)
 }
 
-async function runProcessFaults(
-	world: LeasedWorld,
-	{seed, processFaults, onFault}: LeasedSoakPlan,
-) {
-	const began = performance.now()
-	const pending: Promise<void>[] = []
-	for (const fault of planProcessFaults(seed, processFaults)) {
-		await sleep(began + fault.atMs - performance.now())
-		pending.push(runProcessFault(world, fault, onFault))
-	}
-	await Promise.all(pending)
+function runAllFaults(world: LeasedWorld, plan: LeasedSoakPlan) {
+	const {seed, onFault} = plan
+	const ofMachines = planMachineFaults(seed, plan.machineFaults)
+	const ofProcesses = planProcessFaults(seed, plan.processFaults)
+	const hopeless = planHopelessBursts(seed, plan.hopelessBursts)
+	return Promise.all([
+		runFaults(world, plan),
+		runConnectionFaults(world, plan),
+		runPlanned(world, ofMachines, runMachineFault, onFault),
+		runPlanned(world, ofProcesses, runProcessFault, onFault),
+		runPlanned(world, hopeless, runHopelessBurst, onFault),
+	])
 }
 
 function createVerdict(
@@ -186,12 +194,7 @@
 	const world = await startWorld(plan, random)
 	try {
 		let isNeeded = true
-		const faults = Promise.all([
-			runFaults(world, plan),
-			runConnectionFaults(world, plan),
-			runMachineFaults(world, plan),
-			runProcessFaults(world, plan),
-		])
+		const faults = runAllFaults(world, plan)
 		const checked = faults
 			.finally(() => (isNeeded = false))
 			.then(() => checkOperators(world, plan.seed, plan.machineFaults))
--- a/packages/standins/src/soak/main.ts
+++ b/packages/standins/src/soak/main.ts
@@ -11,7 +11,7 @@
 const cli = meow(
 	`
 	Usage
-	  $ npm run soak -- [--on platform|rough|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--processes N] [--fault NAME ...]
+	  $ npm run soak -- [--on platform|rough|product] [--seed N] [--runs N] [--rounds N] [--faults N] [--callers N] [--processes N] [--hopeless N] [--fault NAME ...]
 
 	--on platform  the program on the stand-in of the users' platform (the default);
 	               --faults N of them are drawn in each run, while --callers N hand in jobs
@@ -30,6 +30,8 @@
 	--processes N  so many faults beside the others in which instances get SIGHUP at any moment, ports are taken and starts
 	               interrupted; none by default; with any, the instances run the bundle (npm run bundle)
 
+	--hopeless N   so many bursts of kept jobs that can never be done; none by default; the instances run the bundle
+
 	--on product   the product's own interface; --rounds N through all faults
 
 	Prints one verdict per run and exits 1 when a promise was broken.
@@ -41,6 +43,7 @@
 			faults: {type: "number"},
 			callers: {type: "number"},
 			processes: {type: "number", default: 0},
+			hopeless: {type: "number", default: 0},
 			domains: {type: "number"},
 			instances: {type: "number"},
 			executors: {type: "number", default: ROUGH_SOAK_DEFAULTS.executorsPerDomain},
@@ -89,6 +92,7 @@
 		connectionFaults,
 		machineFaults,
 		processFaults: flags.processes,
+		hopelessBursts: flags.hopeless,
 		failureDomains: Array.from({length: domains}, (_, at) =>
 			String.fromCharCode(FIRST_LETTER + at),
 		),
@@ -107,6 +111,7 @@
 		connectionFaults: connectionFaultsBeside(count),
 		machineFaults: machineFaultsBeside(count),
 		processFaults: flags.processes,
+		hopelessBursts: flags.hopeless,
 		domains: flags.domains ?? ROUGH_SOAK_DEFAULTS.domains,
 		instancesPerDomain: flags.instances ?? ROUGH_SOAK_DEFAULTS.instancesPerDomain,
 		executorsPerDomain: flags.executors,
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -22,6 +22,12 @@
 } from "./machine-faults.js"
 import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
+import {
+	isHopelessBurst,
+	planHopelessBursts,
+	runHopelessBurst,
+	type PlannedHopelessBurst,
+} from "./hopeless-jobs.js"
 import {
 	isProcessFault,
 	planProcessFaults,
@@ -50,6 +56,8 @@
 	readonly machineFaults: number
 	/** Number of process faults. With any, the instances run the deployed bundle unless `program` is given. */
 	readonly processFaults: number
+	/** Number of bursts of kept jobs that can never be done. */
+	readonly hopelessBursts: number
 	/** Share of jobs whose caller closes the connection when it stops waiting. */
 	readonly shareClosing: number
 	/** Path of another build's program to run instead. */
@@ -72,6 +80,7 @@
 	connectionFaults: 0,
 	machineFaults: 0,
 	processFaults: 0,
+	hopelessBursts: 0,
 	shareClosing: 0.5,
 	program: undefined,
 	keepIn: undefined,
@@ -110,11 +119,17 @@
 
 async function runFault(
 	world: RoughWorld,
-	fault: PlannedFault | PlannedConnectionFault | PlannedMachineFault | PlannedProcessFault,
+	fault:
+		| PlannedFault
+		| PlannedConnectionFault
+		| PlannedMachineFault
+		| PlannedProcessFault
+		| PlannedHopelessBurst,
 	report: (text: string) => void,
 ) {
 	if (isConnectionFault(fault)) return runConnectionFault(world, fault, report)
 	if (isMachineFault(fault)) return runMachineFault(world, fault, report)
+	if (isHopelessBurst(fault)) return runHopelessBurst(world, fault, report)
 	if (isProcessFault(fault)) return runProcessFault(world, fault, report)
 	const random = seededRandom(fault.seed)
 	if (isRoughFault(fault.name)) return runRoughFault(world, fault.name, random, report)
@@ -131,7 +146,8 @@
 	const ofConnections = planConnectionFaults(seed, plan.connectionFaults)
 	const ofMachines = planMachineFaults(seed, plan.machineFaults)
 	const ofProcesses = planProcessFaults(seed, plan.processFaults)
-	const all = [...others, ...ofConnections, ...ofMachines, ...ofProcesses]
+	const hopeless = planHopelessBursts(seed, plan.hopelessBursts)
+	const all = [...others, ...ofConnections, ...ofMachines, ...ofProcesses, ...hopeless]
 	return all.sort((a, b) => a.atMs - b.atMs)
 }
 
@@ -188,7 +204,7 @@
 	const failureDomains = Array.from({length: plan.domains}, (_, at) => `zone-${at + 1}`)
 	const random = seededRandom(seed + WORLD_SEED)
 	const record = (line: RecordLine) => void platformRecords.push(line)
-	const isDeployed = plan.processFaults > 0
+	const isDeployed = plan.processFaults + plan.hopelessBursts > 0
 	const world = await startRoughWorld({...plan, isDeployed, failureDomains, random, record})
 	const lag = monitorEventLoopDelay({resolution: LAG_RESOLUTION_MS})
 	lag.enable()
