--- a/packages/standins/src/leased/ends.ts
+++ b/packages/standins/src/leased/ends.ts
@@ -36,6 +36,8 @@
 
 const MAX_LINES = 6
 const MAX_LINE_CHARS = 400
+/** A line of the stack that the runtime prints when it gives up; the reason stands above it. */
+const NATIVE_FRAME = /^ *\d+: 0x/
 /** Index of the pipe to which the program's beginning is marked. */
 const MARK_PIPE = 3
 
@@ -46,7 +48,7 @@
 		stream?.on("data", (chunk: Buffer) => {
 			const parts = (rest + chunk.toString("utf8")).split("\n")
 			rest = (parts.pop() ?? "").slice(0, MAX_LINE_CHARS)
-			for (const part of parts) {
+			for (const part of parts.filter(line => line.trim() !== "" && !NATIVE_FRAME.test(line))) {
 				if (kept.length >= MAX_LINES) kept.shift()
 				kept.push(part.slice(0, MAX_LINE_CHARS))
 			}
