--- a/packages/standins/src/leased/settings-file.ts
+++ b/packages/standins/src/leased/settings-file.ts
@@ -27,9 +27,15 @@
 	listen: {front: `${plan.ip}:${plan.ports[0]}`, ready: `${plan.ip}:${plan.ports[1]}`},
 	"port-range": [plan.ports[2], plan.ports[2]],
 	orders: "rpc",
-	limits: {"cpu-share": plan.cpuShare},
-	platform: {address: plan.storeAddress},
-	bounds: {"max-hold-ms": 1_000, "grace-s": 6, "retransmit-ms": 1_300},
+	limits: {"cpu-share": plan.cpuShare, cores: 1, "link-mbps": 1_000},
+	platform: {address: plan.storeAddress, "writes-per-s": 400, "value-bytes": 1_048_576},
+	bounds: {
+		"max-hold-ms": 1_000,
+		"grace-s": 6,
+		"stop-grace-ms": 50,
+		"retransmit-ms": 1_300,
+		status_s: 120,
+	},
 })
 
 /** Fields that a deployment need not give, by section; an empty section name is the file itself. */
@@ -42,7 +48,8 @@
 	["bounds", "stop-grace-ms"],
 	["bounds", "status_s"],
 ]
-const NULL_SHARE = 0.3
+const NULL_SHARE = 0.2
+const GONE_SHARE = 0.2
 const UNKNOWN_SHARE = 0.5
 
 function withField(settings: Settings, section: string, field: string, value: unknown): Settings {
@@ -50,11 +57,15 @@
 	return {...settings, [section]: {...(settings[section] as Settings), [field]: value}}
 }
 
-/** Adds fields that the program doesn't know, and gives optional fields as null; the others stay missing. */
+/** Adds fields that the program doesn't know; gives some optional fields as null and leaves some out. */
 export function varySettings(settings: Settings, random: () => number): Settings {
 	let varied = settings
-	for (const [section, field] of OPTIONAL_FIELDS)
-		if (random() < NULL_SHARE) varied = withField(varied, section, field, null)
+	for (const [section, field] of OPTIONAL_FIELDS) {
+		const share = random()
+		if (share < NULL_SHARE) varied = withField(varied, section, field, null)
+		// Fields that are undefined are not written.
+		else if (share < NULL_SHARE + GONE_SHARE) varied = withField(varied, section, field, undefined)
+	}
 	for (const section of ["", "listen", "limits", "platform", "bounds"])
 		if (random() < UNKNOWN_SHARE) varied = withField(varied, section, "unknown-field", {a: [1]})
 	return varied
