--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -1,30 +1,30 @@
 /**
- * Starts real instances of the program on loopback against the platform stand-in, and sends them jobs.
+ * Starts real instances of the program on loopback against the platform stand-in.
  * Used by tests, soaks and benchmarks.
  */
-import {spawn, type ChildProcess} from "node:child_process"
+import {spawn, type ChildProcess, type StdioOptions} from "node:child_process"
 import {mkdtempSync, rmSync, writeFileSync} from "node:fs"
-import {createServer} from "node:net"
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {fileURLToPath} from "node:url"
-import {request} from "undici"
-import {HOST, PREFIX, type LeasedPlatform} from "./platform.js"
-import type {StandInSpec} from "./wire-executor.js"
+import {sleep} from "../utils/sleep.js"
+import {isReady} from "./calls.js"
+import {earlyHangUpsOf, faultsOf, watchLife, type Life, type ProcessEnd} from "./ends.js"
+import {freePort} from "./ports.js"
+import {laySettings, settingsOf, type Settings} from "./settings-file.js"
+import type {LeasedPlatform} from "./platform.js"
+
+export {askJob, handIn, isReady, type EdgeAnswer} from "./calls.js"
 
 /** `COTTONWOOD_PROGRAM` runs another build of the program. */
 const PROGRAM =
 	process.env["COTTONWOOD_PROGRAM"] ??
 	fileURLToPath(new URL("../../../../platform/dist/bin.js", import.meta.url))
-/** Generous, so that a busy test machine doesn't cause refusals for jobs that cannot be in time. */
-const MIN_ESTIMATE_MS = 2_000
-const DEFAULT_DEADLINE_MS = 10_000
 const READY_POLL_MS = 50
 const READY_TRIES = 200
-/** Below the ephemeral ports, which begin at 32,768 on Linux. */
-const FIRST_PORT = 10_000
-const PORTS_PER_BLOCK = 100
-const PORT_BLOCKS = 220
+/** How long the platform waits until it starts a process that ended by itself again. */
+const RESTART_DELAY_MS = 100
+const BEGUN = new URL("./begun.js", import.meta.url).href
 
 export interface Edge {
 	readonly name: string
@@ -37,6 +37,16 @@
 	/** Log lines written so far, parsed. */
 	readonly lines: readonly Readonly<Record<string, unknown>>[]
 	readonly exited: Promise<number | null>
+	readonly life: Life
+	/** The settings file, and what stands in it. */
+	readonly settings: {readonly file: string; readonly value: Settings}
+}
+
+export interface RelaunchChanges {
+	/** A new one by default. */
+	readonly peerPort?: number | undefined
+	/** Changes the settings that the process starts with. */
+	readonly vary?: (settings: Settings) => Settings
 }
 
 export interface EdgeFleet {
@@ -46,62 +56,25 @@
 	/** Starts an instance again under its name and addresses, on a new peer port, and waits until it is ready. */
 	restart(edge: Edge): Promise<Edge>
 	/** Like `restart`, without waiting for readiness. */
-	relaunch(edge: Edge): Promise<Edge>
+	relaunch(edge: Edge, changes?: RelaunchChanges): Promise<Edge>
+	/** Lays an instance's settings file again; see `laySettings`. Does nothing once a newer process has its own. */
+	laySettings(edge: Edge, vary: (settings: Settings) => Settings, halfMs: number): Promise<void>
+	/** The ends of all processes so far. */
+	readonly ends: readonly ProcessEnd[]
+	/** One line for each process that ended although nobody asked for it, and for each that was not ready in time. */
+	faults(): readonly string[]
+	/** One line for each process that a SIGHUP ended before the program began. */
+	earlyHangUps(): readonly string[]
+	/** Kills all processes. Rejects when there were faults, unless ended processes are restarted. */
 	close(): Promise<void>
 }
 
-export interface EdgeAnswer {
-	readonly status: number
-	readonly body: unknown
-	readonly retryAfter: string | undefined
-}
-
-let nextPort = FIRST_PORT + (process.pid % PORT_BLOCKS) * PORTS_PER_BLOCK
-
-/** Returns a free port of this process's own block. */
-async function freePort(ip: string): Promise<number> {
-	for (;;) {
-		const port = nextPort++
-		if (nextPort >= FIRST_PORT + PORT_BLOCKS * PORTS_PER_BLOCK) nextPort = FIRST_PORT
-		if (await isFree(ip, port)) return port
-	}
-}
-
-function isFree(ip: string, port: number): Promise<boolean> {
-	const server = createServer()
-	return new Promise(resolve => {
-		server.once("error", () => resolve(false))
-		server.listen(port, ip, () => server.close(() => resolve(true)))
-	})
-}
-
-function settingsOf(
-	name: string,
-	failureDomain: string,
-	platform: LeasedPlatform,
-	at: {readonly ip: string; readonly ports: readonly number[]},
-	storeAddress: string,
-	cpuShare: number,
-): object {
-	const {ip, ports} = at
-	const domains = [...new Set(platform.executors.map(({failureDomain: domain}) => domain))]
-	return {
-		node: name,
-		ip,
-		zone: failureDomain,
-		zones: Object.fromEntries(domains.map(domain => [domain, "region"])),
-		listen: {front: `${ip}:${ports[0]}`, ready: `${ip}:${ports[1]}`},
-		"port-range": [ports[2], ports[2]],
-		orders: "rpc",
-		limits: {"cpu-share": cpuShare, cores: 1, "link-mbps": 1_000},
-		platform: {address: storeAddress, "writes-per-s": 400, "value-bytes": 1_048_576},
-		bounds: {
-			"max-hold-ms": 1_000,
-			"grace-s": 6,
-			"stop-grace-ms": 50,
-			"retransmit-ms": 1_300,
-			status_s: 120,
-		},
+/** The last line of a process that is killed may be cut off. */
+function parseLine(line: string): Record<string, unknown> {
+	try {
+		return JSON.parse(line) as Record<string, unknown>
+	} catch {
+		return {kind: "unreadable", line}
 	}
 }
 
@@ -110,19 +83,10 @@
 	child.stdout?.on("data", (chunk: Buffer) => {
 		const parts = (rest + chunk.toString("utf8")).split("\n")
 		rest = parts.pop() ?? ""
-		for (const part of parts) lines.push(JSON.parse(part) as Record<string, unknown>)
+		for (const part of parts) if (part.startsWith("{")) lines.push(parseLine(part))
 	})
 }
 
-async function untilReady(edge: Edge, limitMs = READY_TRIES * READY_POLL_MS) {
-	const until = performance.now() + limitMs
-	while (performance.now() < until) {
-		if (await isReady(edge)) return
-		await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
-	}
-	throw new Error(`${edge.name} is not ready in time`)
-}
-
 /** Waits until as many `fence_taken` events as executors are logged; rejects after 10 s. */
 export async function untilPlaced(fleet: EdgeFleet, executors: number) {
 	for (let tries = 0; tries < READY_TRIES; tries++) {
@@ -134,69 +98,6 @@
 	throw new Error("not every executor has taken a fence in time")
 }
 
-export async function isReady(edge: Edge): Promise<boolean> {
-	try {
-		const res = await request(`http://${edge.readiness}/ready`)
-		await res.body.dump()
-		return res.statusCode === 200
-	} catch {
-		return false
-	}
-}
-
-/** Submits a job of identical tasks; rejects when the connection breaks. */
-export async function handIn(
-	edge: Edge,
-	id: string,
-	options: {
-		readonly count?: number
-		readonly cpu?: number
-		readonly estimateMs?: number
-		readonly deadlineMs?: number
-		readonly spec?: Partial<StandInSpec>
-		readonly body?: object
-		readonly signal?: AbortSignal
-	} = {},
-): Promise<EdgeAnswer> {
-	const cpu = options.cpu ?? 27_000
-	const spec: StandInSpec = {workMs: 60, cpu, ...options.spec}
-	const estimate = options.estimateMs ?? Math.max(spec.workMs, MIN_ESTIMATE_MS)
-	const step = {count: options.count ?? 1, cpu, "mem-mb": 64, "est-ms": estimate}
-	const body = {spec: JSON.stringify(spec), steps: [step], "best-effort": true, ...options.body}
-	const res = await request(`http://${edge.callers}${PREFIX}${id}`, {
-		method: "POST",
-		headers: {
-			host: HOST,
-			"content-type": "application/json",
-			"x-deadline-ms": String(options.deadlineMs ?? DEFAULT_DEADLINE_MS),
-		},
-		body: JSON.stringify(body),
-		signal: options.signal,
-	})
-	const text = await res.body.text()
-	return {
-		status: res.statusCode,
-		body: text === "" ? undefined : JSON.parse(text),
-		retryAfter: res.headers["retry-after"]?.toString(),
-	}
-}
-
-/** Reads a kept job's state, or cancels the job with DELETE. */
-export async function askJob(
-	edge: Edge,
-	id: string,
-	method: "GET" | "DELETE" = "GET",
-): Promise<EdgeAnswer> {
-	const headers = {host: HOST}
-	const res = await request(`http://${edge.callers}${PREFIX}${id}`, {method, headers})
-	const text = await res.body.text()
-	return {
-		status: res.statusCode,
-		body: text === "" ? undefined : JSON.parse(text),
-		retryAfter: res.headers["retry-after"]?.toString(),
-	}
-}
-
 export interface EdgesOptions {
 	/** The store address for an instance; the platform's own by default. */
 	readonly storeAddressOf?: (name: string) => string
@@ -216,8 +117,21 @@
 	readonly readyMs?: number
 	/** Called for each process that is started. */
 	readonly onLaunch?: (edge: Edge) => void
+	/**
+	 * Starts a process that ended by itself again, as the platform does, and leaves the faults to whoever started the
+	 * instances.
+	 */
+	readonly restartsEnded?: boolean
+	/** Marks when a program that consists of a start script and its code begins to load its code. */
+	readonly marksBegin?: boolean
 }
 
+/** Ends an instance's process on purpose. Any other end is a fault. */
+export const endEdge = ({life}: Edge, signal: NodeJS.Signals) => life.end(signal)
+
+/** Whether the instance's process has not ended. */
+export const isRunning = ({child}: Edge) => child.exitCode === null && child.signalCode === null
+
 export async function startEdges(
 	platform: LeasedPlatform,
 	names: readonly (readonly [name: string, failureDomain: string])[],
@@ -225,69 +139,115 @@
 ): Promise<EdgeFleet> {
 	const folder = mkdtempSync(join(tmpdir(), "cottonwood-edges-"))
 	const edges: Edge[] = []
+	const ends: ProcessEnd[] = []
+	const unready: string[] = []
+	let isClosing = false
 
 	const program = options.program ?? PROGRAM
 	const placingFile = join(folder, "placing.json")
 	writeFileSync(placingFile, JSON.stringify(options.placing ?? {}))
-	const cpuShareOf = options.cpuShareOf ?? (() => 1)
+	const failureDomains = [...new Set(platform.executors.map(edge => edge.failureDomain))]
 	const ipOf = options.ipOf ?? (() => "127.0.0.1")
+	const marks = options.marksBegin ? ["--import", BEGUN] : []
+	const args = [...(options.nodeArgs ?? []), ...marks, program, "edge"]
 
-	function launch(name: string, failureDomain: string, ports: readonly number[]): Edge {
+	function settingsFor(name: string, failureDomain: string, ports: readonly number[]): Settings {
+		const storeAddress = options.storeAddressOf?.(name) ?? platform.storeAddress
+		const cpuShare = options.cpuShareOf?.(name) ?? 1
 		const ip = ipOf(name)
+		return settingsOf({name, failureDomain, failureDomains, ip, ports, storeAddress, cpuShare})
+	}
+
+	function launch(
+		name: string,
+		failureDomain: string,
+		ports: readonly number[],
+		vary: (settings: Settings) => Settings = settings => settings,
+	): Edge {
 		const file = join(folder, `${name}.json`)
-		const store = options.storeAddressOf?.(name) ?? platform.storeAddress
-		writeFileSync(
-			file,
-			JSON.stringify(
-				settingsOf(name, failureDomain, platform, {ip, ports}, store, cpuShareOf(name)),
-			),
-		)
+		const settings = {file, value: settingsFor(name, failureDomain, ports)}
+		writeFileSync(file, JSON.stringify(vary(settings.value)))
 		const settingsEnv = {COTTONWOOD_CONFIG: file, COTTONWOOD_PLACING: placingFile}
 		const env = {...process.env, ...settingsEnv, ...options.envOf?.(name)}
-		const child = spawn(process.execPath, [...(options.nodeArgs ?? []), program, "edge"], {
+		const stdio: StdioOptions = ["ignore", "pipe", "pipe"]
+		const child = spawn(process.execPath, args, {
 			env,
-			stdio: ["ignore", "pipe", "inherit"],
+			stdio: options.marksBegin ? [...stdio, "pipe"] : stdio,
 		})
+		child.stderr?.on("data", (chunk: Buffer) => process.stderr.write(chunk))
 		const lines: Record<string, unknown>[] = []
 		collectLines(child, lines)
+		const life = watchLife(name, child)
 		const exited = new Promise<number | null>(resolve => child.once("exit", resolve))
-		const [callers, readiness, peers] = ports.map(port => `${ip}:${port}`) as [
+		const [callers, readiness, peers] = ports.map(port => `${ipOf(name)}:${port}`) as [
 			string,
 			string,
 			string,
 		]
-		const edge: Edge = {name, failureDomain, callers, readiness, peers, child, lines, exited}
+		const addresses = {callers, readiness, peers}
+		const edge: Edge = {name, failureDomain, ...addresses, child, lines, exited, life, settings}
 		edges.push(edge)
+		void life.ended.then(end => void ends.push(end))
+		if (options.restartsEnded) void exited.then(() => startAgain(edge))
 		options.onLaunch?.(edge)
 		return edge
 	}
 
+	async function startAgain(edge: Edge) {
+		if (edge.life.isEndAsked()) return
+		await sleep(RESTART_DELAY_MS)
+		if (!isClosing) await relaunch(edge)
+	}
+
+	const newest = (name: string) => edges.findLast(one => one.name === name) as Edge
+
+	/** Waits until the instance's newest process is ready. Each that is started meanwhile has the whole time. */
+	async function untilReady(name: string, limitMs = READY_TRIES * READY_POLL_MS) {
+		let edge = newest(name)
+		let until = performance.now() + limitMs
+		while (performance.now() < until && !isClosing) {
+			if (await isReady(edge)) return
+			if (!options.restartsEnded && !isRunning(edge))
+				throw new Error(faultsOf([await edge.life.ended])[0] ?? `${name} was ended`)
+			if (edge !== newest(name)) until = performance.now() + limitMs
+			edge = newest(name)
+			await sleep(READY_POLL_MS)
+		}
+		if (isClosing) return
+		const late = `FAULT: ${name} is not ready ${limitMs} ms after its start`
+		if (!options.restartsEnded) throw new Error(late)
+		unready.push(late)
+	}
+
 	async function start(name: string, failureDomain: string): Promise<Edge> {
 		const ip = ipOf(name)
 		const ports = [await freePort(ip), await freePort(ip), await freePort(ip)]
 		const edge = launch(name, failureDomain, ports)
-		await untilReady(edge, options.readyMs)
+		await untilReady(name, options.readyMs)
 		return edge
 	}
 
-	async function relaunch(edge: Edge): Promise<Edge> {
+	async function relaunch(edge: Edge, {peerPort, vary}: RelaunchChanges = {}): Promise<Edge> {
 		const portOf = (address: string) => Number(address.split(":")[1])
-		const ports = [portOf(edge.callers), portOf(edge.readiness), await freePort(ipOf(edge.name))]
-		return launch(edge.name, edge.failureDomain, ports)
+		const peers = peerPort ?? (await freePort(ipOf(edge.name)))
+		const ports = [portOf(edge.callers), portOf(edge.readiness), peers]
+		return launch(edge.name, edge.failureDomain, ports, vary)
 	}
 
 	function killAll() {
-		for (const {child} of edges) child.kill("SIGKILL")
+		isClosing = true
+		for (const edge of edges) endEdge(edge, "SIGKILL")
 	}
 	process.once("exit", killAll)
 
 	async function close() {
 		process.off("exit", killAll)
 		killAll()
-		await Promise.all(edges.map(({exited}) => exited))
+		await Promise.all(edges.map(({life}) => life.ended))
 		rmSync(folder, {recursive: true, force: true})
 	}
 
+	const faults = () => [...faultsOf(ends), ...unready]
 	try {
 		await Promise.all(names.map(([name, failureDomain]) => start(name, failureDomain)))
 	} catch (err) {
@@ -300,9 +260,21 @@
 		relaunch,
 		async restart(edge) {
 			const next = await relaunch(edge)
-			await untilReady(next)
+			await untilReady(next.name)
 			return next
 		},
-		close,
+		async laySettings(edge, vary, halfMs) {
+			const {file, value} = edge.settings
+			const isCurrent = () => newest(edge.name) === edge && !isClosing
+			await laySettings(file, vary(value), halfMs, isCurrent)
+		},
+		ends,
+		faults,
+		earlyHangUps: () => earlyHangUpsOf(ends),
+		async close() {
+			await close()
+			const found = faults()
+			if (!options.restartsEnded && found.length > 0) throw new Error(found.join("\n"))
+		},
 	}
 }
--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -4,13 +4,16 @@
  */
 import {openLink, type Link} from "../fleet/link.js"
 import {startEdges, type EdgeFleet} from "../leased/edges.js"
-import {startLeasedPlatform, type LeasedPlatform} from "../leased/platform.js"
+import {startLeasedPlatform} from "../leased/platform.js"
 import {seededRandom} from "../utils/random.js"
 import {planConnectionFaults, runConnectionFault} from "./connection-faults.js"
 import {runLeasedCallers, waitUntilEnded, type CalledJob} from "./leased-callers.js"
-import {violationsOf} from "./leased-verdict.js"
+import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {checkOperators, planMachineFaults, runMachineFault, SUSPENDABLE} from "./machine-faults.js"
 import {LEASED_FAULTS, runLeasedFault, type LeasedFault, type LeasedWorld} from "./leased-faults.js"
+import {planHopelessBursts, runHopelessBurst} from "./hopeless-jobs.js"
+import {lateLines, waitUntilReady} from "./readiness-check.js"
+import {deployed, planProcessFaults, runProcessFault} from "./process-faults.js"
 import {sleep} from "../utils/sleep.js"
 
 export interface LeasedSoakPlan {
@@ -27,6 +30,10 @@
 	readonly connectionFaults: number
 	/** Number of machine faults. */
 	readonly machineFaults: number
+	/** Number of process faults. With any, the instances run the deployed bundle. */
+	readonly processFaults: number
+	/** Number of bursts of kept jobs that can never be done. */
+	readonly hopelessBursts: number
 	readonly onFault: (text: string) => void
 }
 
@@ -41,6 +48,8 @@
 	callers: 6,
 	connectionFaults: 0,
 	machineFaults: 0,
+	processFaults: 0,
+	hopelessBursts: 0,
 	onFault: () => undefined,
 })
 
@@ -50,12 +59,13 @@
 	readonly completed: number
 	readonly refused: number
 	readonly open: number
+	readonly processes: ProcessCounts
 	readonly violations: readonly string[]
 }
 
 /** Longest pause between two faults, shorter than a fault so that faults overlap. */
 const PAUSE_MS = 1_200
-/** Time limit for accepted jobs to end after the last fault. */
+/** Time limit after the last fault for instances to be ready, and for accepted jobs to end. */
 const FINISH_MS = 20_000
 
 const portOf = (address: string) => Number(address.split(":")[1])
@@ -82,6 +92,8 @@
 	const fleet = await startEdges(platform, names, {
 		storeAddressOf,
 		nodeArgs: ["--import", SUSPENDABLE],
+		restartsEnded: true,
+		...(plan.processFaults + plan.hopelessBursts > 0 && deployed(["--import", SUSPENDABLE])),
 	})
 	const {faultMs: durationMs} = plan
 	const links = {executorLinks, storeLinks}
@@ -118,22 +130,39 @@
 	}
 }
 
-async function runMachineFaults(
+/** Runs each fault at its time, beside those before it. */
+async function runPlanned<Fault extends {readonly atMs: number}>(
 	world: LeasedWorld,
-	{seed, machineFaults, onFault}: LeasedSoakPlan,
+	faults: readonly Fault[],
+	run: (world: LeasedWorld, fault: Fault, onFault: (text: string) => void) => Promise<void>,
+	onFault: (text: string) => void,
 ) {
 	const began = performance.now()
 	const pending: Promise<void>[] = []
-	for (const fault of planMachineFaults(seed, machineFaults)) {
+	for (const fault of faults) {
 		await sleep(began + fault.atMs - performance.now())
-		pending.push(runMachineFault(world, fault, onFault))
+		pending.push(run(world, fault, onFault))
 	}
 	await Promise.all(pending)
 }
 
+function runAllFaults(world: LeasedWorld, plan: LeasedSoakPlan) {
+	const {seed, onFault} = plan
+	const ofMachines = planMachineFaults(seed, plan.machineFaults)
+	const ofProcesses = planProcessFaults(seed, plan.processFaults)
+	const hopeless = planHopelessBursts(seed, plan.hopelessBursts)
+	return Promise.all([
+		runFaults(world, plan),
+		runConnectionFaults(world, plan),
+		runPlanned(world, ofMachines, runMachineFault, onFault),
+		runPlanned(world, ofProcesses, runProcessFault, onFault),
+		runPlanned(world, hopeless, runHopelessBurst, onFault),
+	])
+}
+
 function createVerdict(
 	jobs: readonly CalledJob[],
-	platform: LeasedPlatform,
+	{platform, fleet}: LeasedWorld,
 	behind: readonly string[],
 ): LeasedVerdict {
 	const count = (isWanted: (job: CalledJob) => boolean) => jobs.filter(isWanted).length
@@ -143,7 +172,9 @@
 		completed: count(({state}) => state === "completed"),
 		refused: count(({statuses}) => statuses.at(-1) === 503),
 		open: count(({statuses}) => ![200, 503].includes(statuses.at(-1) ?? 0)),
+		processes: countProcesses(fleet),
 		violations: [
+			...fleet.faults(),
 			...platform.violations,
 			...behind,
 			...jobs.flatMap(job => violationsOf(job, platform)),
@@ -164,11 +195,7 @@
 	const world = await startWorld(plan, random)
 	try {
 		let isNeeded = true
-		const faults = Promise.all([
-			runFaults(world, plan),
-			runConnectionFaults(world, plan),
-			runMachineFaults(world, plan),
-		])
+		const faults = runAllFaults(world, plan)
 		const checked = faults
 			.finally(() => (isNeeded = false))
 			.then(() => checkOperators(world, plan.seed, plan.machineFaults))
@@ -180,8 +207,9 @@
 			cancelledShare: 0.1,
 		})
 		const behind = await checked
+		const late = lateLines(await waitUntilReady(world.fleet, FINISH_MS), FINISH_MS)
 		await waitUntilEnded(world.fleet, jobs, FINISH_MS)
-		return createVerdict(jobs, world.platform, behind)
+		return createVerdict(jobs, world, [...late, ...behind])
 	} finally {
 		await closeWorld(world)
 	}
--- a/packages/standins/src/soak/rough-soak.ts
+++ b/packages/standins/src/soak/rough-soak.ts
@@ -3,7 +3,6 @@
  * takeover, resubmitting callers, and faults between instances and of whole failure domains.
  */
 import {monitorEventLoopDelay} from "node:perf_hooks"
-import {isReady} from "../leased/edges.js"
 import {seededRandom} from "../utils/random.js"
 import {waitUntilEnded} from "./leased-callers.js"
 import {
@@ -12,7 +11,7 @@
 	runConnectionFault,
 	type PlannedConnectionFault,
 } from "./connection-faults.js"
-import {newestEdges, runLeasedFault} from "./leased-faults.js"
+import {runLeasedFault} from "./leased-faults.js"
 import {
 	checkOperators,
 	isMachineFault,
@@ -20,9 +19,22 @@
 	runMachineFault,
 	type PlannedMachineFault,
 } from "./machine-faults.js"
-import {violationsOf} from "./leased-verdict.js"
+import {countProcesses, violationsOf, type ProcessCounts} from "./leased-verdict.js"
 import {runRoughCallers, type ReturnedJob} from "./rough-callers.js"
+import {
+	isHopelessBurst,
+	planHopelessBursts,
+	runHopelessBurst,
+	type PlannedHopelessBurst,
+} from "./hopeless-jobs.js"
+import {
+	isProcessFault,
+	planProcessFaults,
+	runProcessFault,
+	type PlannedProcessFault,
+} from "./process-faults.js"
 import {runRoughFault} from "./rough-faults.js"
+import {lateLines, waitUntilReady} from "./readiness-check.js"
 import {saveRun, type RecordLine} from "./rough-record.js"
 import {isRoughFault, planFaults, type PlannedFault} from "./rough-schedule.js"
 import {closeRoughWorld, startRoughWorld, type RoughWorld} from "./rough-world.js"
@@ -42,6 +54,10 @@
 	readonly connectionFaults: number
 	/** Number of machine faults. */
 	readonly machineFaults: number
+	/** Number of process faults. With any, the instances run the deployed bundle unless `program` is given. */
+	readonly processFaults: number
+	/** Number of bursts of kept jobs that can never be done. */
+	readonly hopelessBursts: number
 	/** Share of jobs whose caller closes the connection when it stops waiting. */
 	readonly shareClosing: number
 	/** Path of another build's program to run instead. */
@@ -63,6 +79,8 @@
 	callers: 70,
 	connectionFaults: 0,
 	machineFaults: 0,
+	processFaults: 0,
+	hopelessBursts: 0,
 	shareClosing: 0.5,
 	program: undefined,
 	keepIn: undefined,
@@ -78,6 +96,7 @@
 	/** Jobs that were resubmitted after a try with an unknown outcome. */
 	readonly returned: number
 	readonly open: number
+	readonly processes: ProcessCounts
 	/** Instances that did not become ready in time after the last fault. */
 	readonly unready: readonly string[]
 	/** Longest event-loop delay of the soak process, which delays executors and links too. */
@@ -90,7 +109,6 @@
 const KEPT_SHARE = 0.05
 /** Time limit after the last fault for instances to be ready, and for accepted jobs to end. */
 const FINISH_MS = 30_000
-const READY_POLL_MS = 200
 const LAG_RESOLUTION_MS = 5
 const CALLERS_SEED = 1_000_003
 const WORLD_SEED = 2_000_003
@@ -100,11 +118,18 @@
 
 async function runFault(
 	world: RoughWorld,
-	fault: PlannedFault | PlannedConnectionFault | PlannedMachineFault,
+	fault:
+		| PlannedFault
+		| PlannedConnectionFault
+		| PlannedMachineFault
+		| PlannedProcessFault
+		| PlannedHopelessBurst,
 	report: (text: string) => void,
 ) {
 	if (isConnectionFault(fault)) return runConnectionFault(world, fault, report)
 	if (isMachineFault(fault)) return runMachineFault(world, fault, report)
+	if (isHopelessBurst(fault)) return runHopelessBurst(world, fault, report)
+	if (isProcessFault(fault)) return runProcessFault(world, fault, report)
 	const random = seededRandom(fault.seed)
 	if (isRoughFault(fault.name)) return runRoughFault(world, fault.name, random, report)
 	const durationMs = 500 + random() * 2_000
@@ -115,11 +140,14 @@
 }
 
 /** Returns all planned faults in the order of time. */
-function planAll({seed, count, faults, connectionFaults, machineFaults}: RoughSoakPlan) {
+function planAll({seed, count, faults, ...plan}: RoughSoakPlan) {
 	const others = planFaults(seed, count, faults)
-	const ofConnections = planConnectionFaults(seed, connectionFaults)
-	const ofMachines = planMachineFaults(seed, machineFaults)
-	return [...others, ...ofConnections, ...ofMachines].sort((a, b) => a.atMs - b.atMs)
+	const ofConnections = planConnectionFaults(seed, plan.connectionFaults)
+	const ofMachines = planMachineFaults(seed, plan.machineFaults)
+	const ofProcesses = planProcessFaults(seed, plan.processFaults)
+	const hopeless = planHopelessBursts(seed, plan.hopelessBursts)
+	const all = [...others, ...ofConnections, ...ofMachines, ...ofProcesses, ...hopeless]
+	return all.sort((a, b) => a.atMs - b.atMs)
 }
 
 async function runFaults(world: RoughWorld, plan: RoughSoakPlan, faults: RecordLine[]) {
@@ -139,18 +167,6 @@
 	for (const {child} of world.fleet.edges) child.kill("SIGCONT")
 }
 
-/** Waits until all instances are ready. Returns the names of those that are not in time. */
-async function waitUntilReady({fleet}: RoughWorld): Promise<readonly string[]> {
-	const until = performance.now() + FINISH_MS
-	for (;;) {
-		const edges = [...newestEdges(fleet).values()]
-		const areReady = await Promise.all(edges.map(isReady))
-		const unready = edges.filter((_, at) => !areReady[at]).map(({name}) => name)
-		if (unready.length === 0 || performance.now() > until) return unready
-		await sleep(READY_POLL_MS)
-	}
-}
-
 function countJobs(jobs: readonly ReturnedJob[]) {
 	const count = (isWanted: (job: ReturnedJob) => boolean) => jobs.filter(isWanted).length
 	const isOpen = (status: number) => ![200, 503].includes(status)
@@ -168,16 +184,17 @@
 	const plan = {...ROUGH_SOAK_DEFAULTS, ...changes}
 	const {seed, callers, keepIn} = plan
 	const platformRecords: RecordLine[] = []
-	const faults: RecordLine[] = []
+	const faultLines: RecordLine[] = []
 	const failureDomains = Array.from({length: plan.domains}, (_, at) => `zone-${at + 1}`)
 	const random = seededRandom(seed + WORLD_SEED)
 	const record = (line: RecordLine) => void platformRecords.push(line)
-	const world = await startRoughWorld({...plan, failureDomains, random, record})
+	const isDeployed = plan.processFaults + plan.hopelessBursts > 0
+	const world = await startRoughWorld({...plan, isDeployed, failureDomains, random, record})
 	const lag = monitorEventLoopDelay({resolution: LAG_RESOLUTION_MS})
 	lag.enable()
 	try {
 		let isNeeded = true
-		const ended = runFaults(world, plan, faults)
+		const ended = runFaults(world, plan, faultLines)
 			.finally(() => (isNeeded = false))
 			.then(() => checkOperators(world, seed, plan.machineFaults))
 		const jobs = await runRoughCallers(world, {
@@ -188,16 +205,18 @@
 			keptShare: KEPT_SHARE,
 		})
 		const behind = await ended
-		const unready = await waitUntilReady(world)
+		const unready = await waitUntilReady(world.fleet, FINISH_MS)
 		await waitUntilEnded(world.fleet, jobs, FINISH_MS)
 		const broken = jobs.flatMap(job => violationsOf(job, world.platform))
-		const violations = [...world.platform.violations, ...behind, ...broken]
+		const faults = [...world.fleet.faults(), ...lateLines(unready, FINISH_MS)]
+		const violations = [...faults, ...world.platform.violations, ...behind, ...broken]
 		const lagMs = Math.round(lag.max / NS_PER_MS)
-		const verdict = {seed, ...countJobs(jobs), unready, lagMs, violations}
-		const {edges} = world.fleet
+		const processes = countProcesses(world.fleet)
+		const verdict = {seed, ...countJobs(jobs), processes, unready, lagMs, violations}
+		const {edges, ends} = world.fleet
 		const shouldSave = keepIn !== undefined && (plan.keepsAll || violations.length > 0)
 		const kept = shouldSave
-			? saveRun(keepIn, {verdict, faults, platformRecords, jobs, edges})
+			? saveRun(keepIn, {verdict, faults: faultLines, platformRecords, jobs, edges, ends})
 			: undefined
 		return {...verdict, kept}
 	} finally {
