--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -67,6 +67,8 @@
 	readonly storeWritesPerSecond: number
 	/** How long the state of an ended job can be queried, in milliseconds. */
 	readonly endedStateMs: number
+	/** What the open kept jobs of this process may take, in bytes by an estimate; by default they are not bounded. */
+	readonly maxKeptBytes?: number
 	readonly placing: PlacingSettings
 }
 
@@ -262,6 +264,7 @@
 
 	if (isListed) claims.checkNow()
 	registerInstanceMetrics(clock, metrics, hosts, store, watermark, config)
+	metrics.gauge("kept_bytes", keptJobs.keptBytes)
 
 	return {
 		config: config.current,
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -16,6 +16,7 @@
 import type {Queue} from "../types/fleet-config.js"
 import {
 	OPEN_JOBS_PREFIX,
+	endedJobKey,
 	isJobRecord,
 	openJobKey,
 	type EndedState,
@@ -27,6 +28,7 @@
 import type {ClaimConfirmation} from "./claim-confirmation.js"
 import {startJobMoves, runBaseFor, type JobMovesDeps} from "./job-moves.js"
 import {startKeptJob, type KeptJob} from "./kept-job.js"
+import type {KeptMemory} from "./kept-memory.js"
 import type {Ledger} from "./ledger.js"
 import {createOpenJobs} from "./open-jobs.js"
 import {openLedger} from "./open-ledger.js"
@@ -54,6 +56,11 @@
 	cause: "the store does not take its record",
 })
 
+const REFUSED_FOR_MEMORY: AcceptReply = Object.freeze({
+	type: "refused",
+	cause: "the open jobs take all memory for them",
+})
+
 export interface KeeperDeps extends Omit<JobMovesDeps, "jobs" | "ledger" | "placer" | "isClosed"> {
 	readonly wall: WallClock
 	readonly store: TransactionalStore
@@ -63,6 +70,8 @@
 	/** Whether any configuration is known. */
 	readonly isConfigured: () => boolean
 	readonly onDeposed: () => void
+	/** What open jobs may take; without it nothing is refused for memory. */
+	readonly memory?: KeptMemory
 }
 
 export type AcceptReply =
@@ -98,7 +107,7 @@
 export function createKeeper(deps: KeeperDeps): Keeper {
 	const {clock, wall, store, log, metrics, claim} = deps
 	const home = claim.failureDomain
-	const jobs = createOpenJobs(clock)
+	const jobs = createOpenJobs(clock, deps.memory)
 	const createdAt = clock.now()
 	let ledger: Ledger | undefined
 	let confirmation: ClaimConfirmation | undefined
@@ -206,6 +215,9 @@
 		if (isStoreAway(store)) return {type: "refused", cause: "the store is away"}
 		if (!ledger) return {type: "refused", cause: "its placer has only just begun"}
 		if (jobs.has(request.id)) return {type: "accepted"}
+		if (deps.memory?.hasRoomFor(request) === false) return refuseForMemory(request.id, deps)
+		// Counted from here on, since its record is held until its write is answered.
+		deps.memory?.add(request)
 		const record = newRecord(request, claim, deps.queueOf(request.queue), wall.now())
 		const writing = ledger.create(record).then(written => handleCreated(record, written))
 		const waited = clock.sleep(WRITE_WAIT_MS).then(() => abandonCreate(record.id))
@@ -222,6 +234,7 @@
 	 * unknown.
 	 */
 	function handleCreated(record: JobRecord, written: string): AcceptReply {
+		if (written !== "written" && !jobs.has(record.id)) deps.memory?.remove(record.id)
 		if (written === "exists") return {type: "accepted"}
 		if (written === "withdrawn") return REFUSED_UNWRITTEN
 		if (written === "rejected") return REFUSED_BY_STORE
@@ -283,12 +296,24 @@
 			jobs.get(jobIdOf(task))?.noteUnclaimedEnd(task, run, end),
 		close() {
 			isClosed = true
-			closeAll(ledger, confirmation)
+			closeAll(ledger, confirmation, deps.memory)
 			for (const job of jobs.all()) job.abandon()
 		},
 	}
 }
 
+/** Refuses a job, unless it was accepted before, here or elsewhere. */
+async function refuseForMemory(
+	id: string,
+	{store, metrics}: Pick<KeeperDeps, "store" | "metrics">,
+): Promise<AcceptReply> {
+	const found = await Promise.all([store.get(openJobKey(id)), store.get(endedJobKey(id))])
+	if (found.some(item => item)) return {type: "accepted"}
+	if (found.includes(undefined)) return {type: "unknown", cause: "the store does not answer"}
+	metrics.count("keep_refusals", "memory")
+	return REFUSED_FOR_MEMORY
+}
+
 function newRecord(
 	request: KeptJobRequest,
 	{failureDomain, fence}: Claim,
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -17,6 +17,7 @@
 import {createWallClock} from "../utils/wall-clock.js"
 import type {NoRoomCause} from "./job-moves.js"
 import {createKeeper, type Keeper} from "./keeper.js"
+import {createKeptMemory} from "./kept-memory.js"
 import {createKeptJobRouter, type KeptJobRouter} from "./kept-job-router.js"
 import {startSweeper} from "./sweeper.js"
 
@@ -42,6 +43,8 @@
 	readonly storeWritesPerSecond: number
 	/** How long the state of an ended job can be queried, in milliseconds. */
 	readonly endedStateMs: number
+	/** What the open jobs of this process may take, in bytes by an estimate; by default they are not bounded. */
+	readonly maxKeptBytes?: number
 	readonly failureDomains: readonly string[]
 	readonly candidates: () => readonly Claim[]
 	readonly queueOf: (name: string) => Queue | undefined
@@ -55,12 +58,15 @@
 	/** Whether the store has open jobs of this home; false without an answer. */
 	hasOpenJobs(home: string): Promise<boolean>
 	createKeeper(claim: Claim, onDeposed: () => void): Keeper
+	/** What the open jobs of this process take, in bytes by an estimate. */
+	keptBytes(): number
 	close(): void
 }
 
 export function createKeptJobService(deps: KeptJobServiceDeps): KeptJobService {
 	const {clock, log, peers, view, hosts} = deps
 	const wall = createWallClock(clock)
+	const memory = createKeptMemory(deps.maxKeptBytes ?? Infinity)
 
 	/** Returns a domain's free capacity, from the placer hosted here or from a recent report. */
 	function roomOf(domain: string): Room | undefined {
@@ -152,10 +158,12 @@
 				wall,
 				claim,
 				onDeposed,
+				memory: memory.share(),
 				spacingMs,
 				findRoom: (service, steps) => findRoom(claim.failureDomain, service, steps),
 				notifyHome: (home, id) => void notifyPlacer(home, id),
 			}),
+		keptBytes: memory.used,
 		close: () => sweeper.close(),
 	}
 }
--- a/packages/jobs/src/keep/open-jobs.ts
+++ b/packages/jobs/src/keep/open-jobs.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock} from "@cottonwood/core"
 import type {KeptJob} from "./kept-job.js"
+import type {KeptMemory} from "./kept-memory.js"
 
 /** Longer than any read of the store can take. */
 const RETAIN_MS = 10_000
@@ -22,7 +23,7 @@
 	hasLeftSince(id: string, since: number): boolean
 }
 
-export function createOpenJobs(clock: Clock): OpenJobs {
+export function createOpenJobs(clock: Clock, memory?: KeptMemory): OpenJobs {
 	const jobs = new Map<string, KeptJob>()
 	/** In the order of leaving. */
 	const leftAt = new Map<string, number>()
@@ -40,9 +41,13 @@
 		has: id => jobs.has(id),
 		all: () => [...jobs.values()],
 		count: () => jobs.size,
-		add: (id, job) => void jobs.set(id, job),
+		add(id, job) {
+			jobs.set(id, job)
+			memory?.add(job.record())
+		},
 		remove(id) {
 			jobs.delete(id)
+			memory?.remove(id)
 			leftAt.delete(id)
 			leftAt.set(id, clock.now())
 			dropExpired()
--- a/packages/jobs/src/utils/metrics.ts
+++ b/packages/jobs/src/utils/metrics.ts
@@ -23,6 +23,7 @@
 	advice_calls: "Calls to the service that says which executors may run a step, by outcome",
 	ledger_writes: "Transactions of job records, by outcome",
 	jobs_refused: "Jobs refused without having run, by reason",
+	keep_refusals: "Kept jobs that a placer refused for a bound of its own, by bound",
 	admission_refusals:
 		"Jobs refused by their placer's forecast, by reason and how their queue stands to its share",
 	jobs_lost: "Jobs whose placer fell silent, by what was done, where they are placed anew",
@@ -70,6 +71,7 @@
 	| "claims_held"
 	| "slices"
 	| "kept_jobs"
+	| "kept_bytes"
 	| "config_version"
 	| "config_heard_ms"
 	| "news_age_ms"
