--- a/packages/standins/src/leased/settings-file.ts
+++ b/packages/standins/src/leased/settings-file.ts
@@ -27,7 +27,7 @@
 	listen: {front: `${plan.ip}:${plan.ports[0]}`, ready: `${plan.ip}:${plan.ports[1]}`},
 	"port-range": [plan.ports[2], plan.ports[2]],
 	orders: "rpc",
-	limits: {"cpu-share": plan.cpuShare, cores: 1, "link-mbps": 1_000},
+	limits: {"cpu-share": plan.cpuShare, cores: 1, "memory-mb": 350, "link-mbps": 1_000},
 	platform: {address: plan.storeAddress, "writes-per-s": 400, "value-bytes": 1_048_576},
 	bounds: {
 		"max-hold-ms": 1_000,
@@ -42,6 +42,7 @@
 const OPTIONAL_FIELDS: readonly (readonly [section: string, field: string])[] = [
 	["", "advice"],
 	["limits", "cores"],
+	["limits", "memory-mb"],
 	["limits", "link-mbps"],
 	["platform", "writes-per-s"],
 	["platform", "value-bytes"],
