--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -75,6 +75,8 @@
 	isPassDue: boolean
 	/** When the last scheduling pass was made, in milliseconds on the monotonic clock. */
 	passedAt: number
+	/** When the last sweep ended, in milliseconds on the monotonic clock; Infinity during one. */
+	sweptAt: number
 	/** Whether a waiting task lacks a recent confirmation, so that a later pass may be able to start it. */
 	awaitsConfirmation: boolean
 	isDeadlineCheckDue: boolean
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -125,6 +125,7 @@
 		successor: undefined,
 		isPassDue: false,
 		passedAt: -Infinity,
+		sweptAt: -Infinity,
 		awaitsConfirmation: false,
 		isDeadlineCheckDue: false,
 		isClosed: false,
--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -7,8 +7,10 @@
 import {chooseExecutor} from "../decide/selection.js"
 import {sizeOf, stepNameOf, type TaskGroup, type WaitingTask} from "./task-queue.js"
 
-/** Groups tried in one pass; those behind rarely find room either. */
+/** Groups of callers' tasks, and of kept tasks, tried in one pass; those behind rarely find room either. */
 const MAX_GROUPS_PER_PASS = 24
+/** How often the kept groups behind those of a pass are tried. */
+const SWEEP_INTERVAL_MS = 250
 /** After this wait a gang blocks the groups behind it, so that room for all its members accumulates. */
 const GANG_PATIENCE_MS = 400
 /** After a stall the event loop has read its sockets by then. */
@@ -35,19 +37,48 @@
 	if (state.isClosed) return
 	state.awaitsConfirmation = false
 	state.parked.unpark()
-	if (state.queue.size() > 0) placeInOrder(state)
+	if (state.queue.size() > 0) placeAndSweep(state)
 	state.deps.onRoomChange()
 }
 
-function placeInOrder(state: PlacerState) {
-	const groups = state.queue.inOrder(state.deps.clock.now())
+function placeAndSweep(state: PlacerState) {
+	const now = state.deps.clock.now()
+	const rest = placeInOrder(state, state.queue.inOrder(now))
+	if (rest.length > 0 && now - state.sweptAt >= SWEEP_INTERVAL_MS) sweep(state, rest)
+}
+
+/**
+ * Tries the kept groups behind those of a pass, some in each turn of the event loop, since no deadline ends their wait. Without
+ * this they would wait for as long as enough groups before them find no room.
+ */
+function sweep(state: PlacerState, groups: readonly TaskGroup[]) {
+	state.sweptAt = Infinity
+	setImmediate(() => {
+		const waiting = groups.filter(group => state.queue.has(group))
+		const mayPlace = !state.isClosed && !state.stallDetector.hasStalled()
+		const rest = mayPlace ? placeInOrder(state, waiting) : []
+		if (rest.length > 0) sweep(state, rest)
+		else state.sweptAt = state.deps.clock.now()
+	})
+}
+
+/** Tries the first groups of callers' tasks and of kept tasks; returns the kept groups that were not tried. */
+function placeInOrder(state: PlacerState, groups: readonly TaskGroup[]): readonly TaskGroup[] {
 	const freest = createFreestExecutor(state.links)
-	let tried = 0
+	const rest: TaskGroup[] = []
+	let triedKept = 0
+	let triedOthers = 0
 	for (const group of groups) {
-		if (state.parked.park(group)) continue
-		if (tried++ === MAX_GROUPS_PER_PASS) break
-		if (placeGroup(state, group, freest) === "hold back") break
+		const isKept = group.waiting[0]?.req.isKept === true
+		if (isKept && triedKept === MAX_GROUPS_PER_PASS) rest.push(group)
+		else if (!isKept && triedOthers === MAX_GROUPS_PER_PASS) continue
+		else if (!state.parked.park(group)) {
+			if (isKept) triedKept++
+			else triedOthers++
+			if (placeGroup(state, group, freest) === "hold back") return []
+		}
 	}
+	return rest
 }
 
 /** The executors that may run a group's step; asks for missing tickets. */
--- a/packages/jobs/src/place/task-queue.ts
+++ b/packages/jobs/src/place/task-queue.ts
@@ -47,6 +47,7 @@
 export interface TaskQueue {
 	push(item: WaitingTask): void
 	pushSource(source: TaskSource): void
+	has(group: TaskGroup): boolean
 	/** Takes a whole group out. */
 	detach(group: TaskGroup): void
 	/** Puts a detached group back. */
@@ -196,6 +197,7 @@
 			// Behind another source it waits; that one may be making a task just now.
 			if (group.sources.length === 1) refill(group)
 		},
+		has: group => groups.get(group.key) === group,
 		attach,
 		detach(group) {
 			if (groups.get(group.key) !== group) return
