--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,9 +9,9 @@
 	process.stderr.write(`build: ${message}\n`)
 }
 
-function installOver(fault) {
+async function installOver(fault, isNeeded) {
 	report(`installing packages: ${fault}.`)
-	const left = install()
+	const left = await install(isNeeded)
 	if (left) report(`the packages are still wrong: ${left}.`)
 }
 
@@ -20,10 +20,10 @@
 }
 
 const fault = findFault()
-if (fault) installOver(fault)
+if (fault) await installOver(fault)
 let status = bundle()
 if (status !== 0 && !fault) {
-	installOver("the bundle could not be made")
+	await installOver("the bundle could not be made", true)
 	status = bundle()
 }
 process.exit(status ?? 1)
--- a/scripts/packages.mjs
+++ b/scripts/packages.mjs
@@ -5,6 +5,7 @@
 import {readFileSync, rmSync} from "node:fs"
 import {join} from "node:path"
 import {arch, platform} from "node:process"
+import {hold, release} from "./hold.mjs"
 
 const LOCK = "package-lock.json"
 /** Written by npm at the end of an installation. */
@@ -12,9 +13,11 @@
 const PROBE_MS = 30_000
 /** Stated, since the user's own options may leave out packages, or choose those of another kind of machine. */
 const KIND = ["--include=dev", "--include=optional", `--os=${platform}`, `--cpu=${arch}`]
-const INSTALL = ["ci", ...KIND, "--loglevel=error", "--no-progress"]
+const INSTALL = ["ci", ...KIND, "--loglevel=error", "--no-progress", "--no-update-notifier"]
 /** For when the user's cache is missing, damaged or read-only. */
 const OWN_CACHE = "target/npm-cache"
+/** Held by the build that installs. */
+const INSTALLING = "target/installing"
 
 /** The library that calls the C library, built for this kind of machine. */
 export const NATIVE = `./node_modules/@koromix/koffi-${platform}-${arch}/${platform}_${arch}/koffi.node`
@@ -71,12 +74,24 @@
 	return findWrongPackage() ?? findBrokenBinary()
 }
 
-/** Installs the packages of the lock file for this kind of machine; returns what is still wrong with them. */
-export function install() {
+function installHere() {
 	for (const cache of [[], ["--cache", OWN_CACHE]]) {
 		spawnSync("npm", [...INSTALL, ...cache], {stdio: ["ignore", 2, 2]})
 		if (!findFault()) break
 	}
 	rmSync(OWN_CACHE, {recursive: true, force: true})
-	return findFault()
+}
+
+/**
+ * Installs the packages of the lock file for this kind of machine, unless nothing that can be found is wrong with them any more and
+ * `isNeeded` does not say otherwise; returns what is still wrong.
+ */
+export async function install(isNeeded = false) {
+	await hold(INSTALLING)
+	try {
+		if (isNeeded || findFault()) installHere()
+		return findFault()
+	} finally {
+		release(INSTALLING)
+	}
 }
