--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -214,7 +214,8 @@
 			await sleep(READY_POLL_MS)
 		}
 		if (isClosing) return
-		const late = `FAULT: ${name} is not ready ${limitMs} ms after its start`
+		const written = edge.life.lastLines.join(" | ")
+		const late = `FAULT: ${name} is not ready ${limitMs} ms after its start; last lines: ${written}`
 		if (!options.restartsEnded) throw new Error(late)
 		unready.push(late)
 	}
--- a/packages/standins/src/leased/ends.ts
+++ b/packages/standins/src/leased/ends.ts
@@ -28,6 +28,8 @@
 	hangUp(): void
 	/** Resolves when the program begins to load its code, or at once when that is not marked. */
 	readonly begun: Promise<void>
+	/** The last lines so far. */
+	readonly lastLines: readonly string[]
 	/** Whether an end was asked for. */
 	isEndAsked(): boolean
 	/** Resolves when the process has ended and its output is read. */
@@ -90,6 +92,7 @@
 			child.kill("SIGHUP")
 		},
 		begun,
+		lastLines,
 		isEndAsked: () => asked.length > 0,
 		ended,
 	}
