--- a/packages/wire/src/datagrams.ts
+++ b/packages/wire/src/datagrams.ts
@@ -6,7 +6,7 @@
 import {createSocket} from "node:dgram"
 
 export interface Datagrams {
-	/** Sends without confirmation. */
+	/** Sends without confirmation; to an address that is none, nothing is sent. */
 	send(address: string, message: unknown): void
 	close(): void
 }
@@ -35,9 +35,13 @@
 			resolve({
 				send(to, message) {
 					if (isClosed) return
-					const [toHost = "", toPort = "0"] = to.split(":")
-					// A failed send counts as a lost datagram.
-					socket.send(JSON.stringify(message), Number(toPort), toHost, () => undefined)
+					// A failed send counts as a lost datagram, also one that throws at once.
+					try {
+						const [toHost = "", toPort = "0"] = to.split(":")
+						socket.send(JSON.stringify(message), Number(toPort), toHost, () => undefined)
+					} catch (error) {
+						onError(error as Error)
+					}
 				},
 				close() {
 					isClosed = true
