--- a/packages/jobs/src/decide/slices.ts
+++ b/packages/jobs/src/decide/slices.ts
@@ -54,9 +54,9 @@
 /** All fences of a slice are above this. */
 export const fenceFloorOf = (name: string) => sliceIndexOf(name) * FENCES_PER_SLICE
 
-/** Whether a claim's fence is in the range of its slice; any fence is valid for a first slice. */
+/** Whether a claim's fence is in the range of its slice; any finite one is valid for a first slice. */
 export function isFenceInRange({failureDomain: name, fence}: Claim): boolean {
-	if (sliceIndexOf(name) === 0) return true
+	if (sliceIndexOf(name) === 0) return Number.isFinite(fence)
 	const floor = fenceFloorOf(name)
 	return Number.isSafeInteger(fence) && fence > floor && fence < floor + FENCES_PER_SLICE
 }
--- a/packages/jobs/src/fleet/heartbeats.ts
+++ b/packages/jobs/src/fleet/heartbeats.ts
@@ -10,9 +10,10 @@
 import type {Clock} from "@cottonwood/core"
 import {sliceNames} from "../decide/slices.js"
 import type {Heartbeat, Claim, Fences, Member, Room, RoomUpdate} from "../types/fleet.js"
+import {isFences, isHeartbeat, isRoomUpdate} from "./heartbeat-validation.js"
 import type {FleetView} from "./members.js"
 import type {Peers} from "./peers.js"
-import {isRoom} from "./room-validation.js"
+import {isRecord, isRoom, type InvalidReport} from "./room-validation.js"
 
 /** A fifth of the silence after which a placer is replaced. */
 const HEARTBEAT_MS = 200
@@ -66,6 +67,8 @@
 	readonly rooms: () => Readonly<Record<string, Room>>
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void
 	readonly onRoomUpdate: (update: RoomUpdate) => void
+	/** Called for each message that is none, which is dropped. */
+	readonly onInvalid?: (reason: InvalidReport) => void
 	/**
 	 * Whether callers of the own domain are, or may soon be, served by placers of other domains.
 	 */
@@ -75,13 +78,13 @@
 }
 
 export interface Heartbeats {
-	/** Handles a received datagram. */
-	receive(message: FleetDatagram): void
+	/** Handles a received datagram, which may come from anywhere. */
+	receive(message: unknown): void
 	/** The capacity here may have changed: other placers are sent an update soon if it has. */
 	noteRoomChange(): void
 	/**
 	 * Asks a member for a heartbeat, with the time-out extended by `allowanceMs` milliseconds.
-	 * Resolves with the session that answers at its address; undefined without an answer.
+	 * Resolves with the session that answers at its address; undefined without an answer, or with one that is no heartbeat.
 	 */
 	ping(member: Member, allowanceMs: number): Promise<string | undefined>
 	close(): void
@@ -117,6 +120,7 @@
 
 export function createHeartbeats(deps: HeartbeatsDeps): Heartbeats {
 	const {clock, peers, view, self, ownHeartbeat} = deps
+	const onInvalid = deps.onInvalid ?? (() => undefined)
 	let isClosed = false
 	let lastRoomAt = -Infinity
 	let lastHadRoom = false
@@ -202,6 +206,10 @@
 		if (knownFences.size > MAX_SESSIONS && oldest !== undefined) knownFences.delete(oldest)
 	}
 
+	function isHeartbeatDatagram(message: unknown): message is HeartbeatDatagram {
+		return isHeartbeat(message) && isFences((message as Partial<HeartbeatDatagram>).fences)
+	}
+
 	function receiveHeartbeat(message: HeartbeatDatagram) {
 		const {from, fences, wantsAnswer, ...heartbeat} = message
 		noteKnownFences(from.session, fences)
@@ -212,8 +220,10 @@
 	sendHeartbeats()
 	return {
 		receive(message) {
-			if (message.type === "room") deps.onRoomUpdate(message)
-			else receiveHeartbeat(message)
+			const isRoomReport = isRecord(message) && message["type"] === "room"
+			if (isRoomReport && isRoomUpdate(message)) deps.onRoomUpdate(message)
+			else if (!isRoomReport && isHeartbeatDatagram(message)) receiveHeartbeat(message)
+			else onInvalid("heartbeat")
 		},
 		noteRoomChange() {
 			if (isRoomCheckDue) return
@@ -221,8 +231,10 @@
 		},
 		async ping(member, allowanceMs) {
 			const answer = await peers.beat(member.address, ownHeartbeat(), PING_TIMEOUT_MS + allowanceMs)
-			if (answer) deps.onHeartbeat(answer)
-			return answer?.from.session
+			if (answer === undefined) return undefined
+			if (!isHeartbeat(answer)) return void onInvalid("heartbeat")
+			deps.onHeartbeat(answer)
+			return answer.from.session
 		},
 		close() {
 			isClosed = true
--- a/packages/jobs/src/fleet/members.ts
+++ b/packages/jobs/src/fleet/members.ts
@@ -11,11 +11,19 @@
 	sliceIndexOf,
 } from "../decide/slices.js"
 import type {Heartbeat, Claim, Member, Room, RoomUpdate} from "../types/fleet.js"
-import {isLabelledRoom, isRoom, validRooms, type InvalidReport} from "./room-validation.js"
+import {
+	isLabelledRoom,
+	isRecord,
+	isRoom,
+	validRooms,
+	type InvalidReport,
+} from "./room-validation.js"
 
 export const FLEET_PREFIX = "fleet/"
 const MEMBER_PREFIX = "fleet/node/"
 const CLAIM_PREFIX = "fleet/claim/"
+const HOST_AND_PORT = /^[^:]+:(\d{1,5})$/
+const MAX_PORT = 65_535
 
 export const memberKey = (name: string) => MEMBER_PREFIX + name
 export const claimKey = (failureDomain: string) => CLAIM_PREFIX + failureDomain
@@ -66,17 +74,21 @@
 	roomOf(failureDomain: string): ReportedRoom | undefined
 }
 
-function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
-	return typeof value === "object" && value !== null
+/** A host and a port, as a socket can send to it. */
+function isAddress(value: unknown): boolean {
+	if (typeof value !== "string") return false
+	const port = Number(HOST_AND_PORT.exec(value)?.[1])
+	return port > 0 && port <= MAX_PORT
 }
 
 /**
  * Whether a value is a member. Entries may come from other writers; invalid ones count as absent.
  */
 export function isMember(value: unknown): value is Member {
-	if (!isRecord(value) || typeof value["cpuShare"] !== "number") return false
+	if (!isRecord(value) || !Number.isFinite(value["cpuShare"])) return false
 	const {name, session, failureDomain, address} = value
-	return [name, session, failureDomain, address].every(text => typeof text === "string")
+	const areNames = [name, session, failureDomain].every(text => typeof text === "string")
+	return areNames && isAddress(address)
 }
 
 export function isClaim(value: unknown): value is Claim {
--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -90,7 +90,8 @@
 export type TaskReply = TaskEnd | {readonly type: "not placer"}
 
 export interface PeerHandlers {
-	beat(heartbeat: Heartbeat): Heartbeat
+	/** `heartbeat` may be anything that a peer sends; the answer is the own one. */
+	beat(heartbeat: unknown): Heartbeat
 	runJob(message: JobMessage, caller: Caller): Promise<JobReply>
 	runTask(message: TaskMessage, caller: Caller): Promise<TaskReply>
 	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
@@ -100,7 +101,7 @@
 /** Serves peers' calls; rejects when the port is taken. */
 export function listenPeers(address: string, handlers: PeerHandlers): Promise<JsonServer> {
 	return listenJson(SERVICE, address, {
-		beat: async message => handlers.beat(message as Heartbeat),
+		beat: async message => handlers.beat(message),
 		runJob: (message, caller) => handlers.runJob(message as JobMessage, caller),
 		runTask: (message, caller) => handlers.runTask(message as TaskMessage, caller),
 		takeOver: message => handlers.takeOver(message as TakeOverMessage),
--- a/packages/jobs/src/fleet/room-validation.ts
+++ b/packages/jobs/src/fleet/room-validation.ts
@@ -8,11 +8,12 @@
 
 /**
  * `room`: a figure is missing, of another type, or negative. `room_unclaimed`: the domain has no
- * known placer. `slice_claim`: a claim's fence or key doesn't fit its slice.
+ * known placer. `slice_claim`: a claim's fence or key doesn't fit its slice. `heartbeat`: a heartbeat or a report of rooms is
+ * none, or names a claim that is none.
  */
-export type InvalidReport = "room" | "room_unclaimed" | "slice_claim"
+export type InvalidReport = "room" | "room_unclaimed" | "slice_claim" | "heartbeat"
 
-const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
+export const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
 	typeof value === "object" && value !== null
 
 const isNonNegativeNumber = (value: unknown) =>
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -19,7 +19,8 @@
 import {createOverflow} from "./coordinate/overflow.js"
 import {createWholeJobMoves} from "./coordinate/whole-job-moves.js"
 import {openDatagrams} from "@cottonwood/wire/datagrams"
-import {createHeartbeats, type FleetDatagram} from "./fleet/heartbeats.js"
+import {isHeartbeat} from "./fleet/heartbeat-validation.js"
+import {createHeartbeats} from "./fleet/heartbeats.js"
 import {createClaimsLoop, type ClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
@@ -207,7 +208,8 @@
 	})
 	const server = await listenPeers(self.address, {
 		beat(heartbeat) {
-			heartbeatHandler.applyHeartbeat(heartbeat)
+			if (isHeartbeat(heartbeat)) heartbeatHandler.applyHeartbeat(heartbeat)
+			else logInvalid(deps, "heartbeat")
 			return heartbeatHandler.own()
 		},
 		runJob: (message, caller) => dispatcher.runJob(message, caller),
@@ -217,7 +219,7 @@
 	})
 	const datagrams = await openDatagrams(
 		self.address,
-		message => heartbeats.receive(message as FleetDatagram),
+		message => heartbeats.receive(message),
 		error => logDatagramError(deps, error),
 	)
 	const heartbeats = createHeartbeats({
@@ -227,6 +229,7 @@
 		rooms: hosts.rooms,
 		onHeartbeat: heartbeatHandler.applyHeartbeat,
 		onRoomUpdate: heartbeatHandler.applyRoomUpdate,
+		onInvalid: reason => logInvalid(deps, reason),
 		needsOthers: () => evacuations.isUnderWay(self.failureDomain) || isHomeQuiet(),
 		linkMbps: settings.linkMbps,
 	})
@@ -319,8 +322,8 @@
 	log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 }
 
-/** Reports an invalid claim of a peer; the previous claim stays in force. */
-function logInvalid({metrics, log}: InstanceDeps, reason: InvalidReport, claim: Claim | undefined) {
+/** Reports an invalid message or claim of a peer; what was known before stays in force. */
+function logInvalid({metrics, log}: InstanceDeps, reason: InvalidReport, claim?: Claim) {
 	metrics.count("broken_assumptions", reason)
 	if (!claim) return
 	const {failureDomain, fence, placer} = claim
--- a/packages/jobs/test/odd-input.test.ts
+++ b/packages/jobs/test/odd-input.test.ts
@@ -20,6 +20,45 @@
 
 const ODD_ID = "00000000000000bb"
 
+const SELF: Member = {
+	name: "a-1",
+	session: "a-1",
+	failureDomain: "a",
+	address: "n:1",
+	cpuShare: 1,
+}
+const HEARTBEAT: Heartbeat = {
+	from: SELF,
+	claims: [],
+	rooms: {},
+	isLeaving: false,
+	configVersion: 1,
+}
+
+/** The heartbeats of an instance of which every ping gets the same answer. */
+function createHeartbeatWorld() {
+	const clock = createFakeClock()
+	const view = createFleetView(clock, () => undefined)
+	let answer: unknown
+	let invalid = 0
+	const heartbeats = createHeartbeats({
+		clock,
+		view,
+		self: SELF,
+		peers: fakePeers({beat: async () => answer as Heartbeat}),
+		send: () => undefined,
+		ownHeartbeat: () => HEARTBEAT,
+		rooms: () => ({}),
+		onHeartbeat: view.applyHeartbeat,
+		onRoomUpdate: view.applyRoomUpdate,
+		onInvalid: () => void invalid++,
+		needsOthers: () => false,
+		linkMbps: 1_000,
+	})
+	const answerWith = (next: unknown) => void (answer = next)
+	return {clock, view, heartbeats, answerWith, counts: () => invalid}
+}
+
 /** Changes of a record that make it invalid. */
 const ODD_RECORDS: Readonly<Record<string, object>> = {
 	"no step": {steps: [null]},
@@ -80,30 +119,31 @@
 	})
 
 	it("of a heartbeat that answers a ping counts as no answer", async () => {
-		const clock = createFakeClock()
-		const view = createFleetView(clock, () => undefined)
-		const self: Member = {
-			name: "a-1",
-			session: "a-1",
-			failureDomain: "a",
-			address: "n:1",
-			cpuShare: 1,
+		const {heartbeats, answerWith} = createHeartbeatWorld()
+		for (const answer of [{}, null, 5, {from: SELF}, {from: SELF, claims: [{}], rooms: {}}]) {
+			answerWith(answer)
+			expect(await heartbeats.ping(SELF, 0)).to.equal(undefined)
 		}
-		let answer: unknown
-		const heartbeats = createHeartbeats({
-			clock,
-			view,
-			self,
-			peers: fakePeers({beat: async () => answer as Heartbeat}),
-			send: () => undefined,
-			ownHeartbeat: () => ({from: self, claims: [], rooms: {}, isLeaving: false, configVersion: 1}),
-			rooms: () => ({}),
-			onHeartbeat: view.applyHeartbeat,
-			onRoomUpdate: () => undefined,
-			needsOthers: () => false,
-			linkMbps: 1_000,
+	})
+
+	it("of a datagram is dropped and passed on to nobody", async () => {
+		const {clock, heartbeats, view, counts} = createHeartbeatWorld()
+		const beat = {...HEARTBEAT, type: "beat", fences: {}, wantsAnswer: true}
+		const claimAt = (address: unknown) => ({
+			failureDomain: "b",
+			fence: 1,
+			placer: {...SELF, session: "b-1", address},
 		})
-		for (answer of [{}, null, 5, {from: self}, {from: self, claims: [{}], rooms: {}}])
-			expect(await heartbeats.ping(self, 0)).to.equal(undefined)
+		const odd: unknown[] = [null, 5, [], {}, {type: "room"}, {...beat, fences: null}]
+		for (const address of ["nowhere", "", ":1", "n:", "n:0", "n:99999", "n:1:1", 5, undefined])
+			odd.push({...beat, claims: [claimAt(address)]})
+		for (const change of [{lateMs: "1"}, {evacuations: {revision: 1}}, {configVersion: null}])
+			odd.push({...beat, ...change})
+		for (const message of odd) heartbeats.receive(message)
+		await clock.advance(1_000)
+		expect(view.claims()).to.eql([])
+		expect(counts()).to.equal(odd.length)
+		heartbeats.receive({...beat, claims: [claimAt("n:1")]})
+		expect(view.claims()).to.have.length(1)
 	})
 })
