--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -16,7 +16,7 @@
 import type {Queue} from "../types/fleet-config.js"
 import {
 	OPEN_JOBS_PREFIX,
-	isJobRecord,
+	openJobIdOf,
 	openJobKey,
 	type EndedState,
 	type JobRecord,
@@ -30,6 +30,8 @@
 import type {Ledger} from "./ledger.js"
 import {createOpenJobs} from "./open-jobs.js"
 import {openLedger} from "./open-ledger.js"
+import {createRecordReader} from "./record-reader.js"
+import {homeOf, isMarkedCancelled} from "./record-validation.js"
 import {isStoreAway} from "../utils/store-silence.js"
 
 /** Delay between attempts to read the store after a takeover. */
@@ -99,6 +101,7 @@
 	const {clock, wall, store, log, metrics, claim} = deps
 	const home = claim.failureDomain
 	const jobs = createOpenJobs(clock)
+	const readRecord = createRecordReader(deps)
 	const createdAt = clock.now()
 	let ledger: Ledger | undefined
 	let confirmation: ClaimConfirmation | undefined
@@ -153,15 +156,18 @@
 	}
 
 	/** Adds a record from a read that began at `sentAt`, unless the job has left since then. */
-	function loadRecord({value: record, revision}: StoreItem, sentAt: number) {
-		if (!isJobRecord(record)) return
-		if (record.home !== home || isClosed || jobs.hasLeftSince(record.id, sentAt)) return
-		const known = jobs.get(record.id)
-		if (known) {
-			if (record.isCancelled) void cancel(record.id)
+	function loadRecord(item: StoreItem, sentAt: number) {
+		const id = openJobIdOf(item.key)
+		// An entry that names no home is read here too, so that somebody tells of it.
+		const isElsewhere = (homeOf(item.value) ?? home) !== home
+		if (isElsewhere || isClosed || jobs.hasLeftSince(id, sentAt)) return
+		if (jobs.has(id)) {
+			if (isMarkedCancelled(item.value)) void cancel(id)
 			return
 		}
-		ledger?.adopt(record, revision)
+		const record = readRecord(item)
+		if (!record) return
+		ledger?.adopt(record, item.revision)
 		addJob(record)
 		if (record.isCancelled) void cancel(record.id)
 		else if (isTakeoverComplete) jobs.get(record.id)?.begin()
--- a/packages/jobs/src/keep/kept-job-router.ts
+++ b/packages/jobs/src/keep/kept-job-router.ts
@@ -13,7 +13,6 @@
 import {
 	endedJobKey,
 	isEndRecord,
-	isJobRecord,
 	openJobKey,
 	type EndRecord,
 	type JobRecord,
@@ -24,6 +23,7 @@
 import type {AcceptReply, Keeper} from "./keeper.js"
 import {createPendingCount} from "./pending-count.js"
 import {hasProgress} from "./record-size.js"
+import {isJobRecord} from "./record-validation.js"
 
 /** A placer waits up to 900 ms for the store before it answers an acceptance or a cancellation. */
 const WRITE_TIMEOUT_MS = 1_100
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -11,7 +11,8 @@
 import type {Queue} from "../types/fleet-config.js"
 import type {Claim, Room} from "../types/fleet.js"
 import type {Step} from "../types/job.js"
-import {isJobRecord, OPEN_JOBS_PREFIX} from "../types/kept-job.js"
+import {OPEN_JOBS_PREFIX} from "../types/kept-job.js"
+import {homeOf, isJobRecord} from "./record-validation.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {createWallClock} from "../utils/wall-clock.js"
@@ -140,7 +141,7 @@
 	})
 	async function hasOpenJobs(home: string): Promise<boolean> {
 		const listing = await deps.store.list(OPEN_JOBS_PREFIX)
-		return (listing?.items ?? []).some(({value}) => isJobRecord(value) && value.home === home)
+		return (listing?.items ?? []).some(({value}) => homeOf(value) === home && isJobRecord(value))
 	}
 
 	return {
--- a/packages/jobs/src/keep/pending-count.ts
+++ b/packages/jobs/src/keep/pending-count.ts
@@ -6,8 +6,9 @@
  */
 import type {Clock, Store} from "@cottonwood/core"
 import type {Claim} from "../types/fleet.js"
-import {isJobRecord, OPEN_JOBS_PREFIX, type JobRecord} from "../types/kept-job.js"
+import {OPEN_JOBS_PREFIX, type JobRecord} from "../types/kept-job.js"
 import {hasProgress} from "./record-size.js"
+import {isJobRecord} from "./record-validation.js"
 
 /** Callers accept counts of this age. */
 const COUNT_VALID_MS = 2_000
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -55,13 +55,6 @@
 	readonly writer: string
 }
 
-/** Whether a stored value is a job's record; other writers may leave anything under its key. */
-export function isJobRecord(value: unknown): value is JobRecord {
-	const {id, home, queue, steps, done} = (value ?? {}) as Partial<JobRecord>
-	const areNames = [id, home, queue].every(name => typeof name === "string")
-	return areNames && Array.isArray(steps) && Array.isArray(done)
-}
-
 /** Whether a stored value is the end of a job. */
 export function isEndRecord(value: unknown): value is EndRecord {
 	const {state, endedAtMs} = (value ?? {}) as Partial<EndRecord>
@@ -82,4 +75,5 @@
 export const OPEN_JOBS_PREFIX = "job/open/"
 export const ENDED_JOBS_PREFIX = "job/end/"
 export const openJobKey = (id: string) => OPEN_JOBS_PREFIX + id
+export const openJobIdOf = (key: string) => key.slice(OPEN_JOBS_PREFIX.length)
 export const endedJobKey = (id: string) => ENDED_JOBS_PREFIX + id
--- a/packages/jobs/test/odd-input.test.ts
+++ b/packages/jobs/test/odd-input.test.ts
@@ -68,6 +68,11 @@
 	"too many tasks": {steps: [step({count: 1e10})]},
 	"ended tasks without names": {done: [1, null]},
 	"ended times that are no list": {endedTimes: {first: 0}},
+	"more ended times than times": {endedTimes: [[0, 1e12]]},
+	"a time without a number": {schedule: {times: "2", firstDueMs: 0, periodMs: 1}},
+	"failures that are none": {failures: null},
+	"no home": {home: undefined},
+	"the id of another job": {id: "00000000000000cc"},
 }
 
 describe("odd input", () => {
--- a/packages/jobs/test/pending-count.test.ts
+++ b/packages/jobs/test/pending-count.test.ts
@@ -7,6 +7,7 @@
 import {createFakeClock} from "./support/fake-clock.js"
 import {createFakeStore} from "./support/fake-store.js"
 import {accept, createKeeperWorld, job} from "./support/keeper-world.js"
+import {jobRecord} from "./support/records.js"
 
 const COUNT_VALID_MS = 2_000
 
@@ -28,7 +29,7 @@
 		askPlacer: async ({failureDomain}) => answers.get(failureDomain),
 	})
 	function write(id: string, extra: Partial<JobRecord>) {
-		fake.write(openJobKey(id), {id, queue: "orders", home: "b", steps: [], done: [], ...extra})
+		fake.write(openJobKey(id), jobRecord(id, {home: "b", ...extra}))
 	}
 	return {clock, fake, answers, pendingOf, write}
 }
@@ -52,7 +53,7 @@
 		write("03", {home: "a"})
 		write("04", {queue: "others"})
 		write("05", {done: ["0.0.0"]})
-		write("06", {endedTimes: [[0, 7]]})
+		write("06", {endedTimes: [[0, 7]], schedule: {times: 9, firstDueMs: 0, periodMs: 1}})
 		for (const value of [null, "text", 7, [], {home: "b", queue: "orders"}])
 			fake.write(openJobKey(`other ${String(value)}`), value)
 		expect(await pendingOf("orders")).to.equal(5)
