--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -19,6 +19,7 @@
 } from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import {isJobRecord} from "./record-validation.js"
 
 /** Maximum number of conditions, puts and removes in one transaction of the store. */
 const MAX_ENTRIES = 32
@@ -226,8 +227,9 @@
 
 	/** The revision differs after an own write without an answer, or a write by another. */
 	function handleOtherRevision(entry: Entry, open: StoreItem) {
-		const stored = open.value as JobRecord
-		const [writer, version] = stored.writer.split("/")
+		const stored = open.value
+		if (!isJobRecord(stored)) return handleInvalid(entry, open)
+		const [writer, version] = (stored.writer ?? "").split("/")
 		if (writer === entry.writerId) {
 			entry.revision = open.revision
 			entry.written = Math.max(entry.written, Number(version))
@@ -239,6 +241,15 @@
 		if (stored.isCancelled) deps.onCancelAsked(entry.id)
 	}
 
+	/** The entry under the job's key is no record: the next write replaces it, if the job was accepted, which the placer runs. */
+	function handleInvalid(entry: Entry, {key, revision}: StoreItem) {
+		metrics.count("broken_assumptions", "job_record")
+		const message = "store: another program's entry stands under a job's key."
+		log.alarm("store", "record_replaced", message, {job: entry.id, detail: key})
+		if (entry.revision === 0) return drop(entry, "rejected")
+		entry.revision = revision
+	}
+
 	function handleMissing(entry: Entry) {
 		if (entry.isEndSent || entry.isReleased) return drop(entry, "written")
 		drop(entry, "ended elsewhere")
--- a/packages/jobs/src/types/kept-job.ts
+++ b/packages/jobs/src/types/kept-job.ts
@@ -51,8 +51,8 @@
 	/** Moves to other homes since a task of the job last started; absent in older records. */
 	readonly fruitlessMoves?: number
 	readonly isCancelled: boolean
-	/** The writer and its change number; identifies an own write whose answer was lost. */
-	readonly writer: string
+	/** The writer and its change number; identifies an own write whose answer was lost. Absent if another program wrote it. */
+	readonly writer?: string
 }
 
 /** Whether a stored value is the end of a job. */
