--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./types/fleet-config.js"
 export * from "./types/fleet.js"
 export * from "./types/placing.js"
+export type {PortRange} from "./fleet/peer-port.js"
 export {startJobInstance} from "./instance.js"
 export type {InstanceDeps, InstanceSettings, JobInstance} from "./instance.js"
 export {answerUsefulMs} from "./coordinate/job-run.js"
@@ -18,7 +19,17 @@
 export {isRetryAfter} from "./decide/admission.js"
 export {leaseRuleFor} from "./decide/lease-rule.js"
 export type {LeaseRule} from "./decide/lease-rule.js"
-export {createEventLog, LOG_FLUSH_MS, silentLog} from "./utils/log.js"
+export {BoundedOutput, createEventLog, LOG_FLUSH_MS, silentLog} from "./utils/log.js"
 export type {EventLog, LazyFields, LogFields, LogPart} from "./utils/log.js"
+export {
+	causeOf,
+	EXIT_ASKED,
+	EXIT_FAILED,
+	EXIT_INVALID_SETTINGS,
+	reportEnd,
+} from "./utils/process-end.js"
+export type {ProcessEnd, ProcessObservers} from "./utils/process-end.js"
+export {openOnceFree} from "./utils/taken-port.js"
+export type {PortOpening} from "./utils/taken-port.js"
 export {createJobMetrics} from "./utils/metrics.js"
 export type {JobMetrics} from "./utils/metrics.js"
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -18,14 +18,14 @@
 import {borrowableCoresOf} from "./coordinate/borrowable-cores.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {createWholeJobMoves} from "./coordinate/whole-job-moves.js"
-import {openDatagrams} from "@cottonwood/wire/datagrams"
 import {isHeartbeat} from "./fleet/heartbeat-validation.js"
 import {createHeartbeats} from "./fleet/heartbeats.js"
 import {createClaimsLoop, type ClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
 import {createFleetView, type FleetView} from "./fleet/members.js"
-import {createPeers, listenPeers} from "./fleet/peers.js"
+import {openPeerPort, type PortRange} from "./fleet/peer-port.js"
+import {createPeers} from "./fleet/peers.js"
 import {createReachabilityProbe} from "./fleet/reachability.js"
 import type {InvalidReport} from "./fleet/room-validation.js"
 import {beginRegistration} from "./fleet/registration.js"
@@ -54,8 +54,8 @@
 	readonly name: string
 	readonly failureDomain: string
 	readonly failureDomains: readonly string[]
-	/** Host and port for peers. */
-	readonly peerAddress: string
+	/** The host for peers, and the ports that may be used. */
+	readonly peers: {readonly host: string; readonly ports: PortRange}
 	/** How long runs may continue while their caller is not heard. */
 	readonly leaseRule: LeaseRule
 	/** Time that a stopping run may take, in milliseconds. */
@@ -86,6 +86,8 @@
 	readonly decodeEvacuation: (item: StoreItem) => Result<string, string> | undefined
 	readonly executorPrefix: string
 	readonly decodeExecutor: (item: StoreItem) => ExecutorRecord | undefined
+	/** Whether the process was asked to end meanwhile; a start then waits for no port. */
+	readonly isUnwanted?: () => boolean
 }
 
 export interface JobInstance {
@@ -110,7 +112,7 @@
 	close(): Promise<void>
 }
 
-/** Starts an instance; rejects when its port is taken. */
+/** Starts an instance; rejects when its ports stay taken. */
 export async function startJobInstance(
 	settings: InstanceSettings,
 	deps: InstanceDeps,
@@ -118,7 +120,12 @@
 	const clock = systemClock
 	const {store, log, metrics} = deps
 	const {leaseRule, placing} = settings
-	const self = newMember(settings)
+	const isUnwanted = deps.isUnwanted ?? (() => false)
+	const peerPort = await openPeerPort(settings.peers.host, settings.peers.ports, {
+		...deps,
+		isUnwanted,
+	})
+	const self = newMember(settings, peerPort.address)
 	let isLeaving = false
 	let claims: ClaimsLoop | undefined = undefined
 	let isListed = false
@@ -206,25 +213,9 @@
 		isListed = true
 		claims?.checkNow()
 	})
-	const server = await listenPeers(self.address, {
-		beat(heartbeat) {
-			if (isHeartbeat(heartbeat)) heartbeatHandler.applyHeartbeat(heartbeat)
-			else logInvalid(deps, "heartbeat")
-			return heartbeatHandler.own()
-		},
-		runJob: (message, caller) => dispatcher.runJob(message, caller),
-		runTask: (message, caller) => dispatcher.runTask(message, caller),
-		takeOver: message => handover.takeOver(message),
-		kept: message => keptJobs.front.answer(message),
-	})
-	const datagrams = await openDatagrams(
-		self.address,
-		message => heartbeats.receive(message),
-		error => logDatagramError(deps, error),
-	)
 	const heartbeats = createHeartbeats({
 		...common,
-		send: datagrams.send,
+		send: peerPort.send,
 		ownHeartbeat: heartbeatHandler.own,
 		rooms: hosts.rooms,
 		onHeartbeat: heartbeatHandler.applyHeartbeat,
@@ -238,7 +229,7 @@
 		return home !== undefined && peers.unansweredMs(home.address) > HOME_QUIET_LIMIT_MS
 	}
 
-	const registration = beginRegistration(self, {clock, store, log})
+	const registration = beginRegistration(self, {clock, store, log, metrics})
 
 	const handover = createHandover({
 		...common,
@@ -262,6 +253,18 @@
 		onCutOff: hosts.expectCutOff,
 		...createReachabilityProbe({...deps, clock, latestExecutors: executors.latest}),
 	})
+	peerPort.serve({
+		beat(heartbeat) {
+			if (isHeartbeat(heartbeat)) heartbeatHandler.applyHeartbeat(heartbeat)
+			else logInvalid(deps, "heartbeat")
+			return heartbeatHandler.own()
+		},
+		runJob: dispatcher.runJob,
+		runTask: dispatcher.runTask,
+		takeOver: handover.takeOver,
+		kept: keptJobs.front.answer,
+		receive: heartbeats.receive,
+	})
 
 	if (isListed) claims.checkNow()
 	registerInstanceMetrics(clock, metrics, hosts, store, watermark, config)
@@ -283,14 +286,14 @@
 			await registration.end()
 			const deciding = [lagMonitor, watermark, claims as ClaimsLoop, handover, slicing]
 			const telling = [keptJobs, heartbeats, config]
-			const serving = [fleetFollower, executors, hosts, datagrams, server, peers]
+			const serving = [fleetFollower, executors, hosts, peerPort, peers]
 			for (const part of [...deciding, ...telling, ...serving]) part.close()
 		},
 	}
 }
 
-function newMember({name, failureDomain, peerAddress, cpuShare}: InstanceSettings): Member {
-	return {name, session: randomUUID(), failureDomain, address: peerAddress, cpuShare}
+function newMember({name, failureDomain, cpuShare}: InstanceSettings, address: string): Member {
+	return {name, session: randomUUID(), failureDomain, address, cpuShare}
 }
 
 /** Defined only when jobs are admitted by forecast. */
@@ -331,11 +334,6 @@
 	log.alarm("fleet", "claim_dropped", "fleet: ignored a claim that no slice can have.", fields)
 }
 
-function logDatagramError({metrics, log}: InstanceDeps, error: Error) {
-	metrics.count("broken_assumptions", "datagram")
-	log.event("fleet", "datagram_failed", "fleet: datagram error.", {cause: error.message})
-}
-
 function logLeaving(log: EventLog, count: number) {
 	log.alarm("instance", "leaving", "instance: finishing work in progress.", {count})
 }
--- a/packages/jobs/test/frozen-samples.test.ts
+++ b/packages/jobs/test/frozen-samples.test.ts
@@ -28,6 +28,7 @@
 	type KeptJobRequest,
 	type OnTaskEnd,
 	type TaskRequest,
+	type TaskSupply,
 } from "@cottonwood/jobs/internals"
 import {connectJson, listenJson} from "@cottonwood/wire/json"
 import {expect} from "chai"
@@ -153,7 +154,7 @@
 		const clock = createFakeClock()
 		const {fake, store} = createFakeStore()
 		const leased = {...store, grantLease: () => Promise.resolve("1")}
-		beginRegistration(SELF, {clock, store: leased, log: silentLog})
+		beginRegistration(SELF, {clock, store: leased, log: silentLog, metrics: createJobMetrics()})
 		const view = createFleetView(clock, () => undefined)
 		const claims = createClaimsLoop({
 			clock,
@@ -216,13 +217,17 @@
 		notifyHome: () => undefined,
 		onDeposed: () => undefined,
 	})
+	function submit(req: TaskRequest, end: OnTaskEnd) {
+		submitted.set(req.task.slice(ID.length + 1), {req, end})
+		return {cancel: () => undefined}
+	}
 	keeper.begin({
 		hasTakenOver: () => true,
 		isStranded: () => false,
 		offerOrphans: () => undefined,
-		submit(req: TaskRequest, end: OnTaskEnd) {
-			submitted.set(req.task.slice(ID.length + 1), {req, end})
-			return {cancel: () => undefined}
+		submit,
+		submitAll({next}: TaskSupply) {
+			for (let task = next(); task; task = next()) submit(task.req, task.onEnd)
 		},
 	} as never)
 	await clock.advance(READ_AFTER_MS)
@@ -371,6 +376,7 @@
 async function createPair() {
 	const [address, otherAddress] = [await freeAddress(), await freeAddress()]
 	const other = {...OTHER, address: otherAddress}
+	const port = Number(address.split(":")[1])
 	const {fake, store} = createFakeStore()
 	fake.write("fleet/node/a-1", other)
 	fake.write("executor/e1", (parseSample(text.TAKE_OVER)["executors"] as object[])[0])
@@ -381,7 +387,7 @@
 			name: "b-1",
 			failureDomain: "b",
 			failureDomains: [],
-			peerAddress: address,
+			peers: {host: "127.0.0.1", ports: [port, port]},
 			leaseRule: LEASE_RULE,
 			stopGraceMs: 50,
 			cpuShare: 2,
