--- a/packages/core/src/utils/clock.ts
+++ b/packages/core/src/utils/clock.ts
@@ -3,13 +3,16 @@
  */
 import {createSuspensionCount, type SuspensionCount} from "./suspension-count.js"
 
+/** What a timer of the runtime can hold, 24.8 days; it fires at once for a longer time. */
+export const MAX_TIMER_MS = 2_147_483_647
+
 export interface Clock {
 	/** Milliseconds on the monotonic clock. */
 	now(): number
 	/** Wall-clock milliseconds since 1970; never used to decide who may start work. */
 	wallNow(): number
 	sleep(ms: number): Promise<void>
-	/** Runs a callback once after `ms`; returns the function that cancels it. */
+	/** Runs a callback once after `ms`, at most `MAX_TIMER_MS`; returns the function that cancels it. */
 	schedule(ms: number, callback: () => void): () => void
 }
 
@@ -47,7 +50,8 @@
 		for (const timer of due.sort((a, b) => a.dueAt - b.dueAt)) if (timers.has(timer)) timer.fire()
 	}
 
-	function schedule(ms: number, callback: () => void): () => void {
+	function schedule(requestedMs: number, callback: () => void): () => void {
+		const ms = Math.min(requestedMs, MAX_TIMER_MS)
 		const timer: Timer = {
 			dueAt: now() + ms,
 			fire() {
--- a/packages/wire/src/json-client.ts
+++ b/packages/wire/src/json-client.ts
@@ -5,7 +5,7 @@
  * known as such, and sent calls state on the server's clock when they were made and last wanted.
  * Each further reading is answered with that confirmation for all pending calls.
  */
-import {systemClock} from "@cottonwood/core/clock"
+import {MAX_TIMER_MS, systemClock} from "@cottonwood/core/clock"
 import * as grpc from "@grpc/grpc-js"
 import {
 	CHANNEL_OPTIONS,
@@ -276,7 +276,7 @@
 				giveUp = cause => exchange.cancel(call, cause)
 				const timer = setTimeout(
 					() => afterPendingReads(() => giveUp("no answer in time")),
-					timeoutMs,
+					Math.min(timeoutMs, MAX_TIMER_MS),
 				)
 				exchange.begin(call)
 			})
--- a/packages/wire/test/odd-input.test.ts
+++ b/packages/wire/test/odd-input.test.ts
@@ -124,6 +124,17 @@
 		expect(found).to.eql([])
 	})
 
+	it("of a time-out that no timer can hold is a long one", async () => {
+		const address = await freeAddress()
+		const slow = (message: unknown) => sleep(30).then(() => message)
+		const server = await listenJson(SERVICE, address, {slow})
+		const client = connectJson(SERVICE, address)
+		for (const timeoutMs of [2 ** 31, Infinity])
+			expect((await client.call("slow", "a", timeoutMs).reply).type).to.equal("answer")
+		client.close()
+		server.close()
+	})
+
 	it("of addresses makes a datagram count as lost", async () => {
 		const unused = () => undefined
 		const datagrams = await openDatagrams(await freeAddress(), unused, unused)
