--- a/packages/jobs/src/coordinate/handover.ts
+++ b/packages/jobs/src/coordinate/handover.ts
@@ -14,6 +14,8 @@
 import {shortSession, type EventLog} from "../utils/log.js"
 import type {HostedPlacers} from "./hosted-placers.js"
 import type {Overflow} from "./overflow.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /**
  * Time allowed for a takeover, which includes two calls to a possibly slow store. Asking a second successor earlier would
@@ -39,6 +41,7 @@
 export interface HandoverDeps {
 	readonly clock: Clock
 	readonly log: EventLog
+	readonly metrics: Pick<JobMetrics, "count">
 	readonly peers: Peers
 	readonly view: FleetView
 	readonly self: Member
@@ -212,7 +215,7 @@
 		}
 	}
 
-	void loop()
+	void keepGoing("handover", loop, deps)
 	return {
 		async handOverAll() {
 			await Promise.all(deps.placedDomains().map(handOver))
--- a/packages/jobs/src/coordinate/slice-adder.ts
+++ b/packages/jobs/src/coordinate/slice-adder.ts
@@ -21,6 +21,7 @@
 import type {Claim, Member} from "../types/fleet.js"
 import {shortSession, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /** Interval between checks for a further slice. */
 const CHECK_INTERVAL_MS = 250
@@ -132,7 +133,8 @@
 		}
 	}
 
-	if (executorsPerPlacer !== undefined) void loop(executorsPerPlacer)
+	if (executorsPerPlacer !== undefined)
+		void keepGoing("slices", () => loop(executorsPerPlacer), deps)
 	return {
 		close() {
 			isClosed = true
--- a/packages/jobs/src/fleet/claims.ts
+++ b/packages/jobs/src/fleet/claims.ts
@@ -19,6 +19,7 @@
 import {trackReach, type ReachDeps} from "./reach.js"
 import {latenessAllowanceMs, PLACER_SILENT_MS, silenceLimitMs} from "./silence-limits.js"
 import {createRank} from "./rank.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 const TICK_MS = 100
 /** Each lower-ranked candidate waits longer by this: a few writes to the store. */
@@ -300,7 +301,7 @@
 		}
 	}
 
-	void loop()
+	void keepGoing("claims", loop, deps)
 	return {
 		claimNow(failureDomain, fence) {
 			if (!areLowerSlicesClaimed(view, failureDomain)) {
--- a/packages/jobs/src/fleet/configuration.ts
+++ b/packages/jobs/src/fleet/configuration.ts
@@ -88,6 +88,7 @@
 		clock,
 		store,
 		log,
+		metrics,
 		prefix: deps.operatorPrefix,
 		waitMs: WATCH_MS,
 		relistMs: RELIST_MS,
--- a/packages/jobs/src/fleet/follow.ts
+++ b/packages/jobs/src/fleet/follow.ts
@@ -8,6 +8,8 @@
  */
 import type {Clock, Store, StoreChange, StoreListing} from "@cottonwood/core"
 import type {EventLog} from "../utils/log.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /**
  * Pause after a failed listing, and between two listings while watches fail; doubled up to the
@@ -23,6 +25,7 @@
 	readonly clock: Clock
 	readonly store: Store
 	readonly log: EventLog
+	readonly metrics: Pick<JobMetrics, "count">
 	readonly prefix: string
 	/**
 	 * A pending watch is renewed after this, in milliseconds. A lost one is noticed this much later
@@ -174,7 +177,7 @@
 		}
 	}
 
-	void loop()
+	void keepGoing("follow", loop, deps)
 	return {
 		refresh() {
 			isRefreshDue = true
--- a/packages/jobs/src/fleet/registration.ts
+++ b/packages/jobs/src/fleet/registration.ts
@@ -10,6 +10,7 @@
 import {shortSession, type EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {isMember, memberKey} from "./members.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /** Survives two lost renewals; a dead instance is forgotten in seconds. */
 const LEASE_MS = 3_000
@@ -97,7 +98,7 @@
 		}
 	}
 
-	void loop()
+	void keepGoing("registration", loop, {clock, log, metrics})
 	return {
 		async end() {
 			isEnded = true
--- a/packages/jobs/src/followers.ts
+++ b/packages/jobs/src/followers.ts
@@ -51,7 +51,7 @@
 /** Follows members and claims in the store. */
 export function followFleet(
 	clock: Clock,
-	{store, log}: FollowSource,
+	{store, log, metrics}: FollowSource,
 	view: FleetView,
 	onListed: () => void,
 ): Follower {
@@ -59,6 +59,7 @@
 		clock,
 		store,
 		log,
+		metrics,
 		prefix: FLEET_PREFIX,
 		waitMs: FLEET_WATCH_MS,
 		relistMs: FLEET_RELIST_MS,
--- a/packages/jobs/src/keep/job-moves.ts
+++ b/packages/jobs/src/keep/job-moves.ts
@@ -13,6 +13,7 @@
 import {isStoreAway} from "../utils/store-silence.js"
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /** A job without a running task for this long is moved; the users allow 3 s. */
 const MAX_IDLE_MS = 700
@@ -89,7 +90,7 @@
 		else await move(job, found, deps)
 	}
 
-	void loop()
+	void keepGoing("moves", loop, deps)
 }
 
 /** Logs why a job waits, once for each cause. */
--- a/packages/jobs/src/keep/sweeper.ts
+++ b/packages/jobs/src/keep/sweeper.ts
@@ -5,6 +5,8 @@
 import {ENDED_JOBS_PREFIX, isEndRecord} from "../types/kept-job.js"
 import type {EventLog} from "../utils/log.js"
 import type {WallClock} from "../utils/wall-clock.js"
+import type {JobMetrics} from "../utils/metrics.js"
+import {keepGoing} from "../utils/keep-going.js"
 
 /** Interval between sweeps; each reads all ends. */
 const SWEEP_INTERVAL_MS = 60_000
@@ -18,6 +20,7 @@
 	readonly wall: WallClock
 	readonly store: TransactionalStore
 	readonly log: EventLog
+	readonly metrics: Pick<JobMetrics, "count">
 	/** How long an end can be queried, in milliseconds. */
 	readonly retentionMs: number
 	readonly isOnDuty: () => boolean
@@ -49,7 +52,7 @@
 		}
 	}
 
-	void loop()
+	void keepGoing("sweeper", loop, deps)
 	return {
 		close() {
 			isClosed = true
--- a/packages/jobs/src/place/executor-list.ts
+++ b/packages/jobs/src/place/executor-list.ts
@@ -142,6 +142,7 @@
 		clock,
 		store,
 		log: deps.log,
+		metrics: deps.metrics,
 		prefix,
 		waitMs: WATCH_TIMEOUT_MS,
 		relistMs: RELIST_MS,
--- /dev/null
+++ b/packages/jobs/src/utils/keep-going.ts
@@ -0,0 +1,42 @@
+/**
+ * Runs the loops that last as long as an instance. One that ended by a failure would stop silently, while the instance goes on to
+ * look alive: it would claim nothing, renew nothing or follow nothing for good.
+ */
+import type {Clock} from "@cottonwood/core"
+import type {EventLog} from "./log.js"
+import type {JobMetrics} from "./metrics.js"
+import {causeOf} from "./process-end.js"
+
+/** Bounds what a failure that comes back each time may cost. */
+const PAUSE_MS = 500
+
+export interface KeepGoingDeps {
+	readonly clock: Pick<Clock, "sleep">
+	readonly log: EventLog
+	readonly metrics: Pick<JobMetrics, "count">
+}
+
+/** What the loop does, as in the reason that counts its failures. */
+export type LoopName =
+	"claims" | "registration" | "follow" | "handover" | "slices" | "sweeper" | "moves"
+
+/**
+ * Runs a loop until it ends by itself. After a failure it is begun again, so it must keep nothing between its rounds that a failure
+ * may leave half changed.
+ */
+export async function keepGoing(
+	name: LoopName,
+	loop: () => Promise<void>,
+	{clock, log, metrics}: KeepGoingDeps,
+): Promise<void> {
+	for (;;) {
+		try {
+			return await loop()
+		} catch (error) {
+			metrics.count("broken_assumptions", `loop_${name}`)
+			const fields = {detail: name, cause: causeOf(error)}
+			log.alarm("instance", "loop_failed", "instance: begins a failed loop again.", fields)
+		}
+		await clock.sleep(PAUSE_MS)
+	}
+}
--- a/packages/jobs/test/follow.test.ts
+++ b/packages/jobs/test/follow.test.ts
@@ -1,7 +1,7 @@
 /**
  * Following a prefix of the store: which calls are made when, and that no change is lost.
  */
-import {silentLog, type Member} from "@cottonwood/jobs"
+import {createJobMetrics, silentLog, type Member} from "@cottonwood/jobs"
 import {createFleetView, followPrefix, memberKey} from "@cottonwood/jobs/internals"
 import type {Clock, Store, StoreChange, StoreListing} from "@cottonwood/core"
 import {expect} from "chai"
@@ -13,6 +13,7 @@
 		clock,
 		store,
 		log: silentLog,
+		metrics: createJobMetrics(),
 		prefix: "p/",
 		waitMs: 1_000,
 		relistMs: Infinity,
@@ -94,6 +95,7 @@
 			clock,
 			store,
 			log: silentLog,
+			metrics: createJobMetrics(),
 			prefix: "p/",
 			waitMs: 600,
 			relistMs: Infinity,
--- a/packages/jobs/test/handover.test.ts
+++ b/packages/jobs/test/handover.test.ts
@@ -1,5 +1,5 @@
 /** Handing a failure domain over to a successor. */
-import {silentLog, type Claim, type Member} from "@cottonwood/jobs"
+import {createJobMetrics, silentLog, type Claim, type Member} from "@cottonwood/jobs"
 import {
 	createFleetView,
 	createHandover,
@@ -38,6 +38,7 @@
 	const handover = createHandover({
 		clock,
 		log: silentLog,
+		metrics: createJobMetrics(),
 		view,
 		self,
 		hosts,
--- a/packages/jobs/test/sweeper.test.ts
+++ b/packages/jobs/test/sweeper.test.ts
@@ -2,7 +2,7 @@
  * Deletion of the ends of kept jobs: not before callers may have asked for them, all of them after that, and whatever else
  * stands under such a key.
  */
-import {silentLog} from "@cottonwood/jobs"
+import {createJobMetrics, silentLog} from "@cottonwood/jobs"
 import {createWallClock, endedJobKey, openJobKey, startSweeper} from "@cottonwood/jobs/internals"
 import {expect} from "chai"
 import {createFakeClock} from "./support/fake-clock.js"
@@ -26,6 +26,7 @@
 			wall,
 			store,
 			log: silentLog,
+			metrics: createJobMetrics(),
 			retentionMs: RETENTION_MS,
 			isOnDuty: () => isOnDuty,
 		})
