--- a/packages/jobs/src/fleet/peers.ts
+++ b/packages/jobs/src/fleet/peers.ts
@@ -96,7 +96,8 @@
 export type TaskReply = TaskEnd | {readonly type: "not placer"}
 
 export interface PeerHandlers {
-	beat(heartbeat: Heartbeat): Heartbeat
+	/** `heartbeat` may be anything that a peer sends; the answer is the own one. */
+	beat(heartbeat: unknown): Heartbeat
 	runJob(message: JobMessage, caller: Caller): Promise<JobReply>
 	runTask(message: TaskMessage, caller: Caller): Promise<TaskReply>
 	takeOver(message: TakeOverMessage): Promise<TakeOverReply>
@@ -113,7 +114,7 @@
 	onBadFrame: (error: Error) => void,
 ): Promise<JsonServer> {
 	const methods: Readonly<Record<string, JsonHandler>> = {
-		beat: async message => handlers.beat(message as Heartbeat),
+		beat: async message => handlers.beat(message),
 		runJob: (message, caller) => handlers.runJob(message as JobMessage, caller),
 		runTask: (message, caller) => handlers.runTask(message as TaskMessage, caller),
 		takeOver: message => handlers.takeOver(message as TakeOverMessage),
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -18,7 +18,8 @@
 import {borrowableCoresOf} from "./coordinate/borrowable-cores.js"
 import {createOverflow} from "./coordinate/overflow.js"
 import {createWholeJobMoves} from "./coordinate/whole-job-moves.js"
-import {createHeartbeats, type FleetDatagram} from "./fleet/heartbeats.js"
+import {isHeartbeat} from "./fleet/heartbeat-validation.js"
+import {createHeartbeats} from "./fleet/heartbeats.js"
 import {createClaimsLoop, type ClaimsLoop} from "./fleet/claims.js"
 import {followConfiguration, type Configuration} from "./fleet/configuration.js"
 import {createEvacuations} from "./fleet/evacuations.js"
@@ -221,6 +222,7 @@
 		rooms: hosts.rooms,
 		onHeartbeat: heartbeatHandler.applyHeartbeat,
 		onRoomUpdate: heartbeatHandler.applyRoomUpdate,
+		onInvalid: reason => logInvalid(deps, reason),
 		needsOthers: () => evacuations.isUnderWay(self.failureDomain) || isHomeQuiet(),
 		linkMbps: settings.linkMbps,
 	})
@@ -255,14 +257,15 @@
 	})
 	peerPort.serve({
 		beat(heartbeat) {
-			heartbeatHandler.applyHeartbeat(heartbeat)
+			if (isHeartbeat(heartbeat)) heartbeatHandler.applyHeartbeat(heartbeat)
+			else logInvalid(deps, "heartbeat")
 			return heartbeatHandler.own()
 		},
 		runJob: dispatcher.runJob,
 		runTask: dispatcher.runTask,
 		takeOver: handover.takeOver,
 		kept: keptJobs.front.answer,
-		receive: message => heartbeats.receive(message as FleetDatagram),
+		receive: heartbeats.receive,
 	})
 
 	if (isListed) claims.checkNow()
@@ -325,8 +328,8 @@
 	log.event("fleet", "claim_known", "fleet: a claim is in force.", fields)
 }
 
-/** Reports an invalid claim of a peer; the previous claim stays in force. */
-function logInvalid({metrics, log}: InstanceDeps, reason: InvalidReport, claim: Claim | undefined) {
+/** Reports an invalid message or claim of a peer; what was known before stays in force. */
+function logInvalid({metrics, log}: InstanceDeps, reason: InvalidReport, claim?: Claim) {
 	metrics.count("broken_assumptions", reason)
 	if (!claim) return
 	const {failureDomain, fence, placer} = claim
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -17,13 +17,14 @@
 import {
 	OPEN_JOBS_PREFIX,
 	endedJobKey,
-	isJobRecord,
+	openJobIdOf,
 	openJobKey,
 	type EndedState,
 	type JobRecord,
 	type JobState,
 	type KeptJobRequest,
 } from "../types/kept-job.js"
+import type {LogFields} from "../utils/log.js"
 import type {WallClock} from "../utils/wall-clock.js"
 import type {ClaimConfirmation} from "./claim-confirmation.js"
 import {startJobMoves, runBaseFor, type JobMovesDeps} from "./job-moves.js"
@@ -32,6 +33,8 @@
 import type {Ledger} from "./ledger.js"
 import {createOpenJobs} from "./open-jobs.js"
 import {openLedger} from "./open-ledger.js"
+import {createRecordReader} from "./record-reader.js"
+import {homeOf, isMarkedCancelled} from "./record-validation.js"
 import {isStoreAway} from "../utils/store-silence.js"
 
 /** Delay between attempts to read the store after a takeover. */
@@ -102,12 +105,26 @@
 	for (const part of parts) part?.close()
 }
 
+/** Reports a job whose end is in the store. */
+function noteEnd(
+	{log, metrics}: KeeperDeps,
+	job: KeptJob,
+	state: EndedState,
+	more: LogFields = {},
+) {
+	const {id, queue} = job.record()
+	metrics.count("jobs_ended", `kept_${state}`)
+	const fields = {job: id, queue, outcome: state, ...more}
+	log.event("job", "kept_job_ended", "job: ended; its end is in the store.", fields)
+}
+
 const jobIdOf = (task: string) => task.slice(0, task.indexOf("."))
 
 export function createKeeper(deps: KeeperDeps): Keeper {
 	const {clock, wall, store, log, metrics, claim} = deps
 	const home = claim.failureDomain
 	const jobs = createOpenJobs(clock, deps.memory)
+	const readRecord = createRecordReader(deps)
 	const createdAt = clock.now()
 	let ledger: Ledger | undefined
 	let confirmation: ClaimConfirmation | undefined
@@ -162,15 +179,18 @@
 	}
 
 	/** Adds a record from a read that began at `sentAt`, unless the job has left since then. */
-	function loadRecord({value: record, revision}: StoreItem, sentAt: number) {
-		if (!isJobRecord(record)) return
-		if (record.home !== home || isClosed || jobs.hasLeftSince(record.id, sentAt)) return
-		const known = jobs.get(record.id)
-		if (known) {
-			if (record.isCancelled) void cancel(record.id)
+	function loadRecord(item: StoreItem, sentAt: number) {
+		const id = openJobIdOf(item.key)
+		// An entry that names no home is read here too, so that somebody tells of it.
+		const isElsewhere = (homeOf(item.value) ?? home) !== home
+		if (isElsewhere || isClosed || jobs.hasLeftSince(id, sentAt)) return
+		if (jobs.has(id)) {
+			if (isMarkedCancelled(item.value)) void cancel(id)
 			return
 		}
-		ledger?.adopt(record, revision)
+		const record = readRecord(item)
+		if (!record) return
+		ledger?.adopt(record, item.revision)
 		addJob(record)
 		if (record.isCancelled) void cancel(record.id)
 		else if (isTakeoverComplete) jobs.get(record.id)?.begin()
@@ -206,9 +226,7 @@
 		const written = await ledger.finish(id, state, wall.now())
 		if (written === "deposed") return
 		jobs.remove(id)
-		metrics.count("jobs_ended", `kept_${state}`)
-		const fields = {job: id, queue: job.record().queue, outcome: state, cause, tookMs: acceptedMs}
-		log.event("job", "kept_job_ended", "job: ended; its end is in the store.", fields)
+		noteEnd(deps, job, state, {cause, tookMs: acceptedMs})
 	}
 
 	async function accept(request: KeptJobRequest): Promise<AcceptReply> {
@@ -263,9 +281,7 @@
 		if (written === "deposed") return {type: "unknown"}
 		if (jobs.get(id) !== job) return {type: "cancelled"}
 		jobs.remove(id)
-		metrics.count("jobs_ended", "kept_cancelled")
-		const fields = {job: id, queue: job.record().queue, outcome: "cancelled"}
-		log.event("job", "kept_job_ended", "job: ended; its end is in the store.", fields)
+		noteEnd(deps, job, "cancelled")
 		return {type: "cancelled"}
 	}
 
