--- a/packages/standins/src/soak/leased-soak.ts
+++ b/packages/standins/src/soak/leased-soak.ts
@@ -68,6 +68,12 @@
 /** Time limit after the last fault for instances to be ready, and for accepted jobs to end. */
 const FINISH_MS = 20_000
 
+/**
+ * A loopback address for each process, as in the rough soak, so that no other process takes a port whose instance is
+ * down. The last subnet but one, which the rough soak leaves free.
+ */
+const OWN_IP = [127, 16 + (process.pid % 200), 254, 1].join(".")
+
 const portOf = (address: string) => Number(address.split(":")[1])
 
 async function startWorld(plan: LeasedSoakPlan, random: () => number): Promise<LeasedWorld> {
@@ -91,6 +97,7 @@
 	const storeAddressOf = (name: string) => `127.0.0.1:${storeLinks.get(name)?.port}`
 	const fleet = await startEdges(platform, names, {
 		storeAddressOf,
+		ipOf: () => OWN_IP,
 		nodeArgs: ["--import", SUSPENDABLE],
 		restartsEnded: true,
 		...(plan.processFaults + plan.hopelessBursts > 0 && deployed(["--import", SUSPENDABLE])),
