--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -113,7 +113,7 @@
 	readonly placing?: Readonly<Record<string, unknown>>
 	/** The path of another build of the program. */
 	readonly program?: string
-	/** How long the first instances and those of `start` may take until they are ready, in milliseconds. */
+	/** How long instances may take until they are ready, in milliseconds. */
 	readonly readyMs?: number
 	/** Called for each process that is started. */
 	readonly onLaunch?: (edge: Edge) => void
@@ -261,7 +261,7 @@
 		relaunch,
 		async restart(edge) {
 			const next = await relaunch(edge)
-			await untilReady(next.name)
+			await untilReady(next.name, options.readyMs)
 			return next
 		},
 		async laySettings(edge, vary, halfMs) {
