--- a/packages/jobs/src/keep/record-validation.ts
+++ b/packages/jobs/src/keep/record-validation.ts
@@ -158,3 +158,6 @@
 /** Whether a stored value asks for the job's cancellation, whatever else is in it. */
 export const isMarkedCancelled = (value: unknown) =>
 	isRecord(value) && value["isCancelled"] === true
+
+/** Whether a stored value names another home; one that names none concerns every reader, so that somebody tells of it. */
+export const isOfOtherHome = (value: unknown, home: string) => (homeOf(value) ?? home) !== home
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -2,7 +2,7 @@
  * Faults of the platform soak, injected from outside the program: links that are cut, slow or reset, signals, and a
  * failing store or executors. Faults overlap.
  */
-import type {Edge, EdgeFleet} from "../leased/edges.js"
+import {endEdge, isRunning, type Edge, type EdgeFleet} from "../leased/edges.js"
 import type {HostedExecutor, LeasedPlatform} from "../leased/platform.js"
 import type {Link} from "../fleet/link.js"
 import {sleep} from "../utils/sleep.js"
@@ -68,24 +68,33 @@
 
 /** Returns the newest process of each instance that is still running. */
 export function runningEdges(fleet: EdgeFleet): readonly Edge[] {
-	return [...newestEdges(fleet).values()].filter(
-		({child}) => child.exitCode === null && !child.signalCode,
-	)
+	return [...newestEdges(fleet).values()].filter(isRunning)
 }
 
 /** Processes that are being replaced. A second fault may signal them again but starts no second replacement. */
 const replacing = new WeakSet<Edge>()
 
+/**
+ * Ends an instance with the signal. Resolves, once it has ended, to whether the caller has to start it again; otherwise
+ * another fault or the fleet does.
+ */
+export async function endForReplacement(edge: Edge, signal: "SIGKILL" | "SIGTERM") {
+	// One that ended by itself is started again by the fleet.
+	if (!isRunning(edge)) return false
+	endEdge(edge, signal)
+	if (replacing.has(edge)) return false
+	replacing.add(edge)
+	await edge.exited
+	return true
+}
+
 /** Ends an instance with the signal and restarts it once. */
 export async function replace(
 	{fleet, waitsForReadiness}: LeasedWorld,
 	edge: Edge,
 	signal: "SIGKILL" | "SIGTERM",
 ) {
-	edge.child.kill(signal)
-	if (replacing.has(edge)) return
-	replacing.add(edge)
-	await edge.exited
+	if (!(await endForReplacement(edge, signal))) return
 	await (waitsForReadiness ? fleet.restart(edge) : fleet.relaunch(edge))
 }
 
