--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -34,7 +34,7 @@
 import {createOpenJobs} from "./open-jobs.js"
 import {openLedger} from "./open-ledger.js"
 import {createRecordReader} from "./record-reader.js"
-import {homeOf, isMarkedCancelled} from "./record-validation.js"
+import {isMarkedCancelled, isOfOtherHome} from "./record-validation.js"
 import {isStoreAway} from "../utils/store-silence.js"
 
 /** Delay between attempts to read the store after a takeover. */
@@ -181,13 +181,8 @@
 	/** Adds a record from a read that began at `sentAt`, unless the job has left since then. */
 	function loadRecord(item: StoreItem, sentAt: number) {
 		const id = openJobIdOf(item.key)
-		// An entry that names no home is read here too, so that somebody tells of it.
-		const isElsewhere = (homeOf(item.value) ?? home) !== home
-		if (isElsewhere || isClosed || jobs.hasLeftSince(id, sentAt)) return
-		if (jobs.has(id)) {
-			if (isMarkedCancelled(item.value)) void cancel(id)
-			return
-		}
+		if (isOfOtherHome(item.value, home) || isClosed || jobs.hasLeftSince(id, sentAt)) return
+		if (jobs.has(id)) return isMarkedCancelled(item.value) ? void cancel(id) : undefined
 		const record = readRecord(item)
 		if (!record) return
 		ledger?.adopt(record, item.revision)
