--- a/packages/jobs/src/place/parked-tasks.ts
+++ b/packages/jobs/src/place/parked-tasks.ts
@@ -42,8 +42,8 @@
 export function createParkedTasks(links: Links, queue: TaskQueue): ParkedTasks {
 	/** By requirements, so that each is compared with the executors once. */
 	const parked = new Map<string, ParkedGroups>()
-	/** The executors with which the parked groups were compared. */
-	let compared: readonly ExecutorRecord[] = []
+	/** The executors with which all parked groups were compared; undefined when they were compared with different ones. */
+	let compared: readonly ExecutorRecord[] | undefined = []
 
 	function usableRecords(): readonly ExecutorRecord[] {
 		const records: ExecutorRecord[] = []
@@ -70,6 +70,8 @@
 			const {groups} = parked.get(key) ?? {groups: new Map<string, TaskGroup>()}
 			parked.set(key, {req, groups})
 			queue.detach(group)
+			// An executor may have been away for this group alone.
+			if (compared && !isSame(usableRecords(), compared)) compared = undefined
 			const known = groups.get(group.key)
 			if (known) mergeGroup(known, group)
 			else groups.set(group.key, group)
@@ -77,7 +79,7 @@
 		},
 		unpark() {
 			const usable = parked.size > 0 ? usableRecords() : []
-			if (isSame(usable, compared)) return
+			if (compared && isSame(usable, compared)) return
 			compared = usable
 			for (const [key, {req, groups}] of parked) {
 				if (!isRunnable(req)) continue
