--- a/packages/jobs/src/utils/process-end.ts
+++ b/packages/jobs/src/utils/process-end.ts
@@ -99,6 +99,8 @@
 		const line = lastLine(observers?.instance, reason ?? {cause: WITHOUT_CAUSE}, exitCode)
 		writeNow(Buffer.from((observers?.output.takeAll() ?? "") + line))
 	})
+	// Without this, a write after its reader has gone would be an uncaught exception.
+	process.stderr.on("error", () => undefined)
 	process.on("uncaughtException", error => fail("uncaught exception", error))
 	process.on("unhandledRejection", error => {
 		if (!observers) fail("unhandled rejection", error)
