--- a/packages/jobs/test/follow.test.ts
+++ b/packages/jobs/test/follow.test.ts
@@ -75,6 +75,22 @@
 	})
 })
 
+describe("a follower whose receiver throws", () => {
+	// Guards against an instance that stays ready and goes by what it knew then for the rest of its life.
+	it("lists again", async () => {
+		const clock = createFakeClock()
+		const {store} = createFakeStore()
+		let listings = 0
+		store.list = async () => ({items: [], revision: ++listings})
+		const follower = follow(clock, store, ({revision}) => {
+			if (revision === 1) throw new Error("test")
+		})
+		await clock.advance(1_000)
+		expect(listings).to.be.greaterThan(1)
+		follower.close()
+	})
+})
+
 describe("a follower of many keys that change all the time", () => {
 	/*
 	 * Guards against a call and a pass over the list for each of many small changes, such as lease
