--- a/packages/jobs/src/fleet/follow.ts
+++ b/packages/jobs/src/fleet/follow.ts
@@ -8,6 +8,7 @@
  */
 import type {Clock, Store, StoreChange, StoreListing} from "@cottonwood/core"
 import type {EventLog} from "../utils/log.js"
+import {causeOf} from "../utils/process-end.js"
 
 /**
  * Pause after a failed listing, and between two listings while watches fail; doubled up to the
@@ -167,9 +168,16 @@
 		if (restMs > 0) await pause(restMs)
 	}
 
+	/** What a receiver missed by throwing is in the next listing. */
+	async function recover(error: unknown) {
+		const fields = {detail: prefix, cause: causeOf(error)}
+		log.alarm("store", "prefix_failed", "store: what was read under a prefix failed here.", fields)
+		await clock.sleep(nextPauseMs())
+	}
+
 	async function loop() {
 		while (!isClosed) {
-			if (isNeeded()) await listAndFollow()
+			if (isNeeded()) await listAndFollow().catch(recover)
 			else await pause(IDLE_MS)
 		}
 	}
