--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -21,7 +21,6 @@
 import {awaitedRuns, releaseRuns} from "./runs.js"
 import {newLinkState, type LinkDeps} from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
-import {stepNameOf} from "../place/task-queue.js"
 
 export interface ExecutorLink {
 	readonly record: ExecutorRecord
@@ -120,11 +119,7 @@
 		isReplaced: () => link.isReplaced,
 		isRetired: () => link.isRetired,
 		isIdle: () => isIdle(link),
-		countOf(stepName) {
-			let count = 0
-			for (const task of link.runs.keys()) if (stepNameOf(task) === stepName) count++
-			return count
-		},
+		countOf: stepName => link.counts.all.steps.get(stepName) ?? 0,
 		start: (req, onEnd) => startRun(link, req, onEnd),
 		adopt(req, isStarted, onEnd) {
 			const run = adoptedRun(link, req, onEnd)
--- a/packages/jobs/src/link/lease.ts
+++ b/packages/jobs/src/link/lease.ts
@@ -20,7 +20,8 @@
 /** The oldest time as of which every run there, and every end that needs a lapse, is confirmed. */
 function oldestConfirmation(link: LinkState): number {
 	let oldest = hasBindingEnds(link) ? link.deps.kept.confirmedAt() : Infinity
-	for (const {req} of link.runs.values()) oldest = Math.min(oldest, req.confirmedAt())
+	for (const confirmedAt of link.counts.confirmations.keys())
+		oldest = Math.min(oldest, confirmedAt())
 	return oldest
 }
 
--- a/packages/jobs/src/link/room.ts
+++ b/packages/jobs/src/link/room.ts
@@ -2,8 +2,9 @@
  * Free capacity of one executor, and which tasks may share it.
  */
 import type {ExecutorRecord} from "../types/executor.js"
-import type {Run, TaskRequest} from "../place/run.js"
+import type {TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
+import type {RunCounts, Tally} from "./run-counts.js"
 
 /** How long a lasting task that may crash its executor keeps others away: it would have done so by then. */
 const ISOLATION_MS = 3_000
@@ -11,7 +12,7 @@
 /** The part of a link's state that determines its free capacity. */
 export interface LinkRoom {
 	readonly record: ExecutorRecord
-	readonly runs: ReadonlyMap<string, Run>
+	readonly counts: RunCounts
 	readonly used: {cpu: number; memoryMb: number; accelerators: number}
 }
 
@@ -29,10 +30,12 @@
 }
 
 /** Whether a run there must have the executor to itself, since it may crash it; a lasting one only while it is young. */
-function hasIsolatedRun({runs}: LinkRoom, now: () => number): boolean {
-	for (const {req, startedAt} of runs.values())
-		if (req.isolation === "required" && !(req.isLasting && now() - startedAt >= ISOLATION_MS))
-			return true
+function hasIsolatedRun({counts: {alone, youngAlone}}: LinkRoom, now: () => number): boolean {
+	if (alone > 0) return true
+	for (const run of youngAlone) {
+		if (now() - run.startedAt < ISOLATION_MS) return true
+		youngAlone.delete(run)
+	}
 	return false
 }
 
@@ -40,33 +43,25 @@
  * Whether a task that should run alone would share the executor, or another would share it with
  * such a task.
  */
-export function isShared({runs}: LinkRoom, {isolation}: TaskRequest): boolean {
-	if (isolation) return runs.size > 0
-	for (const {req} of runs.values()) if (req.isolation) return true
-	return false
+export function isShared({counts}: LinkRoom, {isolation}: TaskRequest): boolean {
+	return (isolation ? counts.all.runs : counts.isolated) > 0
 }
 
 /**
  * Whether the task may share the executor with the runs there. Filling tasks disturb serving ones
  * to an unknown degree, so the two never share an executor.
  */
-export function isCompatible(
-	link: LinkRoom,
-	{isFilling, isServing, isolation}: TaskRequest,
-	now: () => number,
-): boolean {
-	const {runs} = link
-	if (hasIsolatedRun(link, now) || (isolation === "required" && runs.size > 0)) return false
-	if (!isFilling && !isServing) return true
-	for (const {req} of runs.values()) if (isDisturbing(req, {isFilling, isServing})) return false
-	return true
+export function isCompatible(link: LinkRoom, req: TaskRequest, now: () => number): boolean {
+	const {all} = link.counts
+	if (hasIsolatedRun(link, now) || (req.isolation === "required" && all.runs > 0)) return false
+	return !isDisturbing(all, req)
 }
 
 type Sharing = Pick<TaskRequest, "isFilling" | "isServing">
 
-/** Whether one of the tasks fills beside the other, which serves. */
-const isDisturbing = (a: Sharing, b: Sharing) =>
-	(a.isFilling && b.isServing) || (a.isServing && b.isFilling)
+/** Whether one of the runs fills beside the task, which serves, or the other way round. */
+const isDisturbing = ({filling, serving}: Tally, {isFilling, isServing}: Sharing) =>
+	(isServing === true && filling > 0) || (isFilling === true && serving > 0)
 
 /** Which tasks an executor could hold, by size and by tasks of their step. */
 export type TaskShape = Pick<TaskRequest, "task" | "need" | "maxPerExecutor">
@@ -76,36 +71,25 @@
  */
 export function countFittingBesideLasting(link: LinkRoom, req: TaskShape): number {
 	const {capacity} = link.record
-	const lasting = lastingRunsOf(link)
-	const free = {...capacity}
-	for (const {need} of lasting) {
-		free.cpu -= need.cpu
-		free.memoryMb -= need.memoryMb
-		free.accelerators -= need.accelerators
-	}
+	const {lasting} = link.counts
 	const {need, maxPerExecutor = Infinity} = req
 	const fitting = Math.min(
-		countIn(free.cpu, need.cpu),
-		countIn(free.memoryMb, need.memoryMb),
-		countIn(free.accelerators, need.accelerators),
+		countIn(capacity.cpu - lasting.need.cpu, need.cpu),
+		countIn(capacity.memoryMb - lasting.need.memoryMb, need.memoryMb),
+		countIn(capacity.accelerators - lasting.need.accelerators, need.accelerators),
 	)
-	const step = stepNameOf(req.task)
-	const siblings = lasting.filter(({task}) => stepNameOf(task) === step).length
+	const siblings = lasting.steps.get(stepNameOf(req.task)) ?? 0
 	return Math.max(0, Math.min(fitting, maxPerExecutor - siblings))
 }
 
 const countIn = (free: number, need: number) => (need === 0 ? Infinity : Math.floor(free / need))
 
-function lastingRunsOf({runs}: LinkRoom): readonly TaskRequest[] {
-	return [...runs.values()].map(({req}) => req).filter(({isLasting}) => isLasting)
-}
-
 /** Whether lasting runs there leave a task no room or must not share the executor with it. */
 export function isKeptOffByLasting(link: LinkRoom, req: TaskRequest): boolean {
-	const lasting = lastingRunsOf(link)
-	if (lasting.length === 0) return false
+	const {lasting} = link.counts
+	if (lasting.runs === 0) return false
 	if (countFittingBesideLasting(link, req) === 0 || req.isolation === "required") return true
-	return lasting.some(other => isDisturbing(other, req))
+	return isDisturbing(lasting, req)
 }
 
 /** Reserves a task's capacity (1) or frees it (-1). */
--- a/packages/jobs/src/link/runs.ts
+++ b/packages/jobs/src/link/runs.ts
@@ -5,6 +5,7 @@
 import type {EndRecorded, Run, TaskEnd} from "../place/run.js"
 import type {RunProof} from "../utils/log.js"
 import {occupy} from "./room.js"
+import {countRun} from "./run-counts.js"
 import type {LinkState} from "./state.js"
 
 /** Identifies a run of a task. */
@@ -14,34 +15,42 @@
 	return link.runs.get(run.req.task) === run
 }
 
-function countRun({deps: {runCounts}}: LinkState, {req: {task}}: Run, by: 1 | -1) {
+/** Counts the runs of a task over all links of the placer. */
+function countByTask({deps: {runCounts}}: LinkState, {req: {task}}: Run, by: 1 | -1) {
 	const count = (runCounts.get(task) ?? 0) + by
 	if (count > 0) runCounts.set(task, count)
 	else runCounts.delete(task)
 }
 
 export function addRun(link: LinkState, run: Run) {
-	if (!link.runs.has(run.req.task)) countRun(link, run, 1)
-	link.runs.set(run.req.task, run)
+	const {task} = run.req
+	const previous = link.runs.get(task)
+	if (previous) countRun(link.counts, previous, -1)
+	else countByTask(link, run, 1)
+	link.runs.set(task, run)
+	countRun(link.counts, run, 1)
 	occupy(link, run.req, 1)
 }
 
+function vacate(link: LinkState, run: Run) {
+	link.runs.delete(run.req.task)
+	countRun(link.counts, run, -1)
+	occupy(link, run.req, -1)
+}
+
 /** Removes a run and frees its capacity; false when it has been removed before. */
 function removeRun(link: LinkState, run: Run): boolean {
 	const {task} = run.req
-	if (isCurrent(link, run)) {
-		link.runs.delete(task)
-		occupy(link, run.req, -1)
-	} else if (link.unlistedRuns.get(task) === run) link.unlistedRuns.delete(task)
+	if (isCurrent(link, run)) vacate(link, run)
+	else if (link.unlistedRuns.get(task) === run) link.unlistedRuns.delete(task)
 	else return false
-	countRun(link, run, -1)
+	countByTask(link, run, -1)
 	return true
 }
 
 /** Frees the capacity of a run that is gone; its end is still awaited. */
 export function awaitUnlistedEnd(link: LinkState, run: Run) {
-	link.runs.delete(run.req.task)
-	occupy(link, run.req, -1)
+	vacate(link, run)
 	link.unlistedRuns.set(run.req.task, run)
 	link.deps.onRoomFreed()
 }
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -9,6 +9,7 @@
 import {createExecutorClock, type ExecutorClock} from "./executor-clock.js"
 import type {LeaseRule} from "../decide/lease-rule.js"
 import type {Run, TaskEnd, EndRecorded} from "../place/run.js"
+import {newRunCounts, type RunCounts} from "./run-counts.js"
 import type {LossDetector} from "./loss-detector.js"
 import type {Tickets} from "../place/tickets.js"
 
@@ -66,6 +67,8 @@
 	record: ExecutorRecord
 	readonly executorClock: ExecutorClock
 	readonly runs: Map<string, Run>
+	/** What these runs amount to. */
+	readonly counts: RunCounts
 	/**
 	 * Runs that are gone and use no capacity, by task, whose ends the executor may still have to
 	 * list.
@@ -125,6 +128,7 @@
 		record,
 		executorClock,
 		runs: new Map(),
+		counts: newRunCounts(),
 		unlistedRuns: new Map(),
 		orphans: new Set(),
 		settledUnanswered: [],
