--- a/packages/jobs/src/place/placer-state.ts
+++ b/packages/jobs/src/place/placer-state.ts
@@ -11,6 +11,7 @@
 import type {LossDetector} from "../link/loss-detector.js"
 import type {Speeds} from "./executor-speeds.js"
 import type {StallDetector} from "./stall-detector.js"
+import type {PassTurns} from "./pass-turns.js"
 import type {ParkedTasks} from "./parked-tasks.js"
 import type {Run, StopCause} from "./run.js"
 import type {TaskQueue, WaitingTask} from "./task-queue.js"
@@ -72,8 +73,11 @@
 	readonly started: Map<Run, WaitingTask>
 	/** Receives all tasks once the placer has transferred everything to its successor. */
 	successor: ((item: WaitingTask, from?: RunLocation) => void) | undefined
+	/** The turns of the scheduling pass. */
+	readonly turns: PassTurns
+	/** Whether a turn is scheduled. */
 	isPassDue: boolean
-	/** When the last scheduling pass was made, in milliseconds on the monotonic clock. */
+	/** When the last turn of a scheduling pass was made, in milliseconds on the monotonic clock. */
 	passedAt: number
 	/** Whether a waiting task lacks a recent confirmation, so that a later pass may be able to start it. */
 	awaitsConfirmation: boolean
--- a/packages/jobs/src/place/placer.ts
+++ b/packages/jobs/src/place/placer.ts
@@ -21,6 +21,7 @@
 	usableLinks,
 	waitBeforeMs,
 } from "../decide/room.js"
+import {createPassTurns} from "./pass-turns.js"
 import {createParkedTasks} from "./parked-tasks.js"
 import type {OnTaskEnd, TaskHandle, TaskRequest} from "./run.js"
 import {adopt, handOverAll, handOverExecutors, relinquish, hasTakenOver} from "./succession.js"
@@ -121,6 +122,7 @@
 		runCounts: new Map(),
 		started: new Map(),
 		successor: undefined,
+		turns: createPassTurns(deps.clock),
 		isPassDue: false,
 		passedAt: -Infinity,
 		awaitsConfirmation: false,
--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -1,4 +1,11 @@
-/** A scheduling pass of a placer: goes through the queue in order, and starts or hands over each task that finds room. */
+/**
+ * A scheduling pass of a placer: goes through the queue in order, and starts or hands over each task that finds room.
+ *
+ * A long pass takes several turns of the event loop. Between two of them a job may be seen with a part of a step's tasks started,
+ * but never with a part of a gang; tasks may be submitted, cancelled or end, and executors come or go. Each turn reads the queue
+ * and the executors anew and keeps neither: more urgent work that came meanwhile goes first, cancelled tasks are gone, and nothing
+ * is chosen that has fallen silent or filled up. A stall between two turns is treated like one before the pass.
+ */
 import {shortSession} from "../utils/log.js"
 import type {ExecutorLink} from "../link/executor-link.js"
 import {chooseGang, wouldFitIdle} from "./gang.js"
@@ -18,36 +25,50 @@
 
 /** Schedules a pass, once for all events in a turn of the event loop. */
 export function schedulePass(state: PlacerState) {
+	state.turns.noteChange()
+	scheduleTurn(state)
+}
+
+function scheduleTurn(state: PlacerState) {
 	if (state.isPassDue) return
 	state.isPassDue = true
-	setImmediate(() => runPass(state))
+	setImmediate(() => runTurn(state))
 }
 
-function runPass(state: PlacerState) {
+function runTurn(state: PlacerState) {
 	if (state.stallDetector.hasStalled())
 		state.deps.clock.schedule(SOCKET_READ_MS, () => placeAll(state))
 	else placeAll(state)
 }
 
 function placeAll(state: PlacerState) {
+	const {turns} = state
 	state.isPassDue = false
 	state.passedAt = state.deps.clock.now()
 	if (state.isClosed) return
-	state.awaitsConfirmation = false
 	state.parked.unpark()
-	if (state.queue.size() > 0) placeInOrder(state)
+	turns.begin()
+	if (turns.isFirst()) state.awaitsConfirmation = false
+	const isDone = placeInOrder(state)
+	if (!isDone || turns.endPass()) scheduleTurn(state)
 	state.deps.onRoomChange()
 }
 
-function placeInOrder(state: PlacerState) {
-	const groups = state.queue.inOrder(state.deps.clock.now())
+/** Places what one turn allows; returns whether the pass is done. */
+function placeInOrder(state: PlacerState): boolean {
+	const {turns, queue, parked} = state
+	if (queue.size() === 0) return true
 	const freest = createFreestExecutor(state.links)
-	let tried = 0
-	for (const group of groups) {
-		if (state.parked.park(group)) continue
-		if (tried++ === MAX_GROUPS_PER_PASS) break
-		if (placeGroup(state, group, freest) === "hold back") break
+	for (const group of queue.inOrder(state.deps.clock.now())) {
+		if (turns.wasTried(group) || parked.park(group)) continue
+		if (turns.isOver()) return false
+		if (turns.triedCount() === MAX_GROUPS_PER_PASS) return true
+		const outcome = placeGroup(state, group, freest)
+		if (outcome === "hold back") return true
+		if (outcome === "turn over") return false
+		turns.noteTried(group)
 	}
+	return true
 }
 
 /** The executors that may run a group's step; asks for missing tickets. */
@@ -69,13 +90,16 @@
 		.map(link => link.record.id)
 }
 
-/** Starts as many tasks of a group as possible; returns "hold back" to reserve the remaining room for the group. */
+/**
+ * Starts as many tasks of a group as possible; returns "hold back" to reserve the remaining room for the group, and "turn over" if
+ * the rest of the group must wait for the next turn.
+ */
 function placeGroup(
 	state: PlacerState,
 	group: TaskGroup,
 	freest: FreestExecutor,
-): "hold back" | undefined {
-	const {queue, assessment, deps} = state
+): "hold back" | "turn over" | undefined {
+	const {queue, assessment, deps, turns} = state
 	const links = allowedLinks(state, group)
 	if (group.waiting[0]?.req.gang) {
 		freest.noteStart()
@@ -84,6 +108,7 @@
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
+		if (turns.isOver()) return "turn over"
 		// A retried task must not run while its previous run is being stopped.
 		if (hasRunOf(state, next.req.task)) return
 		const mayFit = next.req.need.cpu <= freest.cpu()
@@ -97,6 +122,7 @@
 			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
 			if (staysHere || !deps.handOver(next)) return
 			queue.take(group)
+			turns.noteStart()
 		}
 	}
 }
@@ -177,6 +203,7 @@
 		waitedMs: Math.round(waitedMs),
 		waitingTasks: state.queue.size(),
 	}))
+	state.turns.noteStart()
 	state.assessment.health.beginProbe(executor)
 	const run = link.start(item.req, end => {
 		state.started.delete(run)
