--- a/packages/jobs/src/place/scheduling-pass.ts
+++ b/packages/jobs/src/place/scheduling-pass.ts
@@ -1,7 +1,15 @@
-/** A scheduling pass of a placer: goes through the queue in order, and starts or hands over each task that finds room. */
+/**
+ * A scheduling pass of a placer: goes through the queue in order, and starts or hands over each task that finds room.
+ *
+ * A long pass takes several turns of the event loop. Between two of them a job may be seen with a part of a step's tasks started,
+ * but never with a part of a gang; tasks may be submitted, cancelled or end, and executors come or go. Each turn reads the queue
+ * and the executors anew and keeps neither: more urgent work that came meanwhile goes first, cancelled tasks are gone, and nothing
+ * is chosen that has fallen silent or filled up. A stall between two turns is treated like one before the pass.
+ */
 import {shortSession} from "../utils/log.js"
 import type {ExecutorLink} from "../link/executor-link.js"
 import {chooseGang, wouldFitIdle} from "./gang.js"
+import type {PassTurns} from "./pass-turns.js"
 import type {Links, PlacerState} from "./placer-state.js"
 import type {TaskRequest} from "./run.js"
 import {chooseExecutor} from "../decide/selection.js"
@@ -20,31 +28,66 @@
 
 /** Schedules a pass, once for all events in a turn of the event loop. */
 export function schedulePass(state: PlacerState) {
+	state.turns.noteChange()
+	scheduleTurn(state)
+}
+
+function scheduleTurn(state: PlacerState) {
 	if (state.isPassDue) return
 	state.isPassDue = true
-	setImmediate(() => runPass(state))
+	setImmediate(() => runTurn(state))
 }
 
-function runPass(state: PlacerState) {
+function runTurn(state: PlacerState) {
 	if (state.stallDetector.hasStalled())
 		state.deps.clock.schedule(SOCKET_READ_MS, () => placeAll(state))
 	else placeAll(state)
 }
 
 function placeAll(state: PlacerState) {
+	const {turns} = state
 	state.isPassDue = false
 	state.passedAt = state.deps.clock.now()
 	if (state.isClosed) return
-	state.awaitsConfirmation = false
 	state.parked.unpark()
-	if (state.queue.size() > 0) placeAndSweep(state)
+	turns.begin()
+	if (turns.isFirst()) state.awaitsConfirmation = false
+	const behind = state.queue.size() > 0 ? placeInOrder(state) : []
+	if (!behind || turns.endPass()) scheduleTurn(state)
+	if (behind) sweepIfDue(state, behind)
 	state.deps.onRoomChange()
 }
 
-function placeAndSweep(state: PlacerState) {
-	const now = state.deps.clock.now()
-	const rest = placeInOrder(state, state.queue.inOrder(now))
-	if (rest.length > 0 && now - state.sweptAt >= SWEEP_INTERVAL_MS) sweep(state, rest)
+const isKeptGroup = ({waiting}: TaskGroup) => waiting[0]?.req.isKept === true
+
+/**
+ * Tries the first groups of callers' tasks and of kept tasks, as many as one turn allows. Returns the kept groups behind them;
+ * undefined when the pass goes on in the next turn.
+ */
+function placeInOrder(state: PlacerState): readonly TaskGroup[] | undefined {
+	const {turns, parked} = state
+	const freest = createFreestExecutor(state.links)
+	const behind: TaskGroup[] = []
+	for (const group of state.queue.inOrder(state.deps.clock.now())) {
+		if (turns.wasTried(group)) continue
+		const isKept = isKeptGroup(group)
+		if (turns.triedCount(isKept) === MAX_GROUPS_PER_PASS) {
+			if (isKept) behind.push(group)
+			continue
+		}
+		if (parked.park(group)) continue
+		if (turns.isOver()) return undefined
+		const outcome = placeGroup(state, turns, group, freest)
+		if (outcome === "hold back") return []
+		if (outcome === "turn over") return undefined
+		turns.noteTried(group, isKept)
+	}
+	return behind
+}
+
+function sweepIfDue(state: PlacerState, groups: readonly TaskGroup[]) {
+	const sinceMs = state.deps.clock.now() - state.sweptAt
+	if (groups.length > 0 && sinceMs >= SWEEP_INTERVAL_MS) sweep(state, groups)
 }
 
 /**
@@ -56,29 +99,27 @@
 	setImmediate(() => {
 		const waiting = groups.filter(group => state.queue.has(group))
 		const mayPlace = !state.isClosed && !state.stallDetector.hasStalled()
-		const rest = mayPlace ? placeInOrder(state, waiting) : []
+		const rest = mayPlace ? placeSwept(state, waiting) : []
 		if (rest.length > 0) sweep(state, rest)
 		else state.sweptAt = state.deps.clock.now()
 	})
 }
 
-/** Tries the first groups of callers' tasks and of kept tasks; returns the kept groups that were not tried. */
-function placeInOrder(state: PlacerState, groups: readonly TaskGroup[]): readonly TaskGroup[] {
+/** Tries as many groups as one turn of a sweep allows; returns those for the next turn. */
+function placeSwept(state: PlacerState, groups: readonly TaskGroup[]): readonly TaskGroup[] {
+	const {sweepTurns: turns, parked} = state
 	const freest = createFreestExecutor(state.links)
-	const rest: TaskGroup[] = []
-	let triedKept = 0
-	let triedOthers = 0
-	for (const group of groups) {
-		const isKept = group.waiting[0]?.req.isKept === true
-		if (isKept && triedKept === MAX_GROUPS_PER_PASS) rest.push(group)
-		else if (!isKept && triedOthers === MAX_GROUPS_PER_PASS) continue
-		else if (!state.parked.park(group)) {
-			if (isKept) triedKept++
-			else triedOthers++
-			if (placeGroup(state, group, freest) === "hold back") return []
-		}
+	turns.endPass()
+	turns.begin()
+	for (const [at, group] of groups.entries()) {
+		if (turns.isOver() || turns.triedCount(true) === MAX_GROUPS_PER_PASS) return groups.slice(at)
+		if (parked.park(group)) continue
+		const outcome = placeGroup(state, turns, group, freest)
+		if (outcome === "hold back") return []
+		if (outcome === "turn over") return groups.slice(at)
+		turns.noteTried(group, true)
 	}
-	return rest
+	return []
 }
 
 /** The executors that may run a group's step; asks for missing tickets. */
@@ -100,34 +141,43 @@
 		.map(link => link.record.id)
 }
 
-/** Starts as many tasks of a group as possible; returns "hold back" to reserve the remaining room for the group. */
+/** Why a group is left with tasks that may have found room; undefined when all that can be done now is done. */
+type PlaceOutcome = "hold back" | "turn over" | undefined
+
+/**
+ * Starts as many tasks of a group as possible; returns "hold back" to reserve the remaining room for the group, and "turn over" if
+ * the rest of the group must wait for the next turn.
+ */
 function placeGroup(
 	state: PlacerState,
+	turns: PassTurns,
 	group: TaskGroup,
 	freest: FreestExecutor,
-): "hold back" | undefined {
+): PlaceOutcome {
 	const {queue, assessment, deps} = state
 	const links = allowedLinks(state, group)
 	if (group.waiting[0]?.req.gang) {
 		freest.noteStart()
-		return placeGangs(state, group, links)
+		return placeGangs(state, turns, group, links)
 	}
 	for (;;) {
 		const next = group.waiting[0]
 		if (!next) return
+		if (turns.isOver()) return "turn over"
 		// A retried task must not run while its previous run is being stopped.
 		if (hasRunOf(state, next.req.task)) return
 		const mayFit = next.req.need.cpu <= freest.cpu()
 		const link = mayFit && chooseExecutor(links, next.req, assessment.health, assessment.speeds)
 		if (link) {
 			queue.take(group)
-			startOn(state, link, next)
+			startOn(state, turns, link, next)
 			freest.noteStart()
 		} else {
 			state.awaitsConfirmation ||= lacksConfirmation(state, next.req)
 			const staysHere = next.req.isForeign || next.req.isKept || next.req.advice
 			if (staysHere || !deps.handOver(next)) return
 			queue.take(group)
+			turns.noteStart()
 		}
 	}
 }
@@ -168,9 +218,15 @@
 }
 
 /** Starts as many gangs of a group as there is room for. */
-function placeGangs(state: PlacerState, group: TaskGroup, links: Links): "hold back" | undefined {
+function placeGangs(
+	state: PlacerState,
+	turns: PassTurns,
+	group: TaskGroup,
+	links: Links,
+): PlaceOutcome {
 	for (;;) {
-		const placed = placeGang(state, group, links)
+		if (turns.isOver()) return "turn over"
+		const placed = placeGang(state, turns, group, links)
 		if (placed !== "placed") return placed
 	}
 }
@@ -178,6 +234,7 @@
 /** Starts a gang if there is room for all its members. */
 function placeGang(
 	state: PlacerState,
+	turns: PassTurns,
 	group: TaskGroup,
 	links: Links,
 ): "placed" | "hold back" | undefined {
@@ -194,7 +251,7 @@
 	const taken = places.map(() => queue.take(group))
 	places.forEach((link, at) => {
 		const item = taken[at]
-		if (item) startOn(state, link, item)
+		if (item) startOn(state, turns, link, item)
 	})
 	return "placed"
 }
@@ -205,7 +262,7 @@
 	return Array.from({length: size}, () => waiting[0] as WaitingTask)
 }
 
-function startOn(state: PlacerState, link: ExecutorLink, item: WaitingTask) {
+function startOn(state: PlacerState, turns: PassTurns, link: ExecutorLink, item: WaitingTask) {
 	const {clock, metrics, log, fence} = state.deps
 	const {job, task, run: number, need, estimateMs} = item.req
 	const waitedMs = clock.now() - item.since
@@ -227,6 +284,7 @@
 		waitedMs: Math.round(waitedMs),
 		waitingTasks: state.queue.size(),
 	}))
+	turns.noteStart()
 	state.assessment.health.beginProbe(executor)
 	const run = link.start(item.req, end => {
 		state.started.delete(run)
