--- a/packages/jobs/src/keep/claim-confirmation.ts
+++ b/packages/jobs/src/keep/claim-confirmation.ts
@@ -9,6 +9,7 @@
 import type {Clock, Store} from "@cottonwood/core"
 import type {EventLog} from "../utils/log.js"
 import type {ClaimRevision} from "./ledger.js"
+import {endOnFailure} from "../utils/keep-going.js"
 
 /** Age at which a confirmation is renewed; writes of records renew it too. */
 const RENEW_MS = 500
@@ -79,7 +80,7 @@
 	function renew() {
 		if (clock.now() - confirmedAt < RENEW_MS) return
 		noteOverdue()
-		void read()
+		endOnFailure(read())
 	}
 
 	async function loop() {
@@ -89,7 +90,7 @@
 		}
 	}
 
-	void loop()
+	endOnFailure(loop())
 	return {
 		note,
 		renew,
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -36,6 +36,7 @@
 import {createRecordReader} from "./record-reader.js"
 import {isMarkedCancelled, isOfOtherHome} from "./record-validation.js"
 import {isStoreAway} from "../utils/store-silence.js"
+import {endOnFailure} from "../utils/keep-going.js"
 
 /** Delay between attempts to read the store after a takeover. */
 const RESTORE_RETRY_MS = 150
@@ -152,7 +153,7 @@
 		while (!isClosed && !placer?.hasTakenOver()) await clock.sleep(TAKEOVER_POLL_MS)
 		isTakeoverComplete = true
 		for (const job of jobs.all()) job.begin()
-		void relistLoop()
+		endOnFailure(relistLoop())
 		if (ledger && placer) startJobMoves({...deps, jobs, ledger, placer, isClosed: () => isClosed})
 	}
 
@@ -283,7 +284,7 @@
 	return {
 		begin(own) {
 			placer = own
-			void begin()
+			endOnFailure(begin())
 		},
 		accept,
 		cancel,
--- a/packages/jobs/src/keep/ledger.ts
+++ b/packages/jobs/src/keep/ledger.ts
@@ -20,6 +20,7 @@
 import type {EventLog} from "../utils/log.js"
 import type {JobMetrics} from "../utils/metrics.js"
 import {isJobRecord} from "./record-validation.js"
+import {endOnFailure} from "../utils/keep-going.js"
 
 /** Maximum number of conditions, puts and removes in one transaction of the store. */
 const MAX_ENTRIES = 32
@@ -155,7 +156,7 @@
 		if (due.length === 0) return
 		nextAt = clock.now() + Math.max(retryDelayMs, deps.spacingMs())
 		const batch = firstBatch(due)
-		void send(batch)
+		endOnFailure(send(batch))
 		if (due.length > batch.length) scheduleFlush()
 	}
 
--- a/packages/jobs/src/link/executor-link.ts
+++ b/packages/jobs/src/link/executor-link.ts
@@ -21,6 +21,7 @@
 import {awaitedRuns, releaseRuns} from "./runs.js"
 import {newLinkState, type LinkDeps} from "./state.js"
 import type {OnTaskEnd, Run, StopCause, TaskRequest} from "../place/run.js"
+import {endOnFailure} from "../utils/keep-going.js"
 
 export interface ExecutorLink {
 	readonly record: ExecutorRecord
@@ -89,7 +90,7 @@
 
 export function createExecutorLink(record: ExecutorRecord, deps: LinkDeps): ExecutorLink {
 	const link = newLinkState(record, deps)
-	void holdLoop(link)
+	endOnFailure(holdLoop(link))
 	return {
 		get record() {
 			return link.record
--- a/packages/jobs/src/utils/keep-going.ts
+++ b/packages/jobs/src/utils/keep-going.ts
@@ -1,5 +1,5 @@
 /**
- * Runs the loops that last as long as an instance. One that ended by a failure would stop silently, while the instance goes on to
+ * Runs the parts that last as long as an instance or a placer. One that ended by a failure would stop silently, while the instance goes on to
  * look alive: it would claim nothing, renew nothing or follow nothing for good.
  */
 import type {Clock} from "@cottonwood/core"
@@ -40,3 +40,15 @@
 		await clock.sleep(PAUSE_MS)
 	}
 }
+
+/**
+ * Ends the process when a part fails that may leave its state half changed, so that it cannot be begun again: the failure is thrown
+ * outside of any promise, where nobody catches it. Others take over from a process that ended, not from one that is half alive.
+ */
+export function endOnFailure(part: Promise<void>) {
+	part.catch((error: unknown) =>
+		setImmediate(() => {
+			throw error
+		}),
+	)
+}
--- a/packages/jobs/src/utils/process-end.ts
+++ b/packages/jobs/src/utils/process-end.ts
@@ -74,9 +74,8 @@
  *
  * An exception that nobody catches ends it, since it was thrown somewhere in the middle of a change to what all jobs share. A
  * rejection that nobody handles is logged and counted, and the process goes on: it ends one asynchronous function, such as that of
- * one job, and an end would break the jobs of all callers; a job that causes it would end one instance after another. Should a loop
- * of the instance end by it, what it kept up in the store lapses, and other instances take over: they rely on leases and fences,
- * never on this process's good state.
+ * one job, and an end would break the jobs of all callers; a job that causes it would end one instance after another. The loops
+ * of the instance begin again after a failure, or end the process with it.
  */
 export function reportEnd(): ProcessEnd {
 	let observers: ProcessObservers | undefined
