--- a/packages/core/src/utils/clock.ts
+++ b/packages/core/src/utils/clock.ts
@@ -3,7 +3,7 @@
  */
 import {createSuspensionCount, type SuspensionCount} from "./suspension-count.js"
 
-/** What a timer of the runtime can hold, 24.8 days; it fires at once for a longer time. */
+/** The longest time of a timer of the runtime, 24.8 days; a timer for a longer one fires at once. */
 export const MAX_TIMER_MS = 2_147_483_647
 
 export interface Clock {
--- a/packages/jobs/src/fleet/peer-port.ts
+++ b/packages/jobs/src/fleet/peer-port.ts
@@ -9,7 +9,7 @@
 /** The first and the last port that may be used; zeros leave the choice to the system. */
 export type PortRange = readonly [first: number, last: number]
 
-/** What the instance does with what its peers send. */
+/** The instance's handlers for calls and datagrams of peers. */
 export interface PeerReceiver extends PeerHandlers {
 	receive(datagram: unknown): void
 }
--- a/packages/jobs/src/instance.ts
+++ b/packages/jobs/src/instance.ts
@@ -68,7 +68,7 @@
 	readonly storeWritesPerSecond: number
 	/** How long the state of an ended job can be queried, in milliseconds. */
 	readonly endedStateMs: number
-	/** What the open kept jobs of this process may take, in bytes by an estimate; by default they are not bounded. */
+	/** Memory for the open kept jobs of this process, in bytes by an estimate; unbounded by default. */
 	readonly maxKeptBytes?: number
 	readonly placing: PlacingSettings
 }
--- a/packages/jobs/src/keep/keeper.ts
+++ b/packages/jobs/src/keep/keeper.ts
@@ -74,7 +74,7 @@
 	/** Whether any configuration is known. */
 	readonly isConfigured: () => boolean
 	readonly onDeposed: () => void
-	/** What open jobs may take; without it nothing is refused for memory. */
+	/** The memory for open jobs; without it nothing is refused for memory. */
 	readonly memory?: KeptMemory
 }
 
--- a/packages/jobs/src/keep/kept-job-service.ts
+++ b/packages/jobs/src/keep/kept-job-service.ts
@@ -44,7 +44,7 @@
 	readonly storeWritesPerSecond: number
 	/** How long the state of an ended job can be queried, in milliseconds. */
 	readonly endedStateMs: number
-	/** What the open jobs of this process may take, in bytes by an estimate; by default they are not bounded. */
+	/** Memory for the open jobs of this process, in bytes by an estimate; unbounded by default. */
 	readonly maxKeptBytes?: number
 	readonly failureDomains: readonly string[]
 	readonly candidates: () => readonly Claim[]
@@ -59,7 +59,7 @@
 	/** Whether the store has open jobs of this home; false without an answer. */
 	hasOpenJobs(home: string): Promise<boolean>
 	createKeeper(claim: Claim, onDeposed: () => void): Keeper
-	/** What the open jobs of this process take, in bytes by an estimate. */
+	/** Memory that the open jobs of this process take, in bytes by an estimate. */
 	keptBytes(): number
 	close(): void
 }
--- a/packages/jobs/src/link/run-counts.ts
+++ b/packages/jobs/src/link/run-counts.ts
@@ -1,5 +1,5 @@
 /**
- * What the runs on one executor amount to, counted as they come and go, so that choosing an executor looks at none of them.
+ * Counts of the runs on one executor, kept as they come and go, so that choosing an executor looks at none of them.
  */
 import type {Run, TaskRequest} from "../place/run.js"
 import {stepNameOf} from "../place/task-queue.js"
@@ -16,7 +16,7 @@
 	serving: number
 	/** By the name of their step. */
 	readonly steps: Map<string, number>
-	/** What they use. */
+	/** The sum of their needs. */
 	readonly need: {-readonly [resource in keyof TaskNeed]: TaskNeed[resource]}
 }
 
--- a/packages/jobs/src/link/state.ts
+++ b/packages/jobs/src/link/state.ts
@@ -67,7 +67,7 @@
 	record: ExecutorRecord
 	readonly executorClock: ExecutorClock
 	readonly runs: Map<string, Run>
-	/** What these runs amount to. */
+	/** Counts of these runs. */
 	readonly counts: RunCounts
 	/**
 	 * Runs that are gone and use no capacity, by task, whose ends the executor may still have to
--- a/packages/jobs/src/utils/keep-going.ts
+++ b/packages/jobs/src/utils/keep-going.ts
@@ -16,7 +16,7 @@
 	readonly metrics: Pick<JobMetrics, "count">
 }
 
-/** What the loop does, as in the reason that counts its failures. */
+/** The name of a loop in the reason that counts its failures. */
 export type LoopName =
 	"claims" | "registration" | "follow" | "handover" | "slices" | "sweeper" | "moves"
 
--- a/packages/jobs/src/utils/process-end.ts
+++ b/packages/jobs/src/utils/process-end.ts
@@ -24,7 +24,7 @@
 const KB_PER_MB = 1_024
 const WITHOUT_CAUSE = "nothing was left to do, or a library ended it"
 
-/** What a process tells of itself, once it has a name. */
+/** The log and the metrics of a process, once it has a name. */
 export interface ProcessObservers {
 	readonly instance: string
 	readonly log: EventLog
--- a/packages/standins/src/leased/edges.ts
+++ b/packages/standins/src/leased/edges.ts
@@ -61,9 +61,9 @@
 	laySettings(edge: Edge, vary: (settings: Settings) => Settings, halfMs: number): Promise<void>
 	/** The ends of all processes so far. */
 	readonly ends: readonly ProcessEnd[]
-	/** One line for each process that ended although nobody asked for it, and for each that was not ready in time. */
+	/** Returns a line for each process that ended although nobody asked for it, and for each that was not ready in time. */
 	faults(): readonly string[]
-	/** One line for each process that a SIGHUP ended before the program began. */
+	/** Returns a line for each process that a SIGHUP ended before the program began. */
 	earlyHangUps(): readonly string[]
 	/** Kills all processes. Rejects when there were faults, unless ended processes are restarted. */
 	close(): Promise<void>
--- a/packages/standins/src/soak/leased-faults.ts
+++ b/packages/standins/src/soak/leased-faults.ts
@@ -79,7 +79,7 @@
  * another fault or the fleet does.
  */
 export async function endForReplacement(edge: Edge, signal: "SIGKILL" | "SIGTERM") {
-	// One that ended by itself is started again by the fleet.
+	// The fleet starts an instance again that ended by itself.
 	if (!isRunning(edge)) return false
 	endEdge(edge, signal)
 	if (replacing.has(edge)) return false
--- a/scripts/hold.mjs
+++ b/scripts/hold.mjs
@@ -7,7 +7,7 @@
 import {setTimeout as sleep} from "node:timers/promises"
 
 const POLL_MS = 200
-/** Then its holder is taken for ended: its id may by now be another process's, or one of another machine. */
+/** After this time the holder is taken for ended: its id may by now be another process's, or one of another machine. */
 const HOLD_MS = 300_000
 
 function take(path) {
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -31,7 +31,7 @@
 const EXIT_NOT_COMPILED = 3
 /** Hexadecimal digits of a checksum. */
 const SUM_CHARS = 8
-/** What compiled code is made for; arguments of the runtime are compared by the runtime. */
+/** The kind of machine and runtime that compiled code is for; the runtime itself compares its arguments. */
 const MACHINE = `${process.version} ${process.platform} ${process.arch}`
 const source = join(__dirname, "program.cjs")
 const compiled = join(__dirname, "program.compiled")
