--- a/packages/jobs/src/fleet/peer-port.ts
+++ b/packages/jobs/src/fleet/peer-port.ts
@@ -33,6 +33,7 @@
 ): Promise<PeerPort> {
 	let receiver: PeerReceiver | undefined
 
+	/** Throws before the instance serves; the server answers a throw with an error, as it does a rejection. */
 	function current(): PeerReceiver {
 		if (!receiver) throw new Error("the instance is not ready for calls of peers")
 		return receiver
@@ -40,10 +41,10 @@
 
 	const handlers: PeerHandlers = {
 		beat: heartbeat => current().beat(heartbeat),
-		runJob: async (message, caller) => current().runJob(message, caller),
-		runTask: async (message, caller) => current().runTask(message, caller),
-		takeOver: async message => current().takeOver(message),
-		kept: async message => current().kept(message),
+		runJob: (message, caller) => current().runJob(message, caller),
+		runTask: (message, caller) => current().runTask(message, caller),
+		takeOver: message => current().takeOver(message),
+		kept: message => current().kept(message),
 	}
 
 	function noteFailure(error: Error) {
--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -44,8 +44,8 @@
 	const sum = sumOf(contents.subarray(0, -SUM_CHARS))
 	if (contents.toString("latin1", contents.length - SUM_CHARS) !== sum)
 		throw new Error("it is not as it was built; build it again")
-	// The bundler writes ASCII alone.
-	return {text: contents.toString("latin1"), sum}
+	// Decoded as ASCII, so long a text would be kept outside of the heap, and the runtime would collect garbage sooner.
+	return {text: contents.toString("utf8"), sum}
 }
 
 /** The last line of the compiled code. */
